--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/Arguments.java
@@ -0,0 +1,45 @@
+package org.bramblerack.cli;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.primitives.Longs;
+import java.time.Duration;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.ParseException;
+
+/** Reads typed values off a command line. Stateless. */
+final class Arguments {
+    private Arguments() {}
+
+    static Duration millis(CommandLine line, String option, String fallback) throws ParseException {
+        return Duration.ofMillis(number(line, option, fallback));
+    }
+
+    static long number(CommandLine line, String option, String fallback) throws ParseException {
+        String text = line.getOptionValue(option, fallback);
+        Long value = Longs.tryParse(text);
+        if (value == null || value < 0) {
+            throw new ParseException("--" + option + " " + text + " is not a whole number of at least 0");
+        }
+        return value;
+    }
+
+    static HostAndPort address(CommandLine line, String option) throws ParseException {
+        String text = line.getOptionValue(option);
+        try {
+            HostAndPort address = HostAndPort.fromString(text);
+            if (address.hasPort()) {
+                return address;
+            }
+        } catch (IllegalArgumentException malformed) {
+            // Reported below, together with an address without a port.
+        }
+        throw new ParseException("--" + option + " " + text + " is not an address such as 127.0.0.1:8101");
+    }
+
+    static String only(CommandLine line, String what) throws ParseException {
+        if (line.getArgList().size() != 1) {
+            throw new ParseException("give one " + what);
+        }
+        return line.getArgList().get(0);
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/CheckCommand.java
@@ -0,0 +1,65 @@
+package org.bramblerack.cli;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.bramblerack.daemon.settings.SettingsReader;
+import org.bramblerack.process.document.DocumentReader;
+import org.bramblerack.process.document.Fault;
+import org.bramblerack.version.DeclarationReader;
+
+/** Checks a settings or declaration file without applying it. */
+final class CheckCommand implements Command {
+    @Override
+    public String name() {
+        return "check";
+    }
+
+    @Override
+    public String arguments() {
+        return "FILE";
+    }
+
+    @Override
+    public String summary() {
+        return "Checks a settings or declaration file and prints every fault with its line and remedy.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options();
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream out) throws ParseException, IOException {
+        String name = Arguments.only(line, "FILE");
+        String text = TextFiles.read(Path.of(name));
+        boolean isSettings = isSettings(text);
+        Either<ImmutableList<Fault>, String> checked = isSettings
+                ? SettingsReader.read(text).map(settings -> "settings of host " + settings.host())
+                : DeclarationReader.read(text)
+                        .map(declaration -> "declaration of " + declaration.partner() + " with "
+                                + declaration.services().size() + " services");
+        if (checked.isLeft()) {
+            Faults.print(name, checked.getLeft(), out);
+            return ExitCode.REFUSED;
+        }
+        out.println(name + ": no faults, " + checked.get());
+        return ExitCode.OK;
+    }
+
+    /** A file that names a host or roles is meant as settings; anything else as a declaration. */
+    private static boolean isSettings(String text) {
+        boolean[] found = new boolean[1];
+        var unused = DocumentReader.read(text, fields -> {
+            found[0] = fields.has("host") || fields.has("roles");
+            return found;
+        });
+        return found[0];
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoPlan.java
@@ -0,0 +1,137 @@
+package org.bramblerack.cli;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The hosts, ports and files of the demonstration, in a folder of their own.
+ *
+ * <p>Not safe for use by several threads.
+ */
+final class DemoPlan {
+    static final ImmutableList<String> PARTNERS = ImmutableList.of("sagarmatha", "spinifex");
+
+    private static final Pattern ADDRESS = Pattern.compile("127\\.0\\.0\\.1:(\\d+)");
+    private static final ImmutableList<PlannedHost> HOSTS = ImmutableList.of(
+            new PlannedHost("sag-1", "bagmati", true),
+            new PlannedHost("sag-2", "bagmati", false),
+            new PlannedHost("sag-3", "gandaki", true),
+            new PlannedHost("sag-4", "koshi", false),
+            new PlannedHost("spx-1", "brisbane", true),
+            new PlannedHost("spx-2", "townsville", false),
+            new PlannedHost("spx-3", "toowoomba", false));
+
+    private final Path folder;
+    private final Path examples;
+    private final List<ServerSocket> reserved = new ArrayList<>();
+
+    DemoPlan(Path folder, Path examples) {
+        this.folder = folder;
+        this.examples = examples;
+    }
+
+    /** Writes every file. Ports are chosen free and released at the end. */
+    void write() throws IOException {
+        Files.createDirectories(folder);
+        List<String> processes = new ArrayList<>();
+        List<String> addresses = new ArrayList<>();
+        for (String partner : PARTNERS) {
+            String control = "127.0.0.1:" + reservePort();
+            Path declaration = folder.resolve(partner + ".json");
+            TextFiles.write(declaration, withFreePorts(TextFiles.read(examples.resolve(partner + ".json"))));
+            TextFiles.write(folder.resolve(partner + ".credential"), credential(partner) + "\n");
+            processes.add("stand-in-" + partner + " stand-in --declaration " + declaration + " --control " + control);
+            addresses.add("stand-in-" + partner + " " + control);
+        }
+        Map<String, Integer> peerPorts = new HashMap<>();
+        for (PlannedHost host : HOSTS) {
+            peerPorts.put(host.name(), reservePort());
+        }
+        for (PlannedHost host : HOSTS) {
+            String caller = "127.0.0.1:" + reservePort();
+            Path settings = folder.resolve(host.name() + ".json");
+            TextFiles.write(settings, settings(host, caller, peerPorts));
+            processes.add(host.name() + " serve --lag-ms 500 --settings " + settings);
+            addresses.add(host.name() + " " + caller);
+        }
+        TextFiles.write(folder.resolve("processes"), String.join("\n", processes) + "\n");
+        TextFiles.write(folder.resolve("addresses"), String.join("\n", addresses) + "\n");
+        for (ServerSocket socket : reserved) {
+            socket.close();
+        }
+    }
+
+    static String credential(String partner) {
+        return "demonstration-credential-of-" + partner;
+    }
+
+    private String settings(PlannedHost host, String caller, Map<String, Integer> peerPorts) {
+        StringBuilder text = new StringBuilder();
+        text.append("// Settings of ").append(host.name()).append(" in the demonstration.\n{\n");
+        text.append("  \"formatVersion\": 1,\n");
+        text.append("  \"host\": \"").append(host.name()).append("\",\n");
+        text.append("  \"region\": \"").append(host.zone()).append("\",\n");
+        text.append("  \"zone\": \"").append(host.zone()).append("\",\n");
+        text.append("  \"roles\": [\"entry\"")
+                .append(host.control() ? ", \"control\"" : "")
+                .append("],\n");
+        text.append("  \"callerAddress\": \"").append(caller).append("\",\n");
+        text.append("  \"peerAddress\": \"127.0.0.1:")
+                .append(peerPorts.get(host.name()))
+                .append("\",\n");
+        if (host.control()) {
+            text.append("  \"dataFolder\": \"")
+                    .append(folder.resolve("data-" + host.name()))
+                    .append("\",\n");
+        }
+        text.append("  \"workers\": 2,\n");
+        text.append("  \"platform\": { \"file\": \"")
+                .append(folder.resolve("platform.json"))
+                .append("\" },\n");
+        text.append("  // Only the digests of the credentials are written here.\n  \"credentials\": [\n");
+        for (String partner : PARTNERS) {
+            String digest = Hashing.sha256()
+                    .hashString(credential(partner), StandardCharsets.UTF_8)
+                    .toString();
+            text.append("    { \"partner\": \"").append(partner).append("\", \"sha256\": \"");
+            text.append(digest).append("\" },\n");
+        }
+        text.append("  ],\n  \"hosts\": [\n");
+        for (PlannedHost each : HOSTS) {
+            text.append("    { \"name\": \"").append(each.name()).append("\", \"zone\": \"");
+            text.append(each.zone()).append("\", \"peerAddress\": \"127.0.0.1:");
+            text.append(peerPorts.get(each.name())).append("\", \"control\": ");
+            text.append(each.control()).append(" },\n");
+        }
+        return text.append("  ],\n}\n").toString();
+    }
+
+    private String withFreePorts(String declaration) throws IOException {
+        Matcher matcher = ADDRESS.matcher(declaration);
+        StringBuilder text = new StringBuilder();
+        while (matcher.find()) {
+            matcher.appendReplacement(text, "127.0.0.1:" + reservePort());
+        }
+        return matcher.appendTail(text).toString();
+    }
+
+    private int reservePort() throws IOException {
+        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        reserved.add(socket);
+        return socket.getLocalPort();
+    }
+
+    private record PlannedHost(String name, String zone, boolean control) {}
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoPrepareCommand.java
@@ -0,0 +1,40 @@
+package org.bramblerack.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Writes the files of the demonstration; the script that starts its processes calls it. */
+final class DemoPrepareCommand implements Command {
+    @Override
+    public String name() {
+        return "demo-prepare";
+    }
+
+    @Override
+    public String arguments() {
+        return "--folder FOLDER --examples FOLDER";
+    }
+
+    @Override
+    public String summary() {
+        return "Writes the settings and declarations of the demonstration.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addRequiredOption(null, "folder", true, "where to write")
+                .addRequiredOption(null, "examples", true, "where the example declarations are");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream out) throws IOException {
+        Path folder = Path.of(line.getOptionValue("folder"));
+        new DemoPlan(folder, Path.of(line.getOptionValue("examples"))).write();
+        TextFiles.write(folder.resolve("platform.json"), "{\"hosts\": []}\n");
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/ServeCommand.java
@@ -0,0 +1,90 @@
+package org.bramblerack.cli;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.bramblerack.daemon.host.HostProcess;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.settings.Settings;
+import org.bramblerack.daemon.settings.SettingsReader;
+import org.bramblerack.process.document.Fault;
+
+/** Runs one host until it is asked to end. */
+final class ServeCommand implements Command {
+    private static final String DEFAULT_LAG_MILLIS = "3000";
+    private static final String DEFAULT_LIMIT_MILLIS = "30000";
+
+    @Override
+    public String name() {
+        return "serve";
+    }
+
+    @Override
+    public String arguments() {
+        return "--settings FILE";
+    }
+
+    @Override
+    public String summary() {
+        return "Runs one host with the roles of its settings until SIGTERM, then stops it in the planned way.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addRequiredOption("s", "settings", true, "the settings file (docs/SETTINGS.md)")
+                .addOption(null, "log", true, "the form of the log lines on standard error: text or json")
+                .addOption(null, "lag-ms", true, "how long to go on taking requests once leaving, for the balancer")
+                .addOption(null, "limit-ms", true, "how long to wait for what is in flight after that");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream out) throws ParseException, IOException, InterruptedException {
+        String log = line.getOptionValue("log", "text");
+        if (log.equals("json")) {
+            LogSetup.useJson();
+        } else if (!log.equals("text")) {
+            throw new ParseException("--log " + log + " is not a form; give text or json");
+        }
+        Duration lag = Arguments.millis(line, "lag-ms", DEFAULT_LAG_MILLIS);
+        Duration limit = Arguments.millis(line, "limit-ms", DEFAULT_LIMIT_MILLIS);
+        Path file = Path.of(line.getOptionValue("settings"));
+        Either<ImmutableList<Fault>, Settings> settings = SettingsReader.read(TextFiles.read(file));
+        if (settings.isLeft()) {
+            Faults.print(file.toString(), settings.getLeft(), out);
+            return ExitCode.REFUSED;
+        }
+        HostProcess process = new HostProcess(settings.get(), LinkPolicy.OPEN);
+        try {
+            process.start();
+        } catch (IOException | RuntimeException failure) {
+            out.println("cannot start: " + failure.getMessage());
+            process.kill();
+            return ExitCode.UNAVAILABLE;
+        }
+        CountDownLatch ended = new CountDownLatch(1);
+        TerminationSignal.onSignals(() -> stop(process, lag, limit, ended), () -> {
+            process.kill();
+            ended.countDown();
+        });
+        ended.await();
+        return ExitCode.OK;
+    }
+
+    private static void stop(HostProcess process, Duration lag, Duration limit, CountDownLatch ended) {
+        try {
+            process.stop(lag, limit);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } finally {
+            ended.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/StandInCommand.java
@@ -0,0 +1,67 @@
+package org.bramblerack.cli;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.bramblerack.process.document.Fault;
+import org.bramblerack.standin.StandInFleet;
+import org.bramblerack.version.Declaration;
+import org.bramblerack.version.DeclarationReader;
+
+/** Runs stand-ins for the upstreams of a declaration. */
+final class StandInCommand implements Command {
+    private static final String DEFAULT_SERVICE_MICROS = "3000";
+    private static final String DEFAULT_SEED = "1";
+
+    @Override
+    public String name() {
+        return "stand-in";
+    }
+
+    @Override
+    public String arguments() {
+        return "--declaration FILE --control IP:PORT";
+    }
+
+    @Override
+    public String summary() {
+        return "Runs stand-ins for all upstreams of a declaration, for trying things out.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addRequiredOption(null, "declaration", true, "the declaration whose upstreams to stand in for")
+                .addRequiredOption(null, "control", true, "where their behaviour is set (docs/STAND-INS.md)")
+                .addOption(null, "service-us", true, "how long a call takes, in microseconds")
+                .addOption(null, "seed", true, "the seed of their randomness");
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream out) throws ParseException, IOException, InterruptedException {
+        String file = line.getOptionValue("declaration");
+        Either<ImmutableList<Fault>, Declaration> declaration = DeclarationReader.read(TextFiles.read(Path.of(file)));
+        if (declaration.isLeft()) {
+            Faults.print(file, declaration.getLeft(), out);
+            return ExitCode.REFUSED;
+        }
+        int serviceMicros = (int) Math.max(1, Arguments.number(line, "service-us", DEFAULT_SERVICE_MICROS));
+        StandInFleet fleet =
+                new StandInFleet(declaration.get(), serviceMicros, Arguments.number(line, "seed", DEFAULT_SEED));
+        fleet.start();
+        fleet.startControl(Arguments.address(line, "control"));
+        out.println("stand-ins of " + declaration.get().partner() + " are ready");
+        out.flush();
+        CountDownLatch ended = new CountDownLatch(1);
+        TerminationSignal.onSignals(ended::countDown, ended::countDown);
+        ended.await();
+        fleet.stop();
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/connection/GateAction.java
@@ -0,0 +1,15 @@
+package org.bramblerack.connection;
+
+import org.bramblerack.request.LeafFailure;
+
+/** What a gate wants done, in the order given. */
+public sealed interface GateAction {
+    /** Send the call to the upstream. */
+    record Dispatch(String callId) implements GateAction {}
+
+    /** Tell the sender that the call was not run. */
+    record Refuse(String callId, LeafFailure failure) implements GateAction {}
+
+    /** Tell the upstream to stop working on the call. */
+    record CancelAtUpstream(String callId) implements GateAction {}
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/LatencyTracker.java
@@ -0,0 +1,67 @@
+package org.bramblerack.process;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Observes the latency of the replies of one service and tells when a reply is late.
+ *
+ * <p>Samples are gathered in windows. The quantile is that of the last full window; until one is full it is the initial
+ * value. Safe for use by many threads; recording costs a few tens of nanoseconds under a lock that nothing is called
+ * under.
+ */
+public final class LatencyTracker {
+    private static final int WINDOW_SAMPLES = 2_000;
+    private static final long MAX_WINDOW_NANOS = Duration.ofSeconds(5).toNanos();
+    private static final int LEAST_SAMPLES = 100;
+    private static final long HIGHEST_MICROS = Duration.ofMinutes(10).toNanos() / 1_000;
+    private static final int SIGNIFICANT_DIGITS = 2;
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final double quantilePercent;
+    private final Histogram window = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
+    private long windowStartNanos = Long.MIN_VALUE;
+    private volatile long quantileNanos;
+    private volatile long medianNanos;
+
+    /**
+     * Creates a tracker.
+     *
+     * @param quantilePercent the quantile to observe, such as 95
+     * @param initial the value to report until enough was seen
+     */
+    public LatencyTracker(double quantilePercent, Duration initial) {
+        checkArgument(quantilePercent > 0 && quantilePercent < 100, "quantile %s", quantilePercent);
+        this.quantilePercent = quantilePercent;
+        this.quantileNanos = initial.toNanos();
+        this.medianNanos = initial.toNanos();
+    }
+
+    /** Records the latency of one reply. */
+    public synchronized void record(long latencyNanos, long nowNanos) {
+        if (windowStartNanos == Long.MIN_VALUE) {
+            windowStartNanos = nowNanos;
+        }
+        window.recordValue(Math.max(1, Math.min(HIGHEST_MICROS, latencyNanos / NANOS_PER_MICRO)));
+        boolean full = window.getTotalCount() >= WINDOW_SAMPLES;
+        boolean old = nowNanos - windowStartNanos >= MAX_WINDOW_NANOS && window.getTotalCount() >= LEAST_SAMPLES;
+        if (full || old) {
+            quantileNanos = window.getValueAtPercentile(quantilePercent) * NANOS_PER_MICRO;
+            medianNanos = window.getValueAtPercentile(50) * NANOS_PER_MICRO;
+            window.reset();
+            windowStartNanos = nowNanos;
+        }
+    }
+
+    /** Returns the observed quantile in nanoseconds. */
+    public long quantileNanos() {
+        return quantileNanos;
+    }
+
+    /** Returns the observed median in nanoseconds. */
+    public long medianNanos() {
+        return medianNanos;
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/MembershipTable.java
@@ -0,0 +1,51 @@
+package org.bramblerack.process;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * What this host heard from the others, and when.
+ *
+ * <p>Invariant: a heartbeat of an earlier life of a host never replaces one of a later life. Nothing that must be safe
+ * rests on this view: it only steers work to hosts that answer. Safe for use by many threads.
+ */
+public final class MembershipTable {
+    /** How long a host counts as live after it was heard. */
+    public static final Duration SILENCE = Duration.ofSeconds(2);
+
+    private final Map<String, Heard> heard = new ConcurrentHashMap<>();
+
+    /**
+     * Records a heartbeat.
+     *
+     * @param incarnation grows with every start of the host
+     * @param leaving true if the host says that it is leaving
+     * @param revision the revision of the configuration that it has in force
+     */
+    public void record(String host, long incarnation, boolean leaving, long revision, long nowNanos) {
+        heard.merge(
+                host,
+                new Heard(incarnation, leaving, revision, nowNanos),
+                (known, latest) -> latest.incarnation() < known.incarnation() ? known : latest);
+    }
+
+    /** Returns the present state of a host. */
+    public HostState state(String host, long nowNanos) {
+        Heard known = heard.get(host);
+        if (known == null || nowNanos - known.atNanos() > SILENCE.toNanos()) {
+            return HostState.SILENT;
+        }
+        return known.leaving() ? HostState.LEAVING : HostState.LIVE;
+    }
+
+    /** Returns the highest revision that each host was heard to have in force. */
+    public ImmutableSortedMap<String, Long> revisions() {
+        ImmutableSortedMap.Builder<String, Long> revisions = ImmutableSortedMap.naturalOrder();
+        heard.forEach((host, known) -> revisions.put(host, known.revision()));
+        return revisions.build();
+    }
+
+    private record Heard(long incarnation, boolean leaving, long revision, long atNanos) {}
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/UpstreamTable.java
@@ -0,0 +1,109 @@
+package org.bramblerack.process;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.bramblerack.version.Upstream;
+import org.bramblerack.version.UpstreamLimits;
+import org.bramblerack.version.UpstreamName;
+
+/**
+ * The evidence about every upstream, and the choice among replicas that follows from it.
+ *
+ * <p>The replica of the least expected latency is chosen: the near one first, and a far one once the near one is
+ * saturated. Ejected replicas are left out unless all are ejected: then the view is suspected rather than the fleet,
+ * and the choice goes on among all of them. A leaving upstream is never chosen.
+ *
+ * <p>Safe for use by many threads.
+ */
+public final class UpstreamTable {
+    private static final Duration NEAR_PRIOR = Duration.ofMillis(5);
+    private static final Duration FAR_PRIOR = Duration.ofMillis(25);
+    private static final double TIE_BREAK = 0.1;
+
+    private final String ownZone;
+    private final Map<UpstreamName, UpstreamEvidence> evidence = new ConcurrentHashMap<>();
+
+    /** Creates an empty table for a process in the given availability zone. */
+    public UpstreamTable(String ownZone) {
+        this.ownZone = ownZone;
+    }
+
+    /** Adds an upstream, or keeps what is known of it, and takes over what the declaration says of its leaving. */
+    public void declare(Upstream upstream, UpstreamLimits limits, long nowNanos) {
+        Duration prior = upstream.zone().equals(ownZone) ? NEAR_PRIOR : FAR_PRIOR;
+        UpstreamEvidence known = evidence.computeIfAbsent(
+                upstream.name(), unused -> new UpstreamEvidence(limits.slots(), prior, nowNanos));
+        known.setDraining(DrainSource.DECLARATION, upstream.leaving());
+    }
+
+    /** Forgets every upstream that the predicate does not keep. */
+    public void retain(Predicate<UpstreamName> declared) {
+        evidence.keySet().removeIf(declared.negate());
+    }
+
+    /** Returns the evidence about an upstream, if it is declared. */
+    public Optional<UpstreamEvidence> find(UpstreamName upstream) {
+        return Optional.ofNullable(evidence.get(upstream));
+    }
+
+    /**
+     * Chooses a replica for a new call.
+     *
+     * @param replicas the replicas that serve the shard
+     * @param allowed whether a replica may be chosen as far as the caller is concerned
+     * @return the choice, or empty if every replica is leaving, unknown or not allowed
+     */
+    public Optional<UpstreamName> choose(
+            ImmutableList<UpstreamName> replicas,
+            Predicate<UpstreamName> allowed,
+            RandomGenerator random,
+            long nowNanos) {
+        Optional<UpstreamName> healthy = best(replicas, allowed, random, nowNanos, false);
+        return healthy.isPresent() ? healthy : best(replicas, allowed, random, nowNanos, true);
+    }
+
+    /** Chooses a replica for a hedge: one that is neither ejected, nor leaving, nor busy with calls of this process. */
+    public Optional<UpstreamName> chooseIdle(
+            ImmutableList<UpstreamName> replicas,
+            Predicate<UpstreamName> allowed,
+            RandomGenerator random,
+            long nowNanos) {
+        return best(
+                replicas,
+                name -> allowed.test(name)
+                        && find(name).map(known -> !known.isBusy()).orElse(false),
+                random,
+                nowNanos,
+                false);
+    }
+
+    private Optional<UpstreamName> best(
+            ImmutableList<UpstreamName> replicas,
+            Predicate<UpstreamName> allowed,
+            RandomGenerator random,
+            long nowNanos,
+            boolean withEjected) {
+        UpstreamName best = null;
+        double bestNanos = Double.MAX_VALUE;
+        for (UpstreamName candidate : replicas) {
+            UpstreamEvidence known = evidence.get(candidate);
+            if (known == null || known.isDraining() || !allowed.test(candidate)) {
+                continue;
+            }
+            if (!withEjected && known.isEjected(nowNanos)) {
+                continue;
+            }
+            double expectedNanos = known.expectedNanos(nowNanos) * (1 + TIE_BREAK * random.nextDouble());
+            if (expectedNanos < bestNanos) {
+                best = candidate;
+                bestNanos = expectedNanos;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ClaimTable.java
@@ -0,0 +1,218 @@
+package org.bramblerack.process.agreement;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.bramblerack.wire.Claim;
+import org.bramblerack.wire.ClaimRequest;
+import org.bramblerack.wire.CommandResult;
+import org.bramblerack.wire.ControlSnapshot;
+import org.bramblerack.wire.OutcomeKind;
+import org.bramblerack.wire.RecordOutcome;
+
+/**
+ * The claims on once-only requests.
+ *
+ * <p>Invariants: a request is granted to one attempt at a time, and to another only after the first recorded that it
+ * did not run. Only the attempt that holds a claim records its outcome. An outcome that is forgotten leaves the request
+ * refused for good: by its issue time if the caller stated one, else by a digest that is kept. Time is that of the
+ * commands and never goes back.
+ *
+ * <p>Not safe for use by several threads. A command costs logarithmic time in the number of claims.
+ */
+final class ClaimTable {
+    /** How many digests are kept; beyond it, requests without an issue time are refused. */
+    static final int MAX_FORGOTTEN = 500_000;
+
+    private static final long MAX_CLOCK_SKEW_MILLIS = 5L * 60 * 1_000;
+    private static final long KEEP_ABANDONED_MILLIS = 60L * 60 * 1_000;
+
+    private final Map<ClaimKey, Claim> claims = new HashMap<>();
+    private final TreeSet<Expiry> expiries =
+            new TreeSet<>(Comparator.comparingLong(Expiry::atMillis).thenComparing(Expiry::key, ClaimKey.ORDER));
+    private final Set<ByteString> forgotten = new LinkedHashSet<>();
+    private long clockMillis;
+
+    static ClaimTable restore(ControlSnapshot snapshot) {
+        ClaimTable table = new ClaimTable();
+        table.clockMillis = snapshot.getClockMillis();
+        snapshot.getClaimsList().forEach(table::put);
+        ByteString digests = snapshot.getForgotten();
+        for (int start = 0; start + Digests.SHORT_BYTES <= digests.size(); start += Digests.SHORT_BYTES) {
+            table.forgotten.add(digests.substring(start, start + Digests.SHORT_BYTES));
+        }
+        return table;
+    }
+
+    CommandResult claim(ClaimRequest request) {
+        advanceClock(request.getAtMillis());
+        ClaimKey key = new ClaimKey(request.getService(), request.getRequestId());
+        Claim known = claims.get(key);
+        if (known == null) {
+            return claimUnknown(key, request);
+        }
+        boolean otherBody = !known.getBodyDigest().equals(request.getBodyDigest());
+        if (otherBody && !known.getBodyDigest().isEmpty()) {
+            return result(CommandResult.Kind.MISMATCH, known);
+        }
+        boolean sameAttempt = known.getAttempt().equals(request.getAttempt());
+        if (known.getKind() == OutcomeKind.IN_PROGRESS && sameAttempt) {
+            return result(CommandResult.Kind.CLAIMED, known);
+        }
+        if (known.getKind() == OutcomeKind.NOT_RUN && !sameAttempt) {
+            return grant(key, request);
+        }
+        return result(CommandResult.Kind.ALREADY, known);
+    }
+
+    CommandResult recordOutcome(RecordOutcome outcome) {
+        advanceClock(outcome.getAtMillis());
+        ClaimKey key = new ClaimKey(outcome.getService(), outcome.getRequestId());
+        Claim known = claims.get(key);
+        if (known == null && outcome.getKind() == OutcomeKind.NOT_RUN) {
+            return abandonBeforeClaim(outcome);
+        }
+        if (known == null || !known.getAttempt().equals(outcome.getAttempt())) {
+            return result(CommandResult.Kind.NOT_HOLDER, Claim.getDefaultInstance());
+        }
+        if (!mayBecome(known.getKind(), outcome.getKind())) {
+            return result(CommandResult.Kind.ALREADY, known);
+        }
+        Claim changed = known.toBuilder()
+                .setKind(outcome.getKind())
+                .setAnswer(outcome.getAnswer())
+                .setReason(outcome.getReason())
+                .build();
+        put(changed);
+        return result(CommandResult.Kind.RECORDED, changed);
+    }
+
+    Optional<Claim> find(String service, String requestId) {
+        return Optional.ofNullable(claims.get(new ClaimKey(service, requestId)));
+    }
+
+    boolean isForgotten(String service, String requestId) {
+        return forgotten.contains(Digests.shortDigest(service, requestId));
+    }
+
+    int size() {
+        return claims.size();
+    }
+
+    long clockMillis() {
+        return clockMillis;
+    }
+
+    /** Returns the claims in the order of their expiry, which is the same on every voter. */
+    ImmutableList<Claim> all() {
+        ImmutableList.Builder<Claim> ordered = ImmutableList.builder();
+        for (Expiry expiry : expiries) {
+            Claim claim = claims.get(expiry.key());
+            if (claim != null) {
+                ordered.add(claim);
+            }
+        }
+        return ordered.build();
+    }
+
+    ByteString forgotten() {
+        return ByteString.copyFrom(forgotten);
+    }
+
+    private CommandResult claimUnknown(ClaimKey key, ClaimRequest request) {
+        boolean issueTimeKnown = request.getIssuedAtMillis() > 0;
+        boolean tooOld = issueTimeKnown && request.getIssuedAtMillis() + request.getRetentionMillis() <= clockMillis;
+        if (tooOld || isForgotten(key.service(), key.requestId())) {
+            return result(CommandResult.Kind.EXPIRED, Claim.getDefaultInstance());
+        }
+        if (request.getIssuedAtMillis() > clockMillis + MAX_CLOCK_SKEW_MILLIS) {
+            return result(CommandResult.Kind.INVALID, Claim.getDefaultInstance());
+        }
+        if (!issueTimeKnown && forgotten.size() >= MAX_FORGOTTEN) {
+            return result(CommandResult.Kind.NO_ROOM, Claim.getDefaultInstance());
+        }
+        return grant(key, request);
+    }
+
+    /** An attempt gave up before its claim came: should the claim still come, it is not granted. */
+    private CommandResult abandonBeforeClaim(RecordOutcome outcome) {
+        Claim abandoned = Claim.newBuilder()
+                .setService(outcome.getService())
+                .setRequestId(outcome.getRequestId())
+                .setAttempt(outcome.getAttempt())
+                .setKind(OutcomeKind.NOT_RUN)
+                .setReason(outcome.getReason())
+                .setAtMillis(clockMillis)
+                .setKeepUntilMillis(clockMillis + KEEP_ABANDONED_MILLIS)
+                .build();
+        put(abandoned);
+        return result(CommandResult.Kind.RECORDED, abandoned);
+    }
+
+    private CommandResult grant(ClaimKey key, ClaimRequest request) {
+        long keptFromMillis = Math.max(clockMillis, request.getIssuedAtMillis());
+        Claim granted = Claim.newBuilder()
+                .setService(key.service())
+                .setRequestId(key.requestId())
+                .setAttempt(request.getAttempt())
+                .setKind(OutcomeKind.IN_PROGRESS)
+                .setAtMillis(clockMillis)
+                .setBodyDigest(request.getBodyDigest())
+                .setKeepUntilMillis(keptFromMillis + request.getRetentionMillis())
+                .setIssueTimeKnown(request.getIssuedAtMillis() > 0)
+                .setDeadlineMillis(request.getDeadlineMillis())
+                .build();
+        put(granted);
+        return result(CommandResult.Kind.CLAIMED, granted);
+    }
+
+    private void put(Claim claim) {
+        ClaimKey key = new ClaimKey(claim.getService(), claim.getRequestId());
+        Claim replaced = claims.put(key, claim);
+        if (replaced != null) {
+            expiries.remove(new Expiry(replaced.getKeepUntilMillis(), key));
+        }
+        expiries.add(new Expiry(claim.getKeepUntilMillis(), key));
+    }
+
+    private void advanceClock(long atMillis) {
+        clockMillis = Math.max(clockMillis, atMillis);
+        while (!expiries.isEmpty() && expiries.first().atMillis() <= clockMillis) {
+            forget(expiries.first());
+        }
+    }
+
+    private void forget(Expiry expiry) {
+        expiries.remove(expiry);
+        Claim claim = claims.remove(expiry.key());
+        boolean mayRunAgain = claim == null || claim.getKind() == OutcomeKind.NOT_RUN;
+        if (!mayRunAgain && !claim.getIssueTimeKnown()) {
+            forgotten.add(Digests.shortDigest(claim.getService(), claim.getRequestId()));
+        }
+    }
+
+    private static boolean mayBecome(OutcomeKind from, OutcomeKind to) {
+        return switch (from) {
+            case IN_PROGRESS -> to == OutcomeKind.RAN || to == OutcomeKind.NOT_RUN || to == OutcomeKind.UNKNOWN;
+            case UNKNOWN -> to == OutcomeKind.RAN;
+            default -> false;
+        };
+    }
+
+    private static CommandResult result(CommandResult.Kind kind, Claim claim) {
+        return CommandResult.newBuilder().setKind(kind).setClaim(claim).build();
+    }
+
+    private record ClaimKey(String service, String requestId) {
+        static final Comparator<ClaimKey> ORDER =
+                Comparator.comparing(ClaimKey::service).thenComparing(ClaimKey::requestId);
+    }
+
+    private record Expiry(long atMillis, ClaimKey key) {}
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
@@ -0,0 +1,175 @@
+package org.bramblerack.process.agreement;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.bramblerack.wire.ApplyDeclaration;
+import org.bramblerack.wire.ChangeResult;
+import org.bramblerack.wire.Claim;
+import org.bramblerack.wire.Command;
+import org.bramblerack.wire.CommandResult;
+import org.bramblerack.wire.ControlSnapshot;
+import org.bramblerack.wire.HistoryEntry;
+import org.bramblerack.wire.PartnerDeclaration;
+
+/**
+ * The state that the replicated log builds: the partners' declarations and the claims on once-only requests.
+ *
+ * <p>Invariants: the same commands in the same order give the same state and results on every voter, so nothing here
+ * reads a clock or a setting. The revision only grows. A change identifier is accepted once, and its result is given
+ * again when it is resent. Not safe for use by several threads.
+ */
+public final class ControlState {
+    private static final int MAX_RESULTS = 20_000;
+    private static final int MAX_HISTORY = 2_000;
+
+    private final Map<String, PartnerDeclaration> declarations = new TreeMap<>();
+    private final LinkedHashMap<ChangeKey, ChangeResult> results = new LinkedHashMap<>();
+    private final List<HistoryEntry> history = new ArrayList<>();
+    private ClaimTable claims = new ClaimTable();
+    private long revision;
+
+    /** Applies a command and returns its result. */
+    public CommandResult apply(Command command) {
+        return switch (command.getBodyCase()) {
+            case APPLY_DECLARATION -> applyDeclaration(command.getApplyDeclaration());
+            case CLAIM -> claims.claim(command.getClaim());
+            case OUTCOME -> claims.recordOutcome(command.getOutcome());
+            case BODY_NOT_SET ->
+                CommandResult.newBuilder().setKind(CommandResult.Kind.INVALID).build();
+        };
+    }
+
+    /** Returns the revision: how many declarations were accepted so far. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the declarations that were accepted after a revision. */
+    public ImmutableList<PartnerDeclaration> declarationsAfter(long knownRevision) {
+        return declarations.values().stream()
+                .filter(declaration -> declaration.getRevision() > knownRevision)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the claim on a once-only request, if it is kept. */
+    public Optional<Claim> claim(String service, String requestId) {
+        return claims.find(service, requestId);
+    }
+
+    /** Returns true if a once-only request was claimed but its outcome is no longer kept. */
+    public boolean isForgotten(String service, String requestId) {
+        return claims.isForgotten(service, requestId);
+    }
+
+    /** Returns how many claims are kept. */
+    public int claimCount() {
+        return claims.size();
+    }
+
+    /** Returns the last accepted changes, the newest last. */
+    public ImmutableList<HistoryEntry> history() {
+        return ImmutableList.copyOf(history);
+    }
+
+    /** Returns everything, for a snapshot. */
+    public ByteString toSnapshot() {
+        return ControlSnapshot.newBuilder()
+                .setRevision(revision)
+                .addAllDeclarations(declarations.values())
+                .addAllHistory(history)
+                .addAllResults(results.values())
+                .addAllClaims(claims.all())
+                .setClockMillis(claims.clockMillis())
+                .setForgotten(claims.forgotten())
+                .build()
+                .toByteString();
+    }
+
+    /** Replaces everything by what a snapshot holds. */
+    public void restore(ControlSnapshot snapshot) {
+        declarations.clear();
+        results.clear();
+        history.clear();
+        revision = snapshot.getRevision();
+        snapshot.getDeclarationsList().forEach(declaration -> declarations.put(declaration.getPartner(), declaration));
+        snapshot.getResultsList()
+                .forEach(result -> results.put(new ChangeKey(result.getPartner(), result.getChangeId()), result));
+        history.addAll(snapshot.getHistoryList());
+        claims = ClaimTable.restore(snapshot);
+    }
+
+    private CommandResult applyDeclaration(ApplyDeclaration change) {
+        ChangeKey key = new ChangeKey(change.getPartner(), change.getChangeId());
+        ByteString digest = Digests.of(change.getText());
+        ChangeResult earlier = results.get(key);
+        if (earlier != null) {
+            boolean same = earlier.getTextDigest().equals(digest);
+            return CommandResult.newBuilder()
+                    .setKind(same ? CommandResult.Kind.ACCEPTED : CommandResult.Kind.MISMATCH)
+                    .setRevision(earlier.getRevision())
+                    .build();
+        }
+        PartnerDeclaration current =
+                declarations.getOrDefault(change.getPartner(), PartnerDeclaration.getDefaultInstance());
+        if (current.getRevision() != change.getExpectedRevision()) {
+            return CommandResult.newBuilder()
+                    .setKind(CommandResult.Kind.CONFLICT)
+                    .setRevision(current.getRevision())
+                    .setWinnerChangeId(changeAt(current.getRevision()))
+                    .build();
+        }
+        accept(change, key, digest);
+        return CommandResult.newBuilder()
+                .setKind(CommandResult.Kind.ACCEPTED)
+                .setRevision(revision)
+                .build();
+    }
+
+    private void accept(ApplyDeclaration change, ChangeKey key, ByteString digest) {
+        revision++;
+        declarations.put(
+                change.getPartner(),
+                PartnerDeclaration.newBuilder()
+                        .setPartner(change.getPartner())
+                        .setRevision(revision)
+                        .setText(change.getText())
+                        .build());
+        results.put(
+                key,
+                ChangeResult.newBuilder()
+                        .setPartner(change.getPartner())
+                        .setChangeId(change.getChangeId())
+                        .setRevision(revision)
+                        .setTextDigest(digest)
+                        .build());
+        if (results.size() > MAX_RESULTS) {
+            results.remove(results.keySet().iterator().next());
+        }
+        history.add(HistoryEntry.newBuilder()
+                .setRevision(revision)
+                .setPartner(change.getPartner())
+                .setChangeId(change.getChangeId())
+                .setAcceptedAtMillis(change.getAtMillis())
+                .build());
+        if (history.size() > MAX_HISTORY) {
+            history.remove(0);
+        }
+    }
+
+    private String changeAt(long acceptedRevision) {
+        for (int position = history.size() - 1; position >= 0; position--) {
+            if (history.get(position).getRevision() == acceptedRevision) {
+                return history.get(position).getChangeId();
+            }
+        }
+        return "";
+    }
+
+    private record ChangeKey(String partner, String changeId) {}
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/Digests.java
@@ -0,0 +1,34 @@
+package org.bramblerack.process.agreement;
+
+import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Digests that identify texts and requests in the agreed state. */
+public final class Digests {
+    /** The length of a short digest in bytes. */
+    static final int SHORT_BYTES = 16;
+
+    private Digests() {}
+
+    /** Returns the SHA-256 of a text in UTF-8. */
+    public static ByteString of(String text) {
+        return ByteString.copyFrom(
+                Hashing.sha256().hashString(text, StandardCharsets.UTF_8).asBytes());
+    }
+
+    /** Returns the SHA-256 of bytes. */
+    public static ByteString of(ByteString bytes) {
+        return ByteString.copyFrom(
+                Hashing.sha256().hashBytes(bytes.asReadOnlyByteBuffer()).asBytes());
+    }
+
+    /** Returns the first bytes of the SHA-256 of the names of a once-only request. */
+    static ByteString shortDigest(String service, String requestId) {
+        byte[] whole = Hashing.sha256()
+                .hashString(service + "\n" + requestId, StandardCharsets.UTF_8)
+                .asBytes();
+        return ByteString.copyFrom(Arrays.copyOf(whole, SHORT_BYTES));
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerProgress.java
@@ -0,0 +1,18 @@
+package org.bramblerack.process.agreement;
+
+/** What a leader knows of one follower. Guarded by the node that owns it. */
+final class FollowerProgress {
+    long nextIndex;
+    long matchIndex;
+    long ackedRound;
+    long lastHeardNanos;
+    long lastSentNanos;
+    long snapshotSentNanos;
+    boolean awaitingSnapshotReply;
+
+    FollowerProgress(long nextIndex, long nowNanos) {
+        this.nextIndex = nextIndex;
+        this.lastHeardNanos = nowNanos;
+        this.lastSentNanos = nowNanos;
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerTable.java
@@ -0,0 +1,176 @@
+package org.bramblerack.process.agreement;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+import org.bramblerack.wire.LogEntry;
+import org.bramblerack.wire.RaftMessage;
+
+/**
+ * The followers of a leader: what each has, what to send to each, and what a quorum has.
+ *
+ * <p>Entries are sent ahead of their acknowledgement, at most {@value #MAX_UNACKNOWLEDGED} to a follower; a follower
+ * that missed some refuses what follows and says where to begin again. Not safe for use by several threads.
+ */
+final class FollowerTable {
+    private static final int MAX_ENTRIES_IN_MESSAGE = 512;
+    private static final int MAX_UNACKNOWLEDGED = 4_096;
+    private static final long SNAPSHOT_RESEND_NANOS = Duration.ofSeconds(2).toNanos();
+
+    private final String self;
+    private final ImmutableSortedSet<String> voters;
+    private final Map<String, FollowerProgress> followers = new TreeMap<>();
+
+    FollowerTable(String self, ImmutableSortedSet<String> voters) {
+        this.self = self;
+        this.voters = voters;
+    }
+
+    /** What the followers are told of the leader. */
+    record LeaderView(long term, long commitIndex, long round, RaftLog log, ByteString snapshot) {}
+
+    void reset(long nextIndex, long nowNanos) {
+        followers.clear();
+        for (String voter : voters) {
+            if (!voter.equals(self)) {
+                followers.put(voter, new FollowerProgress(nextIndex, nowNanos));
+            }
+        }
+    }
+
+    void sendHeartbeats(LeaderView leader, long heartbeatNanos, long nowNanos, List<RaftAction> actions) {
+        followers.forEach((name, follower) -> {
+            if (nowNanos - follower.lastSentNanos >= heartbeatNanos) {
+                send(name, follower, leader, true, nowNanos, actions);
+            }
+        });
+    }
+
+    void sendNew(LeaderView leader, boolean evenIfEmpty, long nowNanos, List<RaftAction> actions) {
+        followers.forEach((name, follower) -> send(name, follower, leader, evenIfEmpty, nowNanos, actions));
+    }
+
+    /** Sends what a follower still lacks. */
+    void sendRest(String name, LeaderView leader, long nowNanos, List<RaftAction> actions) {
+        FollowerProgress follower = followers.get(name);
+        if (follower != null && follower.nextIndex <= leader.log().lastIndex()) {
+            send(name, follower, leader, false, nowNanos, actions);
+        }
+    }
+
+    void acknowledge(RaftMessage reply, long nowNanos) {
+        FollowerProgress follower = followers.get(reply.getFrom());
+        if (follower == null) {
+            return;
+        }
+        follower.lastHeardNanos = nowNanos;
+        follower.ackedRound = Math.max(follower.ackedRound, reply.getRound());
+        if (reply.getKind() == RaftMessage.Kind.SNAPSHOT_REPLY) {
+            follower.awaitingSnapshotReply = false;
+        }
+        if (reply.getAccepted()) {
+            follower.matchIndex = Math.max(follower.matchIndex, reply.getLastIndex());
+            follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
+        } else {
+            long beginAgain = Math.min(follower.nextIndex, reply.getLastIndex() + 1);
+            follower.nextIndex = Math.max(follower.matchIndex + 1, beginAgain);
+        }
+    }
+
+    boolean hearsQuorum(long nowNanos, long silenceNanos) {
+        long heard = 1
+                + followers.values().stream()
+                        .filter(follower -> nowNanos - follower.lastHeardNanos < silenceNanos)
+                        .count();
+        return heard > voters.size() / 2;
+    }
+
+    /** Returns the highest index that a quorum has synced, given that of the leader. */
+    long quorumMatch(long own) {
+        return quorumOf(follower -> follower.matchIndex, own);
+    }
+
+    /** Returns the highest read round that a quorum has confirmed, given that of the leader. */
+    long quorumRound(long own) {
+        return quorumOf(follower -> follower.ackedRound, own);
+    }
+
+    private long quorumOf(ToLongFunction<FollowerProgress> value, long own) {
+        long[] values = new long[voters.size()];
+        values[0] = own;
+        int next = 1;
+        for (FollowerProgress follower : followers.values()) {
+            values[next] = value.applyAsLong(follower);
+            next++;
+        }
+        Arrays.sort(values);
+        return values[(voters.size() - 1) / 2];
+    }
+
+    private void send(
+            String to,
+            FollowerProgress follower,
+            LeaderView leader,
+            boolean evenIfEmpty,
+            long nowNanos,
+            List<RaftAction> actions) {
+        RaftLog log = leader.log();
+        if (follower.nextIndex <= log.snapshotIndex()) {
+            sendSnapshot(to, follower, leader, nowNanos, actions);
+            if (evenIfEmpty) {
+                sendEntries(to, follower, leader, log.snapshotIndex(), ImmutableList.of(), nowNanos, actions);
+            }
+            return;
+        }
+        long sendable = follower.matchIndex + MAX_UNACKNOWLEDGED - follower.nextIndex + 1;
+        int most = (int) Math.max(0, Math.min(MAX_ENTRIES_IN_MESSAGE, sendable));
+        ImmutableList<LogEntry> entries = log.from(follower.nextIndex, most);
+        if (evenIfEmpty || !entries.isEmpty()) {
+            sendEntries(to, follower, leader, follower.nextIndex - 1, entries, nowNanos, actions);
+            follower.nextIndex += entries.size();
+        }
+    }
+
+    private void sendEntries(
+            String to,
+            FollowerProgress follower,
+            LeaderView leader,
+            long previous,
+            ImmutableList<LogEntry> entries,
+            long nowNanos,
+            List<RaftAction> actions) {
+        actions.add(new RaftAction.Send(message(RaftMessage.Kind.APPEND, to, leader)
+                .setLastIndex(previous)
+                .setLastTerm(leader.log().termAt(previous))
+                .setCommitIndex(leader.commitIndex())
+                .setRound(leader.round())
+                .addAllEntries(entries)
+                .build()));
+        follower.lastSentNanos = nowNanos;
+    }
+
+    private void sendSnapshot(
+            String to, FollowerProgress follower, LeaderView leader, long nowNanos, List<RaftAction> actions) {
+        if (follower.awaitingSnapshotReply && nowNanos - follower.snapshotSentNanos < SNAPSHOT_RESEND_NANOS) {
+            return;
+        }
+        follower.awaitingSnapshotReply = true;
+        follower.snapshotSentNanos = nowNanos;
+        long index = leader.log().snapshotIndex();
+        actions.add(new RaftAction.Send(message(RaftMessage.Kind.SNAPSHOT, to, leader)
+                .setLastIndex(index)
+                .setLastTerm(leader.log().termAt(index))
+                .setSnapshot(leader.snapshot())
+                .build()));
+    }
+
+    private RaftMessage.Builder message(RaftMessage.Kind kind, String to, LeaderView leader) {
+        return RaftMessage.newBuilder().setKind(kind).setFrom(self).setTo(to).setTerm(leader.term());
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/StoredState.java
@@ -0,0 +1,28 @@
+package org.bramblerack.process.agreement;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import org.bramblerack.wire.HardState;
+import org.bramblerack.wire.LogEntry;
+
+/**
+ * What a voter had stored durably when it stopped.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param hardState the last term and vote
+ * @param snapshotIndex the last index that the snapshot covers, 0 without one
+ * @param snapshotTerm the term of that index
+ * @param snapshot the state at that index, empty without one
+ * @param entries the entries after the snapshot
+ */
+public record StoredState(
+        HardState hardState,
+        long snapshotIndex,
+        long snapshotTerm,
+        ByteString snapshot,
+        ImmutableList<LogEntry> entries) {
+    /** What a voter that never ran has stored. */
+    public static final StoredState EMPTY =
+            new StoredState(HardState.getDefaultInstance(), 0, 0, ByteString.EMPTY, ImmutableList.of());
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/Attempt.java
@@ -0,0 +1,37 @@
+package org.bramblerack.request;
+
+import org.bramblerack.version.UpstreamName;
+import org.jspecify.annotations.Nullable;
+
+/** One call on one shard. Guarded by the query's lock. */
+final class Attempt {
+    /** Why a call was made. */
+    enum Purpose {
+        FIRST,
+        HEDGE,
+        RETRY
+    }
+
+    final int shard;
+    final UpstreamName upstream;
+    final String callId;
+    final long sentNanos;
+    final Purpose purpose;
+    boolean finished;
+    boolean hedgeConsidered;
+
+    @Nullable
+    LeafFailure failure;
+
+    Attempt(int shard, UpstreamName upstream, String callId, long sentNanos, Purpose purpose) {
+        this.shard = shard;
+        this.upstream = upstream;
+        this.callId = callId;
+        this.sentNanos = sentNanos;
+        this.purpose = purpose;
+    }
+
+    boolean foundVersionGone() {
+        return failure == LeafFailure.VERSION_GONE || failure == LeafFailure.WRONG_VERSION;
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -0,0 +1,401 @@
+package org.bramblerack.daemon.control;
+
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.agreement.ControlState;
+import org.bramblerack.process.agreement.RaftAction;
+import org.bramblerack.process.agreement.RaftNode;
+import org.bramblerack.process.agreement.RaftTimings;
+import org.bramblerack.process.agreement.StoredState;
+import org.bramblerack.wire.Command;
+import org.bramblerack.wire.CommandResult;
+import org.bramblerack.wire.ConfigurationDelta;
+import org.bramblerack.wire.ConfigurationPull;
+import org.bramblerack.wire.ControlRead;
+import org.bramblerack.wire.ControlReadResult;
+import org.bramblerack.wire.ControlSnapshot;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.RaftMessage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The control role of a process: drives the replicated log and the state that it builds.
+ *
+ * <p>One thread owns the log, the state and the files; all events are handed to it. Events that come together share one
+ * sync. If the disk fails the role ends and the rest of the process goes on. Public methods are safe for use by many
+ * threads.
+ */
+public final class ControlNode {
+    private static final Logger LOGGER = System.getLogger(ControlNode.class.getName());
+    private static final Duration TICK = Duration.ofMillis(15);
+    private static final int MAX_EVENTS_IN_BATCH = 1_000;
+    private static final int MAX_EVENTS_WAITING = 20_000;
+    private static final long LEAST_ENTRIES_TO_COMPACT = 2_000;
+    private static final long LEAST_BYTES_TO_COMPACT = 1024L * 1024;
+    private static final Duration DISK_CHECK = Duration.ofSeconds(2);
+
+    private final String self;
+    private final ImmutableSortedSet<String> voters;
+    private final RaftTimings timings;
+    private final LogStore store;
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+    private final RandomGenerator random;
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>(MAX_EVENTS_WAITING);
+    private final Map<Long, UniEmitter<? super ProposalResult>> proposals = new HashMap<>();
+    private final Map<Long, Runnable> reads = new HashMap<>();
+    private final Map<Long, Runnable> failedReads = new HashMap<>();
+    private final InForceTable inForce = new InForceTable();
+    private final ControlState state = new ControlState();
+    private @Nullable RaftNode node;
+    private @Nullable Thread thread;
+    private volatile boolean running;
+    private volatile Optional<String> leader = Optional.empty();
+    private long nextToken = 1;
+    private long snapshotBytes;
+    private long diskCheckedNanos;
+    private boolean diskNearlyFull;
+
+    /** Creates the role; nothing is read or sent before {@link #start}. */
+    public ControlNode(
+            String self,
+            ImmutableSortedSet<String> voters,
+            RaftTimings timings,
+            LogStore store,
+            PeerNetwork network,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        this.self = self;
+        this.voters = voters;
+        this.timings = timings;
+        this.store = store;
+        this.network = network;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    /**
+     * Reads what was stored and begins to take part.
+     *
+     * @throws DiskFault if what was stored cannot be trusted
+     */
+    public synchronized void start() throws DiskFault {
+        StoredState stored = store.load();
+        restore(stored.snapshot());
+        node = new RaftNode(self, voters, timings, stored, random, clock.nowNanos());
+        running = true;
+        Thread started = new Thread(this::runUntilStopped, self + "-control");
+        started.setDaemon(true);
+        started.start();
+        thread = started;
+    }
+
+    /** Stops taking part, waits for the thread to end, and closes the files. */
+    public synchronized void stop() {
+        running = false;
+        Thread started = thread;
+        if (started == null) {
+            return;
+        }
+        started.interrupt();
+        try {
+            started.join();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        thread = null;
+    }
+
+    /** Returns true until the role was stopped or its disk failed. */
+    public boolean isRunning() {
+        return running;
+    }
+
+    /** Returns the leader that this host knows of. */
+    public Optional<String> leader() {
+        return leader;
+    }
+
+    /** Takes a message of another voter. */
+    public void receive(RaftMessage message) {
+        offer((raft, nowNanos) -> raft.receive(message, nowNanos));
+    }
+
+    /** Offers a command; it is taken only if this host leads. */
+    public Uni<ProposalResult> propose(Command command) {
+        return Uni.createFrom().emitter(emitter -> {
+            boolean queued = offer((raft, nowNanos) -> {
+                proposeNow(raft, command, emitter);
+                return List.of();
+            });
+            if (!queued) {
+                emitter.complete(new ProposalResult.NotTaken("the control role is stopped or overloaded"));
+            }
+        });
+    }
+
+    /** Reads the agreed state; the result says whether it is current. */
+    public Uni<ControlReadResult> read(ControlRead request) {
+        return Uni.createFrom().emitter(emitter -> {
+            boolean queued = offer((raft, nowNanos) -> {
+                readNow(
+                        raft,
+                        () -> emitter.complete(result(request, true)),
+                        () -> emitter.complete(result(request, false)));
+                return List.of();
+            });
+            if (!queued) {
+                emitter.complete(ControlReadResult.getDefaultInstance());
+            }
+        });
+    }
+
+    /** Answers a host that asks for changes of the configuration. */
+    public Uni<ConfigurationDelta> pull(ConfigurationPull pull) {
+        return Uni.createFrom().emitter(emitter -> {
+            boolean queued = offer((raft, nowNanos) -> {
+                inForce.record(pull, nowNanos);
+                readNow(
+                        raft,
+                        () -> emitter.complete(delta(pull.getKnownRevision(), true)),
+                        () -> emitter.complete(delta(pull.getKnownRevision(), false)));
+                return List.of();
+            });
+            if (!queued) {
+                emitter.complete(ConfigurationDelta.getDefaultInstance());
+            }
+        });
+    }
+
+    private boolean offer(Event event) {
+        return running && events.offer(event);
+    }
+
+    private void runUntilStopped() {
+        try {
+            while (running) {
+                runBatch();
+            }
+        } catch (InterruptedException stopped) {
+            LOGGER.log(Logger.Level.DEBUG, "the control role stops");
+        } catch (RoleEnded fault) {
+            LOGGER.log(Logger.Level.ERROR, "the control role of {0} ended: {1}", self, fault.getMessage());
+        } finally {
+            running = false;
+            leader = Optional.empty();
+            store.close();
+            failEverything();
+        }
+    }
+
+    private void runBatch() throws InterruptedException, RoleEnded {
+        RaftNode raft = node;
+        if (raft == null) {
+            throw new IllegalStateException("not started");
+        }
+        List<Event> batch = new ArrayList<>();
+        Event first = events.poll(TICK.toNanos(), TimeUnit.NANOSECONDS);
+        if (first != null) {
+            batch.add(first);
+            events.drainTo(batch, MAX_EVENTS_IN_BATCH);
+        }
+        long nowNanos = clock.nowNanos();
+        checkDisk(nowNanos);
+        List<RaftAction> actions = new ArrayList<>();
+        for (Event event : batch) {
+            actions.addAll(event.run(raft, nowNanos));
+        }
+        actions.addAll(raft.tick(nowNanos));
+        actions.addAll(raft.flush(nowNanos));
+        carryOut(actions);
+        if (raft.appliedSinceSnapshot() >= LEAST_ENTRIES_TO_COMPACT
+                && store.logBytes() >= Math.max(LEAST_BYTES_TO_COMPACT, 2 * snapshotBytes)) {
+            ByteString snapshot = state.toSnapshot();
+            snapshotBytes = snapshot.size();
+            carryOut(raft.compact(snapshot));
+        }
+    }
+
+    private void carryOut(List<RaftAction> actions) throws RoleEnded {
+        try {
+            store.store(actions);
+        } catch (DiskFault fault) {
+            throw new RoleEnded(String.valueOf(fault.getMessage()));
+        }
+        for (RaftAction action : actions) {
+            if (action instanceof RaftAction.Send send) {
+                network.send(send.message().getTo(), Envelope.newBuilder().setRaft(send.message()));
+            } else if (action instanceof RaftAction.Apply apply) {
+                apply(apply);
+            } else if (action instanceof RaftAction.RestoreSnapshot restore) {
+                restore(restore.state());
+            } else if (action instanceof RaftAction.ProposalLost lost) {
+                complete(lost.token(), new ProposalResult.Undecided("the leader changed"));
+            } else if (action instanceof RaftAction.ReadReady ready) {
+                failedReads.remove(ready.token());
+                runIfPresent(reads.remove(ready.token()));
+            } else if (action instanceof RaftAction.ReadFailed failed) {
+                reads.remove(failed.token());
+                runIfPresent(failedReads.remove(failed.token()));
+            } else if (action instanceof RaftAction.RoleChanged changed) {
+                leader = changed.leader();
+                LOGGER.log(
+                        Logger.Level.INFO,
+                        "{0} is {1} in term {2}, leader {3}",
+                        self,
+                        changed.role(),
+                        changed.term(),
+                        changed.leader().orElse("none"));
+            }
+        }
+    }
+
+    private void apply(RaftAction.Apply apply) throws RoleEnded {
+        CommandResult result = CommandResult.getDefaultInstance();
+        if (!apply.entry().getCommand().isEmpty()) {
+            result = state.apply(parse(apply.entry().getCommand()));
+        }
+        if (apply.token().isPresent()) {
+            complete(apply.token().get(), new ProposalResult.Applied(result));
+        }
+    }
+
+    private void restore(ByteString snapshot) {
+        if (snapshot.isEmpty()) {
+            return;
+        }
+        try {
+            state.restore(ControlSnapshot.parseFrom(snapshot));
+            snapshotBytes = snapshot.size();
+        } catch (InvalidProtocolBufferException malformed) {
+            throw new IllegalStateException(
+                    "a checked snapshot cannot be read; use the version that wrote it", malformed);
+        }
+    }
+
+    private void proposeNow(RaftNode raft, Command command, UniEmitter<? super ProposalResult> emitter) {
+        if (diskNearlyFull) {
+            emitter.complete(new ProposalResult.NotTaken("the leader's disk is nearly full; make room on " + self));
+            return;
+        }
+        long token = nextToken++;
+        if (raft.propose(token, command.toByteString())) {
+            proposals.put(token, emitter);
+        } else {
+            emitter.complete(new ProposalResult.NotTaken("this host does not lead"));
+        }
+    }
+
+    private void readNow(RaftNode raft, Runnable ready, Runnable failed) {
+        long token = nextToken++;
+        if (raft.read(token)) {
+            reads.put(token, ready);
+            failedReads.put(token, failed);
+        } else {
+            failed.run();
+        }
+    }
+
+    private ConfigurationDelta delta(long knownRevision, boolean confirmed) {
+        return ConfigurationDelta.newBuilder()
+                .setRevision(state.revision())
+                .setConfirmed(confirmed)
+                .addAllDeclarations(state.declarationsAfter(knownRevision))
+                .setLeader(leader.orElse(""))
+                .build();
+    }
+
+    private ControlReadResult result(ControlRead request, boolean current) {
+        ControlReadResult.Builder result = ControlReadResult.newBuilder()
+                .setCurrent(current)
+                .setLeader(leader.orElse(""))
+                .setRevision(state.revision())
+                .setTerm(node == null ? 0 : node.term());
+        switch (request.getKind()) {
+            case CLAIM -> {
+                state.claim(request.getService(), request.getRequestId()).ifPresent(result::setClaim);
+                result.setForgotten(state.isForgotten(request.getService(), request.getRequestId()));
+            }
+            case HISTORY -> result.addAllHistory(state.history());
+            default ->
+                result.addAllInForce(inForce.toList(clock.nowNanos())).addAllDeclarations(state.declarationsAfter(0));
+        }
+        return result.build();
+    }
+
+    private void checkDisk(long nowNanos) {
+        if (nowNanos - diskCheckedNanos >= DISK_CHECK.toNanos()) {
+            diskCheckedNanos = nowNanos;
+            boolean nearlyFull = store.isNearlyFull();
+            if (nearlyFull != diskNearlyFull) {
+                LOGGER.log(
+                        Logger.Level.WARNING,
+                        nearlyFull
+                                ? "the disk of {0} is nearly full: changes and once-only requests are refused"
+                                : "the disk of {0} has room again",
+                        self);
+            }
+            diskNearlyFull = nearlyFull;
+        }
+    }
+
+    private void complete(long token, ProposalResult result) {
+        UniEmitter<? super ProposalResult> emitter = proposals.remove(token);
+        if (emitter != null) {
+            emitter.complete(result);
+        }
+    }
+
+    private void failEverything() {
+        new ArrayList<>(proposals.keySet())
+                .forEach(token -> complete(token, new ProposalResult.Undecided("the control role ended")));
+        new ArrayList<>(failedReads.values()).forEach(Runnable::run);
+        reads.clear();
+        failedReads.clear();
+    }
+
+    private static void runIfPresent(@Nullable Runnable task) {
+        if (task != null) {
+            task.run();
+        }
+    }
+
+    private static Command parse(ByteString bytes) throws RoleEnded {
+        try {
+            return Command.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException malformed) {
+            throw new RoleEnded("an agreed command cannot be read; run the program version that wrote it");
+        }
+    }
+
+    /** Something for the thread of the role to do. */
+    @FunctionalInterface
+    private interface Event {
+        List<RaftAction> run(RaftNode raft, long nowNanos);
+    }
+
+    /** Ends the role. */
+    private static final class RoleEnded extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        RoleEnded(String message) {
+            super(message);
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
@@ -0,0 +1,278 @@
+package org.bramblerack.daemon.control;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import org.bramblerack.process.agreement.RaftAction;
+import org.bramblerack.process.agreement.StoredState;
+import org.bramblerack.wire.HardState;
+import org.bramblerack.wire.LogEntry;
+import org.bramblerack.wire.LogRecord;
+import org.bramblerack.wire.SnapshotRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the log in one file and the snapshot in another, in one folder.
+ *
+ * <p>A file begins with a mark that names its format and version. Records are framed with a checksum. Each batch begins
+ * with a record that says up to where the file was synced before it. When the file is read, a bad record after the last
+ * such place is a write that never completed, and is cut off; a bad record before it is corruption, and refused. Whole
+ * files are replaced by writing another, syncing it, renaming it and syncing the folder.
+ *
+ * <p>Invariant: {@link #store} returns only after everything given to it is synced; after a failure nothing more is
+ * written. Not safe for use by several threads.
+ */
+public final class FileLogStore implements LogStore {
+    private static final Logger LOGGER = System.getLogger(FileLogStore.class.getName());
+    private static final byte[] LOG_MARK = "BRLOG001".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] SNAPSHOT_MARK = "BRSNP001".getBytes(StandardCharsets.US_ASCII);
+    private static final long LEAST_FREE_BYTES = 64L * 1024 * 1024;
+
+    private final Path folder;
+    private final Path logFile;
+    private final Path snapshotFile;
+    private @Nullable FileChannel log;
+    private boolean failed;
+    private long syncedBytes;
+
+    /** Creates a store in a folder, which is made if it does not exist. */
+    public FileLogStore(Path folder) {
+        this.folder = folder;
+        this.logFile = folder.resolve("log");
+        this.snapshotFile = folder.resolve("snapshot");
+    }
+
+    @Override
+    public StoredState load() throws DiskFault {
+        try {
+            Files.createDirectories(folder);
+            SnapshotRecord snapshot = loadSnapshot();
+            LogReplay replay = new LogReplay(snapshot);
+            if (Files.exists(logFile)) {
+                replayLog(replay);
+            } else {
+                writeLog(HardState.getDefaultInstance(), ImmutableList.of());
+            }
+            openLog();
+            return replay.result();
+        } catch (DiskFault fault) {
+            throw fault;
+        } catch (IOException failure) {
+            throw new DiskFault("cannot read " + folder + ": " + failure + "; check the disk and its rights", failure);
+        }
+    }
+
+    @Override
+    public void store(List<RaftAction> actions) throws DiskFault {
+        if (failed) {
+            throw new DiskFault("the store in " + folder + " failed before; restart the process on a sound disk");
+        }
+        try {
+            boolean written = false;
+            for (RaftAction action : actions) {
+                if (action instanceof RaftAction.Persist persist) {
+                    written = append(persist, written);
+                } else if (action instanceof RaftAction.SaveSnapshot save) {
+                    saveSnapshot(save);
+                    written = false;
+                }
+            }
+            if (written) {
+                channel().force(false);
+                syncedBytes = channel().position();
+            }
+        } catch (IOException failure) {
+            failed = true;
+            throw new DiskFault(
+                    "cannot write to " + folder + ": " + failure + "; the control role ends here, repair the disk"
+                            + " and restart the process",
+                    failure);
+        }
+    }
+
+    @Override
+    public long logBytes() {
+        return syncedBytes;
+    }
+
+    @Override
+    public boolean isNearlyFull() {
+        try {
+            return Files.getFileStore(folder).getUsableSpace() < LEAST_FREE_BYTES;
+        } catch (IOException unreadable) {
+            return true;
+        }
+    }
+
+    @Override
+    public void close() {
+        if (log != null) {
+            try {
+                log.close();
+            } catch (IOException failure) {
+                LOGGER.log(Logger.Level.WARNING, "closing " + logFile + " failed: " + failure);
+            }
+            log = null;
+        }
+    }
+
+    private boolean append(RaftAction.Persist persist, boolean batchBegun) throws IOException {
+        if (!batchBegun) {
+            write(LogRecord.newBuilder().setSyncedThrough(syncedBytes).build());
+        }
+        if (persist.hardState().isPresent()) {
+            write(LogRecord.newBuilder().setHardState(persist.hardState().get()).build());
+        }
+        if (persist.truncateFrom().isPresent()) {
+            write(LogRecord.newBuilder()
+                    .setTruncateFrom(persist.truncateFrom().get())
+                    .build());
+        }
+        for (LogEntry entry : persist.entries()) {
+            write(LogRecord.newBuilder().setEntry(entry).build());
+        }
+        return true;
+    }
+
+    private void write(LogRecord record) throws IOException {
+        writeFully(channel(), RecordFrame.frame(record.toByteArray()));
+    }
+
+    private void saveSnapshot(RaftAction.SaveSnapshot save) throws IOException {
+        SnapshotRecord record = SnapshotRecord.newBuilder()
+                .setLastIndex(save.index())
+                .setLastTerm(save.term())
+                .setState(save.state())
+                .build();
+        replace(snapshotFile, SNAPSHOT_MARK, ImmutableList.of(record.toByteArray()));
+        close();
+        writeLog(save.hardState(), save.suffix());
+        openLog();
+    }
+
+    private void writeLog(HardState hardState, ImmutableList<LogEntry> entries) throws IOException {
+        ImmutableList.Builder<byte[]> records = ImmutableList.builder();
+        records.add(LogRecord.newBuilder().setHardState(hardState).build().toByteArray());
+        entries.forEach(entry ->
+                records.add(LogRecord.newBuilder().setEntry(entry).build().toByteArray()));
+        replace(logFile, LOG_MARK, records.build());
+    }
+
+    private void replace(Path target, byte[] mark, List<byte[]> records) throws IOException {
+        Path temporary = folder.resolve(target.getFileName() + ".new");
+        try (FileChannel channel = FileChannel.open(
+                temporary, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            writeFully(channel, ByteBuffer.wrap(mark));
+            for (byte[] record : records) {
+                writeFully(channel, RecordFrame.frame(record));
+            }
+            channel.force(true);
+        }
+        Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    private void openLog() throws IOException {
+        FileChannel opened = FileChannel.open(logFile, StandardOpenOption.WRITE);
+        opened.position(opened.size());
+        log = opened;
+        syncedBytes = opened.size();
+    }
+
+    private SnapshotRecord loadSnapshot() throws IOException {
+        if (!Files.exists(snapshotFile)) {
+            return SnapshotRecord.getDefaultInstance();
+        }
+        ByteBuffer file = readMarked(snapshotFile, SNAPSHOT_MARK);
+        byte[] record = RecordFrame.read(file, SNAPSHOT_MARK.length);
+        if (record == null) {
+            throw corrupt(snapshotFile, SNAPSHOT_MARK.length);
+        }
+        return SnapshotRecord.parseFrom(record);
+    }
+
+    private void replayLog(LogReplay replay) throws IOException {
+        ByteBuffer file = readMarked(logFile, LOG_MARK);
+        int offset = LOG_MARK.length;
+        byte[] record = RecordFrame.read(file, offset);
+        while (record != null) {
+            replay.take(parse(record, offset));
+            offset += RecordFrame.HEADER_BYTES + record.length;
+            record = RecordFrame.read(file, offset);
+        }
+        if (offset < file.limit()) {
+            cutTail(file, offset);
+        }
+    }
+
+    /** Cuts off a batch that was never synced, or refuses the file if the bad record was synced once. */
+    private void cutTail(ByteBuffer file, int badOffset) throws IOException {
+        for (int offset = badOffset + 1; offset + RecordFrame.HEADER_BYTES <= file.limit(); offset++) {
+            byte[] record = RecordFrame.read(file, offset);
+            if (record != null && parse(record, offset).getSyncedThrough() > badOffset) {
+                throw corrupt(logFile, badOffset);
+            }
+        }
+        LOGGER.log(
+                Logger.Level.WARNING,
+                "cut {0} bytes of a write that never completed off {1} at offset {2}",
+                file.limit() - badOffset,
+                logFile,
+                badOffset);
+        try (FileChannel channel = FileChannel.open(logFile, StandardOpenOption.WRITE)) {
+            channel.truncate(badOffset);
+            channel.force(true);
+        }
+    }
+
+    private LogRecord parse(byte[] record, int offset) throws DiskFault {
+        try {
+            return LogRecord.parseFrom(record);
+        } catch (InvalidProtocolBufferException malformed) {
+            throw corrupt(logFile, offset);
+        }
+    }
+
+    private static ByteBuffer readMarked(Path file, byte[] mark) throws IOException {
+        ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
+        byte[] found = new byte[Math.min(mark.length, content.limit())];
+        content.get(0, found);
+        if (!ByteString.copyFrom(found).equals(ByteString.copyFrom(mark))) {
+            throw new DiskFault(file + " is not of the format "
+                    + new String(mark, StandardCharsets.US_ASCII)
+                    + "; use the program version that wrote it, or remove the member and add it anew");
+        }
+        return content;
+    }
+
+    private static DiskFault corrupt(Path file, int offset) {
+        return new DiskFault(file + " is corrupt at offset " + offset
+                + "; remove this member from the voters, clear its folder, and add it anew");
+    }
+
+    private FileChannel channel() throws IOException {
+        FileChannel open = log;
+        if (open == null) {
+            throw new IOException("the log is not open");
+        }
+        return open;
+    }
+
+    private static void writeFully(FileChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/InForceTable.java
@@ -0,0 +1,46 @@
+package org.bramblerack.daemon.control;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.wire.ConfigurationPull;
+import org.bramblerack.wire.HostRevision;
+
+/**
+ * Which revision each host has in force, as it said when it asked for changes.
+ *
+ * <p>Kept by each control host for what it heard itself; a new leader learns it anew. Not safe for use by several
+ * threads.
+ */
+final class InForceTable {
+    private final Map<String, Heard> heard = new TreeMap<>();
+
+    void record(ConfigurationPull pull, long nowNanos) {
+        Heard known = heard.get(pull.getHost());
+        if (known == null || known.incarnation() <= pull.getIncarnation()) {
+            heard.put(
+                    pull.getHost(),
+                    new Heard(
+                            pull.getIncarnation(),
+                            pull.getZone(),
+                            pull.getLeaving(),
+                            pull.getKnownRevision(),
+                            nowNanos));
+        }
+    }
+
+    ImmutableList<HostRevision> toList(long nowNanos) {
+        ImmutableList.Builder<HostRevision> revisions = ImmutableList.builder();
+        heard.forEach((host, known) -> revisions.add(HostRevision.newBuilder()
+                .setHost(host)
+                .setZone(known.zone())
+                .setLeaving(known.leaving())
+                .setRevision(known.revision())
+                .setHeardMillisAgo(TimeUnit.NANOSECONDS.toMillis(nowNanos - known.atNanos()))
+                .build()));
+        return revisions.build();
+    }
+
+    private record Heard(long incarnation, String zone, boolean leaving, long revision, long atNanos) {}
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/LogReplay.java
@@ -0,0 +1,71 @@
+package org.bramblerack.daemon.control;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import org.bramblerack.process.agreement.StoredState;
+import org.bramblerack.wire.HardState;
+import org.bramblerack.wire.LogEntry;
+import org.bramblerack.wire.LogRecord;
+import org.bramblerack.wire.SnapshotRecord;
+
+/**
+ * Rebuilds what a voter had stored from the records of its log, read in order.
+ *
+ * <p>Entries that the snapshot covers are skipped. If the log holds another entry than the snapshot at the snapshot's
+ * index, the log's entries were never committed and all are dropped. Not safe for use by several threads.
+ */
+final class LogReplay {
+    private final SnapshotRecord snapshot;
+    private final List<LogEntry> entries = new ArrayList<>();
+    private HardState hardState = HardState.getDefaultInstance();
+
+    LogReplay(SnapshotRecord snapshot) {
+        this.snapshot = snapshot;
+    }
+
+    void take(LogRecord record) throws DiskFault {
+        switch (record.getBodyCase()) {
+            case HARD_STATE -> hardState = record.getHardState();
+            case ENTRY -> append(record.getEntry());
+            case TRUNCATE_FROM -> entries.removeIf(entry -> entry.getIndex() >= record.getTruncateFrom());
+            default -> {
+                // A mark of a synced batch carries no state.
+            }
+        }
+    }
+
+    StoredState result() throws DiskFault {
+        return new StoredState(
+                hardState,
+                snapshot.getLastIndex(),
+                snapshot.getLastTerm(),
+                snapshot.getState(),
+                ImmutableList.copyOf(fitting()));
+    }
+
+    private void append(LogEntry entry) throws DiskFault {
+        if (!entries.isEmpty()
+                && entry.getIndex() != entries.get(entries.size() - 1).getIndex() + 1) {
+            throw new DiskFault("the log lacks the entries before index " + entry.getIndex()
+                    + "; remove this member from the voters, clear its folder, and add it anew");
+        }
+        entries.add(entry);
+    }
+
+    private List<LogEntry> fitting() throws DiskFault {
+        long covered = snapshot.getLastIndex();
+        boolean conflicts = entries.stream()
+                .anyMatch(entry -> entry.getIndex() == covered && entry.getTerm() != snapshot.getLastTerm());
+        if (conflicts) {
+            return ImmutableList.of();
+        }
+        List<LogEntry> after =
+                entries.stream().filter(entry -> entry.getIndex() > covered).toList();
+        if (!after.isEmpty() && after.get(0).getIndex() != covered + 1) {
+            throw new DiskFault("the log begins at index " + after.get(0).getIndex() + " but the snapshot ends at "
+                    + covered + "; remove this member from the voters, clear its folder, and add it anew");
+        }
+        return after;
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/AnswerWriter.java
@@ -0,0 +1,152 @@
+package org.bramblerack.daemon.entry;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.bramblerack.process.document.Fault;
+import org.bramblerack.request.Answer;
+import org.bramblerack.request.CheckedReply;
+import org.bramblerack.request.Refusal;
+import org.bramblerack.request.RunState;
+import org.bramblerack.wire.Claim;
+
+/**
+ * Writes what callers and operators get, as JSON.
+ *
+ * <p>A payload that is JSON is written as it is, any other as base 64. Stateless and safe for use by many threads.
+ */
+final class AnswerWriter {
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private AnswerWriter() {}
+
+    static byte[] answer(CallerQuery asked, Answer answer) {
+        return write(json -> {
+            json.writeStringField("requestId", asked.requestId().value());
+            json.writeStringField("service", asked.service().toString());
+            json.writeNumberField("indexVersion", answer.indexVersion());
+            json.writeObjectFieldStart("coverage");
+            json.writeNumberField("shards", answer.coverage().shardCount());
+            json.writeNumberField("covered", answer.coverage().coveredCount());
+            json.writeArrayFieldStart("missing");
+            for (int shard : answer.coverage().missing()) {
+                json.writeNumber(shard);
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+            json.writeArrayFieldStart("results");
+            for (CheckedReply reply : answer.replies()) {
+                json.writeStartObject();
+                json.writeNumberField("shard", reply.shard());
+                payload(json, "payload", reply.payload());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+        });
+    }
+
+    static byte[] ran(CallerOperation asked, ByteString answer, boolean replayed) {
+        return write(json -> {
+            json.writeStringField("requestId", asked.requestId().value());
+            json.writeStringField("service", asked.service().toString());
+            json.writeStringField("outcome", "ran");
+            json.writeBooleanField("replayed", replayed);
+            payload(json, "answer", answer);
+        });
+    }
+
+    static byte[] outcome(String requestId, Claim claim, String outcome) {
+        return write(json -> {
+            json.writeStringField("requestId", requestId);
+            json.writeStringField("service", claim.getService());
+            json.writeStringField("outcome", outcome);
+            json.writeNumberField("claimedAtMs", claim.getAtMillis());
+            if (!claim.getReason().isEmpty()) {
+                json.writeStringField("reason", claim.getReason());
+            }
+            if (!claim.getAnswer().isEmpty()) {
+                payload(json, "answer", claim.getAnswer());
+            }
+        });
+    }
+
+    static byte[] refusal(Refusal refusal, Optional<String> requestId, ImmutableList<Fault> faults) {
+        return write(json -> {
+            if (requestId.isPresent()) {
+                json.writeStringField("requestId", requestId.get());
+            }
+            json.writeObjectFieldStart("refusal");
+            json.writeStringField("code", refusal.kind().code());
+            json.writeStringField("message", refusal.message());
+            boolean notRun = refusal.kind().runState() == RunState.NOT_RUN;
+            json.writeStringField("ran", notRun ? "not-run" : "may-have-run");
+            json.writeBooleanField("retry", refusal.kind().isWorthRetrying());
+            if (refusal.retryAfter().isPresent()) {
+                json.writeNumberField("retryAfterMs", refusal.retryAfter().get().toMillis());
+            }
+            json.writeEndObject();
+            if (!faults.isEmpty()) {
+                json.writeArrayFieldStart("faults");
+                for (Fault fault : faults) {
+                    json.writeStartObject();
+                    json.writeNumberField("line", fault.line());
+                    json.writeStringField("field", fault.field());
+                    json.writeStringField("problem", fault.problem());
+                    json.writeStringField("remedy", fault.remedy());
+                    json.writeEndObject();
+                }
+                json.writeEndArray();
+            }
+        });
+    }
+
+    static byte[] write(Content content) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = FACTORY.createGenerator(bytes)) {
+            json.writeStartObject();
+            content.writeTo(json);
+            json.writeEndObject();
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void payload(JsonGenerator json, String field, ByteString payload) throws IOException {
+        if (isJson(payload)) {
+            json.writeFieldName(field);
+            json.writeRawValue(payload.toString(StandardCharsets.UTF_8));
+        } else {
+            json.writeFieldName(field + "Base64");
+            json.writeBinary(payload.toByteArray());
+        }
+    }
+
+    private static boolean isJson(ByteString payload) {
+        if (payload.isEmpty() || !payload.isValidUtf8()) {
+            return false;
+        }
+        try (JsonParser parser = FACTORY.createParser(payload.newInput())) {
+            if (parser.nextToken() == null) {
+                return false;
+            }
+            parser.skipChildren();
+            return parser.nextToken() == null;
+        } catch (IOException malformed) {
+            return false;
+        }
+    }
+
+    /** Writes the fields of an object. */
+    @FunctionalInterface
+    interface Content {
+        void writeTo(JsonGenerator json) throws IOException;
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
@@ -0,0 +1,306 @@
+package org.bramblerack.daemon.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import io.vavr.control.Either;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.core.http.HttpServer;
+import io.vertx.mutiny.ext.web.Router;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import io.vertx.mutiny.ext.web.handler.BodyHandler;
+import java.lang.System.Logger;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.bramblerack.process.document.Fault;
+import org.bramblerack.request.Refusal;
+import org.bramblerack.request.RefusalKind;
+import org.bramblerack.request.RequestId;
+import org.bramblerack.version.ServiceName;
+import org.bramblerack.wire.Claim;
+import org.bramblerack.wire.ControlReadResult;
+import org.bramblerack.wire.OutcomeKind;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The HTTP interface to callers and operators, as {@code docs/API.md} describes it.
+ *
+ * <p>A request that cannot be understood gets a typed refusal and ends nothing else. Bodies, headers and the depth of
+ * JSON are bounded. Started once, stopped once; safe for use by many threads.
+ */
+public final class EntryServer {
+    private static final Logger LOGGER = System.getLogger(EntryServer.class.getName());
+    private static final long MAX_QUERY_BYTES = 1024L * 1024;
+    private static final long MAX_DECLARATION_BYTES = 8L * 1024 * 1024;
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final int IDLE_SECONDS = 60;
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final int STATUS_TOO_LARGE = 413;
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_NOT_ALLOWED = 405;
+    private static final String JSON = "application/json";
+    private static final Duration CLAIM_GRACE = Duration.ofSeconds(2);
+
+    private final Vertx vertx;
+    private final HostAndPort address;
+    private final QueryRunner queries;
+    private final OnceOnlyRunner operations;
+    private final OperatorApi operators;
+    private final HostMetrics metrics;
+    private final InstantSource wallClock;
+    private final Supplier<StoppingState> stopping;
+    private final Supplier<Boolean> ready;
+    private @Nullable HttpServer server;
+
+    /** Creates a server that does not yet listen. */
+    public EntryServer(
+            Vertx vertx,
+            HostAndPort address,
+            QueryRunner queries,
+            OnceOnlyRunner operations,
+            OperatorApi operators,
+            HostMetrics metrics,
+            InstantSource wallClock,
+            Supplier<StoppingState> stopping,
+            Supplier<Boolean> ready) {
+        this.vertx = vertx;
+        this.address = address;
+        this.queries = queries;
+        this.operations = operations;
+        this.operators = operators;
+        this.metrics = metrics;
+        this.wallClock = wallClock;
+        this.stopping = stopping;
+        this.ready = ready;
+    }
+
+    /** Begins to listen. */
+    public synchronized void start() {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(address.getHost())
+                .setPort(address.getPort())
+                .setHttp2ClearTextEnabled(false)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setIdleTimeout(IDLE_SECONDS)
+                .setTcpNoDelay(true);
+        server = vertx.createHttpServer(options).requestHandler(router()).listenAndAwait();
+    }
+
+    /** Returns the port that the server listens on. */
+    public synchronized int port() {
+        return server == null ? address.getPort() : server.actualPort();
+    }
+
+    /** Stops listening and closes every connection. */
+    public synchronized void stop() {
+        if (server != null) {
+            server.closeAndAwait();
+            server = null;
+        }
+    }
+
+    private Router router() {
+        Router router = Router.router(vertx);
+        BodyHandler body = BodyHandler.create(false).setBodyLimit(MAX_QUERY_BYTES);
+        BodyHandler largeBody = BodyHandler.create(false).setBodyLimit(MAX_DECLARATION_BYTES);
+        router.get("/health/live").handler(context -> send(context, STATUS_OK, "{\"live\":true}"));
+        router.get("/health/ready").handler(this::readiness);
+        router.get("/metrics").handler(this::metricsText);
+        router.post("/v1/query/:partner/:service").handler(body).handler(this::query);
+        router.post("/v1/operation/:partner/:service/:operation").handler(body).handler(this::operation);
+        router.get("/v1/operation/:partner/:service/:requestId").handler(this::lookUp);
+        router.get("/v1/status").handler(operators::status);
+        router.get("/v1/history").handler(operators::history);
+        router.get("/v1/declaration/:partner").handler(operators::declaration);
+        router.put("/v1/declaration/:partner").handler(largeBody).handler(operators::apply);
+        router.errorHandler(STATUS_NOT_FOUND, this::unknownPath);
+        router.errorHandler(STATUS_NOT_ALLOWED, this::unknownPath);
+        router.errorHandler(STATUS_TOO_LARGE, this::tooLarge);
+        router.route().failureHandler(this::failed);
+        return router;
+    }
+
+    private void query(RoutingContext context) {
+        if (refusedBecauseStopping(context)) {
+            return;
+        }
+        Optional<ServiceName> service = service(context);
+        if (service.isEmpty()) {
+            return;
+        }
+        Either<Refusal, CallerQuery> asked = CallerBodies.readQuery(service.get(), bytes(context));
+        if (asked.isLeft()) {
+            refuse(context, asked.getLeft());
+            return;
+        }
+        QueryRunner.Handle handle = queries.run(asked.get(), result -> answer(context, asked.get(), result));
+        context.request().connection().closeHandler(handle::callerGone);
+    }
+
+    private void answer(RoutingContext context, CallerQuery asked, QueryResult result) {
+        if (result instanceof QueryResult.Answered answered) {
+            send(context, STATUS_OK, AnswerWriter.answer(asked, answered.answer()));
+        } else if (result instanceof QueryResult.Refused refused) {
+            sendRefusal(
+                    context, refused.refusal(), Optional.of(asked.requestId().value()));
+        }
+    }
+
+    private void operation(RoutingContext context) {
+        if (refusedBecauseStopping(context)) {
+            return;
+        }
+        Optional<ServiceName> service = service(context);
+        if (service.isEmpty()) {
+            return;
+        }
+        Either<Refusal, CallerOperation> asked =
+                CallerBodies.readOperation(service.get(), context.pathParam("operation"), bytes(context));
+        if (asked.isLeft()) {
+            refuse(context, asked.getLeft());
+            return;
+        }
+        operations.run(asked.get(), result -> {
+            Optional<String> requestId = Optional.of(asked.get().requestId().value());
+            if (result instanceof QueryResult.Ran ran) {
+                send(context, STATUS_OK, AnswerWriter.ran(asked.get(), ran.answer(), ran.replayed()));
+            } else if (result instanceof QueryResult.Refused refused) {
+                sendRefusal(context, refused.refusal(), requestId);
+            }
+        });
+    }
+
+    private void lookUp(RoutingContext context) {
+        Optional<ServiceName> service = service(context);
+        String requestId = context.pathParam("requestId");
+        if (service.isEmpty()) {
+            return;
+        }
+        if (!RequestId.isValid(requestId)) {
+            refuse(context, Refusal.of(RefusalKind.BAD_REQUEST, "the request identifier is malformed; correct it"));
+            return;
+        }
+        operations.lookUp(service.get().toString(), requestId, found -> sendOutcome(context, requestId, found));
+    }
+
+    private void sendOutcome(RoutingContext context, String requestId, Optional<ControlReadResult> found) {
+        if (found.isEmpty()) {
+            refuse(
+                    context,
+                    Refusal.of(
+                            RefusalKind.READ_UNAVAILABLE,
+                            "no quorum of control hosts answered; look it up again later"));
+        } else if (found.get().hasClaim()) {
+            Claim claim = found.get().getClaim();
+            send(context, STATUS_OK, AnswerWriter.outcome(requestId, claim, outcomeOf(claim)));
+        } else if (found.get().getForgotten()) {
+            refuse(context, Refusal.of(RefusalKind.EXPIRED, "the outcome is no longer kept; check with the service"));
+        } else {
+            refuse(
+                    context,
+                    Refusal.of(RefusalKind.UNKNOWN_REQUEST, "no such request is claimed so far; check its identifier"));
+        }
+    }
+
+    /** A claim whose attempt should have ended long ago has an unknown outcome until evidence comes. */
+    private String outcomeOf(Claim claim) {
+        long endedMillis = claim.getAtMillis() + claim.getDeadlineMillis() + CLAIM_GRACE.toMillis();
+        boolean overdue = claim.getKind() == OutcomeKind.IN_PROGRESS && wallClock.millis() > endedMillis;
+        return switch (claim.getKind()) {
+            case RAN -> "ran";
+            case NOT_RUN -> "not-run";
+            case IN_PROGRESS -> overdue ? "unknown" : "in-progress";
+            default -> "unknown";
+        };
+    }
+
+    private void readiness(RoutingContext context) {
+        boolean takesWork = ready.get() && stopping.get() == StoppingState.RUNNING;
+        send(context, takesWork ? STATUS_OK : STATUS_UNAVAILABLE, "{\"ready\":" + takesWork + "}");
+    }
+
+    private void metricsText(RoutingContext context) {
+        context.response().putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8");
+        context.response().endAndForget(metrics.toText());
+    }
+
+    private boolean refusedBecauseStopping(RoutingContext context) {
+        if (stopping.get() == StoppingState.FINISHING) {
+            refuse(context, Refusal.of(RefusalKind.STOPPING, "this host is stopping; send the request to another"));
+            return true;
+        }
+        return false;
+    }
+
+    private Optional<ServiceName> service(RoutingContext context) {
+        try {
+            return Optional.of(new ServiceName(context.pathParam("partner"), context.pathParam("service")));
+        } catch (IllegalArgumentException malformed) {
+            refuse(context, Refusal.of(RefusalKind.BAD_REQUEST, "the path names no service; correct it"));
+            return Optional.empty();
+        }
+    }
+
+    private void unknownPath(RoutingContext context) {
+        refuse(
+                context,
+                Refusal.of(RefusalKind.UNKNOWN_PATH, "there is nothing at this path and method; see docs/API.md"));
+    }
+
+    private void tooLarge(RoutingContext context) {
+        refuse(
+                context,
+                Refusal.of(RefusalKind.TOO_LARGE, "the body is larger than " + MAX_QUERY_BYTES + " bytes; send less"));
+    }
+
+    private void failed(RoutingContext context) {
+        if (context.statusCode() == STATUS_TOO_LARGE) {
+            tooLarge(context);
+        } else if (context.failure() != null) {
+            LOGGER.log(Logger.Level.ERROR, "a request failed; this is a fault of the program", context.failure());
+            refuse(context, Refusal.of(RefusalKind.INTERNAL, "the host failed; please report it"));
+        } else {
+            refuse(context, Refusal.of(RefusalKind.BAD_REQUEST, "the request is malformed; correct it"));
+        }
+    }
+
+    private void refuse(RoutingContext context, Refusal refusal) {
+        metrics.count(refusal.kind());
+        sendRefusal(context, refusal, Optional.empty());
+    }
+
+    private static void sendRefusal(RoutingContext context, Refusal refusal, Optional<String> requestId) {
+        sendRefusal(context, refusal, requestId, ImmutableList.of());
+    }
+
+    static void sendRefusal(
+            RoutingContext context, Refusal refusal, Optional<String> requestId, ImmutableList<Fault> faults) {
+        refusal.retryAfter()
+                .ifPresent(after ->
+                        context.response().putHeader("Retry-After", Long.toString(Math.max(1, after.toSeconds()))));
+        send(context, refusal.kind().httpStatus(), AnswerWriter.refusal(refusal, requestId, faults));
+    }
+
+    static void send(RoutingContext context, int status, byte[] json) {
+        if (!context.response().ended() && !context.response().closed()) {
+            context.response()
+                    .setStatusCode(status)
+                    .putHeader("Content-Type", JSON)
+                    .endAndForget(Buffer.buffer(json));
+        }
+    }
+
+    private static void send(RoutingContext context, int status, String json) {
+        send(context, status, json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static byte[] bytes(RoutingContext context) {
+        Buffer body = context.body().buffer();
+        return body == null ? new byte[0] : body.getBytes();
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/HostMetrics.java
@@ -0,0 +1,98 @@
+package org.bramblerack.daemon.entry;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.bramblerack.request.LeafFailure;
+import org.bramblerack.request.QueryCounter;
+import org.bramblerack.request.RefusalKind;
+
+/**
+ * The counters, timers and gauges of one process; {@code docs/METRICS.md} says what each means and what to do about it.
+ *
+ * <p>Every counter exists from the start, so that one that never counted shows as 0. Safe for use by many threads.
+ */
+public final class HostMetrics {
+    private final MetricRegistry registry = new MetricRegistry();
+    private final CollectorRegistry collectors = new CollectorRegistry();
+    private final Map<QueryCounter, Counter> queries = new EnumMap<>(QueryCounter.class);
+    private final Map<RefusalKind, Counter> refusals = new EnumMap<>(RefusalKind.class);
+    private final Map<LeafFailure, Counter> failures = new EnumMap<>(LeafFailure.class);
+
+    /** Creates the metrics of a process that did nothing yet. */
+    public HostMetrics() {
+        for (QueryCounter counter : QueryCounter.values()) {
+            queries.put(counter, registry.counter("query." + counter.code()));
+        }
+        for (RefusalKind kind : RefusalKind.values()) {
+            refusals.put(kind, registry.counter("refusal." + kind.code()));
+        }
+        for (LeafFailure failure : LeafFailure.values()) {
+            failures.put(failure, registry.counter("leaf-failure." + failure.code()));
+        }
+        new DropwizardExports(registry).register(collectors);
+    }
+
+    /** Counts something on the query path. */
+    public void count(QueryCounter counter) {
+        increment(queries.get(counter));
+    }
+
+    /** Counts a refusal. */
+    public void count(RefusalKind kind) {
+        increment(refusals.get(kind));
+    }
+
+    /** Counts a failed leaf attempt. */
+    public void count(LeafFailure failure) {
+        increment(failures.get(failure));
+    }
+
+    /** Counts something by its name. */
+    public void count(String name) {
+        registry.counter(name).inc();
+    }
+
+    /** Returns the timer of a name. */
+    public Timer timer(String name) {
+        return registry.timer(name);
+    }
+
+    /** Returns the present count of a query counter. */
+    public long countOf(QueryCounter counter) {
+        Counter known = queries.get(counter);
+        return known == null ? 0 : known.getCount();
+    }
+
+    /** Shows a present value under a name. */
+    public void gauge(String name, LongSupplier value) {
+        registry.register(name, (Gauge<Long>) value::getAsLong);
+    }
+
+    /** Returns everything in the text format of Prometheus, version 0.0.4. */
+    public String toText() {
+        StringWriter text = new StringWriter();
+        try {
+            TextFormat.write004(text, collectors.metricFamilySamples());
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+        return text.toString();
+    }
+
+    private static void increment(@org.jspecify.annotations.Nullable Counter counter) {
+        if (counter != null) {
+            counter.inc();
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/OperatorApi.java
@@ -0,0 +1,335 @@
+package org.bramblerack.daemon.entry;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.Longs;
+import io.vavr.control.Either;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.ext.web.RoutingContext;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.bramblerack.daemon.control.ControlClient;
+import org.bramblerack.daemon.control.ProposalResult;
+import org.bramblerack.daemon.settings.Settings;
+import org.bramblerack.process.directory.ServiceDirectory;
+import org.bramblerack.process.directory.ServiceView;
+import org.bramblerack.process.document.Fault;
+import org.bramblerack.request.Refusal;
+import org.bramblerack.request.RefusalKind;
+import org.bramblerack.request.RequestId;
+import org.bramblerack.version.Declaration;
+import org.bramblerack.version.DeclarationReader;
+import org.bramblerack.version.ShardMap;
+import org.bramblerack.wire.ApplyDeclaration;
+import org.bramblerack.wire.Command;
+import org.bramblerack.wire.CommandResult;
+import org.bramblerack.wire.ControlRead;
+import org.bramblerack.wire.ControlReadResult;
+import org.bramblerack.wire.HistoryEntry;
+import org.bramblerack.wire.HostRevision;
+import org.bramblerack.wire.PartnerDeclaration;
+
+/**
+ * What operators do over HTTP: apply a declaration, see the status of hosts and services, see the history.
+ *
+ * <p>A credential is compared by its digest in constant time and is never logged or shown. Safe for use by many
+ * threads.
+ */
+public final class OperatorApi {
+    /** Names the change, so that a resend after a lost answer is the same change. */
+    public static final String CHANGE_ID = "X-Change-Id";
+    /** The revision of the partner's declaration that the change replaces; 0 if there is none. */
+    public static final String EXPECTED_REVISION = "X-Expected-Revision";
+
+    private static final Duration APPLY = Duration.ofSeconds(10);
+    private static final Duration READ = Duration.ofSeconds(2);
+    private static final String BEARER = "Bearer ";
+    private static final int STATUS_OK = 200;
+
+    private final Settings settings;
+    private final ServiceDirectory directory;
+    private final ControlClient control;
+    private final InstantSource wallClock;
+    private final HostMetrics metrics;
+    private final Supplier<Duration> unconfirmed;
+    private final Supplier<StoppingState> stopping;
+
+    /** Creates the interface. */
+    public OperatorApi(
+            Settings settings,
+            ServiceDirectory directory,
+            ControlClient control,
+            InstantSource wallClock,
+            HostMetrics metrics,
+            Supplier<Duration> unconfirmed,
+            Supplier<StoppingState> stopping) {
+        this.settings = settings;
+        this.directory = directory;
+        this.control = control;
+        this.wallClock = wallClock;
+        this.metrics = metrics;
+        this.unconfirmed = unconfirmed;
+        this.stopping = stopping;
+    }
+
+    void apply(RoutingContext context) {
+        String partner = context.pathParam("partner");
+        String changeId = String.valueOf(context.request().getHeader(CHANGE_ID));
+        String expectedText = context.request().getHeader(EXPECTED_REVISION);
+        Long expected = expectedText == null ? null : Longs.tryParse(expectedText);
+        if (!isAuthorized(context, partner)) {
+            refuse(
+                    context,
+                    Refusal.of(
+                            RefusalKind.UNAUTHORIZED,
+                            "the credential of " + partner + " is missing or wrong; send it as a bearer token"));
+        } else if (context.request().getHeader(CHANGE_ID) == null || !RequestId.isValid(changeId)) {
+            refuse(
+                    context,
+                    Refusal.of(
+                            RefusalKind.BAD_REQUEST, "the header " + CHANGE_ID + " is missing or malformed; add it"));
+        } else if (expected == null || expected < 0) {
+            refuse(
+                    context,
+                    Refusal.of(
+                            RefusalKind.BAD_REQUEST,
+                            "the header " + EXPECTED_REVISION + " is missing or no revision; give the present one"));
+        } else {
+            applyChecked(context, partner, changeId, expected);
+        }
+    }
+
+    void status(RoutingContext context) {
+        control.read(ControlRead.newBuilder().setKind(ControlRead.Kind.STATUS).build(), READ)
+                .subscribe()
+                .with(
+                        fleet -> EntryServer.send(context, STATUS_OK, statusJson(fleet)),
+                        failure -> EntryServer.send(
+                                context, STATUS_OK, statusJson(ControlReadResult.getDefaultInstance())));
+    }
+
+    void history(RoutingContext context) {
+        readCurrent(
+                context,
+                ControlRead.Kind.HISTORY,
+                result -> AnswerWriter.write(json -> {
+                    json.writeArrayFieldStart("history");
+                    for (HistoryEntry entry : result.getHistoryList()) {
+                        json.writeStartObject();
+                        json.writeNumberField("revision", entry.getRevision());
+                        json.writeStringField("partner", entry.getPartner());
+                        json.writeStringField("changeId", entry.getChangeId());
+                        json.writeNumberField("acceptedAtMs", entry.getAcceptedAtMillis());
+                        json.writeEndObject();
+                    }
+                    json.writeEndArray();
+                }));
+    }
+
+    void declaration(RoutingContext context) {
+        String partner = context.pathParam("partner");
+        readCurrent(context, ControlRead.Kind.STATUS, result -> {
+            PartnerDeclaration found = result.getDeclarationsList().stream()
+                    .filter(declaration -> declaration.getPartner().equals(partner))
+                    .findFirst()
+                    .orElse(PartnerDeclaration.getDefaultInstance());
+            return AnswerWriter.write(json -> {
+                json.writeStringField("partner", partner);
+                json.writeNumberField("revision", found.getRevision());
+                json.writeStringField("text", found.getText());
+            });
+        });
+    }
+
+    private void applyChecked(RoutingContext context, String partner, String changeId, long expected) {
+        Buffer body = context.body().buffer();
+        String text = body == null ? "" : body.toString(StandardCharsets.UTF_8);
+        Either<ImmutableList<Fault>, Declaration> read = DeclarationReader.read(text);
+        ImmutableList<Fault> faults = read.isLeft() ? read.getLeft() : ImmutableList.of();
+        if (read.isRight() && !read.get().partner().equals(partner)) {
+            faults = ImmutableList.of(new Fault(
+                    1,
+                    "partner",
+                    "the file is of " + read.get().partner() + " and was sent for " + partner,
+                    "apply it as its own partner"));
+        }
+        if (!faults.isEmpty()) {
+            Refusal refusal = Refusal.of(
+                    RefusalKind.INVALID_DECLARATION,
+                    "the declaration has " + faults.size() + " faults and nothing of it was applied; mend them all");
+            metrics.count(refusal.kind());
+            EntryServer.sendRefusal(context, refusal, Optional.empty(), faults);
+            return;
+        }
+        Command command = Command.newBuilder()
+                .setApplyDeclaration(ApplyDeclaration.newBuilder()
+                        .setPartner(partner)
+                        .setChangeId(changeId)
+                        .setExpectedRevision(expected)
+                        .setText(text)
+                        .setAtMillis(wallClock.millis()))
+                .build();
+        control.propose(command, APPLY)
+                .subscribe()
+                .with(
+                        result -> answerApply(context, partner, result),
+                        failure -> answerApply(
+                                context, partner, new ProposalResult.Undecided(String.valueOf(failure.getMessage()))));
+    }
+
+    private void answerApply(RoutingContext context, String partner, ProposalResult result) {
+        if (result instanceof ProposalResult.NotTaken notTaken) {
+            refuse(
+                    context,
+                    Refusal.of(
+                            RefusalKind.NO_QUORUM,
+                            "the change was not accepted (" + notTaken.reason() + "); send it again"));
+        } else if (result instanceof ProposalResult.Applied applied) {
+            answerAgreed(context, partner, applied.result());
+        } else {
+            refuse(
+                    context,
+                    Refusal.of(
+                            RefusalKind.CHANGE_UNKNOWN,
+                            "it is not known whether the change was accepted; send it again with the same "
+                                    + CHANGE_ID));
+        }
+    }
+
+    private void answerAgreed(RoutingContext context, String partner, CommandResult result) {
+        switch (result.getKind()) {
+            case ACCEPTED ->
+                EntryServer.send(context, STATUS_OK, AnswerWriter.write(json -> {
+                    json.writeStringField("partner", partner);
+                    json.writeBooleanField("accepted", true);
+                    json.writeNumberField("revision", result.getRevision());
+                }));
+            case CONFLICT ->
+                refuse(
+                        context,
+                        Refusal.of(
+                                RefusalKind.REVISION_CONFLICT,
+                                "the declaration of " + partner + " is at revision " + result.getRevision()
+                                        + " since change " + result.getWinnerChangeId()
+                                        + "; look at it, then apply yours on that revision"));
+            case MISMATCH ->
+                refuse(
+                        context,
+                        Refusal.of(
+                                RefusalKind.REQUEST_MISMATCH,
+                                "the change identifier was used for another text, accepted as revision "
+                                        + result.getRevision() + "; use a new identifier"));
+            default -> refuse(context, Refusal.of(RefusalKind.INTERNAL, "the change had no result; please report it"));
+        }
+    }
+
+    private void readCurrent(RoutingContext context, ControlRead.Kind kind, Writer writer) {
+        control.read(ControlRead.newBuilder().setKind(kind).build(), READ)
+                .subscribe()
+                .with(
+                        result -> {
+                            if (result.getCurrent()) {
+                                EntryServer.send(context, STATUS_OK, writer.write(result));
+                            } else {
+                                unavailable(context);
+                            }
+                        },
+                        failure -> unavailable(context));
+    }
+
+    private void unavailable(RoutingContext context) {
+        refuse(
+                context,
+                Refusal.of(RefusalKind.READ_UNAVAILABLE, "no quorum of control hosts answered; ask again later"));
+    }
+
+    private byte[] statusJson(ControlReadResult fleet) {
+        return AnswerWriter.write(json -> {
+            json.writeStringField("host", settings.host());
+            json.writeStringField("zone", settings.zone());
+            json.writeStringField("state", stopping.get().name().toLowerCase(Locale.ROOT));
+            json.writeNumberField("revision", directory.configuration().revision());
+            json.writeNumberField("unconfirmedMs", unconfirmed.get().toMillis());
+            json.writeBooleanField("quorum", fleet.getCurrent());
+            json.writeStringField("leader", fleet.getLeader());
+            if (fleet.getCurrent()) {
+                json.writeNumberField("acceptedRevision", fleet.getRevision());
+            }
+            writeServices(json);
+            writeHosts(json, fleet);
+        });
+    }
+
+    private void writeServices(JsonGenerator json) throws IOException {
+        json.writeArrayFieldStart("services");
+        for (ServiceView view : directory.services()) {
+            Optional<ShardMap> newest = view.tables().versions().newest();
+            json.writeStartObject();
+            json.writeStringField("name", view.service().name().toString());
+            json.writeNumberField("upstreams", view.service().upstreams().size());
+            json.writeNumberField(
+                    "indexVersion", newest.map(ShardMap::indexVersion).orElse(0L));
+            json.writeNumberField("shards", newest.map(ShardMap::shardCount).orElse(0));
+            json.writeNumberField(
+                    "shardsServed",
+                    newest.map(map -> map.replicas().stream()
+                                    .filter(replicas -> !replicas.isEmpty())
+                                    .count())
+                            .orElse(0L));
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+    }
+
+    private void writeHosts(JsonGenerator json, ControlReadResult fleet) throws IOException {
+        json.writeArrayFieldStart("hosts");
+        for (var entry : settings.hosts()) {
+            Optional<HostRevision> heard = fleet.getInForceList().stream()
+                    .filter(host -> host.getHost().equals(entry.name()))
+                    .findFirst();
+            json.writeStartObject();
+            json.writeStringField("name", entry.name());
+            json.writeStringField("zone", entry.zone());
+            json.writeBooleanField("control", entry.control());
+            json.writeNumberField(
+                    "revision", heard.map(HostRevision::getRevision).orElse(-1L));
+            json.writeNumberField(
+                    "heardMsAgo", heard.map(HostRevision::getHeardMillisAgo).orElse(-1L));
+            json.writeBooleanField(
+                    "leaving", heard.map(HostRevision::getLeaving).orElse(false));
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+    }
+
+    private boolean isAuthorized(RoutingContext context, String partner) {
+        String header = context.request().getHeader("Authorization");
+        String digest = settings.credentialDigests().get(partner);
+        if (header == null || digest == null || !header.startsWith(BEARER)) {
+            return false;
+        }
+        String given = Hashing.sha256()
+                .hashString(header.substring(BEARER.length()), StandardCharsets.UTF_8)
+                .toString();
+        return MessageDigest.isEqual(
+                given.getBytes(StandardCharsets.US_ASCII), digest.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void refuse(RoutingContext context, Refusal refusal) {
+        metrics.count(refusal.kind());
+        EntryServer.sendRefusal(context, refusal, Optional.empty(), ImmutableList.of());
+    }
+
+    /** Writes a result of a read. */
+    @FunctionalInterface
+    private interface Writer {
+        byte[] write(ControlReadResult result);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/RunningQuery.java
@@ -0,0 +1,117 @@
+package org.bramblerack.daemon.entry;
+
+import java.util.List;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import org.bramblerack.daemon.peer.Workers;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.request.LeafOutcome;
+import org.bramblerack.request.LeafRequest;
+import org.bramblerack.request.Query;
+import org.bramblerack.request.QueryAction;
+import org.bramblerack.version.Priority;
+
+/**
+ * Carries out the decisions of one query.
+ *
+ * <p>Safe for use by many threads: every event takes the query's lock, the first of the lock order after the
+ * admission's. The result is delivered exactly once, outside of the lock.
+ */
+final class RunningQuery {
+    private final Query query;
+    private final CallerQuery asked;
+    private final Priority priority;
+    private final LeafRouter router;
+    private final Workers workers;
+    private final MonotonicClock clock;
+    private final HostMetrics metrics;
+    private final Consumer<QueryResult> done;
+    private final ReentrantLock lock = new ReentrantLock();
+
+    RunningQuery(
+            Query query,
+            CallerQuery asked,
+            Priority priority,
+            LeafRouter router,
+            Workers workers,
+            MonotonicClock clock,
+            HostMetrics metrics,
+            Consumer<QueryResult> done) {
+        this.query = query;
+        this.asked = asked;
+        this.priority = priority;
+        this.router = router;
+        this.workers = workers;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.done = done;
+    }
+
+    void start() {
+        handle(query::start);
+    }
+
+    void callerGone() {
+        handle(query::callerGone);
+    }
+
+    private void wake() {
+        handle(query::wake);
+    }
+
+    private void ended(int attempt, LeafOutcome outcome) {
+        if (outcome instanceof LeafOutcome.Replied replied) {
+            handle(nowNanos -> query.reply(attempt, replied.reply(), nowNanos));
+        } else if (outcome instanceof LeafOutcome.Failed failed) {
+            metrics.count(failed.failure());
+            handle(nowNanos -> query.failure(attempt, failed.failure(), nowNanos));
+        }
+    }
+
+    private void handle(Decision decision) {
+        lock.lock();
+        try {
+            for (QueryAction action : decision.at(clock.nowNanos())) {
+                carryOut(action);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void carryOut(QueryAction action) {
+        if (action instanceof QueryAction.SendLeaf send) {
+            send(send);
+        } else if (action instanceof QueryAction.CancelLeaf cancel) {
+            router.cancel(cancel.callId(), cancel.upstream());
+        } else if (action instanceof QueryAction.Wake wake) {
+            workers.runAfter(wake.atNanos() - clock.nowNanos(), this::wake);
+        } else if (action instanceof QueryAction.Count count) {
+            metrics.count(count.counter());
+        } else if (action instanceof QueryAction.Deliver deliver) {
+            workers.run(() -> done.accept(new QueryResult.Answered(deliver.answer())));
+        } else if (action instanceof QueryAction.Refuse refuse) {
+            workers.run(() -> done.accept(new QueryResult.Refused(refuse.refusal())));
+        }
+    }
+
+    private void send(QueryAction.SendLeaf send) {
+        LeafRequest request = new LeafRequest(
+                send.callId(),
+                asked.requestId().value(),
+                send.upstream(),
+                send.shard(),
+                send.indexVersion(),
+                priority,
+                send.deadlineNanos(),
+                "",
+                asked.body());
+        router.send(request, outcome -> ended(send.attempt(), outcome));
+    }
+
+    /** One event of the query at a time. */
+    @FunctionalInterface
+    private interface Decision {
+        List<QueryAction> at(long nowNanos);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
@@ -0,0 +1,123 @@
+package org.bramblerack.daemon.holder;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import org.bramblerack.connection.GateAction;
+import org.bramblerack.connection.ReplicaGate;
+import org.bramblerack.daemon.peer.Workers;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.request.LeafFailure;
+import org.bramblerack.request.LeafOutcome;
+import org.bramblerack.request.LeafRequest;
+import org.bramblerack.version.Upstream;
+
+/**
+ * An upstream whose connections this host holds: its queue and the calls in flight.
+ *
+ * <p>Invariant: every submitted call is completed exactly once. Safe for use by many threads; the lock of the gate
+ * comes after the query's, and completions run on a worker without it.
+ */
+final class HeldUpstream {
+    private final Upstream upstream;
+    private final UpstreamProtocol protocol;
+    private final Workers workers;
+    private final MonotonicClock clock;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final ReplicaGate gate;
+    private final Map<String, Call> calls = new HashMap<>();
+
+    HeldUpstream(Upstream upstream, int slots, UpstreamProtocol protocol, Workers workers, MonotonicClock clock) {
+        this.upstream = upstream;
+        this.protocol = protocol;
+        this.workers = workers;
+        this.clock = clock;
+        this.gate = new ReplicaGate(slots);
+    }
+
+    Upstream upstream() {
+        return upstream;
+    }
+
+    UpstreamProtocol protocol() {
+        return protocol;
+    }
+
+    void submit(LeafRequest request, Consumer<LeafOutcome> done) {
+        lock.lock();
+        try {
+            calls.put(request.callId(), new Call(request, done));
+            carryOut(gate.submit(request.callId(), request.priority(), request.deadlineNanos(), clock.nowNanos()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void cancel(String callId) {
+        lock.lock();
+        try {
+            carryOut(gate.cancel(callId));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    int inFlight() {
+        lock.lock();
+        try {
+            return gate.running() + gate.waiting();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void carryOut(List<GateAction> actions) {
+        for (GateAction action : actions) {
+            if (action instanceof GateAction.Dispatch dispatch) {
+                dispatch(dispatch.callId());
+            } else if (action instanceof GateAction.Refuse refuse) {
+                complete(refuse.callId(), new LeafOutcome.Failed(refuse.failure()));
+            } else if (action instanceof GateAction.CancelAtUpstream cancel) {
+                protocol.cancel(cancel.callId());
+            }
+        }
+    }
+
+    private void dispatch(String callId) {
+        Call call = calls.get(callId);
+        if (call == null) {
+            return;
+        }
+        Duration remaining = Duration.ofNanos(Math.max(1, call.request().deadlineNanos() - clock.nowNanos()));
+        protocol.call(call.request(), remaining)
+                .subscribe()
+                .with(
+                        outcome -> workers.run(() -> ended(callId, outcome)),
+                        failure ->
+                                workers.run(() -> ended(callId, new LeafOutcome.Failed(LeafFailure.CONNECTION_LOST))));
+    }
+
+    private void ended(String callId, LeafOutcome outcome) {
+        lock.lock();
+        try {
+            complete(callId, outcome);
+            boolean shed = outcome instanceof LeafOutcome.Failed failed && failed.failure() == LeafFailure.OVERLOADED;
+            long nowNanos = clock.nowNanos();
+            carryOut(shed ? gate.shed(callId, nowNanos) : gate.finished(callId, nowNanos));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void complete(String callId, LeafOutcome outcome) {
+        Call call = calls.remove(callId);
+        if (call != null) {
+            workers.run(() -> call.done().accept(outcome));
+        }
+    }
+
+    private record Call(LeafRequest request, Consumer<LeafOutcome> done) {}
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
@@ -0,0 +1,204 @@
+package org.bramblerack.daemon.holder;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.ByteString;
+import io.netty.channel.ConnectTimeoutException;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.http.ConnectionPoolTooBusyException;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.Vertx;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.ext.web.client.HttpRequest;
+import io.vertx.mutiny.ext.web.client.HttpResponse;
+import io.vertx.mutiny.ext.web.client.WebClient;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeoutException;
+import org.bramblerack.connection.UpstreamHeaders;
+import org.bramblerack.request.LeafFailure;
+import org.bramblerack.request.LeafOutcome;
+import org.bramblerack.request.LeafReply;
+import org.bramblerack.request.LeafRequest;
+import org.bramblerack.version.ServedVersion;
+import org.bramblerack.version.Upstream;
+import org.bramblerack.version.UpstreamReport;
+
+/**
+ * Speaks to an upstream over HTTP as {@code docs/UPSTREAMS.md} describes.
+ *
+ * <p>One connection of the share carries reports and cancellations, the others carry calls. Safe for use by many
+ * threads.
+ */
+public final class HttpUpstreamProtocol implements UpstreamProtocol {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int KEEP_ALIVE_SECONDS = 20;
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration GRACE = Duration.ofMillis(20);
+    private static final int STATUS_OK = 200;
+    private static final int HEXADECIMAL = 16;
+
+    private final Upstream upstream;
+    private final WebClient calls;
+    private final WebClient control;
+    private final int callConnections;
+
+    /** Creates the protocol; connections are opened as they are needed. */
+    public HttpUpstreamProtocol(Vertx vertx, Upstream upstream, int connections) {
+        this.upstream = upstream;
+        this.callConnections = Math.max(1, connections - 1);
+        this.calls = WebClient.create(vertx, options(callConnections));
+        this.control = connections > 1 ? WebClient.create(vertx, options(1)) : calls;
+    }
+
+    @Override
+    public Uni<LeafOutcome> call(LeafRequest request, Duration remaining) {
+        HttpRequest<Buffer> call = calls.post(
+                        upstream.address().getPort(), upstream.address().getHost(), UpstreamHeaders.CALL_PATH)
+                .timeout(remaining.plus(GRACE).toMillis())
+                .putHeader(UpstreamHeaders.CALL_ID, request.callId())
+                .putHeader(UpstreamHeaders.REQUEST_ID, request.requestId())
+                .putHeader(UpstreamHeaders.SHARD, Integer.toString(request.shard()))
+                .putHeader(UpstreamHeaders.INDEX_VERSION, Long.toString(request.indexVersion()))
+                .putHeader(UpstreamHeaders.DEADLINE_MILLIS, Long.toString(Math.max(1, remaining.toMillis())))
+                .putHeader(UpstreamHeaders.PRIORITY, request.priority().name().toLowerCase(Locale.ROOT));
+        if (!request.operation().isEmpty()) {
+            call.putHeader(UpstreamHeaders.OPERATION, request.operation());
+        }
+        return call.sendBuffer(Buffer.buffer(request.body().toByteArray()))
+                .map(HttpUpstreamProtocol::toOutcome)
+                .onFailure()
+                .recoverWithItem(failure -> new LeafOutcome.Failed(classify(failure)));
+    }
+
+    @Override
+    public void cancel(String callId) {
+        control.post(upstream.address().getPort(), upstream.address().getHost(), UpstreamHeaders.CANCEL_PATH + callId)
+                .timeout(REPORT_TIMEOUT.toMillis())
+                .send()
+                .subscribe()
+                .with(response -> {}, failure -> {});
+    }
+
+    @Override
+    public Uni<UpstreamReport> report() {
+        return reportOver(control);
+    }
+
+    @Override
+    public void warm() {
+        for (int connection = 0; connection < callConnections; connection++) {
+            reportOver(calls).subscribe().with(report -> {}, failure -> {});
+        }
+    }
+
+    @Override
+    public void close() {
+        calls.close();
+        control.close();
+    }
+
+    private Uni<UpstreamReport> reportOver(WebClient client) {
+        return client.get(upstream.address().getPort(), upstream.address().getHost(), UpstreamHeaders.REPORT_PATH)
+                .timeout(REPORT_TIMEOUT.toMillis())
+                .send()
+                .map(HttpUpstreamProtocol::toReport);
+    }
+
+    private static WebClientOptions options(int connections) {
+        WebClientOptions options = new WebClientOptions();
+        options.setProtocolVersion(HttpVersion.HTTP_1_1);
+        options.setMaxPoolSize(connections);
+        options.setKeepAliveTimeout(KEEP_ALIVE_SECONDS);
+        options.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        options.setTcpNoDelay(true);
+        options.setFollowRedirects(false);
+        options.setUserAgentEnabled(false);
+        return options;
+    }
+
+    private static LeafOutcome toOutcome(HttpResponse<Buffer> response) {
+        String refusal = response.getHeader(UpstreamHeaders.REFUSAL);
+        if (refusal != null) {
+            return new LeafOutcome.Failed(refusalOf(refusal));
+        }
+        if (response.statusCode() != STATUS_OK) {
+            return new LeafOutcome.Failed(LeafFailure.UPSTREAM_ERROR);
+        }
+        try {
+            return new LeafOutcome.Replied(toReply(response));
+        } catch (IllegalArgumentException malformed) {
+            return new LeafOutcome.Failed(LeafFailure.UPSTREAM_ERROR);
+        }
+    }
+
+    private static LeafReply toReply(HttpResponse<Buffer> response) {
+        Buffer body = response.body();
+        ByteString payload = body == null ? ByteString.EMPTY : ByteString.copyFrom(body.getBytes());
+        ServedVersion served = new ServedVersion(
+                Long.parseLong(required(response, UpstreamHeaders.INDEX_VERSION)),
+                Integer.parseInt(required(response, UpstreamHeaders.SHARD)),
+                Integer.parseInt(required(response, UpstreamHeaders.SHARD_COUNT)));
+        return new LeafReply(
+                required(response, UpstreamHeaders.CALL_ID),
+                served,
+                Long.parseLong(required(response, UpstreamHeaders.LENGTH_BYTES)),
+                Integer.parseUnsignedInt(required(response, UpstreamHeaders.CHECKSUM), HEXADECIMAL),
+                payload);
+    }
+
+    private static LeafFailure refusalOf(String code) {
+        for (LeafFailure failure : LeafFailure.values()) {
+            if (failure.isCertainlyNotRun() && failure.code().equals(code)) {
+                return failure;
+            }
+        }
+        return LeafFailure.UPSTREAM_ERROR;
+    }
+
+    private static UpstreamReport toReport(HttpResponse<Buffer> response) {
+        if (response.statusCode() != STATUS_OK) {
+            throw new DecodeException("the report has status " + response.statusCode());
+        }
+        try {
+            JsonObject report = response.bodyAsJsonObject();
+            ImmutableSet.Builder<ServedVersion> served = ImmutableSet.builder();
+            JsonArray versions = report.getJsonArray("versions", new JsonArray());
+            for (int position = 0; position < versions.size(); position++) {
+                JsonObject version = versions.getJsonObject(position);
+                served.add(new ServedVersion(
+                        version.getLong("indexVersion"),
+                        version.getInteger("shard"),
+                        version.getInteger("shardCount")));
+            }
+            return new UpstreamReport(report.getBoolean("draining", false), served.build());
+        } catch (RuntimeException malformed) {
+            throw new DecodeException("the report is malformed: " + malformed.getMessage(), malformed);
+        }
+    }
+
+    private static String required(HttpResponse<Buffer> response, String header) {
+        String value = response.getHeader(header);
+        checkArgument(value != null, "the reply lacks the header %s", header);
+        return value;
+    }
+
+    private static LeafFailure classify(Throwable failure) {
+        if (failure instanceof ConnectException || failure instanceof ConnectTimeoutException) {
+            return LeafFailure.CONNECT_FAILED;
+        }
+        if (failure instanceof ConnectionPoolTooBusyException) {
+            return LeafFailure.QUEUE_FULL;
+        }
+        if (failure instanceof TimeoutException) {
+            return LeafFailure.TIMED_OUT;
+        }
+        return LeafFailure.CONNECTION_LOST;
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/ConfigurationFollower.java
@@ -0,0 +1,231 @@
+package org.bramblerack.daemon.host;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.vavr.control.Either;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.bramblerack.daemon.control.ControlClient;
+import org.bramblerack.daemon.entry.HostMetrics;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.Workers;
+import org.bramblerack.daemon.settings.HostEntry;
+import org.bramblerack.daemon.settings.Settings;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.directory.ServiceDirectory;
+import org.bramblerack.process.document.Fault;
+import org.bramblerack.version.Configuration;
+import org.bramblerack.version.Declaration;
+import org.bramblerack.version.DeclarationReader;
+import org.bramblerack.wire.ConfigurationDelta;
+import org.bramblerack.wire.ConfigurationPull;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.PartnerDeclaration;
+
+/**
+ * Keeps the agreed configuration in force on this host.
+ *
+ * <p>The host asks the control hosts for what changed after its own revision, again and again. Invariants: the revision
+ * never goes back within a life. A life begins only with a configuration that the leader confirmed or, if no control
+ * host can be reached, with the highest one of the hosts of its own zone, provided it is not older than any revision
+ * that they heard this host serve before.
+ *
+ * <p>Safe for use by many threads: changes are made under this object's lock, which comes before the directory's.
+ */
+public final class ConfigurationFollower {
+    private static final Logger LOGGER = System.getLogger(ConfigurationFollower.class.getName());
+    private static final Duration PERIOD = Duration.ofMillis(300);
+    private static final Duration TIMEOUT = Duration.ofMillis(600);
+    private static final Duration BEFORE_ASKING_PEERS = Duration.ofSeconds(3);
+
+    private final Settings settings;
+    private final long incarnation;
+    private final ControlClient control;
+    private final PeerNetwork network;
+    private final ServiceDirectory directory;
+    private final Workers workers;
+    private final MonotonicClock clock;
+    private final HostMetrics metrics;
+    private final Supplier<Boolean> leaving;
+    private final Runnable onChange;
+    private final Map<String, PartnerDeclaration> texts = new TreeMap<>();
+    private final Map<String, ConfigurationDelta> peerReplies = new HashMap<>();
+    private final long startedNanos;
+    private volatile long confirmedNanos;
+    private volatile boolean everConfirmed;
+
+    /** Creates a follower; it asks nothing before {@link #start}. */
+    public ConfigurationFollower(
+            Settings settings,
+            long incarnation,
+            ControlClient control,
+            PeerNetwork network,
+            ServiceDirectory directory,
+            Workers workers,
+            MonotonicClock clock,
+            HostMetrics metrics,
+            Supplier<Boolean> leaving,
+            Runnable onChange) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.control = control;
+        this.network = network;
+        this.directory = directory;
+        this.workers = workers;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.leaving = leaving;
+        this.onChange = onChange;
+        this.startedNanos = clock.nowNanos();
+        this.confirmedNanos = startedNanos;
+    }
+
+    /** Begins to ask. */
+    public void start() {
+        ask();
+    }
+
+    /** Returns for how long no control host has confirmed the configuration. */
+    public Duration unconfirmed() {
+        return Duration.ofNanos(clock.nowNanos() - confirmedNanos);
+    }
+
+    /** Returns true once a configuration is in force, or the leader confirmed that there is none. */
+    public boolean isReady() {
+        return everConfirmed || directory.configuration().revision() > 0;
+    }
+
+    /** Answers another host that asks for changes because it reaches no control host. */
+    public synchronized ConfigurationDelta answerPeer(ConfigurationPull pull, long heardRevision) {
+        ImmutableList<PartnerDeclaration> changed = texts.values().stream()
+                .filter(text -> text.getRevision() > pull.getKnownRevision())
+                .collect(ImmutableList.toImmutableList());
+        return ConfigurationDelta.newBuilder()
+                .setRevision(directory.configuration().revision())
+                .addAllDeclarations(changed)
+                .setHeardRevision(heardRevision)
+                .build();
+    }
+
+    private void ask() {
+        control.pull(pull(), TIMEOUT)
+                .subscribe()
+                .with(
+                        delta -> workers.run(() -> {
+                            take(delta);
+                            askLater();
+                        }),
+                        failure -> workers.run(() -> {
+                            askPeersIfNeeded();
+                            askLater();
+                        }));
+    }
+
+    private void askLater() {
+        workers.runAfter(PERIOD.toNanos(), this::ask);
+    }
+
+    private ConfigurationPull pull() {
+        return ConfigurationPull.newBuilder()
+                .setHost(settings.host())
+                .setZone(settings.zone())
+                .setIncarnation(incarnation)
+                .setLeaving(leaving.get())
+                .setKnownRevision(directory.configuration().revision())
+                .build();
+    }
+
+    private void take(ConfigurationDelta delta) {
+        boolean begun = directory.configuration().revision() > 0;
+        if (delta.getConfirmed()) {
+            putInForce(delta);
+            if (directory.configuration().revision() >= delta.getRevision()) {
+                everConfirmed = true;
+                confirmedNanos = clock.nowNanos();
+            }
+        } else if (begun) {
+            putInForce(delta);
+        } else {
+            askPeersIfNeeded();
+        }
+    }
+
+    private void askPeersIfNeeded() {
+        metrics.count("configuration.unconfirmed-pull");
+        boolean begun = directory.configuration().revision() > 0;
+        if (begun || clock.nowNanos() - startedNanos < BEFORE_ASKING_PEERS.toNanos()) {
+            return;
+        }
+        for (HostEntry host : settings.hosts()) {
+            if (host.zone().equals(settings.zone()) && !host.name().equals(settings.host())) {
+                network.request(host.name(), Envelope.newBuilder().setConfigurationPull(pull()), TIMEOUT)
+                        .map(Envelope::getConfigurationDelta)
+                        .subscribe()
+                        .with(
+                                delta -> workers.run(() -> takeFromPeer(host.name(), delta)),
+                                failure -> workers.run(() -> metrics.count("configuration.peer-silent")));
+            }
+        }
+    }
+
+    private synchronized void takeFromPeer(String host, ConfigurationDelta delta) {
+        if (directory.configuration().revision() > 0) {
+            return;
+        }
+        peerReplies.put(host, delta);
+        long served = 0;
+        ConfigurationDelta best = delta;
+        for (ConfigurationDelta reply : peerReplies.values()) {
+            served = Math.max(served, reply.getHeardRevision());
+            best = reply.getRevision() > best.getRevision() ? reply : best;
+        }
+        if (best.getRevision() > 0 && best.getRevision() >= served) {
+            LOGGER.log(
+                    Logger.Level.WARNING,
+                    "{0} begins with revision {1} of its zone, which no control host confirmed",
+                    settings.host(),
+                    best.getRevision());
+            putInForce(best);
+        }
+    }
+
+    private void putInForce(ConfigurationDelta delta) {
+        synchronized (this) {
+            if (delta.getRevision() <= directory.configuration().revision()) {
+                return;
+            }
+            Map<String, PartnerDeclaration> changed = new TreeMap<>(texts);
+            delta.getDeclarationsList().forEach(text -> changed.put(text.getPartner(), text));
+            ImmutableMap.Builder<String, Declaration> declarations = ImmutableMap.builder();
+            for (PartnerDeclaration text : changed.values()) {
+                Either<ImmutableList<Fault>, Declaration> read = DeclarationReader.read(text.getText());
+                if (read.isLeft()) {
+                    reportUnreadable(text, read.getLeft());
+                    return;
+                }
+                declarations.put(text.getPartner(), read.get());
+            }
+            Configuration configuration = new Configuration(delta.getRevision(), declarations.buildOrThrow());
+            if (!directory.configure(configuration, clock.nowNanos())) {
+                return;
+            }
+            texts.putAll(changed);
+        }
+        LOGGER.log(Logger.Level.INFO, "{0} has revision {1} in force", settings.host(), delta.getRevision());
+        onChange.run();
+    }
+
+    private void reportUnreadable(PartnerDeclaration text, ImmutableList<Fault> faults) {
+        metrics.count("configuration.unreadable");
+        LOGGER.log(
+                Logger.Level.ERROR,
+                "{0} cannot read the agreed declaration of {1}: {2}; run the program version that accepted it",
+                settings.host(),
+                text.getPartner(),
+                faults.get(0));
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -0,0 +1,241 @@
+package org.bramblerack.daemon.host;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vertx.core.VertxOptions;
+import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.control.ControlClient;
+import org.bramblerack.daemon.control.ControlNode;
+import org.bramblerack.daemon.control.FileLogStore;
+import org.bramblerack.daemon.entry.EntryServer;
+import org.bramblerack.daemon.entry.HostMetrics;
+import org.bramblerack.daemon.entry.LeafRouter;
+import org.bramblerack.daemon.entry.OnceOnlyRunner;
+import org.bramblerack.daemon.entry.OperatorApi;
+import org.bramblerack.daemon.entry.QueryRunner;
+import org.bramblerack.daemon.entry.RequestIds;
+import org.bramblerack.daemon.entry.StoppingState;
+import org.bramblerack.daemon.holder.HolderService;
+import org.bramblerack.daemon.holder.HttpUpstreamProtocol;
+import org.bramblerack.daemon.holder.StatusBoard;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PeerServer;
+import org.bramblerack.daemon.peer.Workers;
+import org.bramblerack.daemon.settings.Role;
+import org.bramblerack.daemon.settings.Settings;
+import org.bramblerack.process.MembershipTable;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.agreement.RaftTimings;
+import org.bramblerack.process.directory.ServiceDirectory;
+
+/**
+ * One process of the system, wired from its settings.
+ *
+ * <p>Started once and stopped once. The parts are started from the inside out and stopped from the outside in. Public
+ * methods are safe for use by many threads.
+ */
+public final class HostProcess {
+    private static final Logger LOGGER = System.getLogger(HostProcess.class.getName());
+    private static final int NETWORK_THREADS = 2;
+    private static final Duration IDLE_CHECK = Duration.ofMillis(20);
+
+    private final Settings settings;
+    private final Vertx vertx;
+    private final EventLoopGroup group = new NioEventLoopGroup(NETWORK_THREADS);
+    private final Workers workers;
+    private final PeerNetwork network;
+    private final PeerServer peers;
+    private final HolderService holders;
+    private final Optional<ControlNode> control;
+    private final ConfigurationFollower follower;
+    private final Beats beats;
+    private final PlatformWatcher platform;
+    private final QueryRunner queries;
+    private final OnceOnlyRunner operations;
+    private final EntryServer entry;
+    private final HostMetrics metrics = new HostMetrics();
+    private volatile StoppingState stopping = StoppingState.RUNNING;
+
+    /** Creates a process; nothing runs before {@link #start}. */
+    public HostProcess(Settings settings, LinkPolicy links) {
+        MonotonicClock clock = MonotonicClock.system();
+        InstantSource wallClock = InstantSource.system();
+        RandomGenerator random = new ThreadRandom();
+        long incarnation = wallClock.millis();
+        this.settings = settings;
+        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(NETWORK_THREADS));
+        this.workers = new Workers(settings.host(), settings.workers());
+        this.network = new PeerNetwork(settings.host(), settings.hosts(), group, links);
+        MembershipTable membership = new MembershipTable();
+        ServiceDirectory directory = new ServiceDirectory(settings.zone(), settings::hostsOf);
+        StatusBoard statuses = new StatusBoard(settings.host(), directory);
+        this.holders = new HolderService(
+                settings.host(),
+                directory,
+                (upstream, connections) -> new HttpUpstreamProtocol(vertx, upstream, connections),
+                workers,
+                clock,
+                random,
+                statuses);
+        this.control = controlNode(settings, network, clock, random);
+        ControlClient client = new ControlClient(settings.host(), settings.voters(), control, network, clock);
+        this.beats = new Beats(
+                settings.host(),
+                settings.zone(),
+                incarnation,
+                network,
+                membership,
+                directory,
+                statuses,
+                workers,
+                clock,
+                this::isLeaving);
+        this.follower = new ConfigurationFollower(
+                settings,
+                incarnation,
+                client,
+                network,
+                directory,
+                workers,
+                clock,
+                metrics,
+                this::isLeaving,
+                holders::configure);
+        this.platform = new PlatformWatcher(vertx, settings.platform(), directory, workers, metrics);
+        RequestIds ids = new RequestIds(settings.host(), incarnation);
+        LeafRouter router = new LeafRouter(settings.host(), directory, holders, membership, network, workers, clock);
+        this.queries = new QueryRunner(directory, router, workers, clock, random, metrics, ids, settings.maxQueries());
+        this.operations =
+                new OnceOnlyRunner(directory, router, client, workers, clock, wallClock, random, metrics, ids);
+        OperatorApi operators =
+                new OperatorApi(settings, directory, client, wallClock, metrics, follower::unconfirmed, this::stopping);
+        this.entry = new EntryServer(
+                vertx,
+                settings.callerAddress(),
+                queries,
+                operations,
+                operators,
+                metrics,
+                wallClock,
+                this::stopping,
+                follower::isReady);
+        PeerRouter peerRouter = new PeerRouter(workers, clock, holders, beats, membership, control, follower);
+        this.peers = new PeerServer(settings.peerAddress(), peerRouter, group, links);
+        addGauges(directory);
+    }
+
+    /**
+     * Starts every part.
+     *
+     * @throws IOException if the files of the control role cannot be trusted
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public void start() throws IOException, InterruptedException {
+        if (control.isPresent()) {
+            control.get().start();
+        }
+        peers.start();
+        beats.start();
+        follower.start();
+        platform.start();
+        entry.start();
+        LOGGER.log(
+                Logger.Level.INFO,
+                "{0} serves callers at {1} and hosts at {2}",
+                settings.host(),
+                settings.callerAddress(),
+                settings.peerAddress());
+    }
+
+    /**
+     * Stops in the planned way: says that it is leaving, goes on serving while the balancer lags, then finishes what is
+     * in flight, then ends.
+     *
+     * @param lag how long the balancer may go on sending requests
+     * @param limit how long to wait for what is in flight after that
+     */
+    public void stop(Duration lag, Duration limit) throws InterruptedException {
+        stopping = StoppingState.LEAVING;
+        LOGGER.log(Logger.Level.INFO, "{0} is leaving", settings.host());
+        beats.beatSoon();
+        Thread.sleep(lag.toMillis());
+        stopping = StoppingState.FINISHING;
+        long giveUpNanos = System.nanoTime() + limit.toNanos();
+        while (inFlight() > 0 && System.nanoTime() - giveUpNanos < 0) {
+            Thread.sleep(IDLE_CHECK.toMillis());
+        }
+        int left = inFlight();
+        LOGGER.log(Logger.Level.INFO, "{0} stops with {1} requests in flight", settings.host(), left);
+        kill();
+    }
+
+    /** Ends every part at once, without waiting for anything. */
+    public void kill() {
+        entry.stop();
+        platform.stop();
+        peers.stop();
+        control.ifPresent(ControlNode::stop);
+        holders.stop();
+        network.stop();
+        workers.stop();
+        vertx.closeAndAwait();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Returns how far the process has come with a planned stop. */
+    public StoppingState stopping() {
+        return stopping;
+    }
+
+    private boolean isLeaving() {
+        return stopping != StoppingState.RUNNING;
+    }
+
+    private int inFlight() {
+        return queries.inFlight() + operations.inFlight() + holders.inFlight();
+    }
+
+    private void addGauges(ServiceDirectory directory) {
+        metrics.gauge("queries.in-flight", queries::inFlight);
+        metrics.gauge("once-only.in-flight", operations::inFlight);
+        metrics.gauge("holder.in-flight", holders::inFlight);
+        metrics.gauge("holder.upstreams", holders::size);
+        metrics.gauge("configuration.revision", () -> directory.configuration().revision());
+        metrics.gauge(
+                "configuration.unconfirmed-ms", () -> follower.unconfirmed().toMillis());
+    }
+
+    private static Optional<ControlNode> controlNode(
+            Settings settings, PeerNetwork network, MonotonicClock clock, RandomGenerator random) {
+        if (!settings.has(Role.CONTROL)) {
+            return Optional.empty();
+        }
+        Path folder = settings.dataFolder().orElseThrow().resolve("control");
+        return Optional.of(new ControlNode(
+                settings.host(),
+                settings.voters(),
+                RaftTimings.DEFAULT,
+                new FileLogStore(folder),
+                network,
+                clock,
+                random));
+    }
+
+    /** Randomness of the present thread. */
+    private static final class ThreadRandom implements RandomGenerator {
+        @Override
+        public long nextLong() {
+            return ThreadLocalRandom.current().nextLong();
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/PeerRouter.java
@@ -0,0 +1,139 @@
+package org.bramblerack.daemon.host;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.bramblerack.daemon.control.ControlNode;
+import org.bramblerack.daemon.control.ProposalResult;
+import org.bramblerack.daemon.holder.HolderService;
+import org.bramblerack.daemon.holder.LeafCodec;
+import org.bramblerack.daemon.peer.PeerHandler;
+import org.bramblerack.daemon.peer.Workers;
+import org.bramblerack.process.MembershipTable;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.request.LeafRequest;
+import org.bramblerack.version.ServiceName;
+import org.bramblerack.version.UpstreamName;
+import org.bramblerack.wire.Command;
+import org.bramblerack.wire.ConfigurationPull;
+import org.bramblerack.wire.ControlReadResult;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.LeafCancel;
+import org.bramblerack.wire.ProposeResult;
+
+/**
+ * Hands each message of another host to the part that it concerns.
+ *
+ * <p>Safe for use by many threads.
+ */
+final class PeerRouter implements PeerHandler {
+    private final Workers workers;
+    private final MonotonicClock clock;
+    private final HolderService holders;
+    private final Beats beats;
+    private final MembershipTable membership;
+    private final Optional<ControlNode> control;
+    private final ConfigurationFollower follower;
+
+    PeerRouter(
+            Workers workers,
+            MonotonicClock clock,
+            HolderService holders,
+            Beats beats,
+            MembershipTable membership,
+            Optional<ControlNode> control,
+            ConfigurationFollower follower) {
+        this.workers = workers;
+        this.clock = clock;
+        this.holders = holders;
+        this.beats = beats;
+        this.membership = membership;
+        this.control = control;
+        this.follower = follower;
+    }
+
+    @Override
+    public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
+        switch (message.getBodyCase()) {
+            case LEAF_CALL -> {
+                LeafRequest request = LeafCodec.toRequest(message.getLeafCall(), clock.nowNanos());
+                workers.run(() -> holders.submit(
+                        request,
+                        outcome -> reply.accept(Envelope.newBuilder().setLeafResult(LeafCodec.toMessage(outcome)))));
+            }
+            case LEAF_CANCEL -> workers.run(() -> cancel(message.getLeafCancel()));
+            case HEARTBEAT -> workers.run(() -> beats.receive(message.getHeartbeat()));
+            case RAFT -> control.ifPresent(node -> node.receive(message.getRaft()));
+            case PROPOSE -> propose(message.getPropose().getCommand(), reply);
+            case CONTROL_READ -> read(message, reply);
+            case CONFIGURATION_PULL -> pull(message.getConfigurationPull(), reply);
+            default -> {
+                // A message of a newer program: not understood, so not answered.
+            }
+        }
+    }
+
+    private void cancel(LeafCancel cancel) {
+        holders.cancel(
+                new UpstreamName(ServiceName.parse(cancel.getService()), cancel.getUpstream()), cancel.getCallId());
+    }
+
+    private void propose(ByteString bytes, Consumer<Envelope.Builder> reply) {
+        if (control.isEmpty()) {
+            reply.accept(Envelope.newBuilder()
+                    .setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.NOT_LEADER)));
+            return;
+        }
+        Command command;
+        try {
+            command = Command.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException malformed) {
+            reply.accept(Envelope.newBuilder()
+                    .setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.REFUSED)));
+            return;
+        }
+        control.get()
+                .propose(command)
+                .subscribe()
+                .with(result -> reply.accept(Envelope.newBuilder().setProposeResult(toMessage(result))));
+    }
+
+    private ProposeResult.Builder toMessage(ProposalResult result) {
+        ProposeResult.Builder message = ProposeResult.newBuilder()
+                .setLeader(control.flatMap(ControlNode::leader).orElse(""));
+        if (result instanceof ProposalResult.Applied applied) {
+            return message.setStatus(ProposeResult.Status.APPLIED)
+                    .setResult(applied.result().toByteString());
+        }
+        return message.setStatus(
+                result instanceof ProposalResult.Undecided
+                        ? ProposeResult.Status.LOST
+                        : ProposeResult.Status.NOT_LEADER);
+    }
+
+    private void read(Envelope message, Consumer<Envelope.Builder> reply) {
+        if (control.isEmpty()) {
+            reply.accept(Envelope.newBuilder().setControlReadResult(ControlReadResult.getDefaultInstance()));
+            return;
+        }
+        control.get()
+                .read(message.getControlRead())
+                .subscribe()
+                .with(result -> reply.accept(Envelope.newBuilder().setControlReadResult(result)));
+    }
+
+    private void pull(ConfigurationPull pull, Consumer<Envelope.Builder> reply) {
+        if (control.isPresent() && control.get().isRunning()) {
+            control.get()
+                    .pull(pull)
+                    .subscribe()
+                    .with(delta -> reply.accept(Envelope.newBuilder().setConfigurationDelta(delta)));
+            return;
+        }
+        workers.run(() -> {
+            long heard = membership.revisions().getOrDefault(pull.getHost(), 0L);
+            reply.accept(Envelope.newBuilder().setConfigurationDelta(follower.answerPeer(pull, heard)));
+        });
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -0,0 +1,181 @@
+package org.bramblerack.daemon.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.bramblerack.daemon.settings.HostEntry;
+import org.bramblerack.wire.Envelope;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The connection to one other host, made when it is first needed and made again after it was lost.
+ *
+ * <p>Invariants: every request is completed exactly once, by its reply or by a {@link PeerFailure} that says whether it
+ * was handed over. What waits to be written is bounded: beyond that, requests are not sent. Attempts to connect are
+ * spaced out.
+ *
+ * <p>Safe for use by many threads. The lock of this object guards only the state of connecting; nothing is called under
+ * it.
+ */
+final class PeerConnection {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long RECONNECT_NANOS = Duration.ofMillis(200).toNanos();
+
+    private final String self;
+    private final HostEntry remote;
+    private final EventLoopGroup group;
+    private final LinkPolicy links;
+    private final AtomicLong nextCorrelation = new AtomicLong(1);
+    private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
+    private volatile @Nullable Channel channel;
+    private boolean connecting;
+    private boolean closed;
+    private long lastAttemptNanos = System.nanoTime() - RECONNECT_NANOS;
+
+    PeerConnection(String self, HostEntry remote, EventLoopGroup group, LinkPolicy links) {
+        this.self = self;
+        this.remote = remote;
+        this.group = group;
+        this.links = links;
+    }
+
+    /** Sends a message that asks for no reply; it may be lost. */
+    void send(Envelope.Builder message) {
+        Channel open = openChannel();
+        if (open != null && open.isWritable() && !links.isCut(remote.name())) {
+            write(open, message.setSender(self).build());
+        }
+    }
+
+    /** Sends a message that asks for a reply. The request is made when the result is subscribed to. */
+    Uni<Envelope> request(Envelope.Builder message, Duration timeout) {
+        return Uni.createFrom().emitter(emitter -> {
+            Channel open = openChannel();
+            if (open == null || !open.isWritable() || links.isCut(remote.name())) {
+                emitter.fail(new PeerFailure(PeerFailure.Kind.NOT_SENT, "no connection to " + remote.name()));
+                return;
+            }
+            long correlation = nextCorrelation.getAndIncrement();
+            Pending waiting = new Pending(emitter, open);
+            pending.put(correlation, waiting);
+            open.eventLoop()
+                    .schedule(
+                            () -> fail(correlation, PeerFailure.Kind.SENT, "no reply in " + timeout),
+                            timeout.toNanos(),
+                            TimeUnit.NANOSECONDS);
+            write(open, message.setSender(self).setCorrelationId(correlation).build());
+        });
+    }
+
+    void close() {
+        synchronized (this) {
+            closed = true;
+        }
+        Channel open = channel;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    private void write(Channel open, Envelope message) {
+        Duration delay = links.delay(remote.name());
+        if (delay.isZero()) {
+            open.writeAndFlush(message);
+        } else {
+            open.eventLoop().schedule(() -> open.writeAndFlush(message), delay.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private @Nullable Channel openChannel() {
+        Channel open = channel;
+        if (open != null && open.isActive()) {
+            return open;
+        }
+        connect();
+        return null;
+    }
+
+    private void connect() {
+        synchronized (this) {
+            boolean tooSoon = System.nanoTime() - lastAttemptNanos < RECONNECT_NANOS;
+            if (connecting || closed || tooSoon) {
+                return;
+            }
+            connecting = true;
+            lastAttemptNanos = System.nanoTime();
+        }
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new FramePipeline(Replies::new))
+                .connect(new InetSocketAddress(
+                        remote.peerAddress().getHost(), remote.peerAddress().getPort()))
+                .addListener((ChannelFuture future) -> connected(future));
+    }
+
+    private void connected(ChannelFuture future) {
+        boolean keep;
+        synchronized (this) {
+            connecting = false;
+            keep = future.isSuccess() && !closed;
+            if (keep) {
+                channel = future.channel();
+            }
+        }
+        if (!keep && future.isSuccess()) {
+            future.channel().close();
+        }
+    }
+
+    private void fail(long correlation, PeerFailure.Kind kind, String reason) {
+        Pending waiting = pending.remove(correlation);
+        if (waiting != null) {
+            waiting.emitter().fail(new PeerFailure(kind, remote.name() + ": " + reason));
+        }
+    }
+
+    private record Pending(UniEmitter<? super Envelope> emitter, Channel channel) {}
+
+    /** Completes the requests of one connection. */
+    private final class Replies extends SimpleChannelInboundHandler<Envelope> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+            if (links.isCut(remote.name())) {
+                return;
+            }
+            Pending waiting = pending.remove(message.getCorrelationId());
+            if (waiting != null) {
+                waiting.emitter().complete(message);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            pending.forEach((correlation, waiting) -> {
+                if (waiting.channel() == context.channel()) {
+                    fail(correlation, PeerFailure.Kind.SENT, "the connection was lost");
+                }
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-standin/src/main/java/org/bramblerack/standin/StandInUpstream.java
@@ -0,0 +1,368 @@
+package org.bramblerack.standin;
+
+import com.google.protobuf.ByteString;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+import org.bramblerack.connection.UpstreamHeaders;
+import org.bramblerack.request.CheckedReply;
+import org.bramblerack.request.LeafFailure;
+import org.bramblerack.version.ServedVersion;
+import org.bramblerack.version.Upstream;
+import org.bramblerack.version.UpstreamLimits;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One upstream that speaks the protocol of {@code docs/UPSTREAMS.md} and misbehaves as it is told.
+ *
+ * <p>It works on as many calls as it has slots, lets a few wait, sheds the rest, refuses connections above its limit,
+ * honours deadlines and cancellations, and says which index versions it serves. Its state belongs to one network
+ * thread; the behaviour and versions may be set from any.
+ */
+public final class StandInUpstream {
+    private static final int MAX_WAITING = 64;
+    private static final int REFUSED_STATUS = 503;
+    private static final double JITTER = 0.4;
+    private static final int PERCENT = 100;
+    private static final int MICROS_PER_MILLI = 1_000;
+    private static final int ITEMS_PER_SHARD = 3;
+
+    private final Vertx vertx;
+    private final Upstream upstream;
+    private final UpstreamLimits limits;
+    private final Ledger ledger;
+    private final RandomGenerator random;
+    private final Map<Long, ServedVersion> versions = new TreeMap<>();
+    private final Set<HttpConnection> connections = new HashSet<>();
+    private final Deque<Call> waiting = new ArrayDeque<>();
+    private final Map<String, Call> calls = new HashMap<>();
+    private final AtomicLong callCount = new AtomicLong();
+    private final AtomicInteger openConnections = new AtomicInteger();
+    private final AtomicInteger mostConnections = new AtomicInteger();
+    private volatile Behaviour behaviour;
+    private int running;
+    private @Nullable HttpServer server;
+
+    /** Creates an upstream that does not yet listen. */
+    public StandInUpstream(
+            Vertx vertx,
+            Upstream upstream,
+            UpstreamLimits limits,
+            Behaviour behaviour,
+            Ledger ledger,
+            RandomGenerator random) {
+        this.vertx = vertx;
+        this.upstream = upstream;
+        this.limits = limits;
+        this.behaviour = behaviour;
+        this.ledger = ledger;
+        this.random = random;
+    }
+
+    /** Returns the upstream that this stands in for. */
+    public Upstream upstream() {
+        return upstream;
+    }
+
+    /** Sets how the upstream behaves from now on. */
+    public void setBehaviour(Behaviour next) {
+        behaviour = next;
+        if (next.down()) {
+            closeConnections();
+        }
+    }
+
+    /** Returns how the upstream behaves. */
+    public Behaviour behaviour() {
+        return behaviour;
+    }
+
+    /** Adds an index version that the upstream serves. */
+    public void serve(ServedVersion version) {
+        synchronized (versions) {
+            versions.put(version.indexVersion(), version);
+        }
+    }
+
+    /** Removes an index version that the upstream serves. */
+    public void drop(long indexVersion) {
+        synchronized (versions) {
+            versions.remove(indexVersion);
+        }
+    }
+
+    /** Returns how many calls arrived. */
+    public long calls() {
+        return callCount.get();
+    }
+
+    /** Returns the most connections that were open at once. */
+    public int mostConnections() {
+        return mostConnections.get();
+    }
+
+    /** Begins to listen. */
+    public void start() {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(upstream.address().getHost())
+                .setPort(upstream.address().getPort())
+                .setTcpNoDelay(true);
+        server = vertx.createHttpServer(options)
+                .connectionHandler(this::connected)
+                .requestHandler(this::handle);
+        server.listen().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Stops listening. */
+    public void stop() {
+        if (server != null) {
+            server.close().toCompletionStage().toCompletableFuture().join();
+        }
+    }
+
+    private void connected(HttpConnection connection) {
+        int open = openConnections.incrementAndGet();
+        mostConnections.accumulateAndGet(open, Math::max);
+        synchronized (connections) {
+            connections.add(connection);
+        }
+        connection.closeHandler(closed -> {
+            openConnections.decrementAndGet();
+            synchronized (connections) {
+                connections.remove(connection);
+            }
+        });
+        if (behaviour.down()) {
+            connection.close();
+        } else if (open > limits.connections()) {
+            ledger.refusedConnection();
+            connection.close();
+        }
+    }
+
+    private void closeConnections() {
+        Set<HttpConnection> open;
+        synchronized (connections) {
+            open = new HashSet<>(connections);
+        }
+        open.forEach(HttpConnection::close);
+    }
+
+    private void handle(HttpServerRequest request) {
+        if (request.path().equals(UpstreamHeaders.CALL_PATH) && request.method().equals(HttpMethod.POST)) {
+            call(request);
+        } else if (request.path().startsWith(UpstreamHeaders.CANCEL_PATH)) {
+            cancel(request.path().substring(UpstreamHeaders.CANCEL_PATH.length()));
+            request.response().end();
+        } else if (request.path().equals(UpstreamHeaders.REPORT_PATH)) {
+            request.response().end(report());
+        } else {
+            request.response().setStatusCode(404).end();
+        }
+    }
+
+    private void call(HttpServerRequest request) {
+        ledger.called();
+        callCount.incrementAndGet();
+        Call call = new Call(request, System.nanoTime());
+        if (behaviour.draining()) {
+            refuse(call, LeafFailure.DRAINING);
+        } else if (call.operation() == null && served(call.indexVersion()) == null) {
+            refuse(call, LeafFailure.VERSION_GONE);
+        } else if (running < limits.slots()) {
+            run(call);
+        } else if (waiting.size() < MAX_WAITING) {
+            waiting.addLast(call);
+            calls.put(call.callId(), call);
+        } else {
+            refuse(call, LeafFailure.OVERLOADED);
+        }
+    }
+
+    private void run(Call call) {
+        running++;
+        call.begun = true;
+        calls.put(call.callId(), call);
+        if (call.operation() != null) {
+            ledger.ran(call.requestId());
+        }
+        int micros = serviceMicros();
+        long millis = Math.max(1, Math.round((double) micros / MICROS_PER_MILLI));
+        call.timer = vertx.setTimer(millis, fired -> finish(call));
+    }
+
+    private void finish(Call call) {
+        running--;
+        calls.remove(call.callId());
+        ledger.finishedOne();
+        if (!behaviour.silent()) {
+            reply(call);
+        }
+        next();
+    }
+
+    private void next() {
+        while (running < limits.slots() && !waiting.isEmpty()) {
+            Call call = waiting.removeFirst();
+            if (call.isExpired()) {
+                calls.remove(call.callId());
+                refuse(call, LeafFailure.EXPIRED);
+            } else {
+                run(call);
+            }
+        }
+    }
+
+    private void cancel(String callId) {
+        Call call = calls.get(callId);
+        if (call == null || (call.begun && call.operation() != null)) {
+            return;
+        }
+        calls.remove(callId);
+        ledger.cancelledOne();
+        refuse(call, LeafFailure.CANCELLED);
+        if (call.begun) {
+            vertx.cancelTimer(call.timer);
+            running--;
+            next();
+        } else {
+            waiting.remove(call);
+        }
+    }
+
+    private void reply(Call call) {
+        ServedVersion version = call.operation() == null ? served(call.indexVersion()) : new ServedVersion(1, 0, 1);
+        if (version == null) {
+            refuse(call, LeafFailure.VERSION_GONE);
+            return;
+        }
+        byte[] payload = payload(call, version).toBuffer().getBytes();
+        ByteString whole = ByteString.copyFrom(payload);
+        int sent = behaviour.truncating() ? payload.length / 2 : payload.length;
+        HttpServerResponse response = call.request().response();
+        if (!response.closed()) {
+            response.putHeader(UpstreamHeaders.CALL_ID, call.callId())
+                    .putHeader(UpstreamHeaders.SHARD, Integer.toString(version.shard()))
+                    .putHeader(UpstreamHeaders.SHARD_COUNT, Integer.toString(version.shardCount()))
+                    .putHeader(UpstreamHeaders.INDEX_VERSION, Long.toString(version.indexVersion()))
+                    .putHeader(UpstreamHeaders.LENGTH_BYTES, Integer.toString(payload.length))
+                    .putHeader(UpstreamHeaders.CHECKSUM, Integer.toHexString(CheckedReply.checksum(whole)))
+                    .end(Buffer.buffer(payload).slice(0, sent));
+        }
+    }
+
+    private JsonObject payload(Call call, ServedVersion version) {
+        if (call.operation() != null) {
+            return new JsonObject()
+                    .put("done", call.operation())
+                    .put("by", upstream.name().upstream());
+        }
+        JsonArray items = new JsonArray();
+        for (int item = 0; item < ITEMS_PER_SHARD; item++) {
+            items.add("v" + version.indexVersion() + "-s" + version.shard() + "-" + item);
+        }
+        return new JsonObject().put("items", items);
+    }
+
+    private void refuse(Call call, LeafFailure failure) {
+        ledger.refusedOne();
+        HttpServerResponse response = call.request().response();
+        if (!response.closed() && !response.ended()) {
+            response.setStatusCode(REFUSED_STATUS)
+                    .putHeader(UpstreamHeaders.CALL_ID, call.callId())
+                    .putHeader(UpstreamHeaders.REFUSAL, failure.code())
+                    .end();
+        }
+    }
+
+    private Buffer report() {
+        JsonArray served = new JsonArray();
+        synchronized (versions) {
+            versions.values()
+                    .forEach(version -> served.add(new JsonObject()
+                            .put("indexVersion", version.indexVersion())
+                            .put("shard", version.shard())
+                            .put("shardCount", version.shardCount())));
+        }
+        return new JsonObject()
+                .put("draining", behaviour.draining())
+                .put("load", (double) running / limits.slots())
+                .put("versions", served)
+                .toBuffer();
+    }
+
+    private @Nullable ServedVersion served(long indexVersion) {
+        synchronized (versions) {
+            return versions.get(indexVersion);
+        }
+    }
+
+    private int serviceMicros() {
+        Behaviour present = behaviour;
+        boolean straggles = random.nextDouble() * PERCENT < present.stragglePercent();
+        int base = straggles ? present.serviceMicros() * present.straggleFactor() : present.serviceMicros();
+        return (int) (base * (1 - JITTER + 2 * JITTER * random.nextDouble()));
+    }
+
+    /** A call in the upstream. */
+    private static final class Call {
+        private final HttpServerRequest request;
+        private final long arrivedNanos;
+        private boolean begun;
+        private long timer;
+
+        Call(HttpServerRequest request, long arrivedNanos) {
+            this.request = request;
+            this.arrivedNanos = arrivedNanos;
+        }
+
+        HttpServerRequest request() {
+            return request;
+        }
+
+        String callId() {
+            return header(UpstreamHeaders.CALL_ID, "");
+        }
+
+        String requestId() {
+            return header(UpstreamHeaders.REQUEST_ID, "");
+        }
+
+        @Nullable
+        String operation() {
+            return request.getHeader(UpstreamHeaders.OPERATION);
+        }
+
+        long indexVersion() {
+            return Long.parseLong(header(UpstreamHeaders.INDEX_VERSION, "0"));
+        }
+
+        boolean isExpired() {
+            long deadlineMillis = Long.parseLong(header(UpstreamHeaders.DEADLINE_MILLIS, "0"));
+            long waitedMillis = (System.nanoTime() - arrivedNanos) / 1_000_000;
+            return deadlineMillis > 0 && waitedMillis >= deadlineMillis;
+        }
+
+        private String header(String name, String fallback) {
+            String value = request.getHeader(name);
+            return value == null ? fallback : value;
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the project's own processes. Generated from {@code peer.proto}; do not edit. */
+package org.bramblerack.wire;
