--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerProgress.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerProgress.java
@@ -10,6 +10,11 @@
     long snapshotSentNanos;
     boolean awaitingSnapshotReply;
 
+    /** True from a refusal until an acceptance: one message at a time is sent, so that refusals do not multiply. */
+    boolean probing;
+
+    boolean probeSent;
+
     FollowerProgress(long nextIndex, long nowNanos) {
         this.nextIndex = nextIndex;
         this.lastHeardNanos = nowNanos;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerTable.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerTable.java
@@ -77,9 +77,21 @@
         if (reply.getAccepted()) {
             follower.matchIndex = Math.max(follower.matchIndex, reply.getLastIndex());
             follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1);
+            follower.probing = false;
         } else {
-            long beginAgain = Math.min(follower.nextIndex, reply.getLastIndex() + 1);
-            follower.nextIndex = Math.max(follower.matchIndex + 1, beginAgain);
+            beginAgain(follower, reply.getLastIndex() + 1);
+        }
+    }
+
+    /**
+     * Goes back to where a refusal says, one message at a time; refusals of messages sent before change nothing more.
+     */
+    private static void beginAgain(FollowerProgress follower, long index) {
+        long next = Math.max(follower.matchIndex + 1, Math.min(follower.nextIndex, index));
+        if (!follower.probing || next < follower.nextIndex) {
+            follower.nextIndex = next;
+            follower.probing = true;
+            follower.probeSent = false;
         }
     }
 
@@ -128,12 +140,19 @@
             }
             return;
         }
+        if (follower.probing && follower.probeSent && !evenIfEmpty) {
+            return;
+        }
         long sendable = follower.matchIndex + MAX_UNACKNOWLEDGED - follower.nextIndex + 1;
         int most = (int) Math.max(0, Math.min(MAX_ENTRIES_IN_MESSAGE, sendable));
         ImmutableList<LogEntry> entries = log.from(follower.nextIndex, most);
         if (evenIfEmpty || !entries.isEmpty()) {
             sendEntries(to, follower, leader, follower.nextIndex - 1, entries, nowNanos, actions);
-            follower.nextIndex += entries.size();
+            if (follower.probing) {
+                follower.probeSent = true;
+            } else {
+                follower.nextIndex += entries.size();
+            }
         }
     }
 
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/FakeDisk.java
@@ -0,0 +1,54 @@
+package org.bramblerack.process.agreement;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import org.bramblerack.wire.HardState;
+import org.bramblerack.wire.LogEntry;
+
+/** The disk of one voter: what is synced outlives a crash, what is only written does not. */
+final class FakeDisk {
+    private final boolean skipsSyncs;
+    private State synced = new State(HardState.getDefaultInstance(), 0, 0, ByteString.EMPTY, ImmutableList.of());
+    private State written = synced;
+
+    FakeDisk(boolean skipsSyncs) {
+        this.skipsSyncs = skipsSyncs;
+    }
+
+    void write(RaftAction.Persist persist) {
+        List<LogEntry> entries = new ArrayList<>(written.entries());
+        persist.truncateFrom().ifPresent(from -> entries.removeIf(entry -> entry.getIndex() >= from));
+        entries.addAll(persist.entries());
+        written = new State(
+                persist.hardState().orElse(written.hardState()),
+                written.snapshotIndex(),
+                written.snapshotTerm(),
+                written.snapshot(),
+                ImmutableList.copyOf(entries));
+    }
+
+    void write(RaftAction.SaveSnapshot save) {
+        written = new State(save.hardState(), save.index(), save.term(), save.state(), save.suffix());
+    }
+
+    void sync() {
+        if (!skipsSyncs) {
+            synced = written;
+        }
+    }
+
+    StoredState crash() {
+        written = synced;
+        return new StoredState(
+                synced.hardState(), synced.snapshotIndex(), synced.snapshotTerm(), synced.snapshot(), synced.entries());
+    }
+
+    private record State(
+            HardState hardState,
+            long snapshotIndex,
+            long snapshotTerm,
+            ByteString snapshot,
+            ImmutableList<LogEntry> entries) {}
+}
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/FakeService.java
@@ -0,0 +1,96 @@
+package org.bramblerack.request;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import org.bramblerack.process.UpstreamTable;
+import org.bramblerack.version.ServedVersion;
+import org.bramblerack.version.ServiceName;
+import org.bramblerack.version.ShardMap;
+import org.bramblerack.version.Upstream;
+import org.bramblerack.version.UpstreamLimits;
+import org.bramblerack.version.UpstreamName;
+
+/** A service of two replicas a shard, its tables, and the replies that its upstreams give. */
+final class FakeService {
+    static final ServiceName NAME = new ServiceName("partner", "service");
+    static final UpstreamLimits LIMITS = new UpstreamLimits(2, 25, Duration.ofSeconds(10), 5);
+
+    final UpstreamTable upstreams = new UpstreamTable("zone-a");
+    final ServiceTables tables;
+    final int shards;
+
+    FakeService(int shards, UpstreamLimits limits) {
+        this.shards = shards;
+        this.tables = ServiceTables.create(upstreams, limits);
+        for (int shard = 0; shard < shards; shard++) {
+            for (String replica : ImmutableList.of("a", "b")) {
+                HostAndPort address = HostAndPort.fromParts("10.0.0.1", 1000 + shard);
+                upstreams.declare(
+                        new Upstream(name(shard, replica), shard, "zone-" + replica, address, false), limits, 0);
+            }
+        }
+    }
+
+    FakeService(int shards) {
+        this(shards, LIMITS);
+    }
+
+    static UpstreamName name(int shard, String replica) {
+        return new UpstreamName(NAME, "s" + shard + replica);
+    }
+
+    /** States that every replica serves a version, and returns its map. */
+    ShardMap serve(long indexVersion) {
+        for (int shard = 0; shard < shards; shard++) {
+            for (String replica : ImmutableList.of("a", "b")) {
+                tables.versions().recordReply(name(shard, replica), new ServedVersion(indexVersion, shard, shards));
+            }
+        }
+        return tables.versions().newest().orElseThrow();
+    }
+
+    void forget(long indexVersion) {
+        for (int shard = 0; shard < shards; shard++) {
+            for (String replica : ImmutableList.of("a", "b")) {
+                tables.versions().recordGone(name(shard, replica), indexVersion);
+            }
+        }
+    }
+
+    static ByteString truth(long indexVersion, int shard) {
+        return ByteString.copyFromUtf8("v" + indexVersion + "s" + shard);
+    }
+
+    LeafReply reply(QueryAction.SendLeaf send) {
+        return reply(send.callId(), send.indexVersion(), send.shard());
+    }
+
+    LeafReply reply(String callId, long indexVersion, int shard) {
+        ByteString payload = truth(indexVersion, shard);
+        return new LeafReply(
+                callId,
+                new ServedVersion(indexVersion, shard, shards),
+                payload.size(),
+                CheckedReply.checksum(payload),
+                payload);
+    }
+
+    LeafReply truncated(QueryAction.SendLeaf send) {
+        LeafReply whole = reply(send);
+        return new LeafReply(
+                whole.replyTo(),
+                whole.served(),
+                whole.declaredLengthBytes(),
+                whole.declaredChecksum(),
+                whole.payload().substring(1));
+    }
+
+    static ImmutableSet<String> payloads(Answer answer) {
+        return answer.replies().stream()
+                .map(reply -> reply.payload().toStringUtf8())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/QueryDifferentialTest.java
@@ -0,0 +1,157 @@
+package org.bramblerack.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.bramblerack.version.Preference;
+import org.bramblerack.version.ShardMap;
+
+/**
+ * Compares the query with the naive version, which asks the first replica of every shard, waits for all, and asks the
+ * other on failure, under the same fates of replies in random order.
+ */
+final class QueryDifferentialTest {
+    private static final long MILLI = Duration.ofMillis(1).toNanos();
+    private static final int SHARDS = 6;
+
+    @Property(tries = 3_000, seed = "20261202", shrinking = ShrinkingMode.FULL)
+    void agreesWithTheNaiveVersionAndNeverMixesOrOverstates(@ForAll long seed) {
+        Fates fates = new Fates(seed);
+        FakeService service = new FakeService(SHARDS);
+        ShardMap pinned = service.serve(7);
+        QueryRun run = new QueryRun(service, pinned, seed % 2 == 0 ? Preference.TIME : Preference.COVERAGE, seed);
+        play(run, fates, seed);
+        assertThat(run.isOver()).isTrue();
+        Map<Integer, String> naive = naive(pinned, fates);
+        if (run.answer.isPresent() && run.answer.get().indexVersion() == 7) {
+            for (CheckedReply reply : run.answer.get().replies()) {
+                String known = naive.getOrDefault(reply.shard(), reply.payload().toStringUtf8());
+                assertThat(reply.payload().toStringUtf8()).isEqualTo(known);
+            }
+        }
+    }
+
+    /** Plays the fates of all calls in the order of their times, with the query's own wakes between. */
+    private static void play(QueryRun run, Fates fates, long seed) {
+        PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atNanos));
+        SplittableRandom random = new SplittableRandom(seed);
+        int scheduled = 0;
+        long nowNanos = 0;
+        while (!run.isOver()) {
+            while (scheduled < run.sent.size()) {
+                QueryAction.SendLeaf send = run.sent.get(scheduled++);
+                Fate fate = fates.of(send.upstream().upstream());
+                long atNanos = nowNanos + fate.delayNanos();
+                if (fate != Fate.LOST) {
+                    events.add(new Event(atNanos, send, fate));
+                }
+                if (fate == Fate.DOUBLED) {
+                    events.add(new Event(atNanos + random.nextLong(20 * MILLI), send, fate));
+                }
+            }
+            Event next = events.peek();
+            if (next == null || run.nextWakeNanos <= next.atNanos()) {
+                nowNanos = Math.max(nowNanos, run.nextWakeNanos);
+                run.wake(nowNanos);
+            } else {
+                events.poll();
+                nowNanos = Math.max(nowNanos, next.atNanos());
+                deliver(run, next, nowNanos);
+            }
+        }
+        for (Event late : List.copyOf(events)) {
+            deliver(run, late, nowNanos + MILLI);
+        }
+    }
+
+    private static void deliver(QueryRun run, Event event, long nowNanos) {
+        QueryAction.SendLeaf send = event.send();
+        switch (event.fate()) {
+            case FAILED -> run.fail(send, LeafFailure.UPSTREAM_ERROR, nowNanos);
+            case SHED -> run.fail(send, LeafFailure.OVERLOADED, nowNanos);
+            case GONE -> {
+                run.service.serve(8);
+                run.fail(send, LeafFailure.VERSION_GONE, nowNanos);
+            }
+            case CUT_SHORT -> run.reply(send.attempt(), run.service.truncated(send), nowNanos);
+            case OTHER_VERSION ->
+                run.reply(
+                        send.attempt(),
+                        run.service.reply(send.callId(), send.indexVersion() + 1, send.shard()),
+                        nowNanos);
+            default -> run.reply(send, nowNanos);
+        }
+    }
+
+    private static Map<Integer, String> naive(ShardMap pinned, Fates fates) {
+        Map<Integer, String> answers = new HashMap<>();
+        for (int shard = 0; shard < pinned.shardCount(); shard++) {
+            for (var replica : pinned.replicas().get(shard)) {
+                if (fates.of(replica.upstream()).isWhole()) {
+                    answers.putIfAbsent(
+                            shard,
+                            FakeService.truth(pinned.indexVersion(), shard).toStringUtf8());
+                }
+            }
+        }
+        return answers;
+    }
+
+    private record Event(long atNanos, QueryAction.SendLeaf send, Fate fate) {}
+
+    /** What becomes of every call to one upstream. */
+    private enum Fate {
+        QUICK(2),
+        SLOW(70),
+        VERY_SLOW(400),
+        DOUBLED(3),
+        FAILED(1),
+        SHED(1),
+        GONE(1),
+        CUT_SHORT(2),
+        OTHER_VERSION(2),
+        LOST(0);
+
+        private final long delayMillis;
+
+        Fate(long delayMillis) {
+            this.delayMillis = delayMillis;
+        }
+
+        long delayNanos() {
+            return delayMillis * MILLI;
+        }
+
+        boolean isWhole() {
+            return this == QUICK || this == SLOW || this == DOUBLED;
+        }
+    }
+
+    private static final class Fates {
+        private final SplittableRandom random;
+        private final Map<String, Fate> byUpstream = new HashMap<>();
+        private final List<Fate> bag = new ArrayList<>();
+
+        Fates(long seed) {
+            this.random = new SplittableRandom(seed);
+            for (int copies = 0; copies < 8; copies++) {
+                bag.add(Fate.QUICK);
+            }
+            bag.addAll(List.of(Fate.values()));
+        }
+
+        Fate of(String upstream) {
+            return byUpstream.computeIfAbsent(upstream, unused -> bag.get(random.nextInt(bag.size())));
+        }
+    }
+}
