--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -192,6 +192,11 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    /** Returns the port on which callers are served. */
+    public int callerPort() {
+        return entry.port();
+    }
+
     /** Returns how far the process has come with a planned stop. */
     public StoppingState stopping() {
         return stopping;
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
@@ -0,0 +1,171 @@
+package org.bramblerack.daemon.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.bramblerack.process.agreement.RaftAction;
+import org.bramblerack.process.agreement.StoredState;
+import org.bramblerack.wire.HardState;
+import org.bramblerack.wire.LogEntry;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class FileLogStoreTest {
+    private static final HardState HARD_STATE =
+            HardState.newBuilder().setTerm(3).setVotedFor("b").build();
+
+    @TempDir
+    private Path folder;
+
+    @BeforeEach
+    void store() throws DiskFault {
+        try (FileLogStore store = new FileLogStore(folder)) {
+            assertThat(store.load()).isEqualTo(StoredState.EMPTY);
+            store.store(List.of(persist(Optional.of(HARD_STATE), 1, 5)));
+            store.store(List.of(persist(Optional.empty(), 6, 9)));
+        }
+    }
+
+    @Test
+    void givesBackWhatWasStored() throws DiskFault {
+        StoredState stored = load();
+        assertThat(stored.hardState()).isEqualTo(HARD_STATE);
+        assertThat(stored.entries()).hasSize(9);
+    }
+
+    @Test
+    void aTruncationIsStored() throws DiskFault {
+        try (FileLogStore store = new FileLogStore(folder)) {
+            store.load();
+            store.store(List.of(new RaftAction.Persist(Optional.empty(), Optional.of(4L), entries(4, 4))));
+        }
+        assertThat(load().entries()).hasSize(4);
+    }
+
+    /** A crash at any byte of the last write: nothing that was synced before it is lost. */
+    @Test
+    void aTornTailIsCutBackToWhatWasSynced() throws IOException {
+        byte[] whole = Files.readAllBytes(log());
+        int synced = sizeAfterFirstBatch();
+        for (int size = synced; size < whole.length; size++) {
+            Files.write(log(), Arrays.copyOf(whole, size));
+            StoredState stored = load();
+            assertThat(stored.entries().size()).isAtLeast(5);
+            assertThat(stored.hardState()).isEqualTo(HARD_STATE);
+            assertThat(load()).isEqualTo(stored);
+        }
+    }
+
+    /** A flipped bit in anything that was synced before the last batch is named and refused. */
+    @Test
+    void corruptionIsNamedAndRefused() throws IOException {
+        byte[] whole = Files.readAllBytes(log());
+        int synced = sizeAfterFirstBatch();
+        for (int position = 0; position < synced; position++) {
+            byte[] flipped = whole.clone();
+            flipped[position] ^= 0x10;
+            Files.write(log(), flipped);
+            DiskFault fault = assertThrows(DiskFault.class, this::load);
+            assertThat(fault.getMessage()).contains(log().toString());
+        }
+    }
+
+    @Test
+    void aSnapshotReplacesTheLogAndKeepsWhatFollows() throws DiskFault {
+        saveSnapshot();
+        StoredState stored = load();
+        assertThat(stored.snapshotIndex()).isEqualTo(7);
+        assertThat(stored.snapshot()).isEqualTo(ByteString.copyFromUtf8("state"));
+        assertThat(stored.entries()).isEqualTo(entries(8, 9));
+        assertThat(stored.hardState()).isEqualTo(HARD_STATE);
+    }
+
+    /** A crash between the replacement of the snapshot and that of the log. */
+    @Test
+    void aNewSnapshotWithTheOldLogIsRead() throws IOException {
+        byte[] oldLog = Files.readAllBytes(log());
+        saveSnapshot();
+        Files.write(log(), oldLog);
+        assertThat(load().entries()).isEqualTo(entries(8, 9));
+    }
+
+    @Test
+    void aLostOrCorruptSnapshotIsRefused() throws IOException {
+        saveSnapshot();
+        Path snapshot = folder.resolve("snapshot");
+        byte[] content = Files.readAllBytes(snapshot);
+        content[content.length - 1] ^= 1;
+        Files.write(snapshot, content);
+        assertThrows(DiskFault.class, this::load);
+        Files.delete(snapshot);
+        assertThrows(DiskFault.class, this::load);
+    }
+
+    @Test
+    void aFileOfAnotherFormatIsRefused() throws IOException {
+        Files.writeString(log(), "BRLOG999 and more");
+        assertThrows(DiskFault.class, this::load);
+    }
+
+    @Test
+    void nothingIsWrittenAfterAFailure() throws IOException {
+        FileLogStore store = new FileLogStore(folder);
+        store.load();
+        store.close();
+        assertThrows(DiskFault.class, () -> store.store(List.of(persist(Optional.empty(), 10, 10))));
+        DiskFault again = assertThrows(DiskFault.class, () -> store.store(List.of(persist(Optional.empty(), 10, 10))));
+        assertThat(again.getMessage()).contains("failed before");
+    }
+
+    private void saveSnapshot() throws DiskFault {
+        try (FileLogStore store = new FileLogStore(folder)) {
+            store.load();
+            store.store(List.of(
+                    new RaftAction.SaveSnapshot(7, 3, ByteString.copyFromUtf8("state"), HARD_STATE, entries(8, 9))));
+        }
+    }
+
+    private int sizeAfterFirstBatch() throws IOException {
+        Path other = folder.resolve("other");
+        try (FileLogStore store = new FileLogStore(other)) {
+            store.load();
+            store.store(List.of(persist(Optional.of(HARD_STATE), 1, 5)));
+        }
+        return (int) Files.size(other.resolve("log"));
+    }
+
+    private StoredState load() throws DiskFault {
+        try (FileLogStore store = new FileLogStore(folder)) {
+            return store.load();
+        }
+    }
+
+    private Path log() {
+        return folder.resolve("log");
+    }
+
+    private static RaftAction persist(Optional<HardState> hardState, int from, int to) {
+        return new RaftAction.Persist(hardState, Optional.empty(), entries(from, to));
+    }
+
+    private static ImmutableList<LogEntry> entries(int from, int to) {
+        ImmutableList.Builder<LogEntry> entries = ImmutableList.builder();
+        for (int index = from; index <= to; index++) {
+            entries.add(LogEntry.newBuilder()
+                    .setIndex(index)
+                    .setTerm(3)
+                    .setCommand(ByteString.copyFromUtf8("command " + index))
+                    .build());
+        }
+        return entries.build();
+    }
+}
