Refuse lost voters, heal a stuck admission, put changed limits in force

A control host with an empty folder would have voted anew under its old name. A changed extra load or slot count was accepted but not in force until a restart, and a holder whose share changed opened new connections beside its old ones. A host that put a revision in force late heard of upstreams only in turns, up to 20 s later.

Change: init-voter makes a voter's state once and serve refuses the role without it; a query is always let in when none of its service is in flight; changed limits replace the budget and the slots; an address that is being closed is not connected to anew; a host that changed its revision is told everything. The platform's list is an interface with a file and an HTTP form. At most two connections a slot and one more are opened of a share. The capacity page comes from the measured slopes, and a test holds the page against them.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoPlan.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoPlan.java
@@ -3,8 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.hash.Hashing;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -14,6 +12,8 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.bramblerack.cli.bench.FreePorts;
+import org.bramblerack.daemon.control.FileLogStore;
 
 /**
  * The hosts, ports and files of the demonstration, in a folder of their own.
@@ -35,20 +35,19 @@
 
     private final Path folder;
     private final Path examples;
-    private final List<ServerSocket> reserved = new ArrayList<>();
 
     DemoPlan(Path folder, Path examples) {
         this.folder = folder;
         this.examples = examples;
     }
 
-    /** Writes every file. Ports are chosen free and released at the end. */
+    /** Writes every file. */
     void write() throws IOException {
         Files.createDirectories(folder);
         List<String> processes = new ArrayList<>();
         List<String> addresses = new ArrayList<>();
         for (String partner : PARTNERS) {
-            String control = "127.0.0.1:" + reservePort();
+            String control = "127.0.0.1:" + FreePorts.next();
             Path declaration = folder.resolve(partner + ".json");
             TextFiles.write(declaration, withFreePorts(TextFiles.read(examples.resolve(partner + ".json"))));
             TextFiles.write(folder.resolve(partner + ".credential"), credential(partner) + "\n");
@@ -57,20 +56,20 @@
         }
         Map<String, Integer> peerPorts = new HashMap<>();
         for (PlannedHost host : HOSTS) {
-            peerPorts.put(host.name(), reservePort());
+            peerPorts.put(host.name(), FreePorts.next());
         }
         for (PlannedHost host : HOSTS) {
-            String caller = "127.0.0.1:" + reservePort();
+            String caller = "127.0.0.1:" + FreePorts.next();
             Path settings = folder.resolve(host.name() + ".json");
             TextFiles.write(settings, settings(host, caller, peerPorts));
+            if (host.control()) {
+                new FileLogStore(dataFolder(host).resolve("control")).initialize();
+            }
             processes.add(host.name() + " serve --lag-ms 500 --settings " + settings);
             addresses.add(host.name() + " " + caller);
         }
         TextFiles.write(folder.resolve("processes"), String.join("\n", processes) + "\n");
         TextFiles.write(folder.resolve("addresses"), String.join("\n", addresses) + "\n");
-        for (ServerSocket socket : reserved) {
-            socket.close();
-        }
     }
 
     static String credential(String partner) {
@@ -92,9 +91,7 @@
                 .append(peerPorts.get(host.name()))
                 .append("\",\n");
         if (host.control()) {
-            text.append("  \"dataFolder\": \"")
-                    .append(folder.resolve("data-" + host.name()))
-                    .append("\",\n");
+            text.append("  \"dataFolder\": \"").append(dataFolder(host)).append("\",\n");
         }
         text.append("  \"workers\": 2,\n");
         text.append("  \"platform\": { \"file\": \"")
@@ -118,20 +115,18 @@
         return text.append("  ],\n}\n").toString();
     }
 
+    private Path dataFolder(PlannedHost host) {
+        return folder.resolve("data-" + host.name());
+    }
+
     private String withFreePorts(String declaration) throws IOException {
         Matcher matcher = ADDRESS.matcher(declaration);
         StringBuilder text = new StringBuilder();
         while (matcher.find()) {
-            matcher.appendReplacement(text, "127.0.0.1:" + reservePort());
+            matcher.appendReplacement(text, "127.0.0.1:" + FreePorts.next());
         }
         return matcher.appendTail(text).toString();
     }
 
-    private int reservePort() throws IOException {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        reserved.add(socket);
-        return socket.getLocalPort();
-    }
-
     private record PlannedHost(String name, String zone, boolean control) {}
 }
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
@@ -17,6 +17,7 @@
     private static final String PROGRAM = "./bramblerack";
     private static final ImmutableList<Command> COMMANDS = ImmutableList.of(
             new ServeCommand(),
+            new InitVoterCommand(),
             new CheckCommand(),
             new ApplyCommand(),
             new StatusCommand(),
@@ -65,6 +66,9 @@
         } catch (IOException unreadable) {
             out.println("cannot go on: " + unreadable.getMessage());
             return ExitCode.UNAVAILABLE;
+        } catch (RuntimeException fault) {
+            out.println("failed: " + fault + "; this is a fault of the program, please report it");
+            return ExitCode.UNAVAILABLE;
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
             return ExitCode.UNAVAILABLE;
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/BenchSystem.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/BenchSystem.java
@@ -20,9 +20,12 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Stream;
+import org.bramblerack.daemon.control.FileLogStore;
 import org.bramblerack.daemon.entry.OperatorApi;
 import org.bramblerack.daemon.host.HostProcess;
 import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.settings.Role;
+import org.bramblerack.daemon.settings.Settings;
 import org.bramblerack.daemon.settings.SettingsReader;
 import org.bramblerack.request.QueryCounter;
 import org.bramblerack.standin.StandInFleet;
@@ -87,6 +90,7 @@
         system.setPlatform("");
         system.fleet.start();
         for (int host = 0; host < hosts; host++) {
+            system.initializeVoter(host);
             system.startHost(host);
         }
         system.awaitLeader();
@@ -223,6 +227,13 @@
         }
     }
 
+    private void initializeVoter(int host) throws IOException {
+        Settings settings = SettingsReader.read(topology.settings(host)).get();
+        if (settings.has(Role.CONTROL)) {
+            new FileLogStore(settings.controlFolder()).initialize();
+        }
+    }
+
     /** Starts a host, again if it was killed before. */
     void startHost(int host) throws IOException, InterruptedException {
         HostProcess process =
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/Benches.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/Benches.java
@@ -13,7 +13,8 @@
             new DrainBench(),
             new ChangesBench(),
             new ClaimsBench(),
-            new CostBench());
+            new CostBench(),
+            new CapacityBench());
 
     private Benches() {}
 
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/FreePorts.java
@@ -0,0 +1,45 @@
+package org.bramblerack.cli.bench;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Finds ports of loopback that nothing listens on.
+ *
+ * <p>They lie below 15,000, so below every common range from which systems give ports to outgoing connections, so that
+ * none is taken between its choice and its use. Safe for use by many threads.
+ */
+public final class FreePorts {
+    private static final int FIRST = 2_000;
+    private static final int COUNT = 13_000;
+    private static final int STRIDE = 997;
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * STRIDE % COUNT));
+
+    private FreePorts() {}
+
+    /**
+     * Returns a port that was not returned before in this process.
+     *
+     * @throws IOException if none is free
+     */
+    public static int next() throws IOException {
+        for (int tried = 0; tried < COUNT; tried++) {
+            int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+            if (isFree(port)) {
+                return port;
+            }
+        }
+        throw new IOException("no port from " + FIRST + " to " + (FIRST + COUNT - 1) + " is free; stop other programs");
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+}
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/RecoveryBench.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/RecoveryBench.java
@@ -61,7 +61,11 @@
             boolean tail = report.figure(
                     "p99 from 5 s after the return / calm p99", second.millis(99) / calm.millis(99), "", 1.25, true);
             boolean limit = report.figure(
-                    "most connections open at any upstream", system.fleet().mostConnections(), "", CONNECTIONS, true);
+                    "most connections open at any replica",
+                    system.fleet().mostConnections("bench/search/"),
+                    "",
+                    CONNECTIONS,
+                    true);
             return load && tail && limit;
         }
     }
--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/PromisesTest.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/PromisesTest.java
@@ -13,6 +13,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.bramblerack.cli.bench.Benches;
+import org.bramblerack.cli.bench.CapacityModel;
 import org.junit.jupiter.api.Test;
 
 /** Checks that the pages name tests, counters and benchmarks that exist. */
@@ -38,6 +39,12 @@
         }
     }
 
+    @Test
+    void theCapacityPageShowsTheTablesOfTheMeasuredSlopes() throws IOException {
+        String page = Files.readString(TOP.resolve("docs/CAPACITY.md"));
+        CapacityModel.tables().forEach(line -> assertThat(page).contains(line));
+    }
+
     @Test
     void everyBenchmarkHasItsHelp() {
         Benches.all().forEach(bench -> assertThat(bench.summary()).isNotEmpty());
--- a/bramblerack-core/src/main/java/org/bramblerack/connection/ReplicaGate.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/connection/ReplicaGate.java
@@ -32,7 +32,7 @@
     private static final double GROWTH = 0.1;
     private static final long INITIAL_SERVICE_NANOS = Duration.ofMillis(1).toNanos();
 
-    private final int slots;
+    private int slots;
     private final Map<Priority, Deque<Waiting>> queues = new EnumMap<>(Priority.class);
     private final Map<String, Long> runningSinceNanos = new HashMap<>();
     private double limit;
@@ -53,6 +53,15 @@
         }
     }
 
+    /** Takes over how many calls the upstream works on at a time. */
+    public void setSlots(int declared) {
+        checkArgument(declared > 0, "slots %s is not positive", declared);
+        if (declared != slots) {
+            slots = declared;
+            limit = declared;
+        }
+    }
+
     /** Takes a new call. */
     public List<GateAction> submit(String callId, Priority priority, long deadlineNanos, long nowNanos) {
         if (waiting() >= MAX_WAITING || !canFinish(priority, deadlineNanos, nowNanos)) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/UpstreamEvidence.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/UpstreamEvidence.java
@@ -22,7 +22,7 @@
     private static final long FADE_NANOS = Duration.ofSeconds(10).toNanos();
     private static final double SMOOTHING = 0.2;
 
-    private final int slots;
+    private int slots;
     private final long priorNanos;
     private final Set<DrainSource> drains = EnumSet.noneOf(DrainSource.class);
     private double latencyNanos;
@@ -50,6 +50,11 @@
         this.warmAtNanos = nowNanos;
     }
 
+    /** Takes over how many requests the upstream is declared to work on at a time. */
+    public synchronized void setSlots(int declared) {
+        slots = declared;
+    }
+
     /** Counts a call that is about to be sent. */
     public synchronized void started() {
         inFlight++;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/UpstreamTable.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/UpstreamTable.java
@@ -34,11 +34,12 @@
         this.ownZone = ownZone;
     }
 
-    /** Adds an upstream, or keeps what is known of it, and takes over what the declaration says of its leaving. */
+    /** Adds an upstream, or keeps what is known of it, and takes over what the declaration says. */
     public void declare(Upstream upstream, UpstreamLimits limits, long nowNanos) {
         Duration prior = upstream.zone().equals(ownZone) ? NEAR_PRIOR : FAR_PRIOR;
         UpstreamEvidence known = evidence.computeIfAbsent(
                 upstream.name(), unused -> new UpstreamEvidence(limits.slots(), prior, nowNanos));
+        known.setSlots(limits.slots());
         known.setDraining(DrainSource.DECLARATION, upstream.leaving());
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/process/directory/ServiceDirectory.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/directory/ServiceDirectory.java
@@ -129,8 +129,8 @@
     }
 
     private ServiceView configureService(Service service, long nowNanos) {
-        ServiceTables serviceTables =
-                tables.computeIfAbsent(service.name(), unused -> ServiceTables.create(upstreams, service.limits()));
+        ServiceTables serviceTables = tablesOf(service);
+        tables.put(service.name(), serviceTables);
         ImmutableMap.Builder<UpstreamName, HolderAssignment> assignments = ImmutableMap.builder();
         for (Upstream upstream : service.upstreams()) {
             upstreams.declare(upstream, service.limits(), nowNanos);
@@ -143,5 +143,16 @@
         return new ServiceView(service, serviceTables, built);
     }
 
+    private ServiceTables tablesOf(Service service) {
+        ServiceTables known = tables.get(service.name());
+        if (known == null) {
+            return ServiceTables.create(upstreams, service.limits());
+        }
+        boolean sameLimits = find(service.name())
+                .map(view -> view.service().limits().equals(service.limits()))
+                .orElse(false);
+        return sameLimits ? known : known.withLimits(service.limits());
+    }
+
     private record View(Configuration configuration, ImmutableMap<ServiceName, ServiceView> services) {}
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/ServiceQueue.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/ServiceQueue.java
@@ -74,10 +74,13 @@
         return nowNanos + neededNanos - ticket.deadlineNanos() < 0;
     }
 
-    /** Removes and returns the queries that would end after their deadline even if they began now. */
+    /**
+     * Removes and returns the queries that would end after their deadline even if they began now. If none is in flight
+     * the expectation is not believed: only a query that is let in can show that it is wrong.
+     */
     List<Admission.Ticket> removeHopeless(long nowNanos) {
         List<Admission.Ticket> removed = new ArrayList<>();
-        long latestNanos = nowNanos + limit.expectedNanos();
+        long latestNanos = inFlight == 0 ? nowNanos : nowNanos + limit.expectedNanos();
         removeHopeless(urgent, latestNanos, removed);
         removeHopeless(normal, latestNanos, removed);
         return removed;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/ServiceTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/ServiceTables.java
@@ -26,6 +26,12 @@
     private static final Duration INITIAL_LATE = Duration.ofMillis(50);
     private static final int BUDGET_RESERVE = 20;
 
+    /** Returns tables that keep what was learned and have a fresh budget of the given limits. */
+    public ServiceTables withLimits(UpstreamLimits limits) {
+        return new ServiceTables(
+                upstreams, versions, latency, RetryBudget.create(limits.extraLoadPercent(), BUDGET_RESERVE));
+    }
+
     /** Creates empty tables for a service. */
     public static ServiceTables create(UpstreamTable upstreams, UpstreamLimits limits) {
         return new ServiceTables(
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/RaftNodeTest.java
@@ -0,0 +1,173 @@
+package org.bramblerack.process.agreement;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.bramblerack.wire.RaftMessage;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Three voters step by step: cut off, returning, far behind. */
+final class RaftNodeTest {
+    private static final RaftTimings TIMINGS = new RaftTimings(Duration.ofMillis(50), Duration.ofMillis(200));
+    private static final long TICK = Duration.ofMillis(10).toNanos();
+    private static final ByteString COMMAND = ByteString.copyFromUtf8("command");
+
+    private final ImmutableSortedSet<String> names = ImmutableSortedSet.of("a", "b", "c");
+    private final Map<String, RaftNode> nodes = new HashMap<>();
+    private final Map<String, List<RaftAction>> done = new HashMap<>();
+    private final Set<String> cut = new HashSet<>();
+    private final Deque<RaftMessage> messages = new ArrayDeque<>();
+    private long nowNanos;
+
+    @BeforeEach
+    void elect() {
+        names.forEach(name -> {
+            done.put(name, new ArrayList<>());
+            nodes.put(
+                    name,
+                    new RaftNode(name, names, TIMINGS, StoredState.EMPTY, new SplittableRandom(name.hashCode()), 0));
+        });
+        run(100);
+    }
+
+    @Test
+    void oneLeaderIsElectedAndCommits() {
+        RaftNode leader = node(leader());
+        assertThat(leader.propose(1, COMMAND)).isTrue();
+        run(10);
+        names.forEach(name -> assertThat(applied(name)).contains(COMMAND));
+    }
+
+    @Test
+    void aVoterThatReturnsFromACutDoesNotDisturbTheLeader() {
+        String leader = leader();
+        long term = node(leader).term();
+        cut.add(follower());
+        run(500);
+        cut.clear();
+        run(100);
+        assertThat(node(leader).role()).isEqualTo(RaftRole.LEADER);
+        names.forEach(name -> assertThat(node(name).term()).isEqualTo(term));
+    }
+
+    @Test
+    void aLeaderThatIsCutOffAcknowledgesNothingAndResigns() {
+        String old = leader();
+        cut.add(old);
+        node(old).propose(7, COMMAND);
+        node(old).read(8);
+        run(100);
+        assertThat(done(old)).contains(new RaftAction.ProposalLost(7));
+        assertThat(done(old)).contains(new RaftAction.ReadFailed(8));
+        assertThat(node(old).role()).isNotEqualTo(RaftRole.LEADER);
+        assertThat(node(old).propose(9, COMMAND)).isFalse();
+        assertThat(node(old).read(10)).isFalse();
+        assertThat(leader()).isNotEqualTo(old);
+    }
+
+    @Test
+    void aReadWaitsForAQuorumThatConfirmsAfterItCame() {
+        String leader = leader();
+        node(leader).read(5);
+        take(leader, node(leader).flush(nowNanos));
+        assertThat(done(leader)).doesNotContain(new RaftAction.ReadReady(5));
+        run(5);
+        assertThat(done(leader)).contains(new RaftAction.ReadReady(5));
+    }
+
+    @Test
+    void aVoterFarBehindCatchesUpByASnapshotAndTheEntriesAfterIt() {
+        String behind = follower();
+        cut.add(behind);
+        for (int number = 0; number < 50; number++) {
+            node(leader()).propose(100 + number, COMMAND);
+            run(2);
+        }
+        take(leader(), node(leader()).compact(ByteString.copyFromUtf8("state")));
+        cut.clear();
+        node(leader()).propose(200, ByteString.copyFromUtf8("after"));
+        run(100);
+        assertThat(done(behind)).contains(new RaftAction.RestoreSnapshot(ByteString.copyFromUtf8("state")));
+        assertThat(applied(behind)).contains(ByteString.copyFromUtf8("after"));
+        assertThat(node(behind).appliedIndex()).isEqualTo(node(leader()).appliedIndex());
+    }
+
+    @Test
+    void messagesOfStrangersAndToOthersChangeNothing() {
+        RaftMessage stranger = RaftMessage.newBuilder()
+                .setKind(RaftMessage.Kind.VOTE)
+                .setFrom("stranger")
+                .setTo("a")
+                .setTerm(99)
+                .build();
+        assertThat(node("a").receive(stranger, nowNanos)).isEmpty();
+        assertThat(node("a")
+                        .receive(stranger.toBuilder().setFrom("b").setTo("c").build(), nowNanos))
+                .isEmpty();
+        assertThat(node("a").term()).isLessThan(99);
+    }
+
+    private void run(int ticks) {
+        for (int tick = 0; tick < ticks; tick++) {
+            nowNanos += TICK;
+            names.forEach(name -> {
+                take(name, node(name).tick(nowNanos));
+                take(name, node(name).flush(nowNanos));
+            });
+            while (!messages.isEmpty()) {
+                RaftMessage message = messages.removeFirst();
+                if (cut.contains(message.getFrom()) == cut.contains(message.getTo())) {
+                    take(message.getTo(), node(message.getTo()).receive(message, nowNanos));
+                }
+            }
+        }
+    }
+
+    private void take(String name, List<RaftAction> actions) {
+        for (RaftAction action : actions) {
+            done(name).add(action);
+            if (action instanceof RaftAction.Send send) {
+                messages.addLast(send.message());
+            }
+        }
+    }
+
+    private List<ByteString> applied(String name) {
+        return done(name).stream()
+                .filter(RaftAction.Apply.class::isInstance)
+                .map(action -> ((RaftAction.Apply) action).entry().getCommand())
+                .toList();
+    }
+
+    private String leader() {
+        return names.stream()
+                .filter(name -> !cut.contains(name) && node(name).role() == RaftRole.LEADER)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private String follower() {
+        return names.stream().filter(name -> !name.equals(leader())).findFirst().orElseThrow();
+    }
+
+    private RaftNode node(String name) {
+        return requireNonNull(nodes.get(name));
+    }
+
+    private List<RaftAction> done(String name) {
+        return requireNonNull(done.get(name));
+    }
+}
--- a/bramblerack-core/src/test/java/org/bramblerack/request/AdmissionTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/AdmissionTest.java
@@ -75,6 +75,19 @@
         assertThat(admission.waiting()).isEqualTo(0);
     }
 
+    /** A service that was slower than its deadlines once must not be refused for good. */
+    @Test
+    void anExpectationBeyondTheDeadlineIsTriedAgain() {
+        for (int number = 0; number < 60; number++) {
+            offer("slow" + number, "p", Priority.NORMAL, 5_000 * MILLI);
+            decisions.addAll(
+                    admission.finished(ticket("any", "p", Priority.NORMAL, 5_000 * MILLI), 10_000 * MILLI, MILLI));
+        }
+        decisions.clear();
+        offer("next", "p", Priority.NORMAL, 500 * MILLI);
+        assertThat(admitted()).containsExactly("next");
+    }
+
     @Test
     void theLimitOfAServiceShrinksWhenItsQueriesTakeLongAndGrowsBack() {
         AdaptiveLimit limit = new AdaptiveLimit(100);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
@@ -22,7 +22,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Keeps the log in one file and the snapshot in another, in one folder.
+ * Keeps the log in one file and the snapshot in another, in one folder, which {@link #initialize} makes once.
  *
  * <p>A file begins with a mark that names its format and version. Records are framed with a checksum. Each batch begins
  * with a record that says up to where the file was synced before it. When the file is read, a bad record after the last
@@ -45,24 +45,41 @@
     private boolean failed;
     private long syncedBytes;
 
-    /** Creates a store in a folder, which is made if it does not exist. */
+    /** Creates a store in a folder; nothing is read or written yet. */
     public FileLogStore(Path folder) {
         this.folder = folder;
         this.logFile = folder.resolve("log");
         this.snapshotFile = folder.resolve("snapshot");
     }
 
+    /**
+     * Makes the state of a voter that never voted. A voter that lost its disk must not come back this way: it could
+     * vote twice.
+     *
+     * @throws DiskFault if there is a state already, or it cannot be written
+     */
+    public void initialize() throws DiskFault {
+        if (Files.exists(logFile) || Files.exists(snapshotFile)) {
+            throw new DiskFault("there is a voter's state in " + folder + " already; start the host with it");
+        }
+        try {
+            Files.createDirectories(folder);
+            writeLog(HardState.getDefaultInstance(), ImmutableList.of());
+        } catch (IOException failure) {
+            throw new DiskFault(
+                    "cannot write to " + folder + ": " + failure + "; check the disk and its rights", failure);
+        }
+    }
+
     @Override
     public StoredState load() throws DiskFault {
         try {
-            Files.createDirectories(folder);
-            SnapshotRecord snapshot = loadSnapshot();
-            LogReplay replay = new LogReplay(snapshot);
-            if (Files.exists(logFile)) {
-                replayLog(replay);
-            } else {
-                writeLog(HardState.getDefaultInstance(), ImmutableList.of());
+            if (!Files.exists(logFile)) {
+                throw new DiskFault("there is no voter's state in " + folder + "; if this host never was a voter, run"
+                        + " ./bramblerack init-voter, otherwise it must not vote again under its old name");
             }
+            LogReplay replay = new LogReplay(loadSnapshot());
+            replayLog(replay);
             openLog();
             return replay.result();
         } catch (DiskFault fault) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
@@ -65,6 +65,15 @@
         }
     }
 
+    void setSlots(int slots) {
+        lock.lock();
+        try {
+            gate.setSlots(slots);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     int inFlight() {
         lock.lock();
         try {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HolderService.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HolderService.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.holder;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.HashMap;
@@ -32,6 +33,7 @@
  */
 public final class HolderService {
     private static final Logger LOGGER = System.getLogger(HolderService.class.getName());
+    private static final int CONNECTIONS_PER_SLOT = 2;
     private static final Duration REPORT_PERIOD = Duration.ofMillis(500);
     private static final int FAILED_REPORTS_TO_COUNT_AS_LOST = 3;
     private static final Duration DRAIN_CHECK = Duration.ofMillis(100);
@@ -45,6 +47,7 @@
     private final StatusBoard statuses;
     private final long startedNanos;
     private final Map<UpstreamName, Held> held = new ConcurrentHashMap<>();
+    private final Set<HostAndPort> closing = ConcurrentHashMap.newKeySet();
 
     /** Creates the service; it holds nothing before the first configuration. */
     public HolderService(
@@ -128,17 +131,23 @@
     }
 
     private void hold(Upstream upstream, UpstreamLimits limits, int share) {
+        int slots = Math.min(limits.slots(), share);
+        int connections = Math.min(share, CONNECTIONS_PER_SLOT * slots + 1);
         Held known = held.get(upstream.name());
-        if (known != null && known.isFor(upstream, limits, share)) {
+        if (known != null && known.isFor(upstream, share)) {
+            known.upstream().setSlots(slots);
             return;
         }
         if (known != null) {
             release(upstream.name());
         }
-        HeldUpstream fresh = new HeldUpstream(
-                upstream, Math.min(limits.slots(), share), protocols.connect(upstream, share), workers, clock);
+        if (closing.contains(upstream.address())) {
+            return;
+        }
+        HeldUpstream fresh =
+                new HeldUpstream(upstream, slots, protocols.connect(upstream, connections), workers, clock);
         long openAtNanos = startedNanos + HolderAssignment.startDelayNanos(limits);
-        Held added = new Held(fresh, limits, share, openAtNanos);
+        Held added = new Held(fresh, share, openAtNanos);
         held.put(upstream.name(), added);
         long spreadNanos = random.nextLong(REPORT_PERIOD.toNanos());
         workers.runAfter(Math.max(0, openAtNanos - clock.nowNanos()) + spreadNanos, () -> {
@@ -149,11 +158,12 @@
         });
     }
 
-    /** Ends holding an upstream once its calls have ended. */
+    /** Ends holding an upstream once its calls have ended; until then its address is not connected to anew. */
     private void release(UpstreamName name) {
         Held released = held.remove(name);
         if (released != null) {
             statuses.forget(name);
+            closing.add(released.upstream().upstream().address());
             closeWhenIdle(released.upstream());
         }
     }
@@ -161,6 +171,8 @@
     private void closeWhenIdle(HeldUpstream upstream) {
         if (upstream.inFlight() == 0) {
             upstream.protocol().close();
+            closing.remove(upstream.upstream().address());
+            workers.run(this::configure);
         } else {
             workers.runAfter(DRAIN_CHECK.toNanos(), () -> closeWhenIdle(upstream));
         }
@@ -204,11 +216,9 @@
     }
 
     /** An upstream that is held, and the terms on which it is. */
-    private record Held(HeldUpstream upstream, UpstreamLimits limits, int share, long openAtNanos) {
-        boolean isFor(Upstream declared, UpstreamLimits declaredLimits, int declaredShare) {
-            return upstream.upstream().address().equals(declared.address())
-                    && limits.equals(declaredLimits)
-                    && share == declaredShare;
+    private record Held(HeldUpstream upstream, int share, long openAtNanos) {
+        boolean isFor(Upstream declared, int declaredShare) {
+            return upstream.upstream().address().equals(declared.address()) && share == declaredShare;
         }
 
         boolean mayOpen(long nowNanos) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/Beats.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/Beats.java
@@ -39,7 +39,7 @@
     private final Workers workers;
     private final MonotonicClock clock;
     private final Supplier<Boolean> leaving;
-    private final Map<String, Long> incarnationsHeard = new ConcurrentHashMap<>();
+    private final Map<String, Life> livesHeard = new ConcurrentHashMap<>();
     private boolean beatDue;
 
     Beats(
@@ -90,8 +90,8 @@
         membership.record(
                 beat.getHost(), beat.getIncarnation(), beat.getLeaving(), beat.getRevisionServed(), clock.nowNanos());
         beat.getUpstreamsList().forEach(status -> take(beat.getHost(), status));
-        Long before = incarnationsHeard.put(beat.getHost(), beat.getIncarnation());
-        if (before == null || before != beat.getIncarnation()) {
+        Life life = new Life(beat.getIncarnation(), beat.getRevisionServed());
+        if (!life.equals(livesHeard.put(beat.getHost(), life))) {
             network.send(beat.getHost(), Envelope.newBuilder().setHeartbeat(message(statuses.everything())));
         }
     }
@@ -123,6 +123,9 @@
         directory.record(holder, name, new UpstreamReport(status.getDraining(), served), status.getReachable());
     }
 
+    /** A host that began a life or put a revision in force may have dropped what it was told of upstreams before. */
+    private record Life(long incarnation, long revision) {}
+
     private static UpstreamStatus toMessage(StatusBoard.Told told) {
         UpstreamStatus.Builder status = UpstreamStatus.newBuilder()
                 .setService(told.upstream().service().toString())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -6,7 +6,6 @@
 import io.vertx.mutiny.core.Vertx;
 import java.io.IOException;
 import java.lang.System.Logger;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
@@ -32,6 +31,7 @@
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.daemon.peer.Workers;
+import org.bramblerack.daemon.settings.PlatformSource;
 import org.bramblerack.daemon.settings.Role;
 import org.bramblerack.daemon.settings.Settings;
 import org.bramblerack.process.MembershipTable;
@@ -60,7 +60,7 @@
     private final Optional<ControlNode> control;
     private final ConfigurationFollower follower;
     private final Beats beats;
-    private final PlatformWatcher platform;
+    private final Optional<PlatformWatcher> platform;
     private final ServiceDirectory directory;
     private final QueryRunner queries;
     private final OnceOnlyRunner operations;
@@ -114,8 +114,9 @@
                 clock,
                 metrics,
                 this::isLeaving,
-                holders::configure);
-        this.platform = new PlatformWatcher(vertx, settings.platform(), directory, workers, metrics);
+                this::configured);
+        this.platform = platformList(vertx, settings.platform())
+                .map(list -> new PlatformWatcher(list, directory, workers, metrics));
         RequestIds ids = new RequestIds(settings.host(), incarnation);
         LeafRouter router = new LeafRouter(settings.host(), directory, holders, membership, network, workers, clock);
         this.queries = new QueryRunner(directory, router, workers, clock, random, metrics, ids, settings.maxQueries());
@@ -151,7 +152,7 @@
         peers.start();
         beats.start();
         follower.start();
-        platform.start();
+        platform.ifPresent(PlatformWatcher::start);
         entry.start();
         LOGGER.log(
                 Logger.Level.INFO,
@@ -186,7 +187,7 @@
     /** Ends every part at once, without waiting for anything. */
     public void kill() {
         entry.stop();
-        platform.stop();
+        platform.ifPresent(PlatformWatcher::stop);
         peers.stop();
         control.ifPresent(ControlNode::stop);
         holders.stop();
@@ -226,6 +227,11 @@
         return stopping;
     }
 
+    private void configured() {
+        holders.configure();
+        beats.beatSoon();
+    }
+
     private boolean isLeaving() {
         return stopping != StoppingState.RUNNING;
     }
@@ -248,17 +254,22 @@
                 "configuration.unconfirmed-ms", () -> follower.unconfirmed().toMillis());
     }
 
+    private static Optional<PlatformList> platformList(Vertx vertx, PlatformSource source) {
+        return source.file()
+                .<PlatformList>map(file -> new FilePlatformList(vertx, file))
+                .or(() -> source.url().map(url -> new HttpPlatformList(vertx, url)));
+    }
+
     private static Optional<ControlNode> controlNode(
             Settings settings, PeerNetwork network, MonotonicClock clock, RandomGenerator random) {
         if (!settings.has(Role.CONTROL)) {
             return Optional.empty();
         }
-        Path folder = settings.dataFolder().orElseThrow().resolve("control");
         return Optional.of(new ControlNode(
                 settings.host(),
                 settings.voters(),
                 RaftTimings.DEFAULT,
-                new FileLogStore(folder),
+                new FileLogStore(settings.controlFolder()),
                 network,
                 clock,
                 random));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/settings/Settings.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/settings/Settings.java
@@ -46,6 +46,17 @@
         return roles.contains(role);
     }
 
+    /**
+     * Returns the folder of the control role's files.
+     *
+     * @throws IllegalStateException if the process has no data folder
+     */
+    public Path controlFolder() {
+        return dataFolder()
+                .orElseThrow(() -> new IllegalStateException(host + " has no data folder"))
+                .resolve("control");
+    }
+
     /** Returns the names of the hosts that take part in the agreement. */
     public ImmutableSortedSet<String> voters() {
         return hosts.stream()
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
@@ -29,6 +29,7 @@
     @BeforeEach
     void store() throws DiskFault {
         try (FileLogStore store = new FileLogStore(folder)) {
+            store.initialize();
             assertThat(store.load()).isEqualTo(StoredState.EMPTY);
             store.store(List.of(persist(Optional.of(HARD_STATE), 1, 5)));
             store.store(List.of(persist(Optional.empty(), 6, 9)));
@@ -116,6 +117,16 @@
         assertThrows(DiskFault.class, this::load);
     }
 
+    /** A voter that lost its disk must not vote again as if it never had. */
+    @Test
+    void anEmptyFolderIsRefusedAndAStateIsNotReplaced() throws IOException {
+        DiskFault replaced = assertThrows(DiskFault.class, () -> new FileLogStore(folder).initialize());
+        assertThat(replaced.getMessage()).contains("already");
+        Files.delete(log());
+        DiskFault lost = assertThrows(DiskFault.class, this::load);
+        assertThat(lost.getMessage()).contains("init-voter");
+    }
+
     @Test
     void nothingIsWrittenAfterAFailure() throws IOException {
         FileLogStore store = new FileLogStore(folder);
@@ -137,6 +148,7 @@
     private int sizeAfterFirstBatch() throws IOException {
         Path other = folder.resolve("other");
         try (FileLogStore store = new FileLogStore(other)) {
+            store.initialize();
             store.load();
             store.store(List.of(persist(Optional.of(HARD_STATE), 1, 5)));
         }
--- a/bramblerack-standin/src/main/java/org/bramblerack/standin/StandInFleet.java
+++ b/bramblerack-standin/src/main/java/org/bramblerack/standin/StandInFleet.java
@@ -89,9 +89,9 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the most connections that any upstream had open at once. */
-    public int mostConnections() {
-        return upstreams.values().stream()
+    /** Returns the most connections that any upstream, whose full name begins with a text, had open at once. */
+    public int mostConnections(String prefix) {
+        return matching(prefix).stream()
                 .mapToInt(StandInUpstream::mostConnections)
                 .max()
                 .orElse(0);
@@ -172,7 +172,7 @@
                 .put("cancelled", ledger.cancelled())
                 .put("refused", ledger.refused())
                 .put("refusedConnections", ledger.refusedConnections())
-                .put("mostConnections", mostConnections())
+                .put("mostConnections", mostConnections(prefix == null ? "" : prefix))
                 .put("mostRuns", ledger.mostRuns())
                 .put("runs", requestId == null ? 0 : ledger.runsOf(requestId));
     }
