--- a/bramblerack-core/src/main/java/org/bramblerack/request/LeafFailure.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/LeafFailure.java
@@ -1,6 +1,7 @@
 package org.bramblerack.request;
 
 import java.util.Locale;
+import org.bramblerack.process.UpstreamEvidence;
 
 /** Why a leaf attempt came to nothing. */
 public enum LeafFailure {
@@ -60,6 +61,15 @@
         return blame;
     }
 
+    /** Records in the evidence about the upstream what the failure of a call says of it. */
+    void recordIn(UpstreamEvidence evidence, long nowNanos) {
+        switch (blame) {
+            case UPSTREAM -> evidence.failed(nowNanos);
+            case BUSY -> evidence.refused(nowNanos);
+            default -> evidence.abandoned(0, nowNanos);
+        }
+    }
+
     /** Returns true if the upstream certainly did not run the call and will not. */
     public boolean isCertainlyNotRun() {
         return certainlyNotRun;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/OnceOnlyRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/OnceOnlyRequest.java
@@ -134,7 +134,7 @@
         if (stage != Stage.DISPATCHED && stage != Stage.CANCELLING) {
             return actions;
         }
-        recordEvidence(failure, nowNanos);
+        evidence().ifPresent(known -> failure.recordIn(known, nowNanos));
         if (!failure.isCertainlyNotRun()) {
             recordUnknown("the call ended with " + failure.code() + " after it was handed over", actions);
             return actions;
@@ -246,16 +246,6 @@
         actions.add(answer);
     }
 
-    private void recordEvidence(LeafFailure failure, long nowNanos) {
-        evidence().ifPresent(known -> {
-            switch (failure.blame()) {
-                case UPSTREAM -> known.failed(nowNanos);
-                case BUSY -> known.refused(nowNanos);
-                default -> known.abandoned(0, nowNanos);
-            }
-        });
-    }
-
     private Optional<UpstreamEvidence> evidence() {
         return Optional.ofNullable(upstream).flatMap(tables.upstreams()::find);
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/Query.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/Query.java
@@ -189,7 +189,7 @@
     private void fail(Attempt attempt, LeafFailure failure, long nowNanos, List<QueryAction> actions) {
         attempt.finished = true;
         attempt.failure = failure;
-        recordEvidence(attempt, failure, nowNanos);
+        evidenceOf(attempt.upstream).ifPresent(evidence -> failure.recordIn(evidence, nowNanos));
         if (failure == LeafFailure.VERSION_GONE || failure == LeafFailure.WRONG_VERSION) {
             tables.versions().recordGone(attempt.upstream, pinned.indexVersion());
         }
@@ -365,16 +365,6 @@
         actions.add(new QueryAction.CancelLeaf(attempt.callId, attempt.upstream));
     }
 
-    private void recordEvidence(Attempt attempt, LeafFailure failure, long nowNanos) {
-        evidenceOf(attempt.upstream).ifPresent(evidence -> {
-            switch (failure.blame()) {
-                case UPSTREAM -> evidence.failed(nowNanos);
-                case BUSY -> evidence.refused(nowNanos);
-                default -> evidence.abandoned(0, nowNanos);
-            }
-        });
-    }
-
     private void armWake(long nowNanos, List<QueryAction> actions) {
         long next = spec.deadlineNanos();
         long lateNanos = tables.latency().lateNanos();
