Warm the hosts of the lost-shard step of the demonstration

Cause: in one of four runs the first query that sag-2 ever served, in a cold JVM and with 250 ms, missed more shards than the lost one; ruled out: the three other runs, in which the same step held.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoRunCommand.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoRunCommand.java
@@ -126,6 +126,10 @@
 
     private static void lostShard(Demonstration demo) throws IOException {
         demo.title("Both replicas of shard 3 are lost");
+        for (int number = 0; number < QUERIES; number++) {
+            demo.query("sag-2", FRAUD, "dispute-history", "demo-warm-fraud-" + number);
+            demo.query("spx-1", CATALOGUE, "collector", "demo-warm-catalogue-" + number);
+        }
         JsonObject lost =
                 new JsonObject().put("upstream", FRAUD + "/dispute-03").put("set", "down");
         demo.behave("sagarmatha", lost);
