--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoRunCommand.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/DemoRunCommand.java
@@ -96,6 +96,10 @@
     private static void wholeQuery(Demonstration demo) throws IOException, InterruptedException {
         demo.title("A query goes to every shard and comes back whole, from one index version");
         demo.await(() -> isWhole(ask(demo, "spx-3", FRAUD, "dispute-history")));
+        for (int number = 0; number < QUERIES; number++) {
+            demo.query("sag-1", FRAUD, "dispute-history", "demo-warm-first-" + number);
+            demo.query("sag-4", CATALOGUE, "collector", "demo-warm-other-" + number);
+        }
         ApiClient.Reply reply = demo.query("sag-1", FRAUD, "fraud-screening", "demo-query-1");
         demo.show(summary(reply));
         demo.check(isWhole(reply) && version(reply) == 7, "fraud screening: 20 of 20 shards of index version 7");
