--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
@@ -11,6 +11,7 @@
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.help.HelpFormatter;
 import org.apache.commons.cli.help.TextHelpAppendable;
+import org.bramblerack.daemon.lifecycle.LogSetup;
 
 /** The program: finds the subcommand, parses its options, runs it, and ends with its exit code. */
 public final class Main {
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/ServeCommand.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/ServeCommand.java
@@ -11,6 +11,8 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.bramblerack.daemon.host.HostProcess;
+import org.bramblerack.daemon.lifecycle.LogSetup;
+import org.bramblerack.daemon.lifecycle.TerminationSignal;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.settings.Settings;
 import org.bramblerack.daemon.settings.SettingsReader;
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/StandInCommand.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/StandInCommand.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.bramblerack.daemon.lifecycle.TerminationSignal;
 import org.bramblerack.process.document.Fault;
 import org.bramblerack.standin.StandInFleet;
 import org.bramblerack.version.Declaration;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/RetryBudget.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/RetryBudget.java
@@ -14,7 +14,7 @@
     private static final int SCALE = 100;
 
     private final int extraLoadPercent;
-    private final long capacity;
+    private long capacity;
     private long level;
 
     private RetryBudget(int extraLoadPercent, int reserve) {
@@ -35,6 +35,13 @@
         return new RetryBudget(extraLoadPercent, extraLoadPercent == 0 ? 0 : reserve);
     }
 
+    /** Changes what may be saved up; what was saved beyond it is lost. */
+    public synchronized void setReserve(int reserve) {
+        checkArgument(reserve >= 0, "reserve %s is negative", reserve);
+        capacity = extraLoadPercent == 0 ? 0 : (long) reserve * SCALE;
+        level = Math.min(level, capacity);
+    }
+
     /** Adds the allowance that first attempts bring. */
     public synchronized void deposit(int firstAttempts) {
         level = Math.min(capacity, level + (long) firstAttempts * extraLoadPercent);
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.bramblerack.process.members.AgreedTables;
 import org.bramblerack.wire.ApplyDeclaration;
 import org.bramblerack.wire.ChangeResult;
 import org.bramblerack.wire.Claim;
@@ -18,7 +19,8 @@
 import org.bramblerack.wire.PartnerDeclaration;
 
 /**
- * The state that the replicated log builds: the partners' declarations and the claims on once-only requests.
+ * The state that the replicated log builds: the partners' declarations, the claims on once-only requests and the tables
+ * of the fleet.
  *
  * <p>Invariants: the same commands in the same order give the same state and results on every voter, so nothing here
  * reads a clock or a setting. The revision only grows. A change identifier is accepted once, and its result is given
@@ -31,6 +33,7 @@
     private final Map<String, PartnerDeclaration> declarations = new TreeMap<>();
     private final LinkedHashMap<ChangeKey, ChangeResult> results = new LinkedHashMap<>();
     private final List<HistoryEntry> history = new ArrayList<>();
+    private final AgreedTables tables = new AgreedTables();
     private ClaimTable claims = new ClaimTable();
     private long revision;
 
@@ -40,11 +43,20 @@
             case APPLY_DECLARATION -> applyDeclaration(command.getApplyDeclaration());
             case CLAIM -> claims.claim(command.getClaim());
             case OUTCOME -> claims.recordOutcome(command.getOutcome());
+            case PUT_CONFIGURATION -> tables.put(command.getPutConfiguration());
+            case REPORT_LEAF -> tables.report(command.getReportLeaf());
+            case REPORT_HOST -> tables.report(command.getReportHost());
+            case FORGET_MEMBERS -> tables.forget(command.getForgetMembers());
             case BODY_NOT_SET ->
                 CommandResult.newBuilder().setKind(CommandResult.Kind.INVALID).build();
         };
     }
 
+    /** Returns the tables of the fleet, to be read only. */
+    public AgreedTables tables() {
+        return tables;
+    }
+
     /** Returns the revision: how many declarations were accepted so far. */
     public long revision() {
         return revision;
@@ -87,6 +99,7 @@
                 .addAllClaims(claims.all())
                 .setClockMillis(claims.clockMillis())
                 .setForgotten(claims.forgotten())
+                .setTables(tables.toSnapshot())
                 .build()
                 .toByteString();
     }
@@ -102,6 +115,7 @@
                 .forEach(result -> results.put(new ChangeKey(result.getPartner(), result.getChangeId()), result));
         history.addAll(snapshot.getHistoryList());
         claims = ClaimTable.restore(snapshot);
+        tables.restore(snapshot.getTables());
     }
 
     private CommandResult applyDeclaration(ApplyDeclaration change) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
@@ -52,6 +52,7 @@
     private long electionDueNanos;
     private long lastHeardLeaderNanos;
     private boolean heardLeader;
+    private long leaderCommitIndex;
 
     /**
      * Creates a voter from what it has stored.
@@ -186,6 +187,18 @@
         return ImmutableList.of(saveSnapshot());
     }
 
+    /**
+     * Returns true if this voter leads, or has heard of late from a leader and has applied all that the leader then
+     * said was agreed.
+     */
+    public boolean isInTouch(long nowNanos) {
+        if (role == RaftRole.LEADER) {
+            return log.termAt(commitIndex) == term;
+        }
+        boolean heardLately = heardLeader && nowNanos - lastHeardLeaderNanos < 2 * electionNanos;
+        return heardLately && appliedIndex >= leaderCommitIndex;
+    }
+
     /** Returns the present role. */
     public RaftRole role() {
         return role;
@@ -324,6 +337,7 @@
             return;
         }
         hearLeader(request.getFrom(), nowNanos, actions);
+        leaderCommitIndex = request.getCommitIndex();
         long previous = request.getLastIndex();
         if (previous < log.snapshotIndex()) {
             actions.add(appendReply(request, true, log.snapshotIndex()));
--- a/bramblerack-core/src/main/java/org/bramblerack/process/document/DocumentParser.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/document/DocumentParser.java
@@ -88,8 +88,8 @@
             case VALUE_NUMBER_INT -> parseInteger(parser, line);
             case VALUE_TRUE -> new Node.BooleanNode(line, true);
             case VALUE_FALSE -> new Node.BooleanNode(line, false);
-            case VALUE_NULL -> new Node.OtherNode(line, "null");
-            default -> new Node.OtherNode(line, "a fraction");
+            case VALUE_NUMBER_FLOAT -> new Node.DecimalNode(line, parser.getDoubleValue());
+            default -> new Node.OtherNode(line, "null");
         };
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/process/document/Fields.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/document/Fields.java
@@ -11,6 +11,7 @@
 import java.util.regex.Pattern;
 import org.bramblerack.process.document.Node.ArrayNode;
 import org.bramblerack.process.document.Node.BooleanNode;
+import org.bramblerack.process.document.Node.DecimalNode;
 import org.bramblerack.process.document.Node.IntegerNode;
 import org.bramblerack.process.document.Node.Member;
 import org.bramblerack.process.document.Node.ObjectNode;
@@ -29,6 +30,7 @@
     private final String path;
     private final FaultCollector faults;
     private final Set<String> known = new HashSet<>();
+    private boolean ignoresUnknown;
 
     Fields(ObjectNode object, String path, FaultCollector faults) {
         this.object = object;
@@ -119,6 +121,45 @@
         return has(field) ? integer(field, least, most) : fallback;
     }
 
+    /** Reads a required number, whole or not, within bounds. */
+    public double decimal(String field, double least, double most) {
+        Optional<Node> value = required(field);
+        if (value.isEmpty()) {
+            return least;
+        }
+        double number;
+        if (value.get() instanceof IntegerNode integer) {
+            number = integer.value();
+        } else if (value.get() instanceof DecimalNode decimal) {
+            number = decimal.value();
+        } else {
+            wrongType(field, value.get(), "a number");
+            return least;
+        }
+        if (number < least || number > most) {
+            fault(field, number + " is out of bounds", "choose from " + least + " to " + most);
+            return least;
+        }
+        return number;
+    }
+
+    /** Reads an optional number, whole or not, within bounds. */
+    public double decimal(String field, double least, double most, double fallback) {
+        known.add(field);
+        return has(field) ? decimal(field, least, most) : fallback;
+    }
+
+    /** Reads a required whole number of 64 bits within bounds. */
+    public long wholeNumber(String field, long least, long most) {
+        Optional<Node> value = required(field);
+        return value.isEmpty() ? least : bounded(field, value.get(), least, most, "");
+    }
+
+    /** Accepts fields that nobody asks for, in this object: its writer may be newer than this program. */
+    public void ignoreUnknown() {
+        ignoresUnknown = true;
+    }
+
     /** Reads a required duration of whole milliseconds; the field's name must end in {@code Ms}. */
     public Duration millis(String field, Duration least, Duration most) {
         Optional<Node> value = required(field);
@@ -208,6 +249,9 @@
 
     /** Reports every field that was never asked for. Call it once all fields are read. */
     public void finish() {
+        if (ignoresUnknown) {
+            return;
+        }
         object.members().forEach((name, member) -> {
             if (!known.contains(name)) {
                 faults.add(member.line(), pathOf(name), "the field is unknown", remedyForUnknown(name));
--- a/bramblerack-core/src/main/java/org/bramblerack/process/document/Node.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/document/Node.java
@@ -55,7 +55,15 @@
         }
     }
 
-    /** Anything that no document of the project uses: null, a fraction, a number beyond 64 bits. */
+    /** A number with a fraction. */
+    record DecimalNode(int line, double value) implements Node {
+        @Override
+        public String typeName() {
+            return "a fraction";
+        }
+    }
+
+    /** Anything that no document of the project uses: null, a number beyond 64 bits. */
     record OtherNode(int line, String typeName) implements Node {}
 
     /** A named value of an object, with the line of its name. */
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -0,0 +1,216 @@
+package org.bramblerack.process.leaf;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One start of a leaf as this host sees it: where it is, whether it takes new work, and how calls to it went.
+ *
+ * <p>Own evidence outranks what the leaf says of itself. A leaf whose oldest call is long overdue counts as stalled
+ * until something comes back from it. Repeated failures eject it for a time that doubles; an ejected leaf is used only
+ * if there is no other. Not safe for use by several threads: the event loop of the entry role owns it.
+ */
+public final class Leaf {
+    private static final int FAILURES_TO_EJECT = 3;
+    private static final long FIRST_EJECTION_NANOS = Duration.ofMillis(400).toNanos();
+    private static final long LONGEST_EJECTION_NANOS = Duration.ofSeconds(5).toNanos();
+    private static final long LOAD_FRESH_NANOS = Duration.ofMillis(250).toNanos();
+    private static final long BUSY_NANOS = Duration.ofMillis(60).toNanos();
+    /** A stalled leaf is expected to take about this much longer: between half and the whole of an observed pause. */
+    private static final long STALL_HANDICAP_NANOS = Duration.ofMillis(150).toNanos();
+    /** What one certain failure costs a request, in time lost before the next attempt. */
+    private static final long FAILURE_HANDICAP_NANOS = Duration.ofMillis(200).toNanos();
+    /** How much slower a leaf is just after its start, as observed of cold leafs. */
+    private static final double COLD_FACTOR = 1.6;
+
+    private static final double STALLED_AFTER = 3.0;
+    private static final double SMOOTHING = 0.15;
+
+    private final String id;
+    private final String service;
+    private final String address;
+    private final Distance distance;
+    private final long warmAtNanos;
+    private final List<Call> calls = new ArrayList<>(4);
+    private int slots;
+    private boolean acceptsWork = true;
+    private Optional<LeafLoad> load = Optional.empty();
+    private long loadAtNanos;
+    private long busyUntilNanos;
+    private double slowness = 1.0;
+    private double failureRate;
+    private int consecutiveFailures;
+    private long ejectionNanos;
+    private long ejectedUntilNanos;
+
+    /**
+     * Creates a leaf of which nothing but its registration is known.
+     *
+     * @param coldFor how much longer it is slow from its start
+     */
+    public Leaf(
+            String id, String service, String address, Distance distance, int slots, Duration coldFor, long nowNanos) {
+        this.id = id;
+        this.service = service;
+        this.address = address;
+        this.distance = distance;
+        this.slots = Math.max(1, slots);
+        this.warmAtNanos = nowNanos + coldFor.toNanos();
+        this.busyUntilNanos = nowNanos;
+        this.ejectedUntilNanos = nowNanos;
+    }
+
+    /** Returns the identifier of this start of the leaf. */
+    public String id() {
+        return id;
+    }
+
+    /** Returns the service it belongs to. */
+    public String service() {
+        return service;
+    }
+
+    /** Returns the address it listens at. */
+    public String address() {
+        return address;
+    }
+
+    /** Returns how far it is from this host. */
+    public Distance distance() {
+        return distance;
+    }
+
+    /** Returns true while new work may be sent to it. */
+    public boolean acceptsWork() {
+        return acceptsWork;
+    }
+
+    /** States that it is leaving or has left; it gets no new work from now on. */
+    public void leave() {
+        acceptsWork = false;
+    }
+
+    /** Returns how many calls of this host are under way. */
+    public int inFlight() {
+        return calls.size();
+    }
+
+    /**
+     * Notes a call that is being sent.
+     *
+     * @param expectedNanos how long such a call usually takes
+     */
+    public Call begin(long expectedNanos, long nowNanos) {
+        Call call = new Call(nowNanos, expectedNanos);
+        calls.add(call);
+        return call;
+    }
+
+    /** Returns true if a call has begun and not ended. */
+    public boolean isUnderWay(Call call) {
+        return calls.contains(call);
+    }
+
+    /** Notes the end of a call, with the load that the leaf told, if it did. */
+    public void end(Call call, LeafOutcome outcome, Optional<LeafLoad> told, long nowNanos) {
+        calls.remove(call);
+        if (told.isPresent()) {
+            load = told;
+            loadAtNanos = nowNanos;
+            slots = Math.max(1, told.get().slots());
+        }
+        switch (outcome) {
+            case SUCCEEDED -> succeeded(call, nowNanos);
+            case REFUSED_BUSY -> busyUntilNanos = nowNanos + BUSY_NANOS;
+            case REFUSED_GONE -> acceptsWork = false;
+            case UNREACHABLE -> failed(FAILURES_TO_EJECT, nowNanos);
+            case FAILED, BROKEN, GARBLED -> failed(1, nowNanos);
+            default -> {
+                // NO_CONNECTION says something about this host's share of connections, nothing about the leaf.
+            }
+        }
+    }
+
+    /** Returns true while repeated failures keep it from getting work. */
+    public boolean isEjected(long nowNanos) {
+        return consecutiveFailures >= FAILURES_TO_EJECT && nowNanos - ejectedUntilNanos < 0;
+    }
+
+    /** Returns true if a call is long overdue, so that the leaf probably pauses. */
+    public boolean isStalled(long nowNanos) {
+        for (Call call : calls) {
+            if (nowNanos - call.sentNanos > STALLED_AFTER * call.expectedNanos + 2 * distance.handicapNanos()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns true if its slots are taken, as far as this host can tell. */
+    public boolean isBusy(long nowNanos) {
+        return occupancy(nowNanos) >= slots || nowNanos - busyUntilNanos < 0;
+    }
+
+    /**
+     * Returns the time to expect of one more call, in nanoseconds, with handicaps for the way, stalls and failures.
+     *
+     * @param expectedNanos how long such a call usually takes
+     */
+    public double costNanos(long expectedNanos, long nowNanos) {
+        int ahead = Math.max(0, occupancy(nowNanos) + 1 - slots);
+        double work = expectedNanos * slowness;
+        if (nowNanos - warmAtNanos < 0) {
+            work *= COLD_FACTOR;
+        }
+        double cost = work * (1 + (double) ahead / slots) + distance.handicapNanos();
+        cost += occupancy(nowNanos) * work / (8.0 * slots);
+        cost += failureRate * FAILURE_HANDICAP_NANOS;
+        if (nowNanos - busyUntilNanos < 0) {
+            cost += work;
+        }
+        return isStalled(nowNanos) ? cost + STALL_HANDICAP_NANOS : cost;
+    }
+
+    private int occupancy(long nowNanos) {
+        boolean fresh = load.isPresent() && nowNanos - loadAtNanos < LOAD_FRESH_NANOS;
+        int told = fresh ? load.get().running() + load.get().waiting() : 0;
+        return Math.max(calls.size(), told);
+    }
+
+    private void succeeded(Call call, long nowNanos) {
+        consecutiveFailures = 0;
+        ejectionNanos = 0;
+        failureRate -= SMOOTHING * failureRate;
+        double ratio = (double) (nowNanos - call.sentNanos) / Math.max(1, call.expectedNanos);
+        slowness += SMOOTHING * (Math.min(ratio, 10.0) - slowness);
+        slowness = Math.max(0.3, slowness);
+    }
+
+    private void failed(int weight, long nowNanos) {
+        consecutiveFailures += weight;
+        failureRate += SMOOTHING * (1 - failureRate);
+        if (consecutiveFailures >= FAILURES_TO_EJECT) {
+            ejectionNanos =
+                    ejectionNanos == 0 ? FIRST_EJECTION_NANOS : Math.min(LONGEST_EJECTION_NANOS, 2 * ejectionNanos);
+            ejectedUntilNanos = nowNanos + ejectionNanos;
+        }
+    }
+
+    /** A call under way; compared by identity. */
+    public static final class Call {
+        private final long sentNanos;
+        private final long expectedNanos;
+
+        private Call(long sentNanos, long expectedNanos) {
+            this.sentNanos = sentNanos;
+            this.expectedNanos = expectedNanos;
+        }
+
+        /** Returns when it was sent. */
+        public long sentNanos() {
+            return sentNanos;
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/MemberWatch.java
@@ -0,0 +1,79 @@
+package org.bramblerack.process.members;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.bramblerack.wire.ForgetMembers;
+import org.bramblerack.wire.HeardMembers;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.LeafRecord;
+
+/**
+ * Watches which members were heard of lately, so that the leader can forget those that nobody hears.
+ *
+ * <p>Each control host notes the members that report to it and tells the leader; the leader gives every member a full
+ * period of grace when it begins to lead. Not safe for use by several threads.
+ */
+public final class MemberWatch {
+    /** A leaf reports about every second and at times some seconds late; own calls notice a crash long before. */
+    static final Duration LEAF_SILENCE = Duration.ofSeconds(20);
+    /** A host asks for changes at least once a second. */
+    static final Duration HOST_SILENCE = Duration.ofSeconds(6);
+
+    private final Map<String, Long> leavesHeardNanos = new HashMap<>();
+    private final Map<String, Long> hostsHeardNanos = new HashMap<>();
+    private HeardMembers.Builder sinceReport = HeardMembers.newBuilder();
+
+    /** Notes that a leaf reported to this host. */
+    public void heardLeaf(String id, long nowNanos) {
+        leavesHeardNanos.put(id, nowNanos);
+        sinceReport.addLeafIds(id);
+    }
+
+    /** Notes that a host asked this host for changes. */
+    public void heardHost(String name, long nowNanos) {
+        hostsHeardNanos.put(name, nowNanos);
+        sinceReport.addHostNames(name);
+    }
+
+    /** Takes what another control host has heard of. */
+    public void merge(HeardMembers report, long nowNanos) {
+        report.getLeafIdsList().forEach(id -> leavesHeardNanos.put(id, nowNanos));
+        report.getHostNamesList().forEach(name -> hostsHeardNanos.put(name, nowNanos));
+    }
+
+    /** Returns what was heard of since the last call, for the leader. */
+    public HeardMembers takeReport() {
+        HeardMembers report = sinceReport.build();
+        sinceReport = HeardMembers.newBuilder();
+        return report;
+    }
+
+    /** Begins anew, as a host that begins to lead does: every member counts as heard of now. */
+    public void restart(AgreedTables tables, long nowNanos) {
+        leavesHeardNanos.clear();
+        hostsHeardNanos.clear();
+        tables.presentLeaves().forEach(leaf -> leavesHeardNanos.put(leaf.getId(), nowNanos));
+        tables.presentHosts().forEach(host -> hostsHeardNanos.put(host.getName(), nowNanos));
+    }
+
+    /** Returns the members that nobody has heard of for too long. */
+    public ForgetMembers silent(AgreedTables tables, long nowNanos) {
+        ForgetMembers.Builder silent = ForgetMembers.newBuilder();
+        for (LeafRecord leaf : tables.presentLeaves()) {
+            long heardNanos = leavesHeardNanos.computeIfAbsent(leaf.getId(), unused -> nowNanos);
+            if (nowNanos - heardNanos > LEAF_SILENCE.toNanos()) {
+                silent.addLeafIds(leaf.getId());
+                leavesHeardNanos.remove(leaf.getId());
+            }
+        }
+        for (HostRecord host : tables.presentHosts()) {
+            long heardNanos = hostsHeardNanos.computeIfAbsent(host.getName(), unused -> nowNanos);
+            if (nowNanos - heardNanos > HOST_SILENCE.toNanos()) {
+                silent.addHosts(host);
+                hostsHeardNanos.remove(host.getName());
+            }
+        }
+        return silent.build();
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
@@ -0,0 +1,29 @@
+package org.bramblerack.request.routed;
+
+/** The reasons for extra attempts, and for not making them. */
+public enum AttemptCounter {
+    /** A first attempt was made. */
+    FIRST,
+    /** A late attempt was hedged. */
+    HEDGE,
+    /** A failed attempt was repeated. */
+    RETRY,
+    /** No other leaf was free for a hedge. */
+    HEDGE_DENIED_NO_LEAF,
+    /** The budget did not allow a hedge. */
+    HEDGE_DENIED_BUDGET,
+    /** No leaf was left for a retry. */
+    RETRY_DENIED_NO_LEAF,
+    /** The budget did not allow a retry. */
+    RETRY_DENIED_BUDGET,
+    /** The route allows no further attempt, or the request must not run again. */
+    RETRY_DENIED_ATTEMPTS,
+    /** Another host was asked to ask some shards. */
+    STAGE,
+    /** A host that was to ask some shards was silent for too long. */
+    STAGE_SILENT,
+    /** A host that was to ask some shards failed. */
+    STAGE_LOST,
+    /** An answer came after the request was over. */
+    LATE_ANSWER
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
@@ -0,0 +1,26 @@
+package org.bramblerack.request.routed;
+
+/** Why a routed request ends without an answer of a leaf. */
+public enum RefusalReason {
+    /** No leaf that could run it takes work; it has not run. */
+    NO_LEAF(true),
+    /** Every leaf that was asked said that it did not run it. */
+    ALL_BUSY(true),
+    /** Too few shards answered. */
+    TOO_FEW_SHARDS(false),
+    /** The time was up while a leaf may have been at work on it. */
+    TIME_UP(false),
+    /** The connection to the leaf was lost; it may have run. */
+    OUTCOME_UNKNOWN(false);
+
+    private final boolean notRun;
+
+    RefusalReason(boolean notRun) {
+        this.notRun = notRun;
+    }
+
+    /** Returns true if the request has certainly not run, and will not. */
+    public boolean isNotRun() {
+        return notRun;
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
@@ -0,0 +1,25 @@
+package org.bramblerack.request.routed;
+
+/** What a routed request wants done. The actions of one call are carried out in order. */
+public sealed interface RoutedAction {
+    /** Send the request to the attempt's leaf. */
+    record Ask(Attempt attempt) implements RoutedAction {}
+
+    /** Have another host ask some shards. */
+    record AskStage(StageAttempt stage) implements RoutedAction {}
+
+    /** Call {@code wake} at the given time, unless the request is over by then. */
+    record Wake(long atNanos) implements RoutedAction {}
+
+    /** Answer the caller from these parts; some shards may be missing. */
+    record DeliverMerged(MergedAnswer answer) implements RoutedAction {}
+
+    /** Answer the caller with what the attempt's leaf answered. */
+    record DeliverAnswer(Attempt attempt) implements RoutedAction {}
+
+    /** Tell the caller that there is no answer. */
+    record Refuse(RefusalReason reason) implements RoutedAction {}
+
+    /** Count an extra attempt, or one that was not made. */
+    record Count(AttemptCounter counter) implements RoutedAction {}
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -0,0 +1,328 @@
+package org.bramblerack.request.routed;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.version.routing.RouteTarget;
+
+/**
+ * The decisions of one query over the shards of one configuration version: whom to ask, when to ask again, and when to
+ * seal the answer.
+ *
+ * <p>An answer is worth the square of the share of its shards, and almost nothing after its goal. So the query waits
+ * for every shard until the goal; at the goal it delivers what is in if that is enough, and after it as soon as it is.
+ * It is over early when every shard has answered or has no hope left.
+ *
+ * <p>Shards whose leafs are far may be left to another host near them, which asks them, hedges, and sends the merged
+ * rest back. If it is silent for longer than its work takes, the query asks those shards itself, with the attempts that
+ * are left; whichever comes first counts.
+ *
+ * <p>Invariants: every part comes from the shards that the query was created with, at most one of each, and no
+ * signature appears twice. Exactly one {@link RoutedAction.DeliverMerged} or {@link RoutedAction.Refuse} is returned,
+ * unless the caller goes away first. Not safe for use by several threads.
+ */
+public final class ScatterQuery {
+    private final RouteTarget.Scatter target;
+    private final RequestBounds bounds;
+    private final ShardRequest[] shards;
+    private final ImmutableList<StageAttempt> stages;
+    private final Set<String> signatures = new HashSet<>();
+    private final ImmutableList.Builder<Integer> shardsInOrder = ImmutableList.builder();
+    private final ImmutableList.Builder<String> signaturesInOrder = ImmutableList.builder();
+    private final TopRecords records;
+    private int in;
+    private boolean over;
+    private long startedNanos;
+    private long armedWakeNanos;
+    private boolean wakeArmed;
+
+    /**
+     * Creates a query; nothing is asked before {@link #start}.
+     *
+     * @param pools the leafs of each shard, in the order of the shards
+     * @param stages the shards that are left to other hosts, each to one at most
+     */
+    public ScatterQuery(
+            RouteTarget.Scatter target,
+            ImmutableList<LeafPool> pools,
+            ImmutableList<StageAttempt> stages,
+            RequestBounds bounds,
+            RandomGenerator random) {
+        this.target = target;
+        this.stages = stages;
+        this.bounds = bounds;
+        this.records = new TopRecords(target.topRecords());
+        this.shards = new ShardRequest[pools.size()];
+        for (int shard = 0; shard < shards.length; shard++) {
+            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, random);
+        }
+    }
+
+    /** Begins: one attempt on every shard, here or by another host. */
+    public List<RoutedAction> start(long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>(2 * shards.length + 1);
+        startedNanos = nowNanos;
+        for (StageAttempt stage : stages) {
+            stage.shards().forEach(shard -> shards[shard].delegate());
+            actions.add(new RoutedAction.Count(AttemptCounter.STAGE));
+            actions.add(new RoutedAction.AskStage(stage));
+        }
+        for (ShardRequest shard : shards) {
+            if (!shard.isDelegated()) {
+                shard.start(nowNanos, actions);
+            }
+        }
+        decide(nowNanos, actions);
+        return actions;
+    }
+
+    /** Takes a whole, signed answer of a leaf. */
+    public List<RoutedAction> answered(Attempt attempt, PartReply reply, long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>(2);
+        ShardRequest shard = attempt.shard();
+        if (over || shard.isFinished()) {
+            attempt.finish(false);
+            actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
+            return actions;
+        }
+        if (!signatures.add(reply.signature())) {
+            return failed(attempt, LeafOutcome.GARBLED, nowNanos);
+        }
+        shard.answered(attempt);
+        shardsInOrder.add(indexOf(shard));
+        signaturesInOrder.add(reply.signature());
+        records.addAll(reply.records());
+        in++;
+        decide(nowNanos, actions);
+        return actions;
+    }
+
+    /** Takes the failure of an attempt. */
+    public List<RoutedAction> failed(Attempt attempt, LeafOutcome outcome, long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>(2);
+        attempt.shard().failed(attempt, outcome, nowNanos, actions);
+        if (!over) {
+            decide(nowNanos, actions);
+        }
+        return actions;
+    }
+
+    /** Takes what another host gathered; shards that it lacks are asked here if attempts are left. */
+    public List<RoutedAction> stageAnswered(StageAttempt stage, StageReply reply, long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>(2);
+        if (over || stage.isOver()) {
+            actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
+            return actions;
+        }
+        stage.finish();
+        if (fits(stage, reply)) {
+            for (int position = 0; position < reply.shards().size(); position++) {
+                shards[reply.shards().get(position)].answeredElsewhere();
+                signatures.add(reply.signatures().get(position));
+            }
+            shardsInOrder.addAll(reply.shards());
+            signaturesInOrder.addAll(reply.signatures());
+            records.addAll(reply.records());
+            in += reply.shards().size();
+        }
+        boolean inTime = nowNanos + bounds.expectedNanos() - bounds.goalNanos() < 0;
+        if (inTime || !isEnough()) {
+            takeBack(stage, false, nowNanos, actions);
+        } else {
+            stage.shards().forEach(shard -> shards[shard].finish());
+        }
+        decide(nowNanos, actions);
+        return actions;
+    }
+
+    /** Notes that another host is at work and has asked second leafs of some shards. */
+    public void stageProgress(StageAttempt stage, List<Integer> askedTwice) {
+        stage.hear();
+        for (int shard : askedTwice) {
+            if (stage.shards().contains(shard)) {
+                shards[shard].delegateAskedTwice();
+            }
+        }
+    }
+
+    /**
+     * Takes the failure of another host.
+     *
+     * @param notRun true if it has certainly not sent the request to any leaf
+     */
+    public List<RoutedAction> stageFailed(StageAttempt stage, boolean notRun, long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>();
+        if (over || stage.isOver()) {
+            return actions;
+        }
+        stage.finish();
+        actions.add(new RoutedAction.Count(AttemptCounter.STAGE_LOST));
+        takeBack(stage, notRun, nowNanos, actions);
+        decide(nowNanos, actions);
+        return actions;
+    }
+
+    /** Looks at the time: hedges what is late, and seals when the goal or the deadline has come. */
+    public List<RoutedAction> wake(long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>();
+        if (over) {
+            return actions;
+        }
+        wakeArmed = false;
+        for (StageAttempt stage : stages) {
+            if (stage.isAwaited() && nowNanos - startedNanos - stage.silenceNanos() >= 0) {
+                stage.abandon();
+                actions.add(new RoutedAction.Count(AttemptCounter.STAGE_SILENT));
+                stage.shards().forEach(shard -> shards[shard].backUp(nowNanos, actions));
+            }
+        }
+        for (ShardRequest shard : shards) {
+            shard.wake(nowNanos, actions);
+        }
+        decide(nowNanos, actions);
+        return actions;
+    }
+
+    /** Ends the query because its caller went away. */
+    public void callerGone() {
+        end();
+    }
+
+    /** Returns true once the query has delivered, refused or lost its caller. */
+    public boolean isOver() {
+        return over;
+    }
+
+    /** Returns the numbers of the shards at which more than one leaf was asked. */
+    public ImmutableList<Integer> askedTwice() {
+        ImmutableList.Builder<Integer> numbers = ImmutableList.builder();
+        for (int shard = 0; shard < shards.length; shard++) {
+            if (shards[shard].wasAskedTwice()) {
+                numbers.add(shard);
+            }
+        }
+        return numbers.build();
+    }
+
+    /** Returns in words which shards are not in and why, for a log line. */
+    public String describeMissing(long nowNanos) {
+        StringBuilder text = new StringBuilder();
+        ImmutableSet<Integer> present = ImmutableSet.copyOf(shardsInOrder.build());
+        for (int shard = 0; shard < shards.length; shard++) {
+            if (!present.contains(shard)) {
+                text.append(text.length() == 0 ? "" : "; ").append(shards[shard].describe(nowNanos));
+            }
+        }
+        for (StageAttempt stage : stages) {
+            text.append("; ").append(stage.describe());
+        }
+        return text.toString();
+    }
+
+    private void decide(long nowNanos, List<RoutedAction> actions) {
+        boolean enough = isEnough();
+        boolean nothingToWaitFor = waitingCount() == 0;
+        boolean deadlineCome = nowNanos - bounds.deadlineNanos() >= 0;
+        boolean goalCome = nowNanos - bounds.goalNanos() >= 0;
+        if (enough && (nothingToWaitFor || goalCome || deadlineCome)) {
+            end();
+            actions.add(new RoutedAction.DeliverMerged(new MergedAnswer(
+                    shardsInOrder.build(), signaturesInOrder.build(), shards.length - in, records.toBytes())));
+        } else if (nothingToWaitFor || deadlineCome) {
+            RefusalReason reason = refusalReason(deadlineCome);
+            end();
+            actions.add(new RoutedAction.Refuse(reason));
+        } else {
+            armWake(nowNanos, actions);
+        }
+    }
+
+    /** Returns true if the merged reply can be added: its records cannot be taken apart again. */
+    private boolean fits(StageAttempt stage, StageReply reply) {
+        Set<Integer> seen = new HashSet<>();
+        for (int position = 0; position < reply.shards().size(); position++) {
+            int shard = reply.shards().get(position);
+            boolean open = stage.shards().contains(shard) && seen.add(shard) && !shards[shard].isFinished();
+            if (!open || signatures.contains(reply.signatures().get(position))) {
+                return false;
+            }
+        }
+        return new HashSet<>(reply.signatures()).size() == reply.signatures().size();
+    }
+
+    private void takeBack(StageAttempt stage, boolean notRun, long nowNanos, List<RoutedAction> actions) {
+        for (int shard : stage.shards()) {
+            shards[shard].takeBack(notRun, nowNanos, actions);
+        }
+    }
+
+    private int indexOf(ShardRequest wanted) {
+        for (int shard = 0; shard < shards.length; shard++) {
+            if (shards[shard] == wanted) {
+                return shard;
+            }
+        }
+        throw new IllegalStateException("an attempt of another query");
+    }
+
+    private RefusalReason refusalReason(boolean deadlineCome) {
+        boolean asked = false;
+        boolean notRun = true;
+        for (ShardRequest shard : shards) {
+            asked |= shard.wasAsked();
+            notRun &= shard.isNotRun();
+        }
+        if (notRun) {
+            return asked ? RefusalReason.ALL_BUSY : RefusalReason.NO_LEAF;
+        }
+        return deadlineCome ? RefusalReason.TIME_UP : RefusalReason.TOO_FEW_SHARDS;
+    }
+
+    private boolean isEnough() {
+        return in > 0 && in >= target.leastShare() * shards.length;
+    }
+
+    private int waitingCount() {
+        int waiting = 0;
+        for (ShardRequest shard : shards) {
+            waiting += shard.isFinished() ? 0 : 1;
+        }
+        return waiting;
+    }
+
+    private void end() {
+        over = true;
+        for (ShardRequest shard : shards) {
+            shard.finish();
+        }
+    }
+
+    private void armWake(long nowNanos, List<RoutedAction> actions) {
+        boolean goalAhead = nowNanos - bounds.goalNanos() < 0;
+        long next = goalAhead ? bounds.goalNanos() : bounds.deadlineNanos();
+        for (ShardRequest shard : shards) {
+            Optional<Long> wake = shard.nextWakeNanos();
+            if (wake.isPresent() && wake.get() - next < 0) {
+                next = wake.get();
+            }
+        }
+        for (StageAttempt stage : stages) {
+            long silentNanos = startedNanos + stage.silenceNanos();
+            if (stage.isAwaited() && silentNanos - next < 0) {
+                next = silentNanos;
+            }
+        }
+        if (!wakeArmed || next - armedWakeNanos < 0) {
+            wakeArmed = true;
+            armedWakeNanos = next;
+            actions.add(new RoutedAction.Wake(next));
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -0,0 +1,295 @@
+package org.bramblerack.request.routed;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.process.leaf.LeafPool;
+
+/**
+ * The attempts of one request at one service: which leaf is asked, when another is, and when there is no hope left.
+ *
+ * <p>Invariants: at most {@code maxAttempts} leafs may have the request at work; attempts that certainly did not run do
+ * not count toward that, but every attempt after the first is paid for from the pool's budget. A request that must not
+ * run twice is sent again only if no earlier attempt can have run. Not safe for use by several threads.
+ */
+final class ShardRequest {
+    /** Attempts that leafs refused without running them, beyond those that the route allows. */
+    private static final int MAX_REFUSED = 3;
+    /** How long to leave a service alone all of whose leafs said that they are full. */
+    private static final long BACKOFF_NANOS = Duration.ofMillis(20).toNanos();
+
+    private final LeafPool pool;
+    private final RequestBounds bounds;
+    private final boolean repeatable;
+    private final RandomGenerator random;
+    private final List<Attempt> attempts = new ArrayList<>(2);
+    private int spentElsewhere;
+    private boolean delegated;
+    private boolean finished;
+    private boolean hedgeRefused;
+    private long retryAtNanos;
+    private boolean retryDue;
+
+    /** Creates a request that is not yet sent. */
+    ShardRequest(LeafPool pool, RequestBounds bounds, boolean repeatable, RandomGenerator random) {
+        this.pool = pool;
+        this.bounds = bounds;
+        this.repeatable = repeatable;
+        this.random = random;
+    }
+
+    /** Leaves the request to another host. */
+    void delegate() {
+        delegated = true;
+        spentElsewhere = 1;
+    }
+
+    /** Notes that the other host asked a second leaf. */
+    void delegateAskedTwice() {
+        spentElsewhere = 2;
+    }
+
+    /**
+     * Makes an attempt here because the other host is silent, if attempts and budget allow one; otherwise goes on
+     * waiting for the other host.
+     */
+    void backUp(long nowNanos, List<RoutedAction> actions) {
+        boolean allowed = spentElsewhere < bounds.maxAttempts();
+        if (!delegated || finished || !allowed || !pool.budget().tryWithdraw()) {
+            return;
+        }
+        Optional<Leaf> leaf = pool.choose(candidate -> true, bounds.expectedNanos(), random, nowNanos);
+        if (leaf.isPresent()) {
+            delegated = false;
+            ask(leaf.get(), Attempt.Purpose.RETRY, nowNanos, actions);
+        }
+    }
+
+    /**
+     * Takes the request back from the other host, which is done with it, and makes an attempt here.
+     *
+     * @param notRun true if the other host has certainly not sent it to any leaf
+     */
+    void takeBack(boolean notRun, long nowNanos, List<RoutedAction> actions) {
+        if (!delegated || finished) {
+            return;
+        }
+        delegated = false;
+        spentElsewhere = notRun ? 0 : spentElsewhere;
+        start(nowNanos, actions);
+    }
+
+    /** Returns true while another host has the request. */
+    boolean isDelegated() {
+        return delegated;
+    }
+
+    /** Makes the first attempt; ends without hope if there is no leaf to make it at. */
+    void start(long nowNanos, List<RoutedAction> actions) {
+        if (spentElsewhere >= bounds.maxAttempts()) {
+            giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+            return;
+        }
+        Optional<Leaf> leaf = pool.choose(candidate -> true, bounds.expectedNanos(), random, nowNanos);
+        if (leaf.isEmpty()) {
+            giveUp(AttemptCounter.RETRY_DENIED_NO_LEAF, actions);
+            return;
+        }
+        if (spentElsewhere > 0 && !pool.budget().tryWithdraw()) {
+            giveUp(AttemptCounter.RETRY_DENIED_BUDGET, actions);
+            return;
+        }
+        pool.budget().deposit(1);
+        actions.add(new RoutedAction.Count(AttemptCounter.FIRST));
+        ask(leaf.get(), Attempt.Purpose.FIRST, nowNanos, actions);
+    }
+
+    /** Notes that the other host brought the answer. */
+    void answeredElsewhere() {
+        finished = true;
+    }
+
+    /** Notes that an attempt brought the answer. */
+    void answered(Attempt attempt) {
+        attempt.finish(false);
+        finished = true;
+    }
+
+    /** Notes that an attempt failed, and makes another if that is allowed. */
+    void failed(Attempt attempt, LeafOutcome outcome, long nowNanos, List<RoutedAction> actions) {
+        attempt.finish(outcome.isNotRun());
+        if (!finished && !hasAttemptInFlight()) {
+            retry(nowNanos, actions);
+        }
+    }
+
+    /** Makes a hedge or a retry that is due. */
+    void wake(long nowNanos, List<RoutedAction> actions) {
+        if (finished) {
+            return;
+        }
+        if (retryDue && nowNanos - retryAtNanos >= 0) {
+            retryDue = false;
+            retryAnywhere(nowNanos, actions);
+        } else if (isHedgeDue(nowNanos)) {
+            hedge(nowNanos, actions);
+        }
+    }
+
+    /** Returns when this shard wants to be woken next, if it does. */
+    Optional<Long> nextWakeNanos() {
+        if (finished || delegated) {
+            return Optional.empty();
+        }
+        if (retryDue) {
+            return Optional.of(retryAtNanos);
+        }
+        boolean mayHedge = repeatable && !hedgeRefused && attempts.size() == 1;
+        return mayHedge ? Optional.of(attempts.get(0).sentNanos() + bounds.hedgeDelayNanos()) : Optional.empty();
+    }
+
+    boolean isFinished() {
+        return finished;
+    }
+
+    void finish() {
+        finished = true;
+    }
+
+    /** Returns true if no attempt can have run the request. */
+    boolean isNotRun() {
+        return spentElsewhere == 0 && attempts.stream().allMatch(Attempt::isNotRun);
+    }
+
+    /** Returns true if any attempt was made, here or elsewhere. */
+    boolean wasAsked() {
+        return spentElsewhere > 0 || !attempts.isEmpty();
+    }
+
+    /** Returns true if more than one leaf was asked. */
+    boolean wasAskedTwice() {
+        return attempts.size() > 1;
+    }
+
+    /** Returns in words what was tried and how it stands, for a log line. */
+    String describe(long nowNanos) {
+        StringBuilder text = new StringBuilder(pool.service());
+        if (spentElsewhere > 0) {
+            text.append(" elsewhere=").append(spentElsewhere);
+        }
+        for (Attempt attempt : attempts) {
+            text.append(' ')
+                    .append(attempt.purpose())
+                    .append('@')
+                    .append(attempt.leaf().id());
+            text.append('-')
+                    .append(TimeUnit.NANOSECONDS.toMillis(nowNanos - attempt.sentNanos()))
+                    .append("ms");
+            if (attempt.isFinished()) {
+                text.append(attempt.isNotRun() ? "-refused" : "-failed");
+            }
+        }
+        return text.toString();
+    }
+
+    private boolean isHedgeDue(long nowNanos) {
+        return repeatable
+                && !hedgeRefused
+                && attempts.size() == 1
+                && !attempts.get(0).isFinished()
+                && nowNanos - attempts.get(0).sentNanos() >= bounds.hedgeDelayNanos();
+    }
+
+    private void hedge(long nowNanos, List<RoutedAction> actions) {
+        Optional<Leaf> other = mayRunCount() >= bounds.maxAttempts()
+                ? Optional.empty()
+                : pool.choose(
+                        leaf -> !wasAsked(leaf) && !leaf.isEjected(nowNanos), bounds.expectedNanos(), random, nowNanos);
+        if (other.isEmpty()) {
+            hedgeRefused = true;
+            actions.add(new RoutedAction.Count(AttemptCounter.HEDGE_DENIED_NO_LEAF));
+        } else if (!pool.budget().tryWithdraw()) {
+            hedgeRefused = true;
+            actions.add(new RoutedAction.Count(AttemptCounter.HEDGE_DENIED_BUDGET));
+        } else {
+            actions.add(new RoutedAction.Count(AttemptCounter.HEDGE));
+            ask(other.get(), Attempt.Purpose.HEDGE, nowNanos, actions);
+        }
+    }
+
+    private void retry(long nowNanos, List<RoutedAction> actions) {
+        if (!mayAskAgain()) {
+            giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+            return;
+        }
+        Optional<Leaf> untried = pool.choose(leaf -> !wasAsked(leaf), bounds.expectedNanos(), random, nowNanos);
+        if (untried.isPresent()) {
+            spendOnRetry(untried.get(), nowNanos, actions);
+            return;
+        }
+        boolean inTime = nowNanos + BACKOFF_NANOS + bounds.expectedNanos() - bounds.deadlineNanos() < 0;
+        if (!inTime || attempts.isEmpty()) {
+            giveUp(AttemptCounter.RETRY_DENIED_NO_LEAF, actions);
+            return;
+        }
+        retryDue = true;
+        retryAtNanos = nowNanos + BACKOFF_NANOS * attempts.size() + random.nextLong(BACKOFF_NANOS);
+    }
+
+    private void retryAnywhere(long nowNanos, List<RoutedAction> actions) {
+        Optional<Leaf> any = pool.choose(leaf -> true, bounds.expectedNanos(), random, nowNanos);
+        if (any.isPresent()) {
+            spendOnRetry(any.get(), nowNanos, actions);
+        } else {
+            giveUp(AttemptCounter.RETRY_DENIED_NO_LEAF, actions);
+        }
+    }
+
+    private void spendOnRetry(Leaf leaf, long nowNanos, List<RoutedAction> actions) {
+        if (!pool.budget().tryWithdraw()) {
+            giveUp(AttemptCounter.RETRY_DENIED_BUDGET, actions);
+            return;
+        }
+        actions.add(new RoutedAction.Count(AttemptCounter.RETRY));
+        ask(leaf, Attempt.Purpose.RETRY, nowNanos, actions);
+    }
+
+    private void ask(Leaf leaf, Attempt.Purpose purpose, long nowNanos, List<RoutedAction> actions) {
+        Attempt attempt = new Attempt(this, leaf, purpose, nowNanos);
+        attempts.add(attempt);
+        actions.add(new RoutedAction.Ask(attempt));
+    }
+
+    private void giveUp(AttemptCounter reason, List<RoutedAction> actions) {
+        finished = true;
+        actions.add(new RoutedAction.Count(reason));
+    }
+
+    private boolean mayAskAgain() {
+        if (!repeatable && !isNotRun()) {
+            return false;
+        }
+        return mayRunCount() < bounds.maxAttempts() && attempts.size() < bounds.maxAttempts() + MAX_REFUSED;
+    }
+
+    private int mayRunCount() {
+        int count = spentElsewhere;
+        for (Attempt attempt : attempts) {
+            count += attempt.isNotRun() ? 0 : 1;
+        }
+        return count;
+    }
+
+    private boolean hasAttemptInFlight() {
+        return attempts.stream().anyMatch(attempt -> !attempt.isFinished());
+    }
+
+    private boolean wasAsked(Leaf leaf) {
+        return attempts.stream().anyMatch(attempt -> attempt.leaf() == leaf);
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageReply.java
@@ -0,0 +1,23 @@
+package org.bramblerack.request.routed;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+
+/**
+ * What another host gathered from the shards of a {@link StageAttempt}.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param shards the numbers of the shards that are in
+ * @param signatures the signatures of their parts, in the same order
+ * @param records the greatest records of these parts, the greatest first
+ */
+public record StageReply(ImmutableList<Integer> shards, ImmutableList<String> signatures, ByteString records) {
+    /** Refuses a reply whose lists do not match. */
+    public StageReply {
+        checkArgument(
+                shards.size() == signatures.size(), "%s signatures for %s shards", signatures.size(), shards.size());
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/version/routing/Route.java
@@ -0,0 +1,46 @@
+package org.bramblerack.version.routing;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+
+/**
+ * One route of the configuration.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param name what operators call it
+ * @param host the host name of the requests that it takes
+ * @param prefix what the path of such a request begins with; begins and ends with a slash
+ * @param kind whether its requests may run more than once
+ * @param timeout how long a request is held at most
+ * @param goal within which an answer is worth most; zero if the operator names none
+ * @param priority its rank; 0 is the highest
+ * @param maxAttempts how many leafs a request may be sent to, for a fan-out at each shard
+ * @param target where its requests go
+ */
+public record Route(
+        String name,
+        String host,
+        String prefix,
+        RequestKind kind,
+        Duration timeout,
+        Duration goal,
+        int priority,
+        int maxAttempts,
+        RouteTarget target) {
+    /** Refuses what no request could be served by. */
+    public Route {
+        requireNonNull(kind);
+        requireNonNull(target);
+        checkArgument(
+                prefix.startsWith("/") && prefix.endsWith("/"),
+                "the prefix %s of route %s does not begin and end with a slash",
+                prefix,
+                name);
+        checkArgument(
+                !timeout.isZero() && !timeout.isNegative(), "route %s has the time-out %s; give more", name, timeout);
+        checkArgument(maxAttempts >= 1, "route %s allows %s attempts; allow 1 at least", name, maxAttempts);
+    }
+}
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/version/routing/package-info.java
@@ -0,0 +1,5 @@
+/** The routing configuration: which request goes to which service, and within which bounds. */
+@NullMarked
+package org.bramblerack.version.routing;
+
+import org.jspecify.annotations.NullMarked;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlClient.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlClient.java
@@ -60,7 +60,7 @@
 
     /** Returns true if a leader was heard of lately. */
     public boolean hearsLeader() {
-        return clock.nowNanos() - leaderHeardNanos < LEADERLESS.toNanos();
+        return localLeader().isPresent() || clock.nowNanos() - leaderHeardNanos < LEADERLESS.toNanos();
     }
 
     /** Offers a command until it is decided or the time is up. */
@@ -187,8 +187,15 @@
                 });
     }
 
+    /** Returns the leader that the local role knows of; it hears sooner of a change than a client does. */
+    private Optional<String> localLeader() {
+        return local.flatMap(ControlNode::leader);
+    }
+
     private String target() {
-        return leader.orElseGet(() -> voters.get(Math.floorMod(turn.getAndIncrement(), voters.size())));
+        return localLeader()
+                .or(() -> leader)
+                .orElseGet(() -> voters.get(Math.floorMod(turn.getAndIncrement(), voters.size())));
     }
 
     private void learn(String target, String hint, boolean confirmed) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -32,6 +32,8 @@
 import org.bramblerack.wire.ControlSnapshot;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.RaftMessage;
+import org.bramblerack.wire.TableDelta;
+import org.bramblerack.wire.TablePull;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -63,6 +65,7 @@
     private final Map<Long, Runnable> failedReads = new HashMap<>();
     private final InForceTable inForce = new InForceTable();
     private final ControlState state = new ControlState();
+    private final TableSubscriptions subscriptions = new TableSubscriptions();
     private @Nullable RaftNode node;
     private @Nullable Thread thread;
     private volatile boolean running;
@@ -183,6 +186,42 @@
         });
     }
 
+    /** Answers a host that follows the tables of the fleet, once they have changed or a moment has passed. */
+    public Uni<TableDelta> pullTables(TablePull pull) {
+        return Uni.createFrom().emitter(emitter -> {
+            boolean queued = offer((raft, nowNanos) -> {
+                subscriptions.add(pull.getKnownRevision(), emitter, nowNanos);
+                return List.of();
+            });
+            if (!queued) {
+                emitter.complete(TableDelta.getDefaultInstance());
+            }
+        });
+    }
+
+    /**
+     * Looks at the agreed tables as they were applied here.
+     *
+     * @param reader takes the tables, to be read only, and whether this host is in touch with a leader
+     * @return what the reader returns, or a failure if the role has stopped
+     */
+    public <T> Uni<T> withTables(TableReader<T> reader) {
+        return Uni.createFrom().emitter(emitter -> {
+            boolean queued = offer((raft, nowNanos) -> {
+                emitter.complete(reader.read(state.tables(), raft.isInTouch(nowNanos), nowNanos));
+                return List.of();
+            });
+            if (!queued) {
+                emitter.fail(new IllegalStateException("the control role is stopped or overloaded"));
+            }
+        });
+    }
+
+    /** Returns true if this host leads. */
+    public boolean isLeader() {
+        return leader.equals(Optional.of(self));
+    }
+
     private boolean offer(Event event) {
         return running && events.offer(event);
     }
@@ -224,6 +263,7 @@
         actions.addAll(raft.tick(nowNanos));
         actions.addAll(raft.flush(nowNanos));
         carryOut(actions);
+        subscriptions.answerDue(state.tables(), raft.isInTouch(nowNanos), nowNanos);
         if (raft.appliedSinceSnapshot() >= LEAST_ENTRIES_TO_COMPACT
                 && store.logBytes() >= Math.max(LEAST_BYTES_TO_COMPACT, 2 * snapshotBytes)) {
             ByteString snapshot = state.toSnapshot();
@@ -333,6 +373,9 @@
                 result.setForgotten(state.isForgotten(request.getService(), request.getRequestId()));
             }
             case HISTORY -> result.addAllHistory(state.history());
+            case ROUTING ->
+                result.setRoutingVersion(state.tables().configurationVersion())
+                        .setRoutingDocument(state.tables().configuration());
             default ->
                 result.addAllInForce(inForce.toList(clock.nowNanos())).addAllDeclarations(state.declarationsAfter(0));
         }
@@ -368,6 +411,7 @@
         new ArrayList<>(failedReads.values()).forEach(Runnable::run);
         reads.clear();
         failedReads.clear();
+        subscriptions.answerAll();
     }
 
     private static void runIfPresent(@Nullable Runnable task) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
@@ -71,6 +71,11 @@
         }
     }
 
+    /** Returns true if the folder holds a voter's state. */
+    public boolean exists() {
+        return Files.exists(logFile) || Files.exists(snapshotFile);
+    }
+
     @Override
     public StoredState load() throws DiskFault {
         try {
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/Compression.java
@@ -0,0 +1,35 @@
+package org.bramblerack.daemon.fleet;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+
+/** Compresses the documents that hosts store and send one another. Stateless and safe for use by many threads. */
+public final class Compression {
+    private Compression() {}
+
+    /** Compresses a document. */
+    public static ByteString deflate(byte[] document) {
+        ByteString.Output compressed = ByteString.newOutput();
+        try (DeflaterOutputStream deflater = new DeflaterOutputStream(compressed)) {
+            deflater.write(document);
+        } catch (IOException impossible) {
+            throw new UncheckedIOException("memory cannot be written to", impossible);
+        }
+        return compressed.toByteString();
+    }
+
+    /** Restores a document. */
+    public static byte[] inflate(ByteString compressed) {
+        ByteArrayOutputStream document = new ByteArrayOutputStream(4 * compressed.size());
+        try (InflaterInputStream inflater = new InflaterInputStream(compressed.newInput())) {
+            inflater.transferTo(document);
+        } catch (IOException malformed) {
+            throw new UncheckedIOException("a stored document is not a compressed one", malformed);
+        }
+        return document.toByteArray();
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -0,0 +1,78 @@
+package org.bramblerack.daemon.fleet;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.function.Consumer;
+import org.bramblerack.daemon.control.ControlNode;
+import org.bramblerack.daemon.control.ProposalResult;
+import org.bramblerack.daemon.peer.PeerHandler;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.wire.Command;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.Ping;
+import org.bramblerack.wire.ProposeResult;
+
+/**
+ * Hands each message of another host to the part of the control role that it concerns. Safe for use by many threads.
+ */
+final class ControlPeers implements PeerHandler {
+    private final ControlNode node;
+    private final FleetControl fleet;
+    private final MonotonicClock clock;
+
+    ControlPeers(ControlNode node, FleetControl fleet, MonotonicClock clock) {
+        this.node = node;
+        this.fleet = fleet;
+        this.clock = clock;
+    }
+
+    @Override
+    public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
+        switch (message.getBodyCase()) {
+            case PING -> reply.accept(Envelope.newBuilder().setPing(Ping.getDefaultInstance()));
+            case RAFT -> node.receive(message.getRaft());
+            case HEARD_MEMBERS -> fleet.takeHeard(message.getHeardMembers(), clock.nowNanos());
+            case PROPOSE -> propose(message.getPropose().getCommand(), reply);
+            case CONTROL_READ ->
+                node.read(message.getControlRead())
+                        .subscribe()
+                        .with(result -> reply.accept(Envelope.newBuilder().setControlReadResult(result)));
+            case TABLE_PULL ->
+                fleet.pull(message.getTablePull())
+                        .subscribe()
+                        .with(delta -> reply.accept(Envelope.newBuilder().setTableDelta(delta)), failure -> {
+                            // The role has stopped; the other host asks elsewhere once it hears nothing.
+                        });
+            default -> {
+                // A message of a newer program: not understood, so not answered.
+            }
+        }
+    }
+
+    private void propose(ByteString bytes, Consumer<Envelope.Builder> reply) {
+        Command command;
+        try {
+            command = Command.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException malformed) {
+            reply.accept(Envelope.newBuilder()
+                    .setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.REFUSED)));
+            return;
+        }
+        node.propose(command)
+                .subscribe()
+                .with(result -> reply.accept(Envelope.newBuilder().setProposeResult(toMessage(result))));
+    }
+
+    private ProposeResult.Builder toMessage(ProposalResult result) {
+        ProposeResult.Builder message =
+                ProposeResult.newBuilder().setLeader(node.leader().orElse(""));
+        if (result instanceof ProposalResult.Applied applied) {
+            return message.setStatus(ProposeResult.Status.APPLIED)
+                    .setResult(applied.result().toByteString());
+        }
+        return message.setStatus(
+                result instanceof ProposalResult.Undecided
+                        ? ProposeResult.Status.LOST
+                        : ProposeResult.Status.NOT_LEADER);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -0,0 +1,210 @@
+package org.bramblerack.daemon.fleet;
+
+import com.google.protobuf.ByteString;
+import io.smallrye.mutiny.Uni;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.Optional;
+import org.bramblerack.daemon.control.ControlClient;
+import org.bramblerack.daemon.control.ControlNode;
+import org.bramblerack.daemon.control.ProposalResult;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.members.MemberWatch;
+import org.bramblerack.wire.Command;
+import org.bramblerack.wire.ControlRead;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.ForgetMembers;
+import org.bramblerack.wire.HeardMembers;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.LeafRecord;
+import org.bramblerack.wire.PutConfiguration;
+import org.bramblerack.wire.TableDelta;
+import org.bramblerack.wire.TablePull;
+
+/**
+ * What a control host does for leafs, operators and entry hosts.
+ *
+ * <p>A report that says nothing new is acknowledged by this host alone, as long as it hears a leader; everything else
+ * is acknowledged only once it is agreed. The last-heard times of members are this host's own and are shared with the
+ * leader, which forgets members that nobody hears. Safe for use by many threads.
+ */
+public final class FleetControl {
+    private static final Logger LOGGER = System.getLogger(FleetControl.class.getName());
+    /** A leaf waits a second for its acknowledgement, so a decision must come sooner. */
+    private static final Duration REPORT_WAIT = Duration.ofMillis(850);
+    /** An operator moves on after a second without an answer. */
+    private static final Duration CHANGE_WAIT = Duration.ofMillis(900);
+
+    private static final Duration READ_WAIT = Duration.ofMillis(800);
+
+    private final ControlNode node;
+    private final ControlClient client;
+    private final PeerNetwork network;
+    private final MemberWatch watch = new MemberWatch();
+    private boolean wasLeader;
+
+    /** Creates the service; nothing happens before it is called. */
+    public FleetControl(ControlNode node, ControlClient client, PeerNetwork network) {
+        this.node = node;
+        this.client = client;
+        this.network = network;
+    }
+
+    /** Takes the report of a leaf. */
+    public Uni<FleetOutcome> reportLeaf(LeafRecord report) {
+        return node.withTables((tables, inTouch, nowNanos) -> {
+                    synchronized (watch) {
+                        watch.heardLeaf(report.getId(), nowNanos);
+                    }
+                    if (!inTouch) {
+                        return Optional.of(FleetOutcome.NOT_TAKEN);
+                    }
+                    return tables.wouldChange(report)
+                            ? Optional.<FleetOutcome>empty()
+                            : Optional.of(FleetOutcome.ACKNOWLEDGED);
+                })
+                .chain(known -> known.isPresent()
+                        ? Uni.createFrom().item(known.get())
+                        : propose(Command.newBuilder().setReportLeaf(report).build(), REPORT_WAIT))
+                .onFailure()
+                .recoverWithItem(FleetControl::stopped);
+    }
+
+    /** Takes a whole configuration that was checked before. */
+    public Uni<FleetOutcome> putConfiguration(long version, ByteString compressedDocument) {
+        Command command = Command.newBuilder()
+                .setPutConfiguration(
+                        PutConfiguration.newBuilder().setVersion(version).setDocument(compressedDocument))
+                .build();
+        return propose(command, CHANGE_WAIT);
+    }
+
+    /** Returns the compressed document of the newest configuration, if it is certain that it is the newest. */
+    public Uni<Optional<ByteString>> newestConfiguration() {
+        return client.read(
+                        ControlRead.newBuilder()
+                                .setKind(ControlRead.Kind.ROUTING)
+                                .build(),
+                        READ_WAIT)
+                .map(result -> result.getCurrent() ? Optional.of(result.getRoutingDocument()) : Optional.empty());
+    }
+
+    /** Answers a host that follows the tables, and notes that it lives. */
+    public Uni<TableDelta> pull(TablePull pull) {
+        HostRecord host = pull.getSelf();
+        return node.withTables((tables, inTouch, nowNanos) -> {
+                    synchronized (watch) {
+                        watch.heardHost(host.getName(), nowNanos);
+                    }
+                    return inTouch && tables.wouldChange(host);
+                })
+                .invoke(isNews -> {
+                    if (isNews) {
+                        announce(host);
+                    }
+                })
+                .chain(unused -> node.pullTables(pull));
+    }
+
+    /** Adds a host to the tables, or changes what they say of it. */
+    public void announce(HostRecord host) {
+        propose(Command.newBuilder().setReportHost(host).build(), REPORT_WAIT)
+                .subscribe()
+                .with(
+                        outcome ->
+                                LOGGER.log(Logger.Level.DEBUG, "the report of host {0}: {1}", host.getName(), outcome),
+                        failure -> LOGGER.log(Logger.Level.WARNING, "the report of a host failed", failure));
+    }
+
+    /** Takes what another control host has heard of. */
+    public void takeHeard(HeardMembers report, long nowNanos) {
+        synchronized (watch) {
+            watch.merge(report, nowNanos);
+        }
+    }
+
+    /**
+     * Tells the leader what was heard of; as the leader, forgets who is silent. Call it every second.
+     *
+     * @param own what the tables should say of this host
+     */
+    public void shareHeard(HostRecord own) {
+        node.withTables((tables, inTouch, nowNanos) -> {
+                    synchronized (watch) {
+                        watch.heardHost(own.getName(), nowNanos);
+                        if (inTouch && tables.wouldChange(own)) {
+                            announce(own);
+                        }
+                        boolean leads = node.isLeader();
+                        if (leads && !wasLeader) {
+                            watch.restart(tables, nowNanos);
+                        }
+                        wasLeader = leads;
+                        HeardMembers report = watch.takeReport();
+                        if (!leads) {
+                            node.leader().ifPresent(leader -> send(leader, report));
+                            return ForgetMembers.getDefaultInstance();
+                        }
+                        return watch.silent(tables, nowNanos);
+                    }
+                })
+                .subscribe()
+                .with(this::forget, failure -> LOGGER.log(Logger.Level.DEBUG, "the control role has stopped"));
+    }
+
+    /** Returns the leaf as the tables of this host have it. */
+    public Uni<Optional<LeafRecord>> findLeaf(String id) {
+        return node.withTables((tables, inTouch, nowNanos) -> tables.leaf(id));
+    }
+
+    /** Returns the control host nearest to a zone: in it, else in its region, if the tables have one. */
+    public Uni<Optional<HostRecord>> nearestControl(String zone, String region) {
+        return node.withTables((tables, inTouch, nowNanos) -> {
+            Optional<HostRecord> inRegion = Optional.empty();
+            for (HostRecord host : tables.presentHosts()) {
+                boolean serves = !host.getControlAddress().isEmpty() && host.getPhase() == HostRecord.Phase.READY;
+                if (serves && host.getZone().equals(zone)) {
+                    return Optional.of(host);
+                }
+                if (serves && host.getRegion().equals(region)) {
+                    inRegion = Optional.of(host);
+                }
+            }
+            return inRegion;
+        });
+    }
+
+    private void send(String leader, HeardMembers report) {
+        if (report.getLeafIdsCount() + report.getHostNamesCount() > 0) {
+            network.send(leader, Envelope.newBuilder().setHeardMembers(report));
+        }
+    }
+
+    private void forget(ForgetMembers silent) {
+        if (silent.getLeafIdsCount() + silent.getHostsCount() == 0) {
+            return;
+        }
+        LOGGER.log(
+                Logger.Level.INFO,
+                "nobody hears the leafs {0} and {1} hosts any more",
+                silent.getLeafIdsList(),
+                silent.getHostsCount());
+        propose(Command.newBuilder().setForgetMembers(silent).build(), REPORT_WAIT)
+                .subscribe()
+                .with(outcome -> {}, failure -> LOGGER.log(Logger.Level.WARNING, "forgetting failed", failure));
+    }
+
+    private Uni<FleetOutcome> propose(Command command, Duration wait) {
+        return client.propose(command, wait).map(result -> {
+            if (result instanceof ProposalResult.Applied) {
+                return FleetOutcome.ACKNOWLEDGED;
+            }
+            return result instanceof ProposalResult.NotTaken ? FleetOutcome.NOT_TAKEN : FleetOutcome.UNDECIDED;
+        });
+    }
+
+    private static FleetOutcome stopped(Throwable failure) {
+        LOGGER.log(Logger.Level.DEBUG, "a report came while the control role stops: {0}", failure.getMessage());
+        return FleetOutcome.NOT_TAKEN;
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/AnswerSink.java
@@ -0,0 +1,13 @@
+package org.bramblerack.daemon.gateway;
+
+import org.bramblerack.request.routed.MergedAnswer;
+import org.bramblerack.request.routed.RefusalReason;
+
+/** Takes the end of a scattered query: exactly one of the two is called. */
+interface AnswerSink {
+    /** Takes the answer. */
+    void deliver(MergedAnswer answer);
+
+    /** Takes the reason for which there is none. */
+    void refuse(RefusalReason reason);
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -0,0 +1,80 @@
+package org.bramblerack.daemon.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.bramblerack.daemon.http.HttpExchange;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.request.routed.MergedAnswer;
+import org.bramblerack.request.routed.RefusalReason;
+
+/** Writes the answer to one caller. Owned by the event loop. */
+final class CallerAnswers implements AnswerSink {
+    private static final int OK = 200;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    /** When to come back if no leaf takes work: a registration or a restart takes about this long to be known. */
+    private static final String RETRY_SOON_SECONDS = "0.3";
+    /** When to come back after leafs were full or late: a few times the work of one request. */
+    private static final String RETRY_BUSY_SECONDS = "0.1";
+
+    private final HttpExchange exchange;
+    private final CallHeaders names;
+    private final GatewayMetrics metrics;
+
+    CallerAnswers(HttpExchange exchange, CallHeaders names, GatewayMetrics metrics) {
+        this.exchange = exchange;
+        this.names = names;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void deliver(MergedAnswer answer) {
+        FullHttpResponse response = HttpExchange.response(
+                OK, Unpooled.wrappedBuffer(answer.records().asReadOnlyByteBuffer()));
+        response.headers().set(names.partSignatures(), String.join(", ", answer.signatures()));
+        if (answer.missing() > 0) {
+            response.headers().setInt(names.missingParts(), answer.missing());
+        }
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream");
+        metrics.merged(answer.missing());
+        exchange.respond(response);
+    }
+
+    /** Passes on what a leaf answered. */
+    void pass(LeafAnswer answer) {
+        FullHttpResponse response = HttpExchange.response(
+                answer.status(), Unpooled.wrappedBuffer(answer.body().asReadOnlyByteBuffer()));
+        LeafRequest.copyEndToEnd(answer.headers(), response.headers());
+        metrics.passed(answer.status());
+        exchange.respond(response);
+    }
+
+    @Override
+    public void refuse(RefusalReason reason) {
+        metrics.refused(reason);
+        switch (reason) {
+            case NO_LEAF -> refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf takes this request now; come back soon");
+            case ALL_BUSY -> refuse(UNAVAILABLE, RETRY_BUSY_SECONDS, "every leaf is full; come back soon");
+            case TIME_UP -> refuse(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
+            default -> refuse(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
+        }
+    }
+
+    /** Tells the caller that the request was not looked at and when to come back. */
+    void notReady() {
+        refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "this host does not know its configuration yet; come back soon");
+    }
+
+    private void refuse(int status, String retryAfterSeconds, String text) {
+        FullHttpResponse response = HttpExchange.response(
+                status, Unpooled.copiedBuffer(text + "\n", java.nio.charset.StandardCharsets.UTF_8));
+        response.headers()
+                .set(names.retryAfterSeconds(), retryAfterSeconds)
+                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+        exchange.respond(response);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -0,0 +1,153 @@
+package org.bramblerack.daemon.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.http.HttpListener;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PeerServer;
+import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.wire.HostRecord;
+
+/**
+ * A process of the entry role: wires its parts together, starts and stops them.
+ *
+ * <p>Started once, stopped once. All of its parts run on one event loop.
+ */
+public final class EntryProcess {
+    private static final Logger LOGGER = System.getLogger(EntryProcess.class.getName());
+    private static final Duration LOOK_EVERY = Duration.ofMillis(50);
+    /**
+     * For how long a stopping host still takes requests: callers reach it until the balancer has missed its readiness
+     * twice and a table has told the other hosts.
+     */
+    private static final Duration STILL_TAKES_REQUESTS = Duration.ofMillis(3_200);
+
+    private final EntrySettings settings;
+    private final MonotonicClock clock;
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final FleetView view;
+    private final PeerNetwork network;
+    private final TableFollower follower;
+    private final Gateway gateway;
+    private final PeerServer peers;
+    private final HttpListener callers;
+    private final long incarnation;
+    private final WarmUp warmUp;
+    private volatile boolean warm;
+    private volatile boolean stopping;
+
+    /**
+     * Creates a process that does nothing yet.
+     *
+     * @param incarnation tells this start of the host from others
+     */
+    public EntryProcess(
+            EntrySettings settings,
+            CallHeaders names,
+            ConfigurationCodec codec,
+            MetricRegistry metrics,
+            MonotonicClock clock,
+            RandomGenerator random,
+            long incarnation) {
+        this.settings = settings;
+        this.clock = clock;
+        this.incarnation = incarnation;
+        EventLoop loop = group.next();
+        PeerTraffic traffic = new PeerTraffic();
+        this.view = new FleetView(settings.place(), settings.budget(), names, group, clock, random);
+        this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
+        this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self);
+        this.gateway = new Gateway(
+                view, follower::isSynchronized, network, names, new GatewayMetrics(metrics), clock, loop, random);
+        this.peers = new PeerServer(settings.peerAddress(), gateway, group, LinkPolicy.OPEN, traffic);
+        this.warmUp = new WarmUp(names, group, settings.peerAddress().getPort() + 1, clock);
+        this.callers = new HttpListener(
+                settings.callerAddress(),
+                group,
+                gateway,
+                () -> view.configuration().limits(),
+                clock);
+    }
+
+    /**
+     * Begins to listen and to follow the tables.
+     *
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public void start() throws InterruptedException {
+        peers.start();
+        callers.start();
+        follower.start();
+        gateway.start();
+        warmUp.run();
+        warm = true;
+        LOGGER.log(Logger.Level.INFO, "entry host {0} listens at {1}", settings.name(), settings.callerAddress());
+    }
+
+    /** Returns true if callers should be sent here. */
+    public boolean isReady() {
+        return warm && !stopping && gateway.isReady();
+    }
+
+    /** Returns the event loop, for listeners that share it. */
+    public EventLoopGroup eventLoop() {
+        return group;
+    }
+
+    /**
+     * Stops: is no longer ready, goes on serving until callers have had time to notice, finishes what is under way, and
+     * ends within the limit of the settings.
+     *
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public void stop() throws InterruptedException {
+        long beganNanos = clock.nowNanos();
+        stopping = true;
+        callers.beginStop();
+        gateway.beginStop();
+        LOGGER.log(Logger.Level.INFO, "entry host {0} stops", settings.name());
+        while (sinceNanos(beganNanos) < STILL_TAKES_REQUESTS.toNanos()) {
+            Thread.sleep(LOOK_EVERY.toMillis());
+        }
+        callers.closeIdle();
+        long limitNanos = settings.stopLimit().toNanos();
+        while (sinceNanos(beganNanos) < limitNanos && !(callers.isIdle() && callers.connectionCount() == 0)) {
+            callers.closeIdle();
+            Thread.sleep(LOOK_EVERY.toMillis());
+        }
+        callers.stopListening();
+        follower.stop();
+        gateway.stop();
+        peers.stop();
+        network.stop();
+        LOGGER.log(
+                Logger.Level.INFO,
+                "entry host {0} stopped with {1} connections open",
+                settings.name(),
+                callers.connectionCount());
+    }
+
+    private long sinceNanos(long beganNanos) {
+        return clock.nowNanos() - beganNanos;
+    }
+
+    private HostRecord self() {
+        return HostRecord.newBuilder()
+                .setName(settings.name())
+                .setPeerAddress(settings.peerAddress().toString())
+                .setZone(settings.place().zone())
+                .setRegion(settings.place().region())
+                .setEntry(true)
+                .setIncarnation(incarnation)
+                .setPhase(stopping ? HostRecord.Phase.LEAVING : HostRecord.Phase.READY)
+                .build();
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
@@ -0,0 +1,34 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.time.Duration;
+
+/**
+ * The settings of the entry role.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param name the host's name
+ * @param place where it is
+ * @param callerAddress where callers reach it
+ * @param peerAddress where other hosts reach it
+ * @param seeds the peer addresses of control hosts that are known beforehand
+ * @param budget what all hosts may spend on extra attempts at a service
+ * @param stopLimit how long a planned stop may take
+ */
+public record EntrySettings(
+        String name,
+        Place place,
+        HostAndPort callerAddress,
+        HostAndPort peerAddress,
+        ImmutableList<String> seeds,
+        FleetBudget budget,
+        Duration stopLimit) {
+    /** Refuses settings without a control host to ask. */
+    public EntrySettings {
+        checkArgument(!seeds.isEmpty(), "no control host is named; name one at least");
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
@@ -0,0 +1,35 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * What all hosts together may spend on extra attempts at one service within any window.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param extraPercent extra attempts for 100 requests
+ * @param slack extra attempts beyond those, for all hosts together
+ */
+public record FleetBudget(int extraPercent, int slack) {
+    /**
+     * The part of the budget that the hosts share out. The rest covers hosts that have left or restarted and whose
+     * share is spent anew within the window.
+     */
+    private static final double SHARED_OUT = 0.6;
+
+    /** Refuses a negative budget. */
+    public FleetBudget {
+        checkArgument(extraPercent >= 0, "extra attempts of %s percent", extraPercent);
+        checkArgument(slack >= 0, "a slack of %s", slack);
+    }
+
+    /** Returns the part of the slack that is one host's. */
+    public int slackOf(int hosts) {
+        return (int) Math.floor(slack * SHARED_OUT / Math.max(1, hosts));
+    }
+
+    /** Returns the extra attempts that a host may make for 100 of its own requests. */
+    public int ownPercent() {
+        return (int) Math.floor(extraPercent * 0.9);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ForwardRun.java
@@ -0,0 +1,82 @@
+package org.bramblerack.daemon.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.request.routed.Attempt;
+import org.bramblerack.request.routed.ForwardedRequest;
+import org.bramblerack.request.routed.RoutedAction;
+
+/** Carries out the decisions of one request to one leaf. Owned by the event loop. */
+final class ForwardRun implements LeafSender.Taker {
+    private final ForwardedRequest request;
+    private final LeafSender sender;
+    private final CallerAnswers caller;
+    private final GatewayMetrics metrics;
+    private final MonotonicClock clock;
+    private final Map<Attempt, LeafAnswer> answers = new HashMap<>();
+
+    ForwardRun(
+            ForwardedRequest request,
+            LeafSender sender,
+            CallerAnswers caller,
+            GatewayMetrics metrics,
+            MonotonicClock clock) {
+        this.request = request;
+        this.sender = sender;
+        this.caller = caller;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    void start() {
+        carryOut(request.start(clock.nowNanos()));
+    }
+
+    void callerGone() {
+        request.callerGone();
+        sender.callerGone();
+    }
+
+    @Override
+    public void answered(Attempt attempt, LeafAnswer answer) {
+        answers.put(attempt, answer);
+        if (answer.outcome() == LeafOutcome.SUCCEEDED) {
+            carryOut(request.answered(attempt));
+        } else {
+            metrics.count(answer.outcome());
+            carryOut(request.failed(attempt, answer.outcome(), answer.mayBePassedOn(), clock.nowNanos()));
+        }
+    }
+
+    @Override
+    public void failed(Attempt attempt, LeafOutcome outcome) {
+        metrics.count(outcome);
+        carryOut(request.failed(attempt, outcome, false, clock.nowNanos()));
+    }
+
+    private void carryOut(List<RoutedAction> actions) {
+        for (RoutedAction action : actions) {
+            if (action instanceof RoutedAction.Ask ask) {
+                metrics.asked(ask.attempt().purpose(), ask.attempt().leaf().distance());
+                sender.send(ask.attempt(), this);
+            } else if (action instanceof RoutedAction.Wake wake) {
+                sender.wakeAt(wake.atNanos(), () -> carryOut(request.wake(clock.nowNanos())));
+            } else if (action instanceof RoutedAction.DeliverAnswer deliver) {
+                sender.finish();
+                LeafAnswer answer = answers.get(deliver.attempt());
+                if (answer != null) {
+                    caller.pass(answer);
+                }
+            } else if (action instanceof RoutedAction.Refuse refuse) {
+                sender.finish();
+                caller.refuse(refuse.reason());
+            } else if (action instanceof RoutedAction.Count count) {
+                metrics.count(count.counter());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -0,0 +1,195 @@
+package org.bramblerack.daemon.gateway;
+
+import io.netty.channel.EventLoop;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.http.HttpExchange;
+import org.bramblerack.daemon.http.HttpHandler;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.daemon.peer.PeerHandler;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.Ping;
+import org.bramblerack.wire.StageCall;
+
+/**
+ * Takes the requests of callers, finds their routes in the configuration in force, and has them run.
+ *
+ * <p>A request is bound to the configuration that was in force when it arrived. Owned by the event loop.
+ */
+public final class Gateway implements HttpHandler, PeerHandler {
+    private static final Logger LOGGER = System.getLogger(Gateway.class.getName());
+    private static final Duration SUMMARY_EVERY = Duration.ofSeconds(10);
+    private static final long SECOND_PROBE_MILLIS = 30;
+    private static final int NOT_FOUND = 404;
+    /** What the way to the caller and the writing of the answer may take of the goal. */
+    private static final long ANSWER_WAY_NANOS = Duration.ofMillis(10).toNanos();
+    /** The final answer is on its way this long before the caller stops waiting. */
+    private static final long DEADLINE_WAY_NANOS = Duration.ofMillis(15).toNanos();
+
+    private final FleetView view;
+    private final BooleanSupplier tablesKnown;
+    private final CallHeaders names;
+    private final GatewayMetrics metrics;
+    private final EventLoop loop;
+    private final QueryRuns runs;
+    private final StageLinks stages;
+    private final StageServer stageServer;
+    private final Map<String, SplitCursor> splits = new HashMap<>();
+
+    /**
+     * Creates a gateway; it takes requests from then on.
+     *
+     * @param tablesKnown true once the view is that of a control host that is in touch with a leader
+     */
+    public Gateway(
+            FleetView view,
+            BooleanSupplier tablesKnown,
+            PeerNetwork network,
+            CallHeaders names,
+            GatewayMetrics metrics,
+            MonotonicClock clock,
+            EventLoop loop,
+            RandomGenerator random) {
+        this.view = view;
+        this.tablesKnown = tablesKnown;
+        this.names = names;
+        this.metrics = metrics;
+        this.loop = loop;
+        this.stages = new StageLinks(view, network, clock, loop, random);
+        this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random);
+        this.stageServer = new StageServer(view, runs, names, clock);
+    }
+
+    /** Begins to probe the links to other hosts. */
+    public void start() {
+        stages.start();
+        loop.scheduleWithFixedDelay(
+                () -> LOGGER.log(Logger.Level.INFO, "counters: {0}", metrics.summary()),
+                SUMMARY_EVERY.toMillis(),
+                SUMMARY_EVERY.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Probes the links to other hosts now, on the event loop. */
+    void probeNow() {
+        stages.probe();
+        loop.schedule(stages::probe, SECOND_PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes no more work from other hosts; requests of callers are still served. */
+    public void beginStop() {
+        loop.execute(stageServer::refuseWork);
+    }
+
+    /** Stops probing. */
+    public void stop() {
+        loop.execute(stages::stop);
+    }
+
+    /** Returns true if requests can be served. */
+    public boolean isReady() {
+        return tablesKnown.getAsBoolean() && view.isComplete();
+    }
+
+    @Override
+    public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
+        switch (message.getBodyCase()) {
+            case PING -> reply.accept(Envelope.newBuilder().setPing(Ping.getDefaultInstance()));
+            case STAGE_CALL -> stageServer.handle(message.getStageCall(), reply);
+            default -> {
+                // A message of a newer program: not understood, so not answered.
+            }
+        }
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        CallerAnswers caller = new CallerAnswers(exchange, names, metrics);
+        if (!tablesKnown.getAsBoolean() || view.configuration().version() == 0) {
+            caller.notReady();
+            return;
+        }
+        Optional<Route> route = view.configuration().find(exchange.headers().get("Host", ""), exchange.path());
+        if (route.isEmpty()) {
+            exchange.respond(NOT_FOUND, "text/plain", "no route takes this host and path\n");
+            return;
+        }
+        LeafRequest request =
+                LeafRequest.create(exchange.method(), exchange.uri(), exchange.headers(), exchange.body(), names);
+        RequestTimes times = times(exchange, route.get());
+        RoutedCall call = new RoutedCall(route.get(), request, times);
+        if (route.get().target() instanceof RouteTarget.Scatter target) {
+            StageCaller stageCaller = runs.stageCaller(stageCall(exchange, route.get()), times);
+            ScatterRun run = runs.scatter(call, target, stageCaller, caller);
+            exchange.onCallerGone(run::callerGone);
+            run.start();
+        } else {
+            ForwardRun run = runs.forward(call, serviceOf(route.get()), caller);
+            exchange.onCallerGone(run::callerGone);
+            run.start();
+        }
+    }
+
+    private StageCall stageCall(HttpExchange exchange, Route route) {
+        StageCall.Builder call = StageCall.newBuilder()
+                .setConfigurationVersion(view.configuration().version())
+                .setRoute(route.name())
+                .setHedgeDelayMicros(TimeUnit.NANOSECONDS.toMicros(runs.hedgeDelayNanos(route)))
+                .setMethod(exchange.method())
+                .setUri(exchange.uri());
+        exchange.headers().forEach(header -> {
+            if (!LeafRequest.isOfOneConnection(header.getKey())) {
+                call.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
+            }
+        });
+        return call.build();
+    }
+
+    private RequestTimes times(HttpExchange exchange, Route route) {
+        long arrivedNanos = exchange.receivedNanos();
+        long timeoutNanos = route.timeout().toNanos();
+        long callerNanos = callerWaitNanos(exchange);
+        long finalNanos = Math.min(timeoutNanos, Math.max(callerNanos / 2, callerNanos - DEADLINE_WAY_NANOS));
+        long goalNanos = route.goal().isZero() ? finalNanos : route.goal().toNanos() - ANSWER_WAY_NANOS;
+        return new RequestTimes(
+                arrivedNanos + Math.max(0, goalNanos),
+                arrivedNanos + finalNanos,
+                arrivedNanos + Math.min(callerNanos, timeoutNanos));
+    }
+
+    private long callerWaitNanos(HttpExchange exchange) {
+        String text = exchange.headers().get(names.deadlineMillis());
+        if (text == null) {
+            return Long.MAX_VALUE / 4;
+        }
+        try {
+            return TimeUnit.MILLISECONDS.toNanos(Math.max(0, Long.parseLong(text.trim())));
+        } catch (NumberFormatException malformed) {
+            return Long.MAX_VALUE / 4;
+        }
+    }
+
+    private String serviceOf(Route route) {
+        if (route.target() instanceof RouteTarget.Split split) {
+            SplitCursor cursor = splits.get(route.name());
+            if (cursor == null || !cursor.isOf(split)) {
+                cursor = new SplitCursor(split);
+                splits.put(route.name(), cursor);
+            }
+            return cursor.next();
+        }
+        return route.target().services().get(0);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -0,0 +1,95 @@
+package org.bramblerack.daemon.gateway;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.request.routed.Attempt;
+import org.bramblerack.request.routed.AttemptCounter;
+import org.bramblerack.request.routed.RefusalReason;
+
+/** The counters of the entry role: one for each reason. Safe for use by many threads. */
+public final class GatewayMetrics {
+    private final Map<AttemptCounter, Counter> attempts = new EnumMap<>(AttemptCounter.class);
+    private final Map<LeafOutcome, Counter> outcomes = new EnumMap<>(LeafOutcome.class);
+    private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+    private final MetricRegistry registry;
+    private final Counter whole;
+    private final Counter partial;
+    private final Counter stagesAnswered;
+    private final Counter stagesFailed;
+
+    /** Creates the counters in a registry. */
+    public GatewayMetrics(MetricRegistry registry) {
+        this.registry = registry;
+        this.whole = registry.counter("gateway_answers_whole");
+        this.partial = registry.counter("gateway_answers_partial");
+        this.stagesAnswered = registry.counter("gateway_stages_answered");
+        this.stagesFailed = registry.counter("gateway_stages_failed");
+        for (AttemptCounter counter : AttemptCounter.values()) {
+            attempts.put(counter, registry.counter("gateway_attempts_" + lower(counter)));
+        }
+        for (LeafOutcome outcome : LeafOutcome.values()) {
+            outcomes.put(outcome, registry.counter("gateway_leaf_" + lower(outcome)));
+        }
+        for (RefusalReason reason : RefusalReason.values()) {
+            refusals.put(reason, registry.counter("gateway_refused_" + lower(reason)));
+        }
+    }
+
+    void asked(Attempt.Purpose purpose, Distance distance) {
+        registry.counter("gateway_asked_" + lower(purpose) + "_" + lower(distance))
+                .inc();
+    }
+
+    void count(AttemptCounter counter) {
+        increment(attempts.get(counter));
+    }
+
+    void count(LeafOutcome outcome) {
+        increment(outcomes.get(outcome));
+    }
+
+    void refused(RefusalReason reason) {
+        increment(refusals.get(reason));
+    }
+
+    void merged(int missing) {
+        (missing == 0 ? whole : partial).inc();
+    }
+
+    void passed(int status) {
+        registry.counter("gateway_passed_" + status).inc();
+    }
+
+    void stage(boolean answered) {
+        (answered ? stagesAnswered : stagesFailed).inc();
+    }
+
+    /** Returns every counter that is not zero, for a log line. */
+    String summary() {
+        StringBuilder text = new StringBuilder();
+        registry.getCounters().forEach((name, counter) -> {
+            if (counter.getCount() != 0) {
+                text.append(text.length() == 0 ? "" : " ")
+                        .append(name)
+                        .append('=')
+                        .append(counter.getCount());
+            }
+        });
+        return text.toString();
+    }
+
+    private static void increment(@org.jspecify.annotations.Nullable Counter counter) {
+        if (counter != null) {
+            counter.inc();
+        }
+    }
+
+    private static String lower(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
@@ -0,0 +1,133 @@
+package org.bramblerack.daemon.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.daemon.leaf.LeafConnections;
+import org.bramblerack.daemon.leaf.LeafExchange;
+import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.process.LatencyTracker;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.request.routed.Attempt;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends the attempts of one request and gives up those that nobody waits for any more.
+ *
+ * <p>Calls that are under way when the request ends are left to finish, because closing a connection costs the leaf
+ * more than the call; those that hang are cut off after a while. Owned by the event loop.
+ */
+final class LeafSender {
+    /** How long after the end of its request a call may go on before its connection is closed. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+    /** The same if the caller went away: leafs should not go on working for nobody. */
+    private static final Duration LINGER_CALLER_GONE = Duration.ofMillis(300);
+
+    private final LeafRequest request;
+    private final long leafDeadlineNanos;
+    private final long expectedNanos;
+    private final LatencyTracker latency;
+    private final FleetView view;
+    private final MonotonicClock clock;
+    private final EventLoop loop;
+    private final Map<Attempt, LeafConnections.Ticket> underWay = new HashMap<>();
+    private @Nullable ScheduledFuture<?> wake;
+
+    LeafSender(
+            LeafRequest request,
+            long leafDeadlineNanos,
+            long expectedNanos,
+            LatencyTracker latency,
+            FleetView view,
+            MonotonicClock clock,
+            EventLoop loop) {
+        this.request = request;
+        this.leafDeadlineNanos = leafDeadlineNanos;
+        this.expectedNanos = expectedNanos;
+        this.latency = latency;
+        this.view = view;
+        this.clock = clock;
+        this.loop = loop;
+    }
+
+    /** Takes what came of an attempt. */
+    interface Taker {
+        /** Takes a whole answer, which may be a failure of the leaf. */
+        void answered(Attempt attempt, LeafAnswer answer);
+
+        /** Takes the failure of an attempt without an answer. */
+        void failed(Attempt attempt, LeafOutcome outcome);
+    }
+
+    /** Sends an attempt. */
+    void send(Attempt attempt, Taker taker) {
+        Leaf leaf = attempt.leaf();
+        Leaf.Call call = leaf.begin(expectedNanos, clock.nowNanos());
+        LeafExchange exchange = new LeafExchange() {
+            @Override
+            public void answered(LeafAnswer answer) {
+                long nowNanos = clock.nowNanos();
+                underWay.remove(attempt);
+                leaf.end(call, answer.outcome(), answer.load(), nowNanos);
+                if (answer.outcome() == LeafOutcome.SUCCEEDED) {
+                    latency.record(nowNanos - call.sentNanos(), nowNanos);
+                }
+                taker.answered(attempt, answer);
+            }
+
+            @Override
+            public void failed(LeafOutcome outcome) {
+                underWay.remove(attempt);
+                leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
+                taker.failed(attempt, outcome);
+            }
+        };
+        LeafConnections.Ticket ticket = view.connectionsTo(leaf).send(request, leafDeadlineNanos, exchange);
+        if (leaf.isUnderWay(call)) {
+            underWay.put(attempt, ticket);
+        }
+    }
+
+    /** Runs a task at a time, in place of the one that was set before. */
+    void wakeAt(long atNanos, Runnable task) {
+        cancelWake();
+        long delayNanos = Math.max(0, atNanos - clock.nowNanos());
+        wake = loop.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Notes that the request has been answered. */
+    void finish() {
+        end(LINGER);
+    }
+
+    /** Notes that the caller went away. */
+    void callerGone() {
+        end(LINGER_CALLER_GONE);
+    }
+
+    private void end(Duration linger) {
+        cancelWake();
+        if (!underWay.isEmpty()) {
+            loop.schedule(this::giveUpAll, linger.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void giveUpAll() {
+        List.copyOf(underWay.values()).forEach(LeafConnections.Ticket::giveUp);
+    }
+
+    private void cancelWake() {
+        if (wake != null) {
+            wake.cancel(false);
+            wake = null;
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Place.java
@@ -0,0 +1,29 @@
+package org.bramblerack.daemon.gateway;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableMap;
+import org.bramblerack.process.leaf.Distance;
+
+/**
+ * Where this host is, and which region each availability zone belongs to.
+ *
+ * <p>Immutable and safe for use by many threads.
+ */
+public record Place(String zone, String region, ImmutableMap<String, String> regionsByZone) {
+    /** Refuses missing names. */
+    public Place {
+        requireNonNull(zone);
+        requireNonNull(region);
+    }
+
+    /** Returns the region of a zone; a zone that is not known is a region of its own. */
+    public String regionOf(String otherZone) {
+        return regionsByZone.getOrDefault(otherZone, otherZone);
+    }
+
+    /** Returns how far a zone is. */
+    public Distance distanceTo(String otherZone) {
+        return Distance.between(zone, region, otherZone, regionOf(otherZone));
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -0,0 +1,121 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
+import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.LatencyTracker;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.request.routed.ForwardedRequest;
+import org.bramblerack.request.routed.RequestBounds;
+import org.bramblerack.request.routed.ScatterQuery;
+import org.bramblerack.request.routed.StageAttempt;
+import org.bramblerack.version.routing.RequestKind;
+import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.wire.StageCall;
+
+/** Creates the runs of requests from what this host knows at the moment. Owned by the event loop. */
+final class QueryRuns {
+    /**
+     * A hedge is not sent before this part of the goal has passed, to spare leafs and bytes between regions; and not
+     * after {@link #LATEST_HEDGE}, so that the second answer still comes in time.
+     */
+    private static final double EARLIEST_HEDGE = 0.33;
+
+    private static final double LATEST_HEDGE = 0.5;
+
+    private final FleetView view;
+    private final StageLinks links;
+    private final PeerNetwork network;
+    private final GatewayMetrics metrics;
+    private final MonotonicClock clock;
+    private final EventLoop loop;
+    private final RandomGenerator random;
+    private final DecisionLog log;
+
+    QueryRuns(
+            FleetView view,
+            StageLinks links,
+            PeerNetwork network,
+            GatewayMetrics metrics,
+            MonotonicClock clock,
+            EventLoop loop,
+            RandomGenerator random) {
+        this.view = view;
+        this.links = links;
+        this.network = network;
+        this.metrics = metrics;
+        this.clock = clock;
+        this.loop = loop;
+        this.random = random;
+        this.log = new DecisionLog(clock);
+    }
+
+    /** Returns after how long an attempt of the route is hedged. */
+    long hedgeDelayNanos(Route route) {
+        long lateNanos = view.latency(route).lateNanos();
+        long goalNanos = route.goal().toNanos();
+        if (goalNanos == 0) {
+            return lateNanos;
+        }
+        long earliestNanos = (long) (EARLIEST_HEDGE * goalNanos);
+        long latestNanos = (long) (LATEST_HEDGE * goalNanos);
+        return Math.min(latestNanos, Math.max(earliestNanos, lateNanos));
+    }
+
+    /** Creates a run that may leave shards far away to other hosts. */
+    ScatterRun scatter(RoutedCall call, RouteTarget.Scatter target, StageCaller caller, AnswerSink sink) {
+        ImmutableList<LeafPool> pools = pools(target);
+        RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
+        ImmutableList<StageAttempt> stages = links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos());
+        return run(call, new ScatterQuery(target, pools, stages, bounds, random), caller, sink);
+    }
+
+    /** Creates a run that asks every shard from here, on behalf of another host that says when to hedge. */
+    ScatterRun scatterHere(RoutedCall call, RouteTarget.Scatter target, long hedgeDelayNanos, AnswerSink sink) {
+        RequestBounds bounds = bounds(call, hedgeDelayNanos);
+        ScatterQuery query = new ScatterQuery(target, pools(target), ImmutableList.of(), bounds, random);
+        return run(call, query, stageCaller(StageCall.getDefaultInstance(), call.times()), sink);
+    }
+
+    /** Creates what has other hosts ask the shards of one query. */
+    StageCaller stageCaller(StageCall call, RequestTimes times) {
+        return new StageCaller(call, times, links, network, clock, metrics);
+    }
+
+    private ScatterRun run(RoutedCall call, ScatterQuery query, StageCaller caller, AnswerSink sink) {
+        return new ScatterRun(call, query, sender(call), caller, sink, metrics, clock, log);
+    }
+
+    private ImmutableList<LeafPool> pools(RouteTarget.Scatter target) {
+        ImmutableList.Builder<LeafPool> pools =
+                ImmutableList.builderWithExpectedSize(target.shards().size());
+        target.shards().forEach(shard -> pools.add(view.pool(shard)));
+        return pools.build();
+    }
+
+    /** Creates a run that asks one leaf of a service. */
+    ForwardRun forward(RoutedCall call, String service, CallerAnswers caller) {
+        boolean repeatable = call.route().kind() == RequestKind.IDEMPOTENT;
+        RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
+        ForwardedRequest forwarded = new ForwardedRequest(view.pool(service), repeatable, bounds, random);
+        return new ForwardRun(forwarded, sender(call), caller, metrics, clock);
+    }
+
+    private RequestBounds bounds(RoutedCall call, long hedgeDelayNanos) {
+        return new RequestBounds(
+                call.times().goalNanos(),
+                call.times().deadlineNanos(),
+                hedgeDelayNanos,
+                view.latency(call.route()).medianNanos(),
+                call.route().maxAttempts());
+    }
+
+    private LeafSender sender(RoutedCall call) {
+        LatencyTracker latency = view.latency(call.route());
+        return new LeafSender(
+                call.request(), call.times().leafDeadlineNanos(), latency.medianNanos(), latency, view, clock, loop);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -0,0 +1,152 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.request.routed.Attempt;
+import org.bramblerack.request.routed.PartReply;
+import org.bramblerack.request.routed.RoutedAction;
+import org.bramblerack.request.routed.ScatterQuery;
+import org.bramblerack.request.routed.StageAttempt;
+import org.bramblerack.request.routed.StageReply;
+
+/** Carries out the decisions of one scattered query. Owned by the event loop. */
+final class ScatterRun implements LeafSender.Taker {
+    private static final long LATE_SLACK_NANOS = Duration.ofMillis(5).toNanos();
+
+    private final ScatterQuery query;
+    private final LeafSender sender;
+    private final AnswerSink sink;
+    private final GatewayMetrics metrics;
+    private final MonotonicClock clock;
+    private final StageCaller stages;
+    private final RoutedCall call;
+    private final DecisionLog log;
+    private final StageEvents stageTaker = new StageEvents();
+    private Runnable onStillAtWork = () -> {};
+
+    ScatterRun(
+            RoutedCall call,
+            ScatterQuery query,
+            LeafSender sender,
+            StageCaller stages,
+            AnswerSink sink,
+            GatewayMetrics metrics,
+            MonotonicClock clock,
+            DecisionLog log) {
+        this.call = call;
+        this.query = query;
+        this.sender = sender;
+        this.stages = stages;
+        this.sink = sink;
+        this.metrics = metrics;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Sets what to do when shards are late and the query is still at work. */
+    void onStillAtWork(Runnable task) {
+        onStillAtWork = task;
+    }
+
+    void start() {
+        carryOut(query.start(clock.nowNanos()));
+    }
+
+    private void wake() {
+        carryOut(query.wake(clock.nowNanos()));
+        if (!query.isOver()) {
+            onStillAtWork.run();
+        }
+    }
+
+    void callerGone() {
+        query.callerGone();
+        sender.callerGone();
+    }
+
+    ImmutableList<Integer> askedTwice() {
+        return query.askedTwice();
+    }
+
+    @Override
+    public void answered(Attempt attempt, LeafAnswer answer) {
+        Optional<String> signature = answer.signature();
+        if (answer.outcome() == LeafOutcome.SUCCEEDED && signature.isPresent()) {
+            PartReply part = new PartReply(signature.get(), answer.body());
+            carryOut(query.answered(attempt, part, clock.nowNanos()));
+        } else {
+            LeafOutcome outcome = answer.outcome() == LeafOutcome.SUCCEEDED ? LeafOutcome.FAILED : answer.outcome();
+            failed(attempt, outcome);
+        }
+    }
+
+    @Override
+    public void failed(Attempt attempt, LeafOutcome outcome) {
+        metrics.count(outcome);
+        carryOut(query.failed(attempt, outcome, clock.nowNanos()));
+    }
+
+    /** Takes what comes of the shards that other hosts ask. */
+    private final class StageEvents implements StageCaller.Taker {
+        @Override
+        public void progressed(StageAttempt stage, List<Integer> askedTwice) {
+            query.stageProgress(stage, askedTwice);
+        }
+
+        @Override
+        public void answered(StageAttempt stage, StageReply reply) {
+            carryOut(query.stageAnswered(stage, reply, clock.nowNanos()));
+        }
+
+        @Override
+        public void failed(StageAttempt stage, boolean notRun) {
+            carryOut(query.stageFailed(stage, notRun, clock.nowNanos()));
+        }
+    }
+
+    /** Logs what an answer lacks or why it is late; a whole one in time leaves no line. */
+    private void explain(String outcome, int missing) {
+        long nowNanos = clock.nowNanos();
+        boolean late = nowNanos - call.times().goalNanos() > LATE_SLACK_NANOS;
+        if (missing == 0 && outcome.equals("late") && !late) {
+            return;
+        }
+        log.decision(
+                call.request().requestId(),
+                outcome,
+                () -> "missing=" + missing + " afterGoalMs="
+                        + TimeUnit.NANOSECONDS.toMillis(nowNanos - call.times().goalNanos()) + " "
+                        + query.describeMissing(nowNanos));
+    }
+
+    private void carryOut(List<RoutedAction> actions) {
+        for (RoutedAction action : actions) {
+            if (action instanceof RoutedAction.Ask ask) {
+                metrics.asked(ask.attempt().purpose(), ask.attempt().leaf().distance());
+                sender.send(ask.attempt(), this);
+            } else if (action instanceof RoutedAction.AskStage ask) {
+                stages.call(ask.stage(), stageTaker);
+            } else if (action instanceof RoutedAction.Wake wake) {
+                sender.wakeAt(wake.atNanos(), this::wake);
+            } else if (action instanceof RoutedAction.DeliverMerged deliver) {
+                sender.finish();
+                explain(
+                        deliver.answer().missing() == 0 ? "late" : "partial",
+                        deliver.answer().missing());
+                sink.deliver(deliver.answer());
+            } else if (action instanceof RoutedAction.Refuse refuse) {
+                sender.finish();
+                explain(refuse.reason().name(), 0);
+                sink.refuse(refuse.reason());
+            } else if (action instanceof RoutedAction.Count count) {
+                metrics.count(count.counter());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -0,0 +1,109 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.peer.PeerFailure;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.request.routed.StageAttempt;
+import org.bramblerack.request.routed.StageReply;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageResult;
+
+/** Has other hosts ask shards of one query. Owned by the event loop. */
+final class StageCaller {
+    /** The reply is on its way this long before it must be, since a late one loses all its shards at once. */
+    private static final long GOAL_SLACK_NANOS = Duration.ofMillis(8).toNanos();
+
+    private final StageCall call;
+    private final RequestTimes times;
+    private final StageLinks links;
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+    private final GatewayMetrics metrics;
+
+    /**
+     * Creates a caller.
+     *
+     * @param call what all hosts are told of the query; shards and times are added for each
+     */
+    StageCaller(
+            StageCall call,
+            RequestTimes times,
+            StageLinks links,
+            PeerNetwork network,
+            MonotonicClock clock,
+            GatewayMetrics metrics) {
+        this.call = call;
+        this.times = times;
+        this.links = links;
+        this.network = network;
+        this.clock = clock;
+        this.metrics = metrics;
+    }
+
+    /** Takes what comes of a stage. */
+    interface Taker {
+        /** Takes word that the host is at work, and at which shards it asked second leafs. */
+        void progressed(StageAttempt stage, List<Integer> askedTwice);
+
+        /** Takes what the host gathered. */
+        void answered(StageAttempt stage, StageReply reply);
+
+        /** Takes a failure; {@code notRun} is true if no leaf was asked. */
+        void failed(StageAttempt stage, boolean notRun);
+    }
+
+    void call(StageAttempt stage, Taker taker) {
+        long nowNanos = clock.nowNanos();
+        StageLinks.Link link = links.link(stage.host());
+        StageCall.Builder message = call.toBuilder()
+                .addAllShards(stage.shards())
+                .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(
+                        times.goalNanos() - nowNanos - link.roundTripNanos() - GOAL_SLACK_NANOS))
+                .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(
+                        times.leafDeadlineNanos() - nowNanos - link.roundTripNanos() / 2));
+        Duration wait = Duration.ofNanos(Math.max(1, times.deadlineNanos() - nowNanos));
+        link.begin();
+        network.request(
+                        stage.host(),
+                        Envelope.newBuilder().setStageCall(message),
+                        wait,
+                        progress -> taker.progressed(
+                                stage, progress.getStageProgress().getAskedTwiceList()))
+                .subscribe()
+                .with(reply -> take(stage, link, reply.getStageResult(), taker), failure -> {
+                    end(stage, link, false);
+                    link.suspect(clock.nowNanos());
+                    boolean notSent = failure instanceof PeerFailure peer && peer.kind() == PeerFailure.Kind.NOT_SENT;
+                    taker.failed(stage, notSent);
+                });
+    }
+
+    private void take(StageAttempt stage, StageLinks.Link link, StageResult result, Taker taker) {
+        boolean answered = result.getStatus() == StageResult.Status.ANSWERED
+                && result.getShardsCount() == result.getSignaturesCount();
+        end(stage, link, answered);
+        if (answered) {
+            taker.answered(
+                    stage,
+                    new StageReply(
+                            ImmutableList.copyOf(result.getShardsList()),
+                            ImmutableList.copyOf(result.getSignaturesList()),
+                            result.getRecords()));
+        } else {
+            taker.failed(stage, result.getStatus() == StageResult.Status.NOT_RUN);
+        }
+    }
+
+    private void end(StageAttempt stage, StageLinks.Link link, boolean answered) {
+        link.end();
+        metrics.stage(answered);
+        if (stage.isAbandoned()) {
+            link.suspect(clock.nowNanos());
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -0,0 +1,246 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.peer.PeerFailure;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.request.routed.StageAttempt;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.Ping;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the hosts that ask shards far away on behalf of this one, and knows the ways to them.
+ *
+ * <p>Links to such hosts are probed, so that a dead one is known soon and its round trip can be counted on. A link that
+ * failed is left alone for a while. Owned by the event loop.
+ */
+final class StageLinks {
+    private static final Duration PROBE_EVERY = Duration.ofMillis(700);
+    private static final Duration PROBE_WAIT = Duration.ofMillis(500);
+    private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
+    /** What a round trip between regions is taken to need before it was measured. */
+    private static final long FIRST_ROUND_TRIP_NANOS = Duration.ofMillis(25).toNanos();
+
+    /** What a host and the link may take beyond the usual before silence means that something is wrong. */
+    private static final long SILENCE_SLACK_NANOS = Duration.ofMillis(30).toNanos();
+    /** Fewer shards than this are asked from here: one call costs no more than one message to another host. */
+    private static final int LEAST_SHARDS = 2;
+
+    private static final double SMOOTHING = 0.3;
+    /** A region is as good as the best if it has this part of the best one's shards. */
+    private static final double GOOD_COVER = 0.8;
+
+    private final FleetView view;
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+    private final EventLoop loop;
+    private final RandomGenerator random;
+    private final Map<String, Link> links = new HashMap<>();
+    private @Nullable ScheduledFuture<?> probing;
+
+    StageLinks(FleetView view, PeerNetwork network, MonotonicClock clock, EventLoop loop, RandomGenerator random) {
+        this.view = view;
+        this.network = network;
+        this.clock = clock;
+        this.loop = loop;
+        this.random = random;
+    }
+
+    void start() {
+        probing = loop.scheduleWithFixedDelay(
+                this::probe, PROBE_EVERY.toMillis(), PROBE_EVERY.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    void stop() {
+        if (probing != null) {
+            probing.cancel(false);
+        }
+    }
+
+    /**
+     * Divides the shards whose best leafs are in another region among hosts there. Shards that are not in the result
+     * are asked from here.
+     *
+     * @param expectedNanos how long a call usually takes
+     * @param hedgeDelayNanos after which a host asks second leafs, and says so
+     */
+    ImmutableList<StageAttempt> plan(ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos) {
+        Map<String, List<Integer>> shardsByRegion = new HashMap<>();
+        List<Integer> far = farShards(pools, expectedNanos, shardsByRegion);
+        ImmutableList.Builder<StageAttempt> stages = ImmutableList.builder();
+        while (far.size() >= LEAST_SHARDS) {
+            Optional<Link> link = bestRegion(shardsByRegion).flatMap(region -> leastBusy(hostsIn(region), region));
+            if (link.isEmpty()) {
+                break;
+            }
+            List<Integer> taken = shardsByRegion.remove(link.get().region);
+            if (taken == null || taken.size() < LEAST_SHARDS) {
+                break;
+            }
+            far.removeAll(taken);
+            shardsByRegion.values().forEach(shards -> shards.removeAll(taken));
+            stages.add(new StageAttempt(
+                    link.get().host, ImmutableList.copyOf(taken), link.get().silenceNanos(hedgeDelayNanos)));
+        }
+        return stages.build();
+    }
+
+    private List<Integer> farShards(
+            ImmutableList<LeafPool> pools, long expectedNanos, Map<String, List<Integer>> shardsByRegion) {
+        long nowNanos = clock.nowNanos();
+        List<Integer> far = new ArrayList<>();
+        for (int shard = 0; shard < pools.size(); shard++) {
+            LeafPool pool = pools.get(shard);
+            Optional<Leaf> best = pool.choose(leaf -> true, expectedNanos, random, nowNanos);
+            if (best.isEmpty() || best.get().distance() != Distance.OTHER_REGION) {
+                continue;
+            }
+            far.add(shard);
+            for (Leaf leaf : pool.all()) {
+                if (leaf.acceptsWork() && leaf.distance() == Distance.OTHER_REGION && !leaf.isEjected(nowNanos)) {
+                    List<Integer> shards = shardsByRegion.computeIfAbsent(regionOf(leaf), unused -> new ArrayList<>());
+                    if (!shards.contains(shard)) {
+                        shards.add(shard);
+                    }
+                }
+            }
+        }
+        return far;
+    }
+
+    /** Returns a region with about as many of the shards as any; which one is drawn, to spread the load. */
+    private Optional<String> bestRegion(Map<String, List<Integer>> shardsByRegion) {
+        int most = shardsByRegion.values().stream().mapToInt(List::size).max().orElse(0);
+        List<String> good = shardsByRegion.entrySet().stream()
+                .filter(entry -> entry.getValue().size() >= GOOD_COVER * most)
+                .map(Map.Entry::getKey)
+                .filter(this::hasUsableHost)
+                .toList();
+        return good.isEmpty() ? Optional.empty() : Optional.of(good.get(random.nextInt(good.size())));
+    }
+
+    private boolean hasUsableHost(String region) {
+        return leastBusy(hostsIn(region), region).isPresent();
+    }
+
+    private String regionOf(Leaf leaf) {
+        return view.leafRecord(leaf.id())
+                .map(record -> view.place().regionOf(record.getZone()))
+                .orElse("");
+    }
+
+    private Optional<Link> leastBusy(ImmutableList<String> hosts, String region) {
+        if (hosts.isEmpty()) {
+            return Optional.empty();
+        }
+        long nowNanos = clock.nowNanos();
+        Link least = null;
+        int start = random.nextInt(hosts.size());
+        for (int offset = 0; offset < hosts.size(); offset++) {
+            Link link = link(hosts.get((start + offset) % hosts.size()));
+            link.region = region;
+            boolean usable = link.confirmed && nowNanos - link.suspectUntilNanos >= 0;
+            if (usable && (least == null || link.inFlight < least.inFlight)) {
+                least = link;
+            }
+        }
+        return Optional.ofNullable(least);
+    }
+
+    private ImmutableList<String> hostsIn(String region) {
+        return view.entryHosts().stream()
+                .filter(host -> host.getRegion().equals(region))
+                .map(HostRecord::getPeerAddress)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns what is known of the way to a host. */
+    Link link(String host) {
+        return links.computeIfAbsent(host, unused -> new Link(host));
+    }
+
+    /** Probes the link to every host in another region. */
+    void probe() {
+        Set<String> wanted = new HashSet<>();
+        for (HostRecord host : view.entryHosts()) {
+            if (!host.getRegion().equals(view.place().region())) {
+                wanted.add(host.getPeerAddress());
+            }
+        }
+        links.keySet().removeIf(host -> !wanted.contains(host));
+        for (String host : wanted) {
+            Link link = link(host);
+            long sentNanos = clock.nowNanos();
+            network.request(host, Envelope.newBuilder().setPing(Ping.getDefaultInstance()), PROBE_WAIT)
+                    .subscribe()
+                    .with(reply -> link.answered(clock.nowNanos() - sentNanos), failure -> probeFailed(link, failure));
+        }
+    }
+
+    private void probeFailed(Link link, Throwable failure) {
+        boolean notSent = failure instanceof PeerFailure peer && peer.kind() == PeerFailure.Kind.NOT_SENT;
+        if (!notSent) {
+            // The connection hangs, or the host does: another connection is made with the next probe.
+            link.suspect(clock.nowNanos());
+            network.forget(link.host);
+        }
+    }
+
+    /** What is known of the way to one host. */
+    static final class Link {
+        private final String host;
+        private long roundTripNanos = FIRST_ROUND_TRIP_NANOS;
+        private long suspectUntilNanos = Long.MIN_VALUE / 2;
+        private String region = "";
+        private boolean confirmed;
+        private int inFlight;
+
+        private Link(String host) {
+            this.host = host;
+        }
+
+        long roundTripNanos() {
+            return roundTripNanos;
+        }
+
+        /** Returns how long the host may be silent before it counts as lost. */
+        long silenceNanos(long hedgeDelayNanos) {
+            return hedgeDelayNanos + roundTripNanos * 3 / 2 + SILENCE_SLACK_NANOS;
+        }
+
+        void begin() {
+            inFlight++;
+        }
+
+        void end() {
+            inFlight--;
+        }
+
+        void suspect(long nowNanos) {
+            suspectUntilNanos = nowNanos + SUSPECT_NANOS;
+            confirmed = false;
+        }
+
+        private void answered(long tookNanos) {
+            confirmed = true;
+            roundTripNanos += (long) (SMOOTHING * (tookNanos - roundTripNanos));
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -0,0 +1,170 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.bramblerack.daemon.fleet.Compression;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.TableDelta;
+import org.bramblerack.wire.TablePull;
+
+/**
+ * Follows the agreed tables: asks one control host for changes, again and again, and another if it does not answer or
+ * is not in touch with a leader.
+ *
+ * <p>Invariants: a table older than the one known is never applied. The first table comes from a control host that is
+ * in touch with a leader. Owned by the event loop.
+ */
+public final class TableFollower {
+    private static final Logger LOGGER = System.getLogger(TableFollower.class.getName());
+    /** A control host holds a request back for at most 700 ms; more is a host or a link that does not answer. */
+    private static final Duration REPLY_WAIT = Duration.ofMillis(1_100);
+
+    private static final long AGAIN_MILLIS = 60;
+
+    private final FleetView view;
+    private final ConfigurationCodec codec;
+    private final PeerNetwork network;
+    private final EventLoop loop;
+    private final ImmutableList<String> seeds;
+    private final Supplier<HostRecord> self;
+    private String source;
+    private int failures;
+    private boolean synchronizedOnce;
+    private boolean stopped;
+
+    /**
+     * Creates a follower that does nothing yet.
+     *
+     * @param seeds the peer addresses of the control hosts that are known beforehand, at least one
+     * @param self tells what the tables should say of this host
+     */
+    public TableFollower(
+            FleetView view,
+            ConfigurationCodec codec,
+            PeerNetwork network,
+            EventLoop loop,
+            ImmutableList<String> seeds,
+            Supplier<HostRecord> self) {
+        this.view = view;
+        this.codec = codec;
+        this.network = network;
+        this.loop = loop;
+        this.seeds = seeds;
+        this.self = self;
+        this.source = seeds.get(0);
+    }
+
+    /** Begins to follow. */
+    public void start() {
+        loop.execute(this::pull);
+    }
+
+    /** Stops following. */
+    public void stop() {
+        loop.execute(() -> stopped = true);
+    }
+
+    /** Returns true once the tables came from a control host that is in touch with a leader. */
+    public boolean isSynchronized() {
+        return synchronizedOnce;
+    }
+
+    private void pull() {
+        if (stopped) {
+            return;
+        }
+        TablePull.Builder pull =
+                TablePull.newBuilder().setKnownRevision(view.revision()).setSelf(self.get());
+        String asked = source;
+        network.request(asked, Envelope.newBuilder().setTablePull(pull), REPLY_WAIT)
+                .subscribe()
+                .with(
+                        reply -> loop.execute(() -> take(reply.getTableDelta())),
+                        failure -> loop.execute(() -> tryAnother(asked, String.valueOf(failure.getMessage()))));
+    }
+
+    private void take(TableDelta delta) {
+        boolean older = delta.getRevision() < view.revision();
+        if (older || !delta.getCurrent()) {
+            if (!older && synchronizedOnce) {
+                apply(delta);
+            }
+            tryAnother(source, "it hears no leader");
+            return;
+        }
+        failures = 0;
+        apply(delta);
+        if (!synchronizedOnce) {
+            synchronizedOnce = true;
+            LOGGER.log(Logger.Level.INFO, "following the tables from {0} at revision {1}", source, view.revision());
+        }
+        preferNearest();
+        pull();
+    }
+
+    private void apply(TableDelta delta) {
+        if (delta.getRevision() == view.revision()) {
+            return;
+        }
+        Optional<RoutingConfiguration> newer = Optional.empty();
+        if (!delta.getConfiguration().isEmpty()) {
+            newer = read(delta.getConfiguration());
+        }
+        long before = view.configuration().version();
+        view.apply(delta, newer);
+        if (view.configuration().version() != before) {
+            LOGGER.log(
+                    Logger.Level.INFO,
+                    "configuration {0} is in force, after {1}",
+                    String.valueOf(view.configuration().version()),
+                    String.valueOf(before));
+        }
+    }
+
+    private Optional<RoutingConfiguration> read(ByteString compressed) {
+        Either<String, RoutingConfiguration> read = codec.read(Compression.inflate(compressed));
+        if (read.isLeft()) {
+            LOGGER.log(Logger.Level.ERROR, "an agreed configuration cannot be read: {0}", read.getLeft());
+            return Optional.empty();
+        }
+        return Optional.of(read.get());
+    }
+
+    /** Goes to a control host that is nearer, once the tables name one. */
+    private void preferNearest() {
+        ImmutableList<String> known = view.controlAddresses();
+        if (failures == 0 && !known.isEmpty() && !known.contains(source)) {
+            source = known.get(0);
+        }
+    }
+
+    private void tryAnother(String asked, String reason) {
+        failures++;
+        ImmutableList<String> candidates = candidates();
+        int next = (candidates.indexOf(asked) + 1) % candidates.size();
+        source = candidates.get(next);
+        LOGGER.log(Logger.Level.DEBUG, "control host {0} is left for {1}: {2}", asked, source, reason);
+        if (failures % candidates.size() == 0) {
+            loop.schedule(this::pull, AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            pull();
+        }
+    }
+
+    /** The control hosts of the tables, the nearest first, then the seeds. */
+    private ImmutableList<String> candidates() {
+        return ImmutableList.<String>builder().addAll(view.controlAddresses()).addAll(seeds).build().stream()
+                .distinct()
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -0,0 +1,232 @@
+package org.bramblerack.daemon.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bramblerack.daemon.http.HttpExchange;
+import org.bramblerack.daemon.http.HttpListener;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.daemon.leaf.LeafConnections;
+import org.bramblerack.daemon.leaf.LeafExchange;
+import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PeerServer;
+import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.version.routing.LeafService;
+import org.bramblerack.version.routing.RequestKind;
+import org.bramblerack.version.routing.RequestLimits;
+import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.LeafRecord;
+import org.bramblerack.wire.TableDelta;
+
+/**
+ * Serves a few queries within the process before it counts as ready, so that its code is loaded and compiled when the
+ * first caller comes.
+ *
+ * <p>A gateway of its own with made-up leafs runs on loopback; nothing of it is left afterwards, and a failure only
+ * means that the first queries are slower. Run once.
+ */
+public final class WarmUp {
+    private static final Logger LOGGER = System.getLogger(WarmUp.class.getName());
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String HOST = "warm-up.invalid";
+    private static final String NEAR = "near";
+    private static final String FAR = "far";
+    private static final int SHARDS = 16;
+    /** One in this many shards is far, so that the way over another host is used as well. */
+    private static final int FAR_EVERY = 3;
+    /** Enough for the compiler to take up the code of a leaf call, which runs {@link #SHARDS} times a query. */
+    private static final int QUERIES = 30;
+
+    private static final int PART_BYTES = 512;
+    private static final Duration LIMIT = Duration.ofSeconds(4);
+    private static final Duration ROUTE_TIME = Duration.ofSeconds(2);
+
+    private final CallHeaders names;
+    private final EventLoopGroup group;
+    private final MonotonicClock clock;
+    private final HostAndPort leafAddress;
+    private final HostAndPort callerAddress;
+    private final HostAndPort peerAddress;
+    private final AtomicInteger answers = new AtomicInteger();
+
+    /**
+     * Creates a warm-up that does nothing yet.
+     *
+     * @param firstPort the first of three ports on loopback that are free
+     */
+    public WarmUp(CallHeaders names, EventLoopGroup group, int firstPort, MonotonicClock clock) {
+        this.names = names;
+        this.group = group;
+        this.clock = clock;
+        this.leafAddress = HostAndPort.fromParts(LOOPBACK, firstPort);
+        this.callerAddress = HostAndPort.fromParts(LOOPBACK, firstPort + 1);
+        this.peerAddress = HostAndPort.fromParts(LOOPBACK, firstPort + 2);
+    }
+
+    /**
+     * Serves the queries and returns.
+     *
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public void run() throws InterruptedException {
+        long beganNanos = clock.nowNanos();
+        FleetView view = new FleetView(place(), new FleetBudget(10, 10), names, group, clock, new SplittableRandom(1));
+        PeerTraffic traffic = new PeerTraffic();
+        PeerNetwork network = PeerNetwork.byAddress("warm-up", group, LinkPolicy.OPEN, traffic);
+        Gateway gateway = new Gateway(
+                view,
+                () -> true,
+                network,
+                names,
+                new GatewayMetrics(new MetricRegistry()),
+                clock,
+                group.next(),
+                new SplittableRandom(1));
+        PeerServer peers = new PeerServer(peerAddress, gateway, group, LinkPolicy.OPEN, traffic);
+        HttpListener leaves =
+                new HttpListener(leafAddress, group, this::answerAsLeaf, () -> RequestLimits.DEFAULT, clock);
+        HttpListener callers = new HttpListener(callerAddress, group, gateway, () -> RequestLimits.DEFAULT, clock);
+        leaves.start();
+        callers.start();
+        peers.start();
+        CountDownLatch done = new CountDownLatch(1);
+        group.next().execute(() -> {
+            view.apply(tables(), Optional.of(configuration()));
+            gateway.probeNow();
+            new Caller(done).next();
+        });
+        boolean finished = done.await(LIMIT.toNanos(), TimeUnit.NANOSECONDS);
+        callers.stopNow();
+        leaves.stopNow();
+        peers.stop();
+        network.stop();
+        gateway.stop();
+        LOGGER.log(
+                Logger.Level.INFO,
+                "warmed up by {0} leaf calls in {1} ms{2}",
+                answers.get(),
+                TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - beganNanos),
+                finished ? "" : ", not finished");
+    }
+
+    private void answerAsLeaf(HttpExchange exchange) {
+        byte[] part = new byte[PART_BYTES];
+        new SplittableRandom(answers.incrementAndGet()).nextBytes(part);
+        FullHttpResponse response = HttpExchange.response(200, Unpooled.wrappedBuffer(part));
+        response.headers()
+                .set(names.requestId(), exchange.headers().get(names.requestId(), ""))
+                .set(names.signature(), "warm-up-" + answers.get())
+                .set(names.load(), "1,0,2");
+        exchange.respond(response);
+    }
+
+    private static Place place() {
+        return new Place(NEAR, NEAR, ImmutableMap.of(NEAR, NEAR, FAR, FAR));
+    }
+
+    private TableDelta tables() {
+        TableDelta.Builder tables = TableDelta.newBuilder().setRevision(1).setWhole(true);
+        for (int shard = 0; shard < SHARDS; shard++) {
+            tables.addLeaves(LeafRecord.newBuilder()
+                    .setId("warm-up-" + shard)
+                    .setService(service(shard))
+                    .setAddress(leafAddress.toString())
+                    .setZone(shard % FAR_EVERY == 0 ? FAR : NEAR)
+                    .setSlots(2)
+                    .setPhase(LeafRecord.Phase.READY));
+        }
+        return tables.addHosts(HostRecord.newBuilder()
+                        .setName("warm-up-host")
+                        .setPeerAddress(peerAddress.toString())
+                        .setZone(FAR)
+                        .setRegion(FAR)
+                        .setEntry(true)
+                        .setPhase(HostRecord.Phase.READY))
+                .build();
+    }
+
+    private static RoutingConfiguration configuration() {
+        ImmutableList.Builder<String> shards = ImmutableList.builder();
+        ImmutableMap.Builder<String, LeafService> services = ImmutableMap.builder();
+        for (int shard = 0; shard < SHARDS; shard++) {
+            shards.add(service(shard));
+            services.put(service(shard), new LeafService(service(shard), "/health", 8));
+        }
+        Route scatter = route("scatter", "/scatter/", new RouteTarget.Scatter(shards.build(), 20, 0.5));
+        Route single = route("single", "/single/", new RouteTarget.Single(service(1)));
+        return RoutingConfiguration.create(
+                1, ImmutableList.of(scatter, single), services.buildOrThrow(), RequestLimits.DEFAULT);
+    }
+
+    private static Route route(String name, String prefix, RouteTarget target) {
+        return new Route(name, HOST, prefix, RequestKind.IDEMPOTENT, ROUTE_TIME, ROUTE_TIME, 0, 2, target);
+    }
+
+    private static String service(int shard) {
+        return "warm-up-service-" + shard;
+    }
+
+    /** Sends one query after the other. Owned by the event loop. */
+    private final class Caller implements LeafExchange {
+        private final CountDownLatch done;
+        private final LeafConnections connections;
+        private int sent;
+
+        Caller(CountDownLatch done) {
+            this.done = done;
+            Leaf target = new Leaf(
+                    "entry", "entry", callerAddress.toString(), Distance.SAME_ZONE, 1, Duration.ZERO, clock.nowNanos());
+            this.connections = new LeafConnections(target, group, names, clock, () -> 1);
+        }
+
+        void next() {
+            if (sent >= QUERIES) {
+                connections.retire();
+                done.countDown();
+                return;
+            }
+            sent++;
+            HttpHeaders headers = new DefaultHttpHeaders()
+                    .set("Host", HOST)
+                    .set(names.requestId(), "warm-up-" + sent)
+                    .set(names.deadlineMillis(), ROUTE_TIME.toMillis());
+            String uri = sent % 5 == 0 ? "/single/query" : "/scatter/query";
+            LeafRequest request = LeafRequest.create("GET", uri, headers, new byte[0], names);
+            connections.send(request, clock.nowNanos() + ROUTE_TIME.toNanos(), this);
+        }
+
+        @Override
+        public void answered(LeafAnswer answer) {
+            next();
+        }
+
+        @Override
+        public void failed(LeafOutcome outcome) {
+            LOGGER.log(Logger.Level.DEBUG, "a warm-up query failed: {0}", outcome);
+            next();
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
@@ -0,0 +1,175 @@
+package org.bramblerack.daemon.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.bramblerack.process.MonotonicClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection of a caller: its requests are handled one at a time, in the order in which they came.
+ *
+ * <p>Owned by its event loop.
+ */
+final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** How many requests may be sent ahead of the answers before the connection is closed. */
+    private static final int MAX_PIPELINED = 32;
+
+    private static final int BAD_REQUEST = 400;
+    private static final int HEAD_TOO_LONG = 431;
+    private static final int URI_TOO_LONG = 414;
+
+    private final HttpListener listener;
+    private final MonotonicClock clock;
+    private final Deque<HttpExchange> waiting = new ArrayDeque<>();
+    private @Nullable HttpExchange current;
+    private @Nullable ChannelHandlerContext context;
+    private long quietSinceNanos;
+    private boolean headIncomplete;
+    private boolean closing;
+
+    HttpConnection(HttpListener listener, MonotonicClock clock) {
+        this.listener = listener;
+        this.clock = clock;
+        this.quietSinceNanos = clock.nowNanos();
+    }
+
+    static boolean isClosing(ChannelHandlerContext context) {
+        HttpConnection connection = context.pipeline().get(HttpConnection.class);
+        return connection == null || connection.closing || connection.listener.isStopping();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        context = active;
+        listener.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        listener.closed(this);
+        HttpExchange gone = current;
+        current = null;
+        if (gone != null) {
+            gone.callerWent();
+        }
+        waiting.forEach(HttpExchange::callerWent);
+        waiting.clear();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext reading, FullHttpRequest request) {
+        quietSinceNanos = clock.nowNanos();
+        DecoderResult decoded = request.decoderResult();
+        if (decoded.isFailure()) {
+            refuse(reading, decoded.cause());
+            return;
+        }
+        HttpExchange exchange = new HttpExchange(
+                reading,
+                request.method(),
+                request.uri(),
+                request.headers(),
+                ByteBufUtil.getBytes(request.content()),
+                HttpUtil.isKeepAlive(request),
+                quietSinceNanos,
+                this::answered);
+        if (current != null) {
+            if (waiting.size() >= MAX_PIPELINED) {
+                reading.close();
+                return;
+            }
+            waiting.addLast(exchange);
+            return;
+        }
+        handle(exchange);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        failed.close();
+    }
+
+    /** Notes that bytes arrived, or that a head is whole. */
+    void headProgress(boolean incomplete) {
+        if (incomplete && !headIncomplete && current == null) {
+            quietSinceNanos = clock.nowNanos();
+        }
+        headIncomplete = incomplete;
+    }
+
+    boolean isIdle() {
+        return current == null && waiting.isEmpty();
+    }
+
+    /** Closes a connection that has rested, or has been sending a head, for longer than is allowed. */
+    void closeIfOverdue(long nowNanos, long headerTimeoutNanos, long idleTimeoutNanos) {
+        if (!isIdle() || context == null) {
+            return;
+        }
+        long allowedNanos = headIncomplete ? headerTimeoutNanos : idleTimeoutNanos;
+        if (nowNanos - quietSinceNanos > allowedNanos) {
+            context.close();
+        }
+    }
+
+    /** Closes the connection, once what is under way has been answered. */
+    void closeWhenIdle() {
+        closing = true;
+        if (isIdle() && context != null) {
+            context.close();
+        }
+    }
+
+    /** Closes the connection whatever is under way. */
+    void closeNow() {
+        if (context != null) {
+            context.close();
+        }
+    }
+
+    private void handle(HttpExchange exchange) {
+        current = exchange;
+        listener.handler().handle(exchange);
+    }
+
+    private void answered(HttpExchange exchange) {
+        quietSinceNanos = clock.nowNanos();
+        current = null;
+        if (closing || listener.isStopping()) {
+            // The answer closes the connection; what was sent ahead has not been looked at.
+            waiting.clear();
+            return;
+        }
+        HttpExchange next = waiting.pollFirst();
+        if (next != null) {
+            handle(next);
+        }
+    }
+
+    private void refuse(ChannelHandlerContext reading, Throwable cause) {
+        int status = BAD_REQUEST;
+        if (cause instanceof TooLongHttpHeaderException) {
+            status = HEAD_TOO_LONG;
+        } else if (cause instanceof TooLongFrameException) {
+            status = URI_TOO_LONG;
+        }
+        FullHttpResponse response = HttpExchange.response(status, Unpooled.EMPTY_BUFFER);
+        response.headers()
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        reading.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
@@ -0,0 +1,156 @@
+package org.bramblerack.daemon.http;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.version.routing.RequestLimits;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Listens at one address and hands whole requests to a handler.
+ *
+ * <p>Once it is stopping, it goes on accepting and answering, but every answer ends its connection. Started once,
+ * stopped once; safe for use by many threads.
+ */
+public final class HttpListener {
+    private static final int BACKLOG = 1_024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+    private static final long SWEEP_MILLIS = 500;
+
+    private final HostAndPort address;
+    private final EventLoopGroup group;
+    private final HttpHandler handler;
+    private final Supplier<RequestLimits> limits;
+    private final MonotonicClock clock;
+    private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
+    private @Nullable Channel listening;
+    private @Nullable ScheduledFuture<?> sweeping;
+    private volatile boolean stopping;
+
+    /** Creates a listener that does not yet listen. */
+    public HttpListener(
+            HostAndPort address,
+            EventLoopGroup group,
+            HttpHandler handler,
+            Supplier<RequestLimits> limits,
+            MonotonicClock clock) {
+        this.address = address;
+        this.group = group;
+        this.handler = handler;
+        this.limits = limits;
+        this.clock = clock;
+    }
+
+    /**
+     * Begins to listen.
+     *
+     * @throws InterruptedException if the thread is interrupted while the address is bound
+     */
+    public synchronized void start() throws InterruptedException {
+        listening = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Pipeline())
+                .bind(new InetSocketAddress(address.getHost(), address.getPort()))
+                .sync()
+                .channel();
+        sweeping = group.next().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Begins to stop: every answer from now on ends its connection. */
+    public void beginStop() {
+        stopping = true;
+    }
+
+    /** Closes the connections that wait for nothing, and the others once they are answered. */
+    public void closeIdle() {
+        connections.forEach(connection -> group.next().execute(connection::closeWhenIdle));
+    }
+
+    /** Returns true if no request is under way. */
+    public boolean isIdle() {
+        return connections.stream().allMatch(HttpConnection::isIdle);
+    }
+
+    /** Returns how many connections are open. */
+    public int connectionCount() {
+        return connections.size();
+    }
+
+    /** Stops listening; open connections stay open. */
+    public synchronized void stopListening() {
+        if (listening != null) {
+            listening.close().awaitUninterruptibly();
+            listening = null;
+        }
+        if (sweeping != null) {
+            sweeping.cancel(false);
+            sweeping = null;
+        }
+    }
+
+    /** Stops listening and closes every connection, answered or not. */
+    public void stopNow() {
+        stopListening();
+        connections.forEach(connection -> group.next().execute(connection::closeNow));
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    HttpHandler handler() {
+        return handler;
+    }
+
+    void opened(HttpConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(HttpConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void sweep() {
+        RequestLimits now = limits.get();
+        long nowNanos = clock.nowNanos();
+        ImmutableList.copyOf(connections)
+                .forEach(connection -> connection.closeIfOverdue(
+                        nowNanos,
+                        now.headerTimeout().toNanos(),
+                        now.idleTimeout().toNanos()));
+    }
+
+    /** Sets up a connection under the limits of the moment. */
+    private final class Pipeline extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            RequestLimits now = limits.get();
+            HttpConnection connection = new HttpConnection(HttpListener.this, clock);
+            channel.pipeline()
+                    .addLast(new HeadWatch.Bytes(connection))
+                    .addLast(new HttpServerCodec(now.maxHeaderBytes(), now.maxHeaderBytes(), MAX_CHUNK_BYTES))
+                    .addLast(new HeadWatch.Heads(connection))
+                    .addLast(new HttpObjectAggregator(now.maxBodyBytes()))
+                    .addLast(connection);
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/package-info.java
@@ -0,0 +1,5 @@
+/** A lean HTTP server on Netty for the processes that run on a fraction of a core. */
+@NullMarked
+package org.bramblerack.daemon.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -0,0 +1,249 @@
+package org.bramblerack.daemon.leaf;
+
+import com.google.common.net.HostAndPort;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.IntSupplier;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The connections of this host to one leaf.
+ *
+ * <p>Invariant: open connections and those being made are never more than this host's share of what the leaf accepts.
+ * Requests beyond that wait, first come first served. Owned by the event loop.
+ */
+public final class LeafConnections {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
+    private static final int MAX_WAITING = 64;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final Leaf leaf;
+    private final EventLoopGroup group;
+    private final CallHeaders names;
+    private final MonotonicClock clock;
+    private final IntSupplier share;
+    private final Deque<LeafConnection> idle = new ArrayDeque<>();
+    private final List<LeafConnection> open = new ArrayList<>(4);
+    private final Deque<Pending> waiting = new ArrayDeque<>();
+    private int connecting;
+
+    /**
+     * Creates a set without connections.
+     *
+     * @param share how many connections this host may have to the leaf, at least 1
+     */
+    public LeafConnections(
+            Leaf leaf, EventLoopGroup group, CallHeaders names, MonotonicClock clock, IntSupplier share) {
+        this.leaf = leaf;
+        this.group = group;
+        this.names = names;
+        this.clock = clock;
+        this.share = share;
+    }
+
+    /**
+     * Sends a request on an idle connection, or on a new one if this host may open another.
+     *
+     * @param deadlineNanos when the sender stops waiting
+     * @return what to call to give the request up
+     */
+    public Ticket send(LeafRequest request, long deadlineNanos, LeafExchange taker) {
+        Pending pending = new Pending(request, deadlineNanos, taker);
+        if (!leaf.acceptsWork()) {
+            taker.failed(LeafOutcome.NO_CONNECTION);
+            return pending;
+        }
+        LeafConnection free = takeIdle(request.requestId());
+        if (free != null) {
+            pending.sendOn(free);
+        } else if (waiting.size() >= MAX_WAITING) {
+            taker.failed(LeafOutcome.NO_CONNECTION);
+        } else {
+            waiting.addLast(pending);
+            connectIfAllowed();
+        }
+        return pending;
+    }
+
+    /** Opens a connection ahead of its use, if there is none. */
+    public void warm() {
+        if (open.isEmpty() && connecting == 0 && waiting.isEmpty()) {
+            connect();
+        }
+    }
+
+    /** Closes what is idle; requests under way are finished first. */
+    public void retire() {
+        failWaiting(LeafOutcome.NO_CONNECTION);
+        for (LeafConnection connection : List.copyOf(idle)) {
+            connection.close();
+        }
+    }
+
+    /** Returns how many connections are open or being made. */
+    public int count() {
+        return open.size() + connecting;
+    }
+
+    void idle(LeafConnection connection) {
+        if (!leaf.acceptsWork()) {
+            connection.close();
+            failWaiting(LeafOutcome.NO_CONNECTION);
+            return;
+        }
+        Pending next = nextWaiting();
+        if (next == null) {
+            idle.addFirst(connection);
+        } else {
+            next.sendOn(connection);
+        }
+    }
+
+    void closed(LeafConnection connection) {
+        idle.remove(connection);
+        open.remove(connection);
+        if (!waiting.isEmpty()) {
+            connectIfAllowed();
+        }
+    }
+
+    private @Nullable LeafConnection takeIdle(String requestId) {
+        long nowNanos = clock.nowNanos();
+        while (!idle.isEmpty()) {
+            LeafConnection candidate = idle.pollFirst();
+            if (candidate.isUsable(nowNanos) && !candidate.lastCarried(requestId)) {
+                return candidate;
+            }
+            candidate.close();
+        }
+        return null;
+    }
+
+    private @Nullable Pending nextWaiting() {
+        Pending next = waiting.pollFirst();
+        while (next != null && next.isGivenUp()) {
+            next = waiting.pollFirst();
+        }
+        return next;
+    }
+
+    private void connectIfAllowed() {
+        boolean needed = connecting < waiting.size();
+        if (needed && open.size() + connecting < Math.max(1, share.getAsInt())) {
+            connect();
+        }
+    }
+
+    private void connect() {
+        connecting++;
+        LeafConnection connection = new LeafConnection(this, names, clock);
+        HostAndPort address = HostAndPort.fromString(leaf.address());
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new LeafResponseDecoder()).addLast(connection);
+                    }
+                })
+                .connect(new InetSocketAddress(address.getHost(), address.getPort()))
+                .addListener((ChannelFuture future) -> connected(future, connection));
+    }
+
+    private void connected(ChannelFuture future, LeafConnection connection) {
+        connecting--;
+        if (future.isSuccess()) {
+            connection.opened(future.channel());
+            open.add(connection);
+            idle(connection);
+            return;
+        }
+        failWaiting(LeafOutcome.UNREACHABLE);
+    }
+
+    private void failWaiting(LeafOutcome outcome) {
+        Pending next = nextWaiting();
+        while (next != null) {
+            next.done = true;
+            next.taker.failed(outcome);
+            next = nextWaiting();
+        }
+    }
+
+    /** A way to give up a request that was handed over for sending. */
+    public interface Ticket {
+        /**
+         * Gives the request up. If it was sent, its connection is closed, so that the leaf drops it.
+         *
+         * @return true if it was never sent
+         */
+        boolean giveUp();
+    }
+
+    private final class Pending implements Ticket {
+        private final LeafRequest request;
+        private final long deadlineNanos;
+        private final LeafExchange taker;
+        private @Nullable LeafConnection connection;
+        private boolean givenUp;
+        private boolean done;
+
+        Pending(LeafRequest request, long deadlineNanos, LeafExchange taker) {
+            this.request = request;
+            this.deadlineNanos = deadlineNanos;
+            this.taker = taker;
+        }
+
+        void sendOn(LeafConnection free) {
+            connection = free;
+            long remainingMillis = Math.max(1, (deadlineNanos - clock.nowNanos()) / NANOS_PER_MILLI);
+            free.send(request, leaf.id(), remainingMillis, new LeafExchange() {
+                @Override
+                public void answered(LeafAnswer answer) {
+                    done = true;
+                    taker.answered(answer);
+                }
+
+                @Override
+                public void failed(LeafOutcome outcome) {
+                    done = true;
+                    taker.failed(outcome);
+                }
+            });
+        }
+
+        boolean isGivenUp() {
+            return givenUp;
+        }
+
+        @Override
+        public boolean giveUp() {
+            if (givenUp || done) {
+                return false;
+            }
+            givenUp = true;
+            if (connection == null) {
+                taker.failed(LeafOutcome.NO_CONNECTION);
+                return true;
+            }
+            connection.close();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafExchange.java
@@ -0,0 +1,12 @@
+package org.bramblerack.daemon.leaf;
+
+import org.bramblerack.process.leaf.LeafOutcome;
+
+/** Takes what comes of one request to one leaf: exactly one of the two is called, on the event loop. */
+public interface LeafExchange {
+    /** Takes a whole answer. */
+    void answered(LeafAnswer answer);
+
+    /** Takes the failure of a request that got no whole answer. */
+    void failed(LeafOutcome outcome);
+}
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/LogSetup.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/lifecycle/LogSetup.java
@@ -1,4 +1,4 @@
-package org.bramblerack.cli;
+package org.bramblerack.daemon.lifecycle;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
@@ -11,18 +11,20 @@
 import org.slf4j.LoggerFactory;
 
 /** Sends the lines of {@code System.Logger} to standard error, as text or as JSON. Call it before other threads log. */
-final class LogSetup {
+public final class LogSetup {
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %logger{0}: %msg%n%ex{short}";
 
     private LogSetup() {}
 
-    static void useText() {
+    /** Writes text for people. */
+    public static void useText() {
         PatternLayoutEncoder encoder = new PatternLayoutEncoder();
         encoder.setPattern(PATTERN);
         configure(encoder);
     }
 
-    static void useJson() {
+    /** Writes one JSON object a line. */
+    public static void useJson() {
         JsonEncoder encoder = new JsonEncoder();
         encoder.setWithFormattedMessage(true);
         encoder.setWithMessage(false);
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/TerminationSignal.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/lifecycle/TerminationSignal.java
@@ -1,4 +1,4 @@
-package org.bramblerack.cli;
+package org.bramblerack.daemon.lifecycle;
 
 import java.lang.System.Logger;
 import java.lang.reflect.InvocationTargetException;
@@ -12,13 +12,13 @@
  * <p>The class of the platform that does this is not part of its public interface and is reached by name; where it is
  * missing, a shutdown hook takes the first signal and there is no second. Safe for use by many threads.
  */
-final class TerminationSignal {
+public final class TerminationSignal {
     private static final Logger LOGGER = System.getLogger(TerminationSignal.class.getName());
 
     private TerminationSignal() {}
 
     /** Sets what to run on the first and on the second SIGTERM or SIGINT, each on a thread of its own. */
-    static void onSignals(Runnable first, Runnable second) {
+    public static void onSignals(Runnable first, Runnable second) {
         AtomicInteger received = new AtomicInteger();
         Runnable handler = () -> {
             int number = received.incrementAndGet();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.bramblerack.daemon.settings.HostEntry;
 import org.bramblerack.wire.Envelope;
 import org.jspecify.annotations.Nullable;
@@ -63,7 +64,7 @@
     }
 
     /** Sends a message that asks for a reply. The request is made when the result is subscribed to. */
-    Uni<Envelope> request(Envelope.Builder message, Duration timeout) {
+    Uni<Envelope> request(Envelope.Builder message, Duration timeout, Consumer<Envelope> progress) {
         return Uni.createFrom().emitter(emitter -> {
             Channel open = openChannel();
             if (open == null || !open.isWritable() || links.isCut(remote.name())) {
@@ -71,7 +72,7 @@
                 return;
             }
             long correlation = nextCorrelation.getAndIncrement();
-            Pending waiting = new Pending(emitter, open);
+            Pending waiting = new Pending(emitter, open, progress);
             pending.put(correlation, waiting);
             open.eventLoop()
                     .schedule(
@@ -152,7 +153,7 @@
         }
     }
 
-    private record Pending(UniEmitter<? super Envelope> emitter, Channel channel) {}
+    private record Pending(UniEmitter<? super Envelope> emitter, Channel channel, Consumer<Envelope> progress) {}
 
     /** Completes the requests of one connection. */
     private final class Replies extends SimpleChannelInboundHandler<Envelope> {
@@ -161,6 +162,13 @@
             if (links.isCut(remote.name())) {
                 return;
             }
+            if (message.hasStageProgress()) {
+                Pending working = pending.get(message.getCorrelationId());
+                if (working != null) {
+                    working.progress().accept(message);
+                }
+                return;
+            }
             Pending waiting = pending.remove(message.getCorrelationId());
             if (waiting != null) {
                 waiting.emitter().complete(message);
