--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/Command.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/Command.java
@@ -56,6 +56,10 @@
     APPLY_DECLARATION(1),
     CLAIM(2),
     OUTCOME(3),
+    PUT_CONFIGURATION(4),
+    REPORT_LEAF(5),
+    REPORT_HOST(6),
+    FORGET_MEMBERS(7),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -76,6 +80,10 @@
         case 1: return APPLY_DECLARATION;
         case 2: return CLAIM;
         case 3: return OUTCOME;
+        case 4: return PUT_CONFIGURATION;
+        case 5: return REPORT_LEAF;
+        case 6: return REPORT_HOST;
+        case 7: return FORGET_MEMBERS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -184,6 +192,130 @@
     return org.bramblerack.wire.RecordOutcome.getDefaultInstance();
   }
 
+  public static final int PUT_CONFIGURATION_FIELD_NUMBER = 4;
+  /**
+   * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+   * @return Whether the putConfiguration field is set.
+   */
+  @java.lang.Override
+  public boolean hasPutConfiguration() {
+    return bodyCase_ == 4;
+  }
+  /**
+   * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+   * @return The putConfiguration.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.PutConfiguration getPutConfiguration() {
+    if (bodyCase_ == 4) {
+       return (org.bramblerack.wire.PutConfiguration) body_;
+    }
+    return org.bramblerack.wire.PutConfiguration.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.PutConfigurationOrBuilder getPutConfigurationOrBuilder() {
+    if (bodyCase_ == 4) {
+       return (org.bramblerack.wire.PutConfiguration) body_;
+    }
+    return org.bramblerack.wire.PutConfiguration.getDefaultInstance();
+  }
+
+  public static final int REPORT_LEAF_FIELD_NUMBER = 5;
+  /**
+   * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+   * @return Whether the reportLeaf field is set.
+   */
+  @java.lang.Override
+  public boolean hasReportLeaf() {
+    return bodyCase_ == 5;
+  }
+  /**
+   * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+   * @return The reportLeaf.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.LeafRecord getReportLeaf() {
+    if (bodyCase_ == 5) {
+       return (org.bramblerack.wire.LeafRecord) body_;
+    }
+    return org.bramblerack.wire.LeafRecord.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.LeafRecordOrBuilder getReportLeafOrBuilder() {
+    if (bodyCase_ == 5) {
+       return (org.bramblerack.wire.LeafRecord) body_;
+    }
+    return org.bramblerack.wire.LeafRecord.getDefaultInstance();
+  }
+
+  public static final int REPORT_HOST_FIELD_NUMBER = 6;
+  /**
+   * <code>.bramblerack.HostRecord report_host = 6;</code>
+   * @return Whether the reportHost field is set.
+   */
+  @java.lang.Override
+  public boolean hasReportHost() {
+    return bodyCase_ == 6;
+  }
+  /**
+   * <code>.bramblerack.HostRecord report_host = 6;</code>
+   * @return The reportHost.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.HostRecord getReportHost() {
+    if (bodyCase_ == 6) {
+       return (org.bramblerack.wire.HostRecord) body_;
+    }
+    return org.bramblerack.wire.HostRecord.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.HostRecord report_host = 6;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.HostRecordOrBuilder getReportHostOrBuilder() {
+    if (bodyCase_ == 6) {
+       return (org.bramblerack.wire.HostRecord) body_;
+    }
+    return org.bramblerack.wire.HostRecord.getDefaultInstance();
+  }
+
+  public static final int FORGET_MEMBERS_FIELD_NUMBER = 7;
+  /**
+   * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+   * @return Whether the forgetMembers field is set.
+   */
+  @java.lang.Override
+  public boolean hasForgetMembers() {
+    return bodyCase_ == 7;
+  }
+  /**
+   * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+   * @return The forgetMembers.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.ForgetMembers getForgetMembers() {
+    if (bodyCase_ == 7) {
+       return (org.bramblerack.wire.ForgetMembers) body_;
+    }
+    return org.bramblerack.wire.ForgetMembers.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.ForgetMembersOrBuilder getForgetMembersOrBuilder() {
+    if (bodyCase_ == 7) {
+       return (org.bramblerack.wire.ForgetMembers) body_;
+    }
+    return org.bramblerack.wire.ForgetMembers.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -207,6 +339,18 @@
     if (bodyCase_ == 3) {
       output.writeMessage(3, (org.bramblerack.wire.RecordOutcome) body_);
     }
+    if (bodyCase_ == 4) {
+      output.writeMessage(4, (org.bramblerack.wire.PutConfiguration) body_);
+    }
+    if (bodyCase_ == 5) {
+      output.writeMessage(5, (org.bramblerack.wire.LeafRecord) body_);
+    }
+    if (bodyCase_ == 6) {
+      output.writeMessage(6, (org.bramblerack.wire.HostRecord) body_);
+    }
+    if (bodyCase_ == 7) {
+      output.writeMessage(7, (org.bramblerack.wire.ForgetMembers) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -228,6 +372,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, (org.bramblerack.wire.RecordOutcome) body_);
     }
+    if (bodyCase_ == 4) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, (org.bramblerack.wire.PutConfiguration) body_);
+    }
+    if (bodyCase_ == 5) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, (org.bramblerack.wire.LeafRecord) body_);
+    }
+    if (bodyCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (org.bramblerack.wire.HostRecord) body_);
+    }
+    if (bodyCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (org.bramblerack.wire.ForgetMembers) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -257,6 +417,22 @@
         if (!getOutcome()
             .equals(other.getOutcome())) return false;
         break;
+      case 4:
+        if (!getPutConfiguration()
+            .equals(other.getPutConfiguration())) return false;
+        break;
+      case 5:
+        if (!getReportLeaf()
+            .equals(other.getReportLeaf())) return false;
+        break;
+      case 6:
+        if (!getReportHost()
+            .equals(other.getReportHost())) return false;
+        break;
+      case 7:
+        if (!getForgetMembers()
+            .equals(other.getForgetMembers())) return false;
+        break;
       case 0:
       default:
     }
@@ -284,6 +460,22 @@
         hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
         hash = (53 * hash) + getOutcome().hashCode();
         break;
+      case 4:
+        hash = (37 * hash) + PUT_CONFIGURATION_FIELD_NUMBER;
+        hash = (53 * hash) + getPutConfiguration().hashCode();
+        break;
+      case 5:
+        hash = (37 * hash) + REPORT_LEAF_FIELD_NUMBER;
+        hash = (53 * hash) + getReportLeaf().hashCode();
+        break;
+      case 6:
+        hash = (37 * hash) + REPORT_HOST_FIELD_NUMBER;
+        hash = (53 * hash) + getReportHost().hashCode();
+        break;
+      case 7:
+        hash = (37 * hash) + FORGET_MEMBERS_FIELD_NUMBER;
+        hash = (53 * hash) + getForgetMembers().hashCode();
+        break;
       case 0:
       default:
     }
@@ -431,6 +623,18 @@
       if (outcomeBuilder_ != null) {
         outcomeBuilder_.clear();
       }
+      if (putConfigurationBuilder_ != null) {
+        putConfigurationBuilder_.clear();
+      }
+      if (reportLeafBuilder_ != null) {
+        reportLeafBuilder_.clear();
+      }
+      if (reportHostBuilder_ != null) {
+        reportHostBuilder_.clear();
+      }
+      if (forgetMembersBuilder_ != null) {
+        forgetMembersBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -484,6 +688,22 @@
           outcomeBuilder_ != null) {
         result.body_ = outcomeBuilder_.build();
       }
+      if (bodyCase_ == 4 &&
+          putConfigurationBuilder_ != null) {
+        result.body_ = putConfigurationBuilder_.build();
+      }
+      if (bodyCase_ == 5 &&
+          reportLeafBuilder_ != null) {
+        result.body_ = reportLeafBuilder_.build();
+      }
+      if (bodyCase_ == 6 &&
+          reportHostBuilder_ != null) {
+        result.body_ = reportHostBuilder_.build();
+      }
+      if (bodyCase_ == 7 &&
+          forgetMembersBuilder_ != null) {
+        result.body_ = forgetMembersBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -511,6 +731,22 @@
           mergeOutcome(other.getOutcome());
           break;
         }
+        case PUT_CONFIGURATION: {
+          mergePutConfiguration(other.getPutConfiguration());
+          break;
+        }
+        case REPORT_LEAF: {
+          mergeReportLeaf(other.getReportLeaf());
+          break;
+        }
+        case REPORT_HOST: {
+          mergeReportHost(other.getReportHost());
+          break;
+        }
+        case FORGET_MEMBERS: {
+          mergeForgetMembers(other.getForgetMembers());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -562,6 +798,34 @@
               bodyCase_ = 3;
               break;
             } // case 26
+            case 34: {
+              input.readMessage(
+                  internalGetPutConfigurationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 4;
+              break;
+            } // case 34
+            case 42: {
+              input.readMessage(
+                  internalGetReportLeafFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 5;
+              break;
+            } // case 42
+            case 50: {
+              input.readMessage(
+                  internalGetReportHostFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 6;
+              break;
+            } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetForgetMembersFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 7;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1020,6 +1284,574 @@
       return outcomeBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.PutConfiguration, org.bramblerack.wire.PutConfiguration.Builder, org.bramblerack.wire.PutConfigurationOrBuilder> putConfigurationBuilder_;
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     * @return Whether the putConfiguration field is set.
+     */
+    @java.lang.Override
+    public boolean hasPutConfiguration() {
+      return bodyCase_ == 4;
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     * @return The putConfiguration.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.PutConfiguration getPutConfiguration() {
+      if (putConfigurationBuilder_ == null) {
+        if (bodyCase_ == 4) {
+          return (org.bramblerack.wire.PutConfiguration) body_;
+        }
+        return org.bramblerack.wire.PutConfiguration.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 4) {
+          return putConfigurationBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.PutConfiguration.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     */
+    public Builder setPutConfiguration(org.bramblerack.wire.PutConfiguration value) {
+      if (putConfigurationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        putConfigurationBuilder_.setMessage(value);
+      }
+      bodyCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     */
+    public Builder setPutConfiguration(
+        org.bramblerack.wire.PutConfiguration.Builder builderForValue) {
+      if (putConfigurationBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        putConfigurationBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     */
+    public Builder mergePutConfiguration(org.bramblerack.wire.PutConfiguration value) {
+      if (putConfigurationBuilder_ == null) {
+        if (bodyCase_ == 4 &&
+            body_ != org.bramblerack.wire.PutConfiguration.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.PutConfiguration.newBuilder((org.bramblerack.wire.PutConfiguration) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 4) {
+          putConfigurationBuilder_.mergeFrom(value);
+        } else {
+          putConfigurationBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     */
+    public Builder clearPutConfiguration() {
+      if (putConfigurationBuilder_ == null) {
+        if (bodyCase_ == 4) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 4) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        putConfigurationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     */
+    public org.bramblerack.wire.PutConfiguration.Builder getPutConfigurationBuilder() {
+      return internalGetPutConfigurationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.PutConfigurationOrBuilder getPutConfigurationOrBuilder() {
+      if ((bodyCase_ == 4) && (putConfigurationBuilder_ != null)) {
+        return putConfigurationBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 4) {
+          return (org.bramblerack.wire.PutConfiguration) body_;
+        }
+        return org.bramblerack.wire.PutConfiguration.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.PutConfiguration, org.bramblerack.wire.PutConfiguration.Builder, org.bramblerack.wire.PutConfigurationOrBuilder> 
+        internalGetPutConfigurationFieldBuilder() {
+      if (putConfigurationBuilder_ == null) {
+        if (!(bodyCase_ == 4)) {
+          body_ = org.bramblerack.wire.PutConfiguration.getDefaultInstance();
+        }
+        putConfigurationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.PutConfiguration, org.bramblerack.wire.PutConfiguration.Builder, org.bramblerack.wire.PutConfigurationOrBuilder>(
+                (org.bramblerack.wire.PutConfiguration) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 4;
+      onChanged();
+      return putConfigurationBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.LeafRecord, org.bramblerack.wire.LeafRecord.Builder, org.bramblerack.wire.LeafRecordOrBuilder> reportLeafBuilder_;
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     * @return Whether the reportLeaf field is set.
+     */
+    @java.lang.Override
+    public boolean hasReportLeaf() {
+      return bodyCase_ == 5;
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     * @return The reportLeaf.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.LeafRecord getReportLeaf() {
+      if (reportLeafBuilder_ == null) {
+        if (bodyCase_ == 5) {
+          return (org.bramblerack.wire.LeafRecord) body_;
+        }
+        return org.bramblerack.wire.LeafRecord.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 5) {
+          return reportLeafBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.LeafRecord.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     */
+    public Builder setReportLeaf(org.bramblerack.wire.LeafRecord value) {
+      if (reportLeafBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        reportLeafBuilder_.setMessage(value);
+      }
+      bodyCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     */
+    public Builder setReportLeaf(
+        org.bramblerack.wire.LeafRecord.Builder builderForValue) {
+      if (reportLeafBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        reportLeafBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     */
+    public Builder mergeReportLeaf(org.bramblerack.wire.LeafRecord value) {
+      if (reportLeafBuilder_ == null) {
+        if (bodyCase_ == 5 &&
+            body_ != org.bramblerack.wire.LeafRecord.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.LeafRecord.newBuilder((org.bramblerack.wire.LeafRecord) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 5) {
+          reportLeafBuilder_.mergeFrom(value);
+        } else {
+          reportLeafBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     */
+    public Builder clearReportLeaf() {
+      if (reportLeafBuilder_ == null) {
+        if (bodyCase_ == 5) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 5) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        reportLeafBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     */
+    public org.bramblerack.wire.LeafRecord.Builder getReportLeafBuilder() {
+      return internalGetReportLeafFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.LeafRecordOrBuilder getReportLeafOrBuilder() {
+      if ((bodyCase_ == 5) && (reportLeafBuilder_ != null)) {
+        return reportLeafBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 5) {
+          return (org.bramblerack.wire.LeafRecord) body_;
+        }
+        return org.bramblerack.wire.LeafRecord.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.LeafRecord, org.bramblerack.wire.LeafRecord.Builder, org.bramblerack.wire.LeafRecordOrBuilder> 
+        internalGetReportLeafFieldBuilder() {
+      if (reportLeafBuilder_ == null) {
+        if (!(bodyCase_ == 5)) {
+          body_ = org.bramblerack.wire.LeafRecord.getDefaultInstance();
+        }
+        reportLeafBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.LeafRecord, org.bramblerack.wire.LeafRecord.Builder, org.bramblerack.wire.LeafRecordOrBuilder>(
+                (org.bramblerack.wire.LeafRecord) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 5;
+      onChanged();
+      return reportLeafBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.HostRecord, org.bramblerack.wire.HostRecord.Builder, org.bramblerack.wire.HostRecordOrBuilder> reportHostBuilder_;
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     * @return Whether the reportHost field is set.
+     */
+    @java.lang.Override
+    public boolean hasReportHost() {
+      return bodyCase_ == 6;
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     * @return The reportHost.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.HostRecord getReportHost() {
+      if (reportHostBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          return (org.bramblerack.wire.HostRecord) body_;
+        }
+        return org.bramblerack.wire.HostRecord.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 6) {
+          return reportHostBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.HostRecord.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     */
+    public Builder setReportHost(org.bramblerack.wire.HostRecord value) {
+      if (reportHostBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        reportHostBuilder_.setMessage(value);
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     */
+    public Builder setReportHost(
+        org.bramblerack.wire.HostRecord.Builder builderForValue) {
+      if (reportHostBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        reportHostBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     */
+    public Builder mergeReportHost(org.bramblerack.wire.HostRecord value) {
+      if (reportHostBuilder_ == null) {
+        if (bodyCase_ == 6 &&
+            body_ != org.bramblerack.wire.HostRecord.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.HostRecord.newBuilder((org.bramblerack.wire.HostRecord) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 6) {
+          reportHostBuilder_.mergeFrom(value);
+        } else {
+          reportHostBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     */
+    public Builder clearReportHost() {
+      if (reportHostBuilder_ == null) {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 6) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        reportHostBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     */
+    public org.bramblerack.wire.HostRecord.Builder getReportHostBuilder() {
+      return internalGetReportHostFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.HostRecordOrBuilder getReportHostOrBuilder() {
+      if ((bodyCase_ == 6) && (reportHostBuilder_ != null)) {
+        return reportHostBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 6) {
+          return (org.bramblerack.wire.HostRecord) body_;
+        }
+        return org.bramblerack.wire.HostRecord.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.HostRecord report_host = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.HostRecord, org.bramblerack.wire.HostRecord.Builder, org.bramblerack.wire.HostRecordOrBuilder> 
+        internalGetReportHostFieldBuilder() {
+      if (reportHostBuilder_ == null) {
+        if (!(bodyCase_ == 6)) {
+          body_ = org.bramblerack.wire.HostRecord.getDefaultInstance();
+        }
+        reportHostBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.HostRecord, org.bramblerack.wire.HostRecord.Builder, org.bramblerack.wire.HostRecordOrBuilder>(
+                (org.bramblerack.wire.HostRecord) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 6;
+      onChanged();
+      return reportHostBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.ForgetMembers, org.bramblerack.wire.ForgetMembers.Builder, org.bramblerack.wire.ForgetMembersOrBuilder> forgetMembersBuilder_;
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     * @return Whether the forgetMembers field is set.
+     */
+    @java.lang.Override
+    public boolean hasForgetMembers() {
+      return bodyCase_ == 7;
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     * @return The forgetMembers.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.ForgetMembers getForgetMembers() {
+      if (forgetMembersBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          return (org.bramblerack.wire.ForgetMembers) body_;
+        }
+        return org.bramblerack.wire.ForgetMembers.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 7) {
+          return forgetMembersBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.ForgetMembers.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     */
+    public Builder setForgetMembers(org.bramblerack.wire.ForgetMembers value) {
+      if (forgetMembersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        forgetMembersBuilder_.setMessage(value);
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     */
+    public Builder setForgetMembers(
+        org.bramblerack.wire.ForgetMembers.Builder builderForValue) {
+      if (forgetMembersBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        forgetMembersBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     */
+    public Builder mergeForgetMembers(org.bramblerack.wire.ForgetMembers value) {
+      if (forgetMembersBuilder_ == null) {
+        if (bodyCase_ == 7 &&
+            body_ != org.bramblerack.wire.ForgetMembers.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.ForgetMembers.newBuilder((org.bramblerack.wire.ForgetMembers) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 7) {
+          forgetMembersBuilder_.mergeFrom(value);
+        } else {
+          forgetMembersBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     */
+    public Builder clearForgetMembers() {
+      if (forgetMembersBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        forgetMembersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     */
+    public org.bramblerack.wire.ForgetMembers.Builder getForgetMembersBuilder() {
+      return internalGetForgetMembersFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.ForgetMembersOrBuilder getForgetMembersOrBuilder() {
+      if ((bodyCase_ == 7) && (forgetMembersBuilder_ != null)) {
+        return forgetMembersBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 7) {
+          return (org.bramblerack.wire.ForgetMembers) body_;
+        }
+        return org.bramblerack.wire.ForgetMembers.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.ForgetMembers, org.bramblerack.wire.ForgetMembers.Builder, org.bramblerack.wire.ForgetMembersOrBuilder> 
+        internalGetForgetMembersFieldBuilder() {
+      if (forgetMembersBuilder_ == null) {
+        if (!(bodyCase_ == 7)) {
+          body_ = org.bramblerack.wire.ForgetMembers.getDefaultInstance();
+        }
+        forgetMembersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.ForgetMembers, org.bramblerack.wire.ForgetMembers.Builder, org.bramblerack.wire.ForgetMembersOrBuilder>(
+                (org.bramblerack.wire.ForgetMembers) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 7;
+      onChanged();
+      return forgetMembersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.Command)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandOrBuilder.java
@@ -55,5 +55,65 @@
    */
   org.bramblerack.wire.RecordOutcomeOrBuilder getOutcomeOrBuilder();
 
+  /**
+   * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+   * @return Whether the putConfiguration field is set.
+   */
+  boolean hasPutConfiguration();
+  /**
+   * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+   * @return The putConfiguration.
+   */
+  org.bramblerack.wire.PutConfiguration getPutConfiguration();
+  /**
+   * <code>.bramblerack.PutConfiguration put_configuration = 4;</code>
+   */
+  org.bramblerack.wire.PutConfigurationOrBuilder getPutConfigurationOrBuilder();
+
+  /**
+   * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+   * @return Whether the reportLeaf field is set.
+   */
+  boolean hasReportLeaf();
+  /**
+   * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+   * @return The reportLeaf.
+   */
+  org.bramblerack.wire.LeafRecord getReportLeaf();
+  /**
+   * <code>.bramblerack.LeafRecord report_leaf = 5;</code>
+   */
+  org.bramblerack.wire.LeafRecordOrBuilder getReportLeafOrBuilder();
+
+  /**
+   * <code>.bramblerack.HostRecord report_host = 6;</code>
+   * @return Whether the reportHost field is set.
+   */
+  boolean hasReportHost();
+  /**
+   * <code>.bramblerack.HostRecord report_host = 6;</code>
+   * @return The reportHost.
+   */
+  org.bramblerack.wire.HostRecord getReportHost();
+  /**
+   * <code>.bramblerack.HostRecord report_host = 6;</code>
+   */
+  org.bramblerack.wire.HostRecordOrBuilder getReportHostOrBuilder();
+
+  /**
+   * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+   * @return Whether the forgetMembers field is set.
+   */
+  boolean hasForgetMembers();
+  /**
+   * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+   * @return The forgetMembers.
+   */
+  org.bramblerack.wire.ForgetMembers getForgetMembers();
+  /**
+   * <code>.bramblerack.ForgetMembers forget_members = 7;</code>
+   */
+  org.bramblerack.wire.ForgetMembersOrBuilder getForgetMembersOrBuilder();
+
   org.bramblerack.wire.Command.BodyCase getBodyCase();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandResult.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandResult.java
@@ -102,6 +102,14 @@
      * <code>INVALID = 11;</code>
      */
     INVALID(11),
+    /**
+     * <pre>
+     * The configuration held is not older; nothing changed.
+     * </pre>
+     *
+     * <code>SUPERSEDED = 12;</code>
+     */
+    SUPERSEDED(12),
     UNRECOGNIZED(-1),
     ;
 
@@ -162,6 +170,14 @@
      * <code>INVALID = 11;</code>
      */
     public static final int INVALID_VALUE = 11;
+    /**
+     * <pre>
+     * The configuration held is not older; nothing changed.
+     * </pre>
+     *
+     * <code>SUPERSEDED = 12;</code>
+     */
+    public static final int SUPERSEDED_VALUE = 12;
 
 
     public final int getNumber() {
@@ -200,6 +216,7 @@
         case 9: return NO_ROOM;
         case 10: return NOT_HOLDER;
         case 11: return INVALID;
+        case 12: return SUPERSEDED;
         default: return null;
       }
     }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlRead.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlRead.java
@@ -68,6 +68,10 @@
      * <code>HISTORY = 3;</code>
      */
     HISTORY(3),
+    /**
+     * <code>ROUTING = 4;</code>
+     */
+    ROUTING(4),
     UNRECOGNIZED(-1),
     ;
 
@@ -96,6 +100,10 @@
      * <code>HISTORY = 3;</code>
      */
     public static final int HISTORY_VALUE = 3;
+    /**
+     * <code>ROUTING = 4;</code>
+     */
+    public static final int ROUTING_VALUE = 4;
 
 
     public final int getNumber() {
@@ -126,6 +134,7 @@
         case 1: return STATUS;
         case 2: return CLAIM;
         case 3: return HISTORY;
+        case 4: return ROUTING;
         default: return null;
       }
     }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlReadResult.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlReadResult.java
@@ -32,6 +32,7 @@
     inForce_ = java.util.Collections.emptyList();
     history_ = java.util.Collections.emptyList();
     declarations_ = java.util.Collections.emptyList();
+    routingDocument_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -288,6 +289,32 @@
     return forgotten_;
   }
 
+  public static final int ROUTING_VERSION_FIELD_NUMBER = 10;
+  private long routingVersion_ = 0L;
+  /**
+   * <code>int64 routing_version = 10;</code>
+   * @return The routingVersion.
+   */
+  @java.lang.Override
+  public long getRoutingVersion() {
+    return routingVersion_;
+  }
+
+  public static final int ROUTING_DOCUMENT_FIELD_NUMBER = 11;
+  private com.google.protobuf.ByteString routingDocument_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The compressed document of the routing configuration.
+   * </pre>
+   *
+   * <code>bytes routing_document = 11;</code>
+   * @return The routingDocument.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getRoutingDocument() {
+    return routingDocument_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -329,6 +356,12 @@
     if (forgotten_ != false) {
       output.writeBool(9, forgotten_);
     }
+    if (routingVersion_ != 0L) {
+      output.writeInt64(10, routingVersion_);
+    }
+    if (!routingDocument_.isEmpty()) {
+      output.writeBytes(11, routingDocument_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -373,6 +406,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, forgotten_);
     }
+    if (routingVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, routingVersion_);
+    }
+    if (!routingDocument_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(11, routingDocument_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -409,6 +450,10 @@
         .equals(other.getDeclarationsList())) return false;
     if (getForgotten()
         != other.getForgotten()) return false;
+    if (getRoutingVersion()
+        != other.getRoutingVersion()) return false;
+    if (!getRoutingDocument()
+        .equals(other.getRoutingDocument())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -450,6 +495,11 @@
     hash = (37 * hash) + FORGOTTEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getForgotten());
+    hash = (37 * hash) + ROUTING_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRoutingVersion());
+    hash = (37 * hash) + ROUTING_DOCUMENT_FIELD_NUMBER;
+    hash = (53 * hash) + getRoutingDocument().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -621,6 +671,8 @@
       }
       bitField0_ = (bitField0_ & ~0x00000080);
       forgotten_ = false;
+      routingVersion_ = 0L;
+      routingDocument_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -707,6 +759,12 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.forgotten_ = forgotten_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.routingVersion_ = routingVersion_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.routingDocument_ = routingDocument_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -820,6 +878,12 @@
       if (other.getForgotten() != false) {
         setForgotten(other.getForgotten());
       }
+      if (other.getRoutingVersion() != 0L) {
+        setRoutingVersion(other.getRoutingVersion());
+      }
+      if (!other.getRoutingDocument().isEmpty()) {
+        setRoutingDocument(other.getRoutingDocument());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -917,6 +981,16 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              routingVersion_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 90: {
+              routingDocument_ = input.readBytes();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1999,6 +2073,82 @@
       return this;
     }
 
+    private long routingVersion_ ;
+    /**
+     * <code>int64 routing_version = 10;</code>
+     * @return The routingVersion.
+     */
+    @java.lang.Override
+    public long getRoutingVersion() {
+      return routingVersion_;
+    }
+    /**
+     * <code>int64 routing_version = 10;</code>
+     * @param value The routingVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRoutingVersion(long value) {
+
+      routingVersion_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 routing_version = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRoutingVersion() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      routingVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString routingDocument_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The compressed document of the routing configuration.
+     * </pre>
+     *
+     * <code>bytes routing_document = 11;</code>
+     * @return The routingDocument.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getRoutingDocument() {
+      return routingDocument_;
+    }
+    /**
+     * <pre>
+     * The compressed document of the routing configuration.
+     * </pre>
+     *
+     * <code>bytes routing_document = 11;</code>
+     * @param value The routingDocument to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRoutingDocument(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      routingDocument_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The compressed document of the routing configuration.
+     * </pre>
+     *
+     * <code>bytes routing_document = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRoutingDocument() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      routingDocument_ = getDefaultInstance().getRoutingDocument();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.ControlReadResult)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlReadResultOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlReadResultOrBuilder.java
@@ -140,4 +140,20 @@
    * @return The forgotten.
    */
   boolean getForgotten();
+
+  /**
+   * <code>int64 routing_version = 10;</code>
+   * @return The routingVersion.
+   */
+  long getRoutingVersion();
+
+  /**
+   * <pre>
+   * The compressed document of the routing configuration.
+   * </pre>
+   *
+   * <code>bytes routing_document = 11;</code>
+   * @return The routingDocument.
+   */
+  com.google.protobuf.ByteString getRoutingDocument();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlSnapshot.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlSnapshot.java
@@ -52,6 +52,7 @@
             org.bramblerack.wire.ControlSnapshot.class, org.bramblerack.wire.ControlSnapshot.Builder.class);
   }
 
+  private int bitField0_;
   public static final int REVISION_FIELD_NUMBER = 1;
   private long revision_ = 0L;
   /**
@@ -253,6 +254,32 @@
     return forgotten_;
   }
 
+  public static final int TABLES_FIELD_NUMBER = 8;
+  private org.bramblerack.wire.MemberTables tables_;
+  /**
+   * <code>.bramblerack.MemberTables tables = 8;</code>
+   * @return Whether the tables field is set.
+   */
+  @java.lang.Override
+  public boolean hasTables() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.bramblerack.MemberTables tables = 8;</code>
+   * @return The tables.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.MemberTables getTables() {
+    return tables_ == null ? org.bramblerack.wire.MemberTables.getDefaultInstance() : tables_;
+  }
+  /**
+   * <code>.bramblerack.MemberTables tables = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.MemberTablesOrBuilder getTablesOrBuilder() {
+    return tables_ == null ? org.bramblerack.wire.MemberTables.getDefaultInstance() : tables_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -288,6 +315,9 @@
     if (!forgotten_.isEmpty()) {
       output.writeBytes(7, forgotten_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(8, getTables());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -325,6 +355,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(7, forgotten_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, getTables());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -354,6 +388,11 @@
         != other.getClockMillis()) return false;
     if (!getForgotten()
         .equals(other.getForgotten())) return false;
+    if (hasTables() != other.hasTables()) return false;
+    if (hasTables()) {
+      if (!getTables()
+          .equals(other.getTables())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -389,6 +428,10 @@
         getClockMillis());
     hash = (37 * hash) + FORGOTTEN_FIELD_NUMBER;
     hash = (53 * hash) + getForgotten().hashCode();
+    if (hasTables()) {
+      hash = (37 * hash) + TABLES_FIELD_NUMBER;
+      hash = (53 * hash) + getTables().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -512,13 +555,23 @@
 
     // Construct using org.bramblerack.wire.ControlSnapshot.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetDeclarationsFieldBuilder();
+        internalGetHistoryFieldBuilder();
+        internalGetResultsFieldBuilder();
+        internalGetClaimsFieldBuilder();
+        internalGetTablesFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -555,6 +608,11 @@
       bitField0_ = (bitField0_ & ~0x00000010);
       clockMillis_ = 0L;
       forgotten_ = com.google.protobuf.ByteString.EMPTY;
+      tables_ = null;
+      if (tablesBuilder_ != null) {
+        tablesBuilder_.dispose();
+        tablesBuilder_ = null;
+      }
       return this;
     }
 
@@ -637,6 +695,14 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.forgotten_ = forgotten_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.tables_ = tablesBuilder_ == null
+            ? tables_
+            : tablesBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -764,6 +830,9 @@
       if (!other.getForgotten().isEmpty()) {
         setForgotten(other.getForgotten());
       }
+      if (other.hasTables()) {
+        mergeTables(other.getTables());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -857,6 +926,13 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetTablesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1942,6 +2018,127 @@
       return this;
     }
 
+    private org.bramblerack.wire.MemberTables tables_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.MemberTables, org.bramblerack.wire.MemberTables.Builder, org.bramblerack.wire.MemberTablesOrBuilder> tablesBuilder_;
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     * @return Whether the tables field is set.
+     */
+    public boolean hasTables() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     * @return The tables.
+     */
+    public org.bramblerack.wire.MemberTables getTables() {
+      if (tablesBuilder_ == null) {
+        return tables_ == null ? org.bramblerack.wire.MemberTables.getDefaultInstance() : tables_;
+      } else {
+        return tablesBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     */
+    public Builder setTables(org.bramblerack.wire.MemberTables value) {
+      if (tablesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        tables_ = value;
+      } else {
+        tablesBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     */
+    public Builder setTables(
+        org.bramblerack.wire.MemberTables.Builder builderForValue) {
+      if (tablesBuilder_ == null) {
+        tables_ = builderForValue.build();
+      } else {
+        tablesBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     */
+    public Builder mergeTables(org.bramblerack.wire.MemberTables value) {
+      if (tablesBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          tables_ != null &&
+          tables_ != org.bramblerack.wire.MemberTables.getDefaultInstance()) {
+          getTablesBuilder().mergeFrom(value);
+        } else {
+          tables_ = value;
+        }
+      } else {
+        tablesBuilder_.mergeFrom(value);
+      }
+      if (tables_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     */
+    public Builder clearTables() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      tables_ = null;
+      if (tablesBuilder_ != null) {
+        tablesBuilder_.dispose();
+        tablesBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     */
+    public org.bramblerack.wire.MemberTables.Builder getTablesBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetTablesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     */
+    public org.bramblerack.wire.MemberTablesOrBuilder getTablesOrBuilder() {
+      if (tablesBuilder_ != null) {
+        return tablesBuilder_.getMessageOrBuilder();
+      } else {
+        return tables_ == null ?
+            org.bramblerack.wire.MemberTables.getDefaultInstance() : tables_;
+      }
+    }
+    /**
+     * <code>.bramblerack.MemberTables tables = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.MemberTables, org.bramblerack.wire.MemberTables.Builder, org.bramblerack.wire.MemberTablesOrBuilder> 
+        internalGetTablesFieldBuilder() {
+      if (tablesBuilder_ == null) {
+        tablesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.MemberTables, org.bramblerack.wire.MemberTables.Builder, org.bramblerack.wire.MemberTablesOrBuilder>(
+                getTables(),
+                getParentForChildren(),
+                isClean());
+        tables_ = null;
+      }
+      return tablesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.ControlSnapshot)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlSnapshotOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/ControlSnapshotOrBuilder.java
@@ -127,4 +127,19 @@
    * @return The forgotten.
    */
   com.google.protobuf.ByteString getForgotten();
+
+  /**
+   * <code>.bramblerack.MemberTables tables = 8;</code>
+   * @return Whether the tables field is set.
+   */
+  boolean hasTables();
+  /**
+   * <code>.bramblerack.MemberTables tables = 8;</code>
+   * @return The tables.
+   */
+  org.bramblerack.wire.MemberTables getTables();
+  /**
+   * <code>.bramblerack.MemberTables tables = 8;</code>
+   */
+  org.bramblerack.wire.MemberTablesOrBuilder getTablesOrBuilder();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/Envelope.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/Envelope.java
@@ -65,6 +65,15 @@
     CONFIGURATION_DELTA(18),
     CONTROL_READ(19),
     CONTROL_READ_RESULT(20),
+    TABLE_PULL(21),
+    TABLE_DELTA(22),
+    HEARD_MEMBERS(23),
+    STAGE_CALL(24),
+    STAGE_PROGRESS(25),
+    STAGE_RESULT(26),
+    STAGE_CANCEL(27),
+    JOIN_REQUEST(28),
+    PING(29),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -93,6 +102,15 @@
         case 18: return CONFIGURATION_DELTA;
         case 19: return CONTROL_READ;
         case 20: return CONTROL_READ_RESULT;
+        case 21: return TABLE_PULL;
+        case 22: return TABLE_DELTA;
+        case 23: return HEARD_MEMBERS;
+        case 24: return STAGE_CALL;
+        case 25: return STAGE_PROGRESS;
+        case 26: return STAGE_RESULT;
+        case 27: return STAGE_CANCEL;
+        case 28: return JOIN_REQUEST;
+        case 29: return PING;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -510,6 +528,285 @@
     return org.bramblerack.wire.ControlReadResult.getDefaultInstance();
   }
 
+  public static final int TABLE_PULL_FIELD_NUMBER = 21;
+  /**
+   * <code>.bramblerack.TablePull table_pull = 21;</code>
+   * @return Whether the tablePull field is set.
+   */
+  @java.lang.Override
+  public boolean hasTablePull() {
+    return bodyCase_ == 21;
+  }
+  /**
+   * <code>.bramblerack.TablePull table_pull = 21;</code>
+   * @return The tablePull.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.TablePull getTablePull() {
+    if (bodyCase_ == 21) {
+       return (org.bramblerack.wire.TablePull) body_;
+    }
+    return org.bramblerack.wire.TablePull.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.TablePull table_pull = 21;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.TablePullOrBuilder getTablePullOrBuilder() {
+    if (bodyCase_ == 21) {
+       return (org.bramblerack.wire.TablePull) body_;
+    }
+    return org.bramblerack.wire.TablePull.getDefaultInstance();
+  }
+
+  public static final int TABLE_DELTA_FIELD_NUMBER = 22;
+  /**
+   * <code>.bramblerack.TableDelta table_delta = 22;</code>
+   * @return Whether the tableDelta field is set.
+   */
+  @java.lang.Override
+  public boolean hasTableDelta() {
+    return bodyCase_ == 22;
+  }
+  /**
+   * <code>.bramblerack.TableDelta table_delta = 22;</code>
+   * @return The tableDelta.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.TableDelta getTableDelta() {
+    if (bodyCase_ == 22) {
+       return (org.bramblerack.wire.TableDelta) body_;
+    }
+    return org.bramblerack.wire.TableDelta.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.TableDelta table_delta = 22;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.TableDeltaOrBuilder getTableDeltaOrBuilder() {
+    if (bodyCase_ == 22) {
+       return (org.bramblerack.wire.TableDelta) body_;
+    }
+    return org.bramblerack.wire.TableDelta.getDefaultInstance();
+  }
+
+  public static final int HEARD_MEMBERS_FIELD_NUMBER = 23;
+  /**
+   * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+   * @return Whether the heardMembers field is set.
+   */
+  @java.lang.Override
+  public boolean hasHeardMembers() {
+    return bodyCase_ == 23;
+  }
+  /**
+   * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+   * @return The heardMembers.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.HeardMembers getHeardMembers() {
+    if (bodyCase_ == 23) {
+       return (org.bramblerack.wire.HeardMembers) body_;
+    }
+    return org.bramblerack.wire.HeardMembers.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.HeardMembersOrBuilder getHeardMembersOrBuilder() {
+    if (bodyCase_ == 23) {
+       return (org.bramblerack.wire.HeardMembers) body_;
+    }
+    return org.bramblerack.wire.HeardMembers.getDefaultInstance();
+  }
+
+  public static final int STAGE_CALL_FIELD_NUMBER = 24;
+  /**
+   * <code>.bramblerack.StageCall stage_call = 24;</code>
+   * @return Whether the stageCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasStageCall() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.bramblerack.StageCall stage_call = 24;</code>
+   * @return The stageCall.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageCall getStageCall() {
+    if (bodyCase_ == 24) {
+       return (org.bramblerack.wire.StageCall) body_;
+    }
+    return org.bramblerack.wire.StageCall.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.StageCall stage_call = 24;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageCallOrBuilder getStageCallOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (org.bramblerack.wire.StageCall) body_;
+    }
+    return org.bramblerack.wire.StageCall.getDefaultInstance();
+  }
+
+  public static final int STAGE_PROGRESS_FIELD_NUMBER = 25;
+  /**
+   * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+   * @return Whether the stageProgress field is set.
+   */
+  @java.lang.Override
+  public boolean hasStageProgress() {
+    return bodyCase_ == 25;
+  }
+  /**
+   * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+   * @return The stageProgress.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageProgress getStageProgress() {
+    if (bodyCase_ == 25) {
+       return (org.bramblerack.wire.StageProgress) body_;
+    }
+    return org.bramblerack.wire.StageProgress.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageProgressOrBuilder getStageProgressOrBuilder() {
+    if (bodyCase_ == 25) {
+       return (org.bramblerack.wire.StageProgress) body_;
+    }
+    return org.bramblerack.wire.StageProgress.getDefaultInstance();
+  }
+
+  public static final int STAGE_RESULT_FIELD_NUMBER = 26;
+  /**
+   * <code>.bramblerack.StageResult stage_result = 26;</code>
+   * @return Whether the stageResult field is set.
+   */
+  @java.lang.Override
+  public boolean hasStageResult() {
+    return bodyCase_ == 26;
+  }
+  /**
+   * <code>.bramblerack.StageResult stage_result = 26;</code>
+   * @return The stageResult.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageResult getStageResult() {
+    if (bodyCase_ == 26) {
+       return (org.bramblerack.wire.StageResult) body_;
+    }
+    return org.bramblerack.wire.StageResult.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.StageResult stage_result = 26;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageResultOrBuilder getStageResultOrBuilder() {
+    if (bodyCase_ == 26) {
+       return (org.bramblerack.wire.StageResult) body_;
+    }
+    return org.bramblerack.wire.StageResult.getDefaultInstance();
+  }
+
+  public static final int STAGE_CANCEL_FIELD_NUMBER = 27;
+  /**
+   * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+   * @return Whether the stageCancel field is set.
+   */
+  @java.lang.Override
+  public boolean hasStageCancel() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+   * @return The stageCancel.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageCancel getStageCancel() {
+    if (bodyCase_ == 27) {
+       return (org.bramblerack.wire.StageCancel) body_;
+    }
+    return org.bramblerack.wire.StageCancel.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.StageCancelOrBuilder getStageCancelOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (org.bramblerack.wire.StageCancel) body_;
+    }
+    return org.bramblerack.wire.StageCancel.getDefaultInstance();
+  }
+
+  public static final int JOIN_REQUEST_FIELD_NUMBER = 28;
+  /**
+   * <code>.bramblerack.JoinRequest join_request = 28;</code>
+   * @return Whether the joinRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasJoinRequest() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.bramblerack.JoinRequest join_request = 28;</code>
+   * @return The joinRequest.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.JoinRequest getJoinRequest() {
+    if (bodyCase_ == 28) {
+       return (org.bramblerack.wire.JoinRequest) body_;
+    }
+    return org.bramblerack.wire.JoinRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.JoinRequest join_request = 28;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.JoinRequestOrBuilder getJoinRequestOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (org.bramblerack.wire.JoinRequest) body_;
+    }
+    return org.bramblerack.wire.JoinRequest.getDefaultInstance();
+  }
+
+  public static final int PING_FIELD_NUMBER = 29;
+  /**
+   * <code>.bramblerack.Ping ping = 29;</code>
+   * @return Whether the ping field is set.
+   */
+  @java.lang.Override
+  public boolean hasPing() {
+    return bodyCase_ == 29;
+  }
+  /**
+   * <code>.bramblerack.Ping ping = 29;</code>
+   * @return The ping.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.Ping getPing() {
+    if (bodyCase_ == 29) {
+       return (org.bramblerack.wire.Ping) body_;
+    }
+    return org.bramblerack.wire.Ping.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.Ping ping = 29;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.PingOrBuilder getPingOrBuilder() {
+    if (bodyCase_ == 29) {
+       return (org.bramblerack.wire.Ping) body_;
+    }
+    return org.bramblerack.wire.Ping.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -566,6 +863,33 @@
     if (bodyCase_ == 20) {
       output.writeMessage(20, (org.bramblerack.wire.ControlReadResult) body_);
     }
+    if (bodyCase_ == 21) {
+      output.writeMessage(21, (org.bramblerack.wire.TablePull) body_);
+    }
+    if (bodyCase_ == 22) {
+      output.writeMessage(22, (org.bramblerack.wire.TableDelta) body_);
+    }
+    if (bodyCase_ == 23) {
+      output.writeMessage(23, (org.bramblerack.wire.HeardMembers) body_);
+    }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (org.bramblerack.wire.StageCall) body_);
+    }
+    if (bodyCase_ == 25) {
+      output.writeMessage(25, (org.bramblerack.wire.StageProgress) body_);
+    }
+    if (bodyCase_ == 26) {
+      output.writeMessage(26, (org.bramblerack.wire.StageResult) body_);
+    }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (org.bramblerack.wire.StageCancel) body_);
+    }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (org.bramblerack.wire.JoinRequest) body_);
+    }
+    if (bodyCase_ == 29) {
+      output.writeMessage(29, (org.bramblerack.wire.Ping) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -630,6 +954,42 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(20, (org.bramblerack.wire.ControlReadResult) body_);
     }
+    if (bodyCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (org.bramblerack.wire.TablePull) body_);
+    }
+    if (bodyCase_ == 22) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, (org.bramblerack.wire.TableDelta) body_);
+    }
+    if (bodyCase_ == 23) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(23, (org.bramblerack.wire.HeardMembers) body_);
+    }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (org.bramblerack.wire.StageCall) body_);
+    }
+    if (bodyCase_ == 25) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(25, (org.bramblerack.wire.StageProgress) body_);
+    }
+    if (bodyCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (org.bramblerack.wire.StageResult) body_);
+    }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (org.bramblerack.wire.StageCancel) body_);
+    }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.bramblerack.wire.JoinRequest) body_);
+    }
+    if (bodyCase_ == 29) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(29, (org.bramblerack.wire.Ping) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -697,6 +1057,42 @@
         if (!getControlReadResult()
             .equals(other.getControlReadResult())) return false;
         break;
+      case 21:
+        if (!getTablePull()
+            .equals(other.getTablePull())) return false;
+        break;
+      case 22:
+        if (!getTableDelta()
+            .equals(other.getTableDelta())) return false;
+        break;
+      case 23:
+        if (!getHeardMembers()
+            .equals(other.getHeardMembers())) return false;
+        break;
+      case 24:
+        if (!getStageCall()
+            .equals(other.getStageCall())) return false;
+        break;
+      case 25:
+        if (!getStageProgress()
+            .equals(other.getStageProgress())) return false;
+        break;
+      case 26:
+        if (!getStageResult()
+            .equals(other.getStageResult())) return false;
+        break;
+      case 27:
+        if (!getStageCancel()
+            .equals(other.getStageCancel())) return false;
+        break;
+      case 28:
+        if (!getJoinRequest()
+            .equals(other.getJoinRequest())) return false;
+        break;
+      case 29:
+        if (!getPing()
+            .equals(other.getPing())) return false;
+        break;
       case 0:
       default:
     }
@@ -764,6 +1160,42 @@
         hash = (37 * hash) + CONTROL_READ_RESULT_FIELD_NUMBER;
         hash = (53 * hash) + getControlReadResult().hashCode();
         break;
+      case 21:
+        hash = (37 * hash) + TABLE_PULL_FIELD_NUMBER;
+        hash = (53 * hash) + getTablePull().hashCode();
+        break;
+      case 22:
+        hash = (37 * hash) + TABLE_DELTA_FIELD_NUMBER;
+        hash = (53 * hash) + getTableDelta().hashCode();
+        break;
+      case 23:
+        hash = (37 * hash) + HEARD_MEMBERS_FIELD_NUMBER;
+        hash = (53 * hash) + getHeardMembers().hashCode();
+        break;
+      case 24:
+        hash = (37 * hash) + STAGE_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getStageCall().hashCode();
+        break;
+      case 25:
+        hash = (37 * hash) + STAGE_PROGRESS_FIELD_NUMBER;
+        hash = (53 * hash) + getStageProgress().hashCode();
+        break;
+      case 26:
+        hash = (37 * hash) + STAGE_RESULT_FIELD_NUMBER;
+        hash = (53 * hash) + getStageResult().hashCode();
+        break;
+      case 27:
+        hash = (37 * hash) + STAGE_CANCEL_FIELD_NUMBER;
+        hash = (53 * hash) + getStageCancel().hashCode();
+        break;
+      case 28:
+        hash = (37 * hash) + JOIN_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getJoinRequest().hashCode();
+        break;
+      case 29:
+        hash = (37 * hash) + PING_FIELD_NUMBER;
+        hash = (53 * hash) + getPing().hashCode();
+        break;
       case 0:
       default:
     }
@@ -938,6 +1370,33 @@
       if (controlReadResultBuilder_ != null) {
         controlReadResultBuilder_.clear();
       }
+      if (tablePullBuilder_ != null) {
+        tablePullBuilder_.clear();
+      }
+      if (tableDeltaBuilder_ != null) {
+        tableDeltaBuilder_.clear();
+      }
+      if (heardMembersBuilder_ != null) {
+        heardMembersBuilder_.clear();
+      }
+      if (stageCallBuilder_ != null) {
+        stageCallBuilder_.clear();
+      }
+      if (stageProgressBuilder_ != null) {
+        stageProgressBuilder_.clear();
+      }
+      if (stageResultBuilder_ != null) {
+        stageResultBuilder_.clear();
+      }
+      if (stageCancelBuilder_ != null) {
+        stageCancelBuilder_.clear();
+      }
+      if (joinRequestBuilder_ != null) {
+        joinRequestBuilder_.clear();
+      }
+      if (pingBuilder_ != null) {
+        pingBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1032,6 +1491,42 @@
           controlReadResultBuilder_ != null) {
         result.body_ = controlReadResultBuilder_.build();
       }
+      if (bodyCase_ == 21 &&
+          tablePullBuilder_ != null) {
+        result.body_ = tablePullBuilder_.build();
+      }
+      if (bodyCase_ == 22 &&
+          tableDeltaBuilder_ != null) {
+        result.body_ = tableDeltaBuilder_.build();
+      }
+      if (bodyCase_ == 23 &&
+          heardMembersBuilder_ != null) {
+        result.body_ = heardMembersBuilder_.build();
+      }
+      if (bodyCase_ == 24 &&
+          stageCallBuilder_ != null) {
+        result.body_ = stageCallBuilder_.build();
+      }
+      if (bodyCase_ == 25 &&
+          stageProgressBuilder_ != null) {
+        result.body_ = stageProgressBuilder_.build();
+      }
+      if (bodyCase_ == 26 &&
+          stageResultBuilder_ != null) {
+        result.body_ = stageResultBuilder_.build();
+      }
+      if (bodyCase_ == 27 &&
+          stageCancelBuilder_ != null) {
+        result.body_ = stageCancelBuilder_.build();
+      }
+      if (bodyCase_ == 28 &&
+          joinRequestBuilder_ != null) {
+        result.body_ = joinRequestBuilder_.build();
+      }
+      if (bodyCase_ == 29 &&
+          pingBuilder_ != null) {
+        result.body_ = pingBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1102,6 +1597,42 @@
           mergeControlReadResult(other.getControlReadResult());
           break;
         }
+        case TABLE_PULL: {
+          mergeTablePull(other.getTablePull());
+          break;
+        }
+        case TABLE_DELTA: {
+          mergeTableDelta(other.getTableDelta());
+          break;
+        }
+        case HEARD_MEMBERS: {
+          mergeHeardMembers(other.getHeardMembers());
+          break;
+        }
+        case STAGE_CALL: {
+          mergeStageCall(other.getStageCall());
+          break;
+        }
+        case STAGE_PROGRESS: {
+          mergeStageProgress(other.getStageProgress());
+          break;
+        }
+        case STAGE_RESULT: {
+          mergeStageResult(other.getStageResult());
+          break;
+        }
+        case STAGE_CANCEL: {
+          mergeStageCancel(other.getStageCancel());
+          break;
+        }
+        case JOIN_REQUEST: {
+          mergeJoinRequest(other.getJoinRequest());
+          break;
+        }
+        case PING: {
+          mergePing(other.getPing());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1224,6 +1755,69 @@
               bodyCase_ = 20;
               break;
             } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetTablePullFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 21;
+              break;
+            } // case 170
+            case 178: {
+              input.readMessage(
+                  internalGetTableDeltaFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 22;
+              break;
+            } // case 178
+            case 186: {
+              input.readMessage(
+                  internalGetHeardMembersFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 23;
+              break;
+            } // case 186
+            case 194: {
+              input.readMessage(
+                  internalGetStageCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
+            case 202: {
+              input.readMessage(
+                  internalGetStageProgressFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 25;
+              break;
+            } // case 202
+            case 210: {
+              input.readMessage(
+                  internalGetStageResultFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 26;
+              break;
+            } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetStageCancelFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetJoinRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
+            case 234: {
+              input.readMessage(
+                  internalGetPingFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 29;
+              break;
+            } // case 234
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2954,6 +3548,1284 @@
       return controlReadResultBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.TablePull, org.bramblerack.wire.TablePull.Builder, org.bramblerack.wire.TablePullOrBuilder> tablePullBuilder_;
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     * @return Whether the tablePull field is set.
+     */
+    @java.lang.Override
+    public boolean hasTablePull() {
+      return bodyCase_ == 21;
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     * @return The tablePull.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.TablePull getTablePull() {
+      if (tablePullBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          return (org.bramblerack.wire.TablePull) body_;
+        }
+        return org.bramblerack.wire.TablePull.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 21) {
+          return tablePullBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.TablePull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     */
+    public Builder setTablePull(org.bramblerack.wire.TablePull value) {
+      if (tablePullBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        tablePullBuilder_.setMessage(value);
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     */
+    public Builder setTablePull(
+        org.bramblerack.wire.TablePull.Builder builderForValue) {
+      if (tablePullBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        tablePullBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     */
+    public Builder mergeTablePull(org.bramblerack.wire.TablePull value) {
+      if (tablePullBuilder_ == null) {
+        if (bodyCase_ == 21 &&
+            body_ != org.bramblerack.wire.TablePull.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.TablePull.newBuilder((org.bramblerack.wire.TablePull) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 21) {
+          tablePullBuilder_.mergeFrom(value);
+        } else {
+          tablePullBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     */
+    public Builder clearTablePull() {
+      if (tablePullBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        tablePullBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     */
+    public org.bramblerack.wire.TablePull.Builder getTablePullBuilder() {
+      return internalGetTablePullFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.TablePullOrBuilder getTablePullOrBuilder() {
+      if ((bodyCase_ == 21) && (tablePullBuilder_ != null)) {
+        return tablePullBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 21) {
+          return (org.bramblerack.wire.TablePull) body_;
+        }
+        return org.bramblerack.wire.TablePull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.TablePull table_pull = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.TablePull, org.bramblerack.wire.TablePull.Builder, org.bramblerack.wire.TablePullOrBuilder> 
+        internalGetTablePullFieldBuilder() {
+      if (tablePullBuilder_ == null) {
+        if (!(bodyCase_ == 21)) {
+          body_ = org.bramblerack.wire.TablePull.getDefaultInstance();
+        }
+        tablePullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.TablePull, org.bramblerack.wire.TablePull.Builder, org.bramblerack.wire.TablePullOrBuilder>(
+                (org.bramblerack.wire.TablePull) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 21;
+      onChanged();
+      return tablePullBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.TableDelta, org.bramblerack.wire.TableDelta.Builder, org.bramblerack.wire.TableDeltaOrBuilder> tableDeltaBuilder_;
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     * @return Whether the tableDelta field is set.
+     */
+    @java.lang.Override
+    public boolean hasTableDelta() {
+      return bodyCase_ == 22;
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     * @return The tableDelta.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.TableDelta getTableDelta() {
+      if (tableDeltaBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          return (org.bramblerack.wire.TableDelta) body_;
+        }
+        return org.bramblerack.wire.TableDelta.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 22) {
+          return tableDeltaBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.TableDelta.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     */
+    public Builder setTableDelta(org.bramblerack.wire.TableDelta value) {
+      if (tableDeltaBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        tableDeltaBuilder_.setMessage(value);
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     */
+    public Builder setTableDelta(
+        org.bramblerack.wire.TableDelta.Builder builderForValue) {
+      if (tableDeltaBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        tableDeltaBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     */
+    public Builder mergeTableDelta(org.bramblerack.wire.TableDelta value) {
+      if (tableDeltaBuilder_ == null) {
+        if (bodyCase_ == 22 &&
+            body_ != org.bramblerack.wire.TableDelta.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.TableDelta.newBuilder((org.bramblerack.wire.TableDelta) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 22) {
+          tableDeltaBuilder_.mergeFrom(value);
+        } else {
+          tableDeltaBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     */
+    public Builder clearTableDelta() {
+      if (tableDeltaBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        tableDeltaBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     */
+    public org.bramblerack.wire.TableDelta.Builder getTableDeltaBuilder() {
+      return internalGetTableDeltaFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.TableDeltaOrBuilder getTableDeltaOrBuilder() {
+      if ((bodyCase_ == 22) && (tableDeltaBuilder_ != null)) {
+        return tableDeltaBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 22) {
+          return (org.bramblerack.wire.TableDelta) body_;
+        }
+        return org.bramblerack.wire.TableDelta.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.TableDelta table_delta = 22;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.TableDelta, org.bramblerack.wire.TableDelta.Builder, org.bramblerack.wire.TableDeltaOrBuilder> 
+        internalGetTableDeltaFieldBuilder() {
+      if (tableDeltaBuilder_ == null) {
+        if (!(bodyCase_ == 22)) {
+          body_ = org.bramblerack.wire.TableDelta.getDefaultInstance();
+        }
+        tableDeltaBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.TableDelta, org.bramblerack.wire.TableDelta.Builder, org.bramblerack.wire.TableDeltaOrBuilder>(
+                (org.bramblerack.wire.TableDelta) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 22;
+      onChanged();
+      return tableDeltaBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.HeardMembers, org.bramblerack.wire.HeardMembers.Builder, org.bramblerack.wire.HeardMembersOrBuilder> heardMembersBuilder_;
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     * @return Whether the heardMembers field is set.
+     */
+    @java.lang.Override
+    public boolean hasHeardMembers() {
+      return bodyCase_ == 23;
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     * @return The heardMembers.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.HeardMembers getHeardMembers() {
+      if (heardMembersBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          return (org.bramblerack.wire.HeardMembers) body_;
+        }
+        return org.bramblerack.wire.HeardMembers.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 23) {
+          return heardMembersBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.HeardMembers.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     */
+    public Builder setHeardMembers(org.bramblerack.wire.HeardMembers value) {
+      if (heardMembersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        heardMembersBuilder_.setMessage(value);
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     */
+    public Builder setHeardMembers(
+        org.bramblerack.wire.HeardMembers.Builder builderForValue) {
+      if (heardMembersBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        heardMembersBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     */
+    public Builder mergeHeardMembers(org.bramblerack.wire.HeardMembers value) {
+      if (heardMembersBuilder_ == null) {
+        if (bodyCase_ == 23 &&
+            body_ != org.bramblerack.wire.HeardMembers.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.HeardMembers.newBuilder((org.bramblerack.wire.HeardMembers) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 23) {
+          heardMembersBuilder_.mergeFrom(value);
+        } else {
+          heardMembersBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     */
+    public Builder clearHeardMembers() {
+      if (heardMembersBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        heardMembersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     */
+    public org.bramblerack.wire.HeardMembers.Builder getHeardMembersBuilder() {
+      return internalGetHeardMembersFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.HeardMembersOrBuilder getHeardMembersOrBuilder() {
+      if ((bodyCase_ == 23) && (heardMembersBuilder_ != null)) {
+        return heardMembersBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 23) {
+          return (org.bramblerack.wire.HeardMembers) body_;
+        }
+        return org.bramblerack.wire.HeardMembers.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.HeardMembers, org.bramblerack.wire.HeardMembers.Builder, org.bramblerack.wire.HeardMembersOrBuilder> 
+        internalGetHeardMembersFieldBuilder() {
+      if (heardMembersBuilder_ == null) {
+        if (!(bodyCase_ == 23)) {
+          body_ = org.bramblerack.wire.HeardMembers.getDefaultInstance();
+        }
+        heardMembersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.HeardMembers, org.bramblerack.wire.HeardMembers.Builder, org.bramblerack.wire.HeardMembersOrBuilder>(
+                (org.bramblerack.wire.HeardMembers) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 23;
+      onChanged();
+      return heardMembersBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageCall, org.bramblerack.wire.StageCall.Builder, org.bramblerack.wire.StageCallOrBuilder> stageCallBuilder_;
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     * @return Whether the stageCall field is set.
+     */
+    @java.lang.Override
+    public boolean hasStageCall() {
+      return bodyCase_ == 24;
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     * @return The stageCall.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageCall getStageCall() {
+      if (stageCallBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (org.bramblerack.wire.StageCall) body_;
+        }
+        return org.bramblerack.wire.StageCall.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 24) {
+          return stageCallBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.StageCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     */
+    public Builder setStageCall(org.bramblerack.wire.StageCall value) {
+      if (stageCallBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        stageCallBuilder_.setMessage(value);
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     */
+    public Builder setStageCall(
+        org.bramblerack.wire.StageCall.Builder builderForValue) {
+      if (stageCallBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        stageCallBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     */
+    public Builder mergeStageCall(org.bramblerack.wire.StageCall value) {
+      if (stageCallBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != org.bramblerack.wire.StageCall.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.StageCall.newBuilder((org.bramblerack.wire.StageCall) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 24) {
+          stageCallBuilder_.mergeFrom(value);
+        } else {
+          stageCallBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     */
+    public Builder clearStageCall() {
+      if (stageCallBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        stageCallBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     */
+    public org.bramblerack.wire.StageCall.Builder getStageCallBuilder() {
+      return internalGetStageCallFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageCallOrBuilder getStageCallOrBuilder() {
+      if ((bodyCase_ == 24) && (stageCallBuilder_ != null)) {
+        return stageCallBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 24) {
+          return (org.bramblerack.wire.StageCall) body_;
+        }
+        return org.bramblerack.wire.StageCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageCall stage_call = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageCall, org.bramblerack.wire.StageCall.Builder, org.bramblerack.wire.StageCallOrBuilder> 
+        internalGetStageCallFieldBuilder() {
+      if (stageCallBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = org.bramblerack.wire.StageCall.getDefaultInstance();
+        }
+        stageCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.StageCall, org.bramblerack.wire.StageCall.Builder, org.bramblerack.wire.StageCallOrBuilder>(
+                (org.bramblerack.wire.StageCall) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 24;
+      onChanged();
+      return stageCallBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageProgress, org.bramblerack.wire.StageProgress.Builder, org.bramblerack.wire.StageProgressOrBuilder> stageProgressBuilder_;
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     * @return Whether the stageProgress field is set.
+     */
+    @java.lang.Override
+    public boolean hasStageProgress() {
+      return bodyCase_ == 25;
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     * @return The stageProgress.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageProgress getStageProgress() {
+      if (stageProgressBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          return (org.bramblerack.wire.StageProgress) body_;
+        }
+        return org.bramblerack.wire.StageProgress.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 25) {
+          return stageProgressBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.StageProgress.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     */
+    public Builder setStageProgress(org.bramblerack.wire.StageProgress value) {
+      if (stageProgressBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        stageProgressBuilder_.setMessage(value);
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     */
+    public Builder setStageProgress(
+        org.bramblerack.wire.StageProgress.Builder builderForValue) {
+      if (stageProgressBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        stageProgressBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     */
+    public Builder mergeStageProgress(org.bramblerack.wire.StageProgress value) {
+      if (stageProgressBuilder_ == null) {
+        if (bodyCase_ == 25 &&
+            body_ != org.bramblerack.wire.StageProgress.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.StageProgress.newBuilder((org.bramblerack.wire.StageProgress) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 25) {
+          stageProgressBuilder_.mergeFrom(value);
+        } else {
+          stageProgressBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     */
+    public Builder clearStageProgress() {
+      if (stageProgressBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        stageProgressBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     */
+    public org.bramblerack.wire.StageProgress.Builder getStageProgressBuilder() {
+      return internalGetStageProgressFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageProgressOrBuilder getStageProgressOrBuilder() {
+      if ((bodyCase_ == 25) && (stageProgressBuilder_ != null)) {
+        return stageProgressBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 25) {
+          return (org.bramblerack.wire.StageProgress) body_;
+        }
+        return org.bramblerack.wire.StageProgress.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageProgress, org.bramblerack.wire.StageProgress.Builder, org.bramblerack.wire.StageProgressOrBuilder> 
+        internalGetStageProgressFieldBuilder() {
+      if (stageProgressBuilder_ == null) {
+        if (!(bodyCase_ == 25)) {
+          body_ = org.bramblerack.wire.StageProgress.getDefaultInstance();
+        }
+        stageProgressBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.StageProgress, org.bramblerack.wire.StageProgress.Builder, org.bramblerack.wire.StageProgressOrBuilder>(
+                (org.bramblerack.wire.StageProgress) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 25;
+      onChanged();
+      return stageProgressBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageResult, org.bramblerack.wire.StageResult.Builder, org.bramblerack.wire.StageResultOrBuilder> stageResultBuilder_;
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     * @return Whether the stageResult field is set.
+     */
+    @java.lang.Override
+    public boolean hasStageResult() {
+      return bodyCase_ == 26;
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     * @return The stageResult.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageResult getStageResult() {
+      if (stageResultBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          return (org.bramblerack.wire.StageResult) body_;
+        }
+        return org.bramblerack.wire.StageResult.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 26) {
+          return stageResultBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.StageResult.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     */
+    public Builder setStageResult(org.bramblerack.wire.StageResult value) {
+      if (stageResultBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        stageResultBuilder_.setMessage(value);
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     */
+    public Builder setStageResult(
+        org.bramblerack.wire.StageResult.Builder builderForValue) {
+      if (stageResultBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        stageResultBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     */
+    public Builder mergeStageResult(org.bramblerack.wire.StageResult value) {
+      if (stageResultBuilder_ == null) {
+        if (bodyCase_ == 26 &&
+            body_ != org.bramblerack.wire.StageResult.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.StageResult.newBuilder((org.bramblerack.wire.StageResult) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 26) {
+          stageResultBuilder_.mergeFrom(value);
+        } else {
+          stageResultBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     */
+    public Builder clearStageResult() {
+      if (stageResultBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        stageResultBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     */
+    public org.bramblerack.wire.StageResult.Builder getStageResultBuilder() {
+      return internalGetStageResultFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageResultOrBuilder getStageResultOrBuilder() {
+      if ((bodyCase_ == 26) && (stageResultBuilder_ != null)) {
+        return stageResultBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 26) {
+          return (org.bramblerack.wire.StageResult) body_;
+        }
+        return org.bramblerack.wire.StageResult.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageResult stage_result = 26;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageResult, org.bramblerack.wire.StageResult.Builder, org.bramblerack.wire.StageResultOrBuilder> 
+        internalGetStageResultFieldBuilder() {
+      if (stageResultBuilder_ == null) {
+        if (!(bodyCase_ == 26)) {
+          body_ = org.bramblerack.wire.StageResult.getDefaultInstance();
+        }
+        stageResultBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.StageResult, org.bramblerack.wire.StageResult.Builder, org.bramblerack.wire.StageResultOrBuilder>(
+                (org.bramblerack.wire.StageResult) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 26;
+      onChanged();
+      return stageResultBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageCancel, org.bramblerack.wire.StageCancel.Builder, org.bramblerack.wire.StageCancelOrBuilder> stageCancelBuilder_;
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     * @return Whether the stageCancel field is set.
+     */
+    @java.lang.Override
+    public boolean hasStageCancel() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     * @return The stageCancel.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageCancel getStageCancel() {
+      if (stageCancelBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (org.bramblerack.wire.StageCancel) body_;
+        }
+        return org.bramblerack.wire.StageCancel.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 27) {
+          return stageCancelBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.StageCancel.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     */
+    public Builder setStageCancel(org.bramblerack.wire.StageCancel value) {
+      if (stageCancelBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        stageCancelBuilder_.setMessage(value);
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     */
+    public Builder setStageCancel(
+        org.bramblerack.wire.StageCancel.Builder builderForValue) {
+      if (stageCancelBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        stageCancelBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     */
+    public Builder mergeStageCancel(org.bramblerack.wire.StageCancel value) {
+      if (stageCancelBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != org.bramblerack.wire.StageCancel.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.StageCancel.newBuilder((org.bramblerack.wire.StageCancel) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 27) {
+          stageCancelBuilder_.mergeFrom(value);
+        } else {
+          stageCancelBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     */
+    public Builder clearStageCancel() {
+      if (stageCancelBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        stageCancelBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     */
+    public org.bramblerack.wire.StageCancel.Builder getStageCancelBuilder() {
+      return internalGetStageCancelFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.StageCancelOrBuilder getStageCancelOrBuilder() {
+      if ((bodyCase_ == 27) && (stageCancelBuilder_ != null)) {
+        return stageCancelBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 27) {
+          return (org.bramblerack.wire.StageCancel) body_;
+        }
+        return org.bramblerack.wire.StageCancel.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.StageCancel, org.bramblerack.wire.StageCancel.Builder, org.bramblerack.wire.StageCancelOrBuilder> 
+        internalGetStageCancelFieldBuilder() {
+      if (stageCancelBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = org.bramblerack.wire.StageCancel.getDefaultInstance();
+        }
+        stageCancelBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.StageCancel, org.bramblerack.wire.StageCancel.Builder, org.bramblerack.wire.StageCancelOrBuilder>(
+                (org.bramblerack.wire.StageCancel) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 27;
+      onChanged();
+      return stageCancelBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.JoinRequest, org.bramblerack.wire.JoinRequest.Builder, org.bramblerack.wire.JoinRequestOrBuilder> joinRequestBuilder_;
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     * @return Whether the joinRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasJoinRequest() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     * @return The joinRequest.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.JoinRequest getJoinRequest() {
+      if (joinRequestBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (org.bramblerack.wire.JoinRequest) body_;
+        }
+        return org.bramblerack.wire.JoinRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 28) {
+          return joinRequestBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.JoinRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     */
+    public Builder setJoinRequest(org.bramblerack.wire.JoinRequest value) {
+      if (joinRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        joinRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     */
+    public Builder setJoinRequest(
+        org.bramblerack.wire.JoinRequest.Builder builderForValue) {
+      if (joinRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        joinRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     */
+    public Builder mergeJoinRequest(org.bramblerack.wire.JoinRequest value) {
+      if (joinRequestBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != org.bramblerack.wire.JoinRequest.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.JoinRequest.newBuilder((org.bramblerack.wire.JoinRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 28) {
+          joinRequestBuilder_.mergeFrom(value);
+        } else {
+          joinRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     */
+    public Builder clearJoinRequest() {
+      if (joinRequestBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        joinRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     */
+    public org.bramblerack.wire.JoinRequest.Builder getJoinRequestBuilder() {
+      return internalGetJoinRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.JoinRequestOrBuilder getJoinRequestOrBuilder() {
+      if ((bodyCase_ == 28) && (joinRequestBuilder_ != null)) {
+        return joinRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 28) {
+          return (org.bramblerack.wire.JoinRequest) body_;
+        }
+        return org.bramblerack.wire.JoinRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.JoinRequest join_request = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.JoinRequest, org.bramblerack.wire.JoinRequest.Builder, org.bramblerack.wire.JoinRequestOrBuilder> 
+        internalGetJoinRequestFieldBuilder() {
+      if (joinRequestBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = org.bramblerack.wire.JoinRequest.getDefaultInstance();
+        }
+        joinRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.JoinRequest, org.bramblerack.wire.JoinRequest.Builder, org.bramblerack.wire.JoinRequestOrBuilder>(
+                (org.bramblerack.wire.JoinRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 28;
+      onChanged();
+      return joinRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.Ping, org.bramblerack.wire.Ping.Builder, org.bramblerack.wire.PingOrBuilder> pingBuilder_;
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     * @return Whether the ping field is set.
+     */
+    @java.lang.Override
+    public boolean hasPing() {
+      return bodyCase_ == 29;
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     * @return The ping.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.Ping getPing() {
+      if (pingBuilder_ == null) {
+        if (bodyCase_ == 29) {
+          return (org.bramblerack.wire.Ping) body_;
+        }
+        return org.bramblerack.wire.Ping.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 29) {
+          return pingBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.Ping.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     */
+    public Builder setPing(org.bramblerack.wire.Ping value) {
+      if (pingBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        pingBuilder_.setMessage(value);
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     */
+    public Builder setPing(
+        org.bramblerack.wire.Ping.Builder builderForValue) {
+      if (pingBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        pingBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     */
+    public Builder mergePing(org.bramblerack.wire.Ping value) {
+      if (pingBuilder_ == null) {
+        if (bodyCase_ == 29 &&
+            body_ != org.bramblerack.wire.Ping.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.Ping.newBuilder((org.bramblerack.wire.Ping) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 29) {
+          pingBuilder_.mergeFrom(value);
+        } else {
+          pingBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     */
+    public Builder clearPing() {
+      if (pingBuilder_ == null) {
+        if (bodyCase_ == 29) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 29) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        pingBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     */
+    public org.bramblerack.wire.Ping.Builder getPingBuilder() {
+      return internalGetPingFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.PingOrBuilder getPingOrBuilder() {
+      if ((bodyCase_ == 29) && (pingBuilder_ != null)) {
+        return pingBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 29) {
+          return (org.bramblerack.wire.Ping) body_;
+        }
+        return org.bramblerack.wire.Ping.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.Ping ping = 29;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.Ping, org.bramblerack.wire.Ping.Builder, org.bramblerack.wire.PingOrBuilder> 
+        internalGetPingFieldBuilder() {
+      if (pingBuilder_ == null) {
+        if (!(bodyCase_ == 29)) {
+          body_ = org.bramblerack.wire.Ping.getDefaultInstance();
+        }
+        pingBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.Ping, org.bramblerack.wire.Ping.Builder, org.bramblerack.wire.PingOrBuilder>(
+                (org.bramblerack.wire.Ping) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 29;
+      onChanged();
+      return pingBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.Envelope)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/EnvelopeOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/EnvelopeOrBuilder.java
@@ -199,5 +199,140 @@
    */
   org.bramblerack.wire.ControlReadResultOrBuilder getControlReadResultOrBuilder();
 
+  /**
+   * <code>.bramblerack.TablePull table_pull = 21;</code>
+   * @return Whether the tablePull field is set.
+   */
+  boolean hasTablePull();
+  /**
+   * <code>.bramblerack.TablePull table_pull = 21;</code>
+   * @return The tablePull.
+   */
+  org.bramblerack.wire.TablePull getTablePull();
+  /**
+   * <code>.bramblerack.TablePull table_pull = 21;</code>
+   */
+  org.bramblerack.wire.TablePullOrBuilder getTablePullOrBuilder();
+
+  /**
+   * <code>.bramblerack.TableDelta table_delta = 22;</code>
+   * @return Whether the tableDelta field is set.
+   */
+  boolean hasTableDelta();
+  /**
+   * <code>.bramblerack.TableDelta table_delta = 22;</code>
+   * @return The tableDelta.
+   */
+  org.bramblerack.wire.TableDelta getTableDelta();
+  /**
+   * <code>.bramblerack.TableDelta table_delta = 22;</code>
+   */
+  org.bramblerack.wire.TableDeltaOrBuilder getTableDeltaOrBuilder();
+
+  /**
+   * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+   * @return Whether the heardMembers field is set.
+   */
+  boolean hasHeardMembers();
+  /**
+   * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+   * @return The heardMembers.
+   */
+  org.bramblerack.wire.HeardMembers getHeardMembers();
+  /**
+   * <code>.bramblerack.HeardMembers heard_members = 23;</code>
+   */
+  org.bramblerack.wire.HeardMembersOrBuilder getHeardMembersOrBuilder();
+
+  /**
+   * <code>.bramblerack.StageCall stage_call = 24;</code>
+   * @return Whether the stageCall field is set.
+   */
+  boolean hasStageCall();
+  /**
+   * <code>.bramblerack.StageCall stage_call = 24;</code>
+   * @return The stageCall.
+   */
+  org.bramblerack.wire.StageCall getStageCall();
+  /**
+   * <code>.bramblerack.StageCall stage_call = 24;</code>
+   */
+  org.bramblerack.wire.StageCallOrBuilder getStageCallOrBuilder();
+
+  /**
+   * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+   * @return Whether the stageProgress field is set.
+   */
+  boolean hasStageProgress();
+  /**
+   * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+   * @return The stageProgress.
+   */
+  org.bramblerack.wire.StageProgress getStageProgress();
+  /**
+   * <code>.bramblerack.StageProgress stage_progress = 25;</code>
+   */
+  org.bramblerack.wire.StageProgressOrBuilder getStageProgressOrBuilder();
+
+  /**
+   * <code>.bramblerack.StageResult stage_result = 26;</code>
+   * @return Whether the stageResult field is set.
+   */
+  boolean hasStageResult();
+  /**
+   * <code>.bramblerack.StageResult stage_result = 26;</code>
+   * @return The stageResult.
+   */
+  org.bramblerack.wire.StageResult getStageResult();
+  /**
+   * <code>.bramblerack.StageResult stage_result = 26;</code>
+   */
+  org.bramblerack.wire.StageResultOrBuilder getStageResultOrBuilder();
+
+  /**
+   * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+   * @return Whether the stageCancel field is set.
+   */
+  boolean hasStageCancel();
+  /**
+   * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+   * @return The stageCancel.
+   */
+  org.bramblerack.wire.StageCancel getStageCancel();
+  /**
+   * <code>.bramblerack.StageCancel stage_cancel = 27;</code>
+   */
+  org.bramblerack.wire.StageCancelOrBuilder getStageCancelOrBuilder();
+
+  /**
+   * <code>.bramblerack.JoinRequest join_request = 28;</code>
+   * @return Whether the joinRequest field is set.
+   */
+  boolean hasJoinRequest();
+  /**
+   * <code>.bramblerack.JoinRequest join_request = 28;</code>
+   * @return The joinRequest.
+   */
+  org.bramblerack.wire.JoinRequest getJoinRequest();
+  /**
+   * <code>.bramblerack.JoinRequest join_request = 28;</code>
+   */
+  org.bramblerack.wire.JoinRequestOrBuilder getJoinRequestOrBuilder();
+
+  /**
+   * <code>.bramblerack.Ping ping = 29;</code>
+   * @return Whether the ping field is set.
+   */
+  boolean hasPing();
+  /**
+   * <code>.bramblerack.Ping ping = 29;</code>
+   * @return The ping.
+   */
+  org.bramblerack.wire.Ping getPing();
+  /**
+   * <code>.bramblerack.Ping ping = 29;</code>
+   */
+  org.bramblerack.wire.PingOrBuilder getPingOrBuilder();
+
   org.bramblerack.wire.Envelope.BodyCase getBodyCase();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
@@ -121,6 +121,71 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bramblerack_Command_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_PutConfiguration_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_PutConfiguration_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_LeafRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_LeafRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_HostRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_HostRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_ForgetMembers_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_ForgetMembers_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_TablePull_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_TablePull_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_TableDelta_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_TableDelta_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_HeardMembers_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_HeardMembers_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_JoinRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_JoinRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_Ping_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_Ping_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_StageCall_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_StageCall_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_StageProgress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_StageProgress_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_StageResult_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_StageResult_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_StageCancel_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_StageCancel_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramblerack_ApplyDeclaration_descriptor;
   static final 
@@ -151,6 +216,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bramblerack_ControlSnapshot_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_MemberTables_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_MemberTables_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramblerack_ChangeResult_descriptor;
   static final 
@@ -180,7 +250,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\013bramblerack\"\372\004\n\010Envelope\022\026" +
+      "\n\npeer.proto\022\013bramblerack\"\251\010\n\010Envelope\022\026" +
       "\n\016correlation_id\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022\016\n" +
       "\006sender\030\003 \001(\t\022*\n\tleaf_call\030\n \001(\0132\025.bramb" +
       "lerack.LeafCallH\000\022.\n\013leaf_result\030\013 \001(\0132\027" +
@@ -196,126 +266,190 @@
       ".ConfigurationDeltaH\000\0220\n\014control_read\030\023 " +
       "\001(\0132\030.bramblerack.ControlReadH\000\022=\n\023contr" +
       "ol_read_result\030\024 \001(\0132\036.bramblerack.Contr" +
-      "olReadResultH\000B\006\n\004body\"\330\001\n\010LeafCall\022\017\n\007c" +
-      "all_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010upstrea" +
-      "m\030\003 \001(\t\022\r\n\005shard\030\004 \001(\005\022\025\n\rindex_version\030" +
-      "\005 \001(\003\022\030\n\020remaining_micros\030\006 \001(\003\022\020\n\010prior" +
-      "ity\030\007 \001(\005\022\021\n\tonce_only\030\010 \001(\010\022\021\n\toperatio" +
-      "n\030\t \001(\t\022\014\n\004body\030\n \001(\014\022\022\n\nrequest_id\030\013 \001(" +
-      "\t\"\314\002\n\nLeafResult\022.\n\006status\030\001 \001(\0162\036.bramb" +
-      "lerack.LeafResult.Status\022\025\n\rindex_versio" +
-      "n\030\002 \001(\003\022\r\n\005shard\030\003 \001(\005\022\023\n\013shard_count\030\004 " +
-      "\001(\005\022\017\n\007payload\030\005 \001(\014\022\017\n\007failure\030\006 \001(\t\022\020\n" +
-      "\010reply_to\030\007 \001(\t\022\027\n\017declared_length\030\010 \001(\003" +
-      "\022\031\n\021declared_checksum\030\t \001(\r\022\020\n\010draining\030" +
-      "\n \001(\010\"Y\n\006Status\022\026\n\022STATUS_UNSPECIFIED\020\000\022" +
-      "\t\n\005REPLY\020\001\022\023\n\017REFUSED_NOT_RUN\020\002\022\027\n\023FAILE" +
-      "D_MAY_HAVE_RUN\020\003\"@\n\nLeafCancel\022\017\n\007call_i" +
-      "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010upstream\030\003 \001" +
-      "(\t\"\300\001\n\tHeartbeat\022\014\n\004host\030\001 \001(\t\022\023\n\013incarn" +
-      "ation\030\002 \001(\003\022\017\n\007leaving\030\003 \001(\010\022\027\n\017revision" +
-      "_served\030\004 \001(\003\022.\n\tupstreams\030\005 \003(\0132\033.bramb" +
-      "lerack.UpstreamStatus\022\014\n\004zone\030\006 \001(\t\022(\n\005h" +
-      "eard\030\007 \003(\0132\031.bramblerack.HostRevision\"g\n" +
-      "\014HostRevision\022\014\n\004host\030\001 \001(\t\022\020\n\010revision\030" +
-      "\002 \001(\003\022\030\n\020heard_millis_ago\030\003 \001(\003\022\014\n\004zone\030" +
-      "\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\"\255\001\n\016UpstreamStatu" +
-      "s\022\017\n\007service\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010" +
-      "draining\030\003 \001(\010\022\021\n\treachable\030\004 \001(\010\022,\n\010ver" +
-      "sions\030\005 \003(\0132\032.bramblerack.ServedVersion\022" +
-      "\020\n\010sequence\030\006 \001(\003\022\023\n\013incarnation\030\007 \001(\003\"J" +
-      "\n\rServedVersion\022\025\n\rindex_version\030\001 \001(\003\022\r" +
-      "\n\005shard\030\002 \001(\005\022\023\n\013shard_count\030\003 \001(\005\"8\n\010Lo" +
-      "gEntry\022\014\n\004term\030\001 \001(\003\022\r\n\005index\030\002 \001(\003\022\017\n\007c" +
-      "ommand\030\003 \001(\014\"\225\003\n\013RaftMessage\022+\n\004kind\030\001 \001" +
-      "(\0162\035.bramblerack.RaftMessage.Kind\022\014\n\004fro" +
-      "m\030\002 \001(\t\022\n\n\002to\030\003 \001(\t\022\014\n\004term\030\004 \001(\003\022\022\n\nlas" +
-      "t_index\030\005 \001(\003\022\021\n\tlast_term\030\006 \001(\003\022\024\n\014comm" +
-      "it_index\030\007 \001(\003\022\020\n\010accepted\030\010 \001(\010\022\r\n\005roun" +
-      "d\030\t \001(\003\022&\n\007entries\030\n \003(\0132\025.bramblerack.L" +
-      "ogEntry\022\020\n\010snapshot\030\013 \001(\014\"\230\001\n\004Kind\022\024\n\020KI" +
-      "ND_UNSPECIFIED\020\000\022\014\n\010PRE_VOTE\020\001\022\022\n\016PRE_VO" +
-      "TE_REPLY\020\002\022\010\n\004VOTE\020\003\022\016\n\nVOTE_REPLY\020\004\022\n\n\006" +
-      "APPEND\020\005\022\020\n\014APPEND_REPLY\020\006\022\014\n\010SNAPSHOT\020\007" +
-      "\022\022\n\016SNAPSHOT_REPLY\020\010\"\032\n\007Propose\022\017\n\007comma" +
-      "nd\030\001 \001(\014\"\307\001\n\rProposeResult\0221\n\006status\030\001 \001" +
-      "(\0162!.bramblerack.ProposeResult.Status\022\016\n" +
-      "\006result\030\002 \001(\014\022\016\n\006leader\030\003 \001(\t\022\r\n\005index\030\004" +
-      " \001(\003\"T\n\006Status\022\026\n\022STATUS_UNSPECIFIED\020\000\022\013" +
-      "\n\007APPLIED\020\001\022\016\n\nNOT_LEADER\020\002\022\010\n\004LOST\020\003\022\013\n" +
-      "\007REFUSED\020\004\"m\n\021ConfigurationPull\022\014\n\004host\030" +
-      "\001 \001(\t\022\026\n\016known_revision\030\002 \001(\003\022\023\n\013incarna" +
-      "tion\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\017\n\007leaving\030\005 \001(" +
-      "\010\"\230\001\n\022ConfigurationDelta\022\020\n\010revision\030\001 \001" +
-      "(\003\022\021\n\tconfirmed\030\002 \001(\010\0225\n\014declarations\030\003 " +
-      "\003(\0132\037.bramblerack.PartnerDeclaration\022\016\n\006" +
-      "leader\030\004 \001(\t\022\026\n\016heard_revision\030\005 \001(\003\"E\n\022" +
-      "PartnerDeclaration\022\017\n\007partner\030\001 \001(\t\022\020\n\010r" +
-      "evision\030\002 \001(\003\022\014\n\004text\030\003 \001(\t\"\262\001\n\013ControlR" +
-      "ead\022+\n\004kind\030\001 \001(\0162\035.bramblerack.ControlR" +
-      "ead.Kind\022\017\n\007service\030\002 \001(\t\022\022\n\nrequest_id\030" +
-      "\003 \001(\t\022\017\n\007partner\030\004 \001(\t\"@\n\004Kind\022\024\n\020KIND_U" +
-      "NSPECIFIED\020\000\022\n\n\006STATUS\020\001\022\t\n\005CLAIM\020\002\022\013\n\007H" +
-      "ISTORY\020\003\"\232\002\n\021ControlReadResult\022\017\n\007curren" +
-      "t\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t\022\020\n\010revision\030\003 \001(" +
-      "\003\022+\n\010in_force\030\004 \003(\0132\031.bramblerack.HostRe" +
-      "vision\022!\n\005claim\030\005 \001(\0132\022.bramblerack.Clai" +
-      "m\022*\n\007history\030\006 \003(\0132\031.bramblerack.History" +
-      "Entry\022\014\n\004term\030\007 \001(\003\0225\n\014declarations\030\010 \003(" +
-      "\0132\037.bramblerack.PartnerDeclaration\022\021\n\tfo" +
-      "rgotten\030\t \001(\010\"`\n\014HistoryEntry\022\020\n\010revisio" +
-      "n\030\001 \001(\003\022\017\n\007partner\030\002 \001(\t\022\021\n\tchange_id\030\003 " +
-      "\001(\t\022\032\n\022accepted_at_millis\030\004 \001(\003\"\250\001\n\007Comm" +
-      "and\022:\n\021apply_declaration\030\001 \001(\0132\035.bramble" +
-      "rack.ApplyDeclarationH\000\022*\n\005claim\030\002 \001(\0132\031" +
-      ".bramblerack.ClaimRequestH\000\022-\n\007outcome\030\003" +
-      " \001(\0132\032.bramblerack.RecordOutcomeH\000B\006\n\004bo" +
-      "dy\"r\n\020ApplyDeclaration\022\017\n\007partner\030\001 \001(\t\022" +
-      "\021\n\tchange_id\030\002 \001(\t\022\031\n\021expected_revision\030" +
-      "\003 \001(\003\022\014\n\004text\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271" +
-      "\001\n\014ClaimRequest\022\017\n\007service\030\001 \001(\t\022\022\n\nrequ" +
-      "est_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022\021\n\tat_mill" +
-      "is\030\004 \001(\003\022\023\n\013body_digest\030\005 \001(\014\022\030\n\020retenti" +
-      "on_millis\030\006 \001(\003\022\030\n\020issued_at_millis\030\007 \001(" +
-      "\003\022\027\n\017deadline_millis\030\010 \001(\003\"\240\001\n\rRecordOut" +
-      "come\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(" +
-      "\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramb" +
-      "lerack.OutcomeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006re" +
-      "ason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\"\304\002\n\rComman" +
-      "dResult\022-\n\004kind\030\001 \001(\0162\037.bramblerack.Comm" +
-      "andResult.Kind\022\020\n\010revision\030\002 \001(\003\022\030\n\020winn" +
-      "er_change_id\030\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.bram" +
-      "blerack.Claim\"\264\001\n\004Kind\022\024\n\020KIND_UNSPECIFI" +
-      "ED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORB" +
-      "IDDEN\020\003\022\013\n\007CLAIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010REC" +
-      "ORDED\020\006\022\013\n\007EXPIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO" +
-      "_ROOM\020\t\022\016\n\nNOT_HOLDER\020\n\022\013\n\007INVALID\020\013\"\373\001\n" +
-      "\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 " +
-      "\001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bra" +
-      "mblerack.OutcomeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006" +
-      "reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n\013body_" +
-      "digest\030\010 \001(\014\022\031\n\021keep_until_millis\030\t \001(\003\022" +
-      "\030\n\020issue_time_known\030\n \001(\010\022\027\n\017deadline_mi" +
-      "llis\030\013 \001(\003\"\377\001\n\017ControlSnapshot\022\020\n\010revisi" +
-      "on\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.bramble" +
-      "rack.PartnerDeclaration\022*\n\007history\030\003 \003(\013" +
-      "2\031.bramblerack.HistoryEntry\022*\n\007results\030\004" +
-      " \003(\0132\031.bramblerack.ChangeResult\022\"\n\006claim" +
-      "s\030\005 \003(\0132\022.bramblerack.Claim\022\024\n\014clock_mil" +
-      "lis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\"Y\n\014ChangeRe" +
-      "sult\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t" +
-      "\022\020\n\010revision\030\003 \001(\003\022\023\n\013text_digest\030\004 \001(\014\"" +
-      "\234\001\n\tLogRecord\022,\n\nhard_state\030\001 \001(\0132\026.bram" +
-      "blerack.HardStateH\000\022&\n\005entry\030\002 \001(\0132\025.bra" +
-      "mblerack.LogEntryH\000\022\027\n\rtruncate_from\030\003 \001" +
-      "(\003H\000\022\030\n\016synced_through\030\004 \001(\003H\000B\006\n\004body\"," +
-      "\n\tHardState\022\014\n\004term\030\001 \001(\003\022\021\n\tvoted_for\030\002" +
-      " \001(\t\"F\n\016SnapshotRecord\022\022\n\nlast_index\030\001 \001" +
-      "(\003\022\021\n\tlast_term\030\002 \001(\003\022\r\n\005state\030\003 \001(\014*Z\n\013" +
-      "OutcomeKind\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013" +
-      "IN_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007U" +
-      "NKNOWN\020\004B&\n\024org.bramblerack.wireB\014PeerPr" +
-      "otocolP\001b\006proto3"
+      "olReadResultH\000\022,\n\ntable_pull\030\025 \001(\0132\026.bra" +
+      "mblerack.TablePullH\000\022.\n\013table_delta\030\026 \001(" +
+      "\0132\027.bramblerack.TableDeltaH\000\0222\n\rheard_me" +
+      "mbers\030\027 \001(\0132\031.bramblerack.HeardMembersH\000" +
+      "\022,\n\nstage_call\030\030 \001(\0132\026.bramblerack.Stage" +
+      "CallH\000\0224\n\016stage_progress\030\031 \001(\0132\032.bramble" +
+      "rack.StageProgressH\000\0220\n\014stage_result\030\032 \001" +
+      "(\0132\030.bramblerack.StageResultH\000\0220\n\014stage_" +
+      "cancel\030\033 \001(\0132\030.bramblerack.StageCancelH\000" +
+      "\0220\n\014join_request\030\034 \001(\0132\030.bramblerack.Joi" +
+      "nRequestH\000\022!\n\004ping\030\035 \001(\0132\021.bramblerack.P" +
+      "ingH\000B\006\n\004body\"\330\001\n\010LeafCall\022\017\n\007call_id\030\001 " +
+      "\001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\r" +
+      "\n\005shard\030\004 \001(\005\022\025\n\rindex_version\030\005 \001(\003\022\030\n\020" +
+      "remaining_micros\030\006 \001(\003\022\020\n\010priority\030\007 \001(\005" +
+      "\022\021\n\tonce_only\030\010 \001(\010\022\021\n\toperation\030\t \001(\t\022\014" +
+      "\n\004body\030\n \001(\014\022\022\n\nrequest_id\030\013 \001(\t\"\314\002\n\nLea" +
+      "fResult\022.\n\006status\030\001 \001(\0162\036.bramblerack.Le" +
+      "afResult.Status\022\025\n\rindex_version\030\002 \001(\003\022\r" +
+      "\n\005shard\030\003 \001(\005\022\023\n\013shard_count\030\004 \001(\005\022\017\n\007pa" +
+      "yload\030\005 \001(\014\022\017\n\007failure\030\006 \001(\t\022\020\n\010reply_to" +
+      "\030\007 \001(\t\022\027\n\017declared_length\030\010 \001(\003\022\031\n\021decla" +
+      "red_checksum\030\t \001(\r\022\020\n\010draining\030\n \001(\010\"Y\n\006" +
+      "Status\022\026\n\022STATUS_UNSPECIFIED\020\000\022\t\n\005REPLY\020" +
+      "\001\022\023\n\017REFUSED_NOT_RUN\020\002\022\027\n\023FAILED_MAY_HAV" +
+      "E_RUN\020\003\"@\n\nLeafCancel\022\017\n\007call_id\030\001 \001(\t\022\017" +
+      "\n\007service\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\"\300\001\n\tHe" +
+      "artbeat\022\014\n\004host\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\003\022\017\n\007leaving\030\003 \001(\010\022\027\n\017revision_served\030\004" +
+      " \001(\003\022.\n\tupstreams\030\005 \003(\0132\033.bramblerack.Up" +
+      "streamStatus\022\014\n\004zone\030\006 \001(\t\022(\n\005heard\030\007 \003(" +
+      "\0132\031.bramblerack.HostRevision\"g\n\014HostRevi" +
+      "sion\022\014\n\004host\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\030\n\020" +
+      "heard_millis_ago\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\017\n\007" +
+      "leaving\030\005 \001(\010\"\255\001\n\016UpstreamStatus\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\020\n\010upstream\030\002 \001(\t\022\020\n\010draining\030" +
+      "\003 \001(\010\022\021\n\treachable\030\004 \001(\010\022,\n\010versions\030\005 \003" +
+      "(\0132\032.bramblerack.ServedVersion\022\020\n\010sequen" +
+      "ce\030\006 \001(\003\022\023\n\013incarnation\030\007 \001(\003\"J\n\rServedV" +
+      "ersion\022\025\n\rindex_version\030\001 \001(\003\022\r\n\005shard\030\002" +
+      " \001(\005\022\023\n\013shard_count\030\003 \001(\005\"8\n\010LogEntry\022\014\n" +
+      "\004term\030\001 \001(\003\022\r\n\005index\030\002 \001(\003\022\017\n\007command\030\003 " +
+      "\001(\014\"\225\003\n\013RaftMessage\022+\n\004kind\030\001 \001(\0162\035.bram" +
+      "blerack.RaftMessage.Kind\022\014\n\004from\030\002 \001(\t\022\n" +
+      "\n\002to\030\003 \001(\t\022\014\n\004term\030\004 \001(\003\022\022\n\nlast_index\030\005" +
+      " \001(\003\022\021\n\tlast_term\030\006 \001(\003\022\024\n\014commit_index\030" +
+      "\007 \001(\003\022\020\n\010accepted\030\010 \001(\010\022\r\n\005round\030\t \001(\003\022&" +
+      "\n\007entries\030\n \003(\0132\025.bramblerack.LogEntry\022\020" +
+      "\n\010snapshot\030\013 \001(\014\"\230\001\n\004Kind\022\024\n\020KIND_UNSPEC" +
+      "IFIED\020\000\022\014\n\010PRE_VOTE\020\001\022\022\n\016PRE_VOTE_REPLY\020" +
+      "\002\022\010\n\004VOTE\020\003\022\016\n\nVOTE_REPLY\020\004\022\n\n\006APPEND\020\005\022" +
+      "\020\n\014APPEND_REPLY\020\006\022\014\n\010SNAPSHOT\020\007\022\022\n\016SNAPS" +
+      "HOT_REPLY\020\010\"\032\n\007Propose\022\017\n\007command\030\001 \001(\014\"" +
+      "\307\001\n\rProposeResult\0221\n\006status\030\001 \001(\0162!.bram" +
+      "blerack.ProposeResult.Status\022\016\n\006result\030\002" +
+      " \001(\014\022\016\n\006leader\030\003 \001(\t\022\r\n\005index\030\004 \001(\003\"T\n\006S" +
+      "tatus\022\026\n\022STATUS_UNSPECIFIED\020\000\022\013\n\007APPLIED" +
+      "\020\001\022\016\n\nNOT_LEADER\020\002\022\010\n\004LOST\020\003\022\013\n\007REFUSED\020" +
+      "\004\"m\n\021ConfigurationPull\022\014\n\004host\030\001 \001(\t\022\026\n\016" +
+      "known_revision\030\002 \001(\003\022\023\n\013incarnation\030\003 \001(" +
+      "\003\022\014\n\004zone\030\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\"\230\001\n\022Con" +
+      "figurationDelta\022\020\n\010revision\030\001 \001(\003\022\021\n\tcon" +
+      "firmed\030\002 \001(\010\0225\n\014declarations\030\003 \003(\0132\037.bra" +
+      "mblerack.PartnerDeclaration\022\016\n\006leader\030\004 " +
+      "\001(\t\022\026\n\016heard_revision\030\005 \001(\003\"E\n\022PartnerDe" +
+      "claration\022\017\n\007partner\030\001 \001(\t\022\020\n\010revision\030\002" +
+      " \001(\003\022\014\n\004text\030\003 \001(\t\"\277\001\n\013ControlRead\022+\n\004ki" +
+      "nd\030\001 \001(\0162\035.bramblerack.ControlRead.Kind\022" +
+      "\017\n\007service\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022\017\n\007" +
+      "partner\030\004 \001(\t\"M\n\004Kind\022\024\n\020KIND_UNSPECIFIE" +
+      "D\020\000\022\n\n\006STATUS\020\001\022\t\n\005CLAIM\020\002\022\013\n\007HISTORY\020\003\022" +
+      "\013\n\007ROUTING\020\004\"\315\002\n\021ControlReadResult\022\017\n\007cu" +
+      "rrent\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t\022\020\n\010revision\030" +
+      "\003 \001(\003\022+\n\010in_force\030\004 \003(\0132\031.bramblerack.Ho" +
+      "stRevision\022!\n\005claim\030\005 \001(\0132\022.bramblerack." +
+      "Claim\022*\n\007history\030\006 \003(\0132\031.bramblerack.His" +
+      "toryEntry\022\014\n\004term\030\007 \001(\003\0225\n\014declarations\030" +
+      "\010 \003(\0132\037.bramblerack.PartnerDeclaration\022\021" +
+      "\n\tforgotten\030\t \001(\010\022\027\n\017routing_version\030\n \001" +
+      "(\003\022\030\n\020routing_document\030\013 \001(\014\"`\n\014HistoryE" +
+      "ntry\022\020\n\010revision\030\001 \001(\003\022\017\n\007partner\030\002 \001(\t\022" +
+      "\021\n\tchange_id\030\003 \001(\t\022\032\n\022accepted_at_millis" +
+      "\030\004 \001(\003\"\372\002\n\007Command\022:\n\021apply_declaration\030" +
+      "\001 \001(\0132\035.bramblerack.ApplyDeclarationH\000\022*" +
+      "\n\005claim\030\002 \001(\0132\031.bramblerack.ClaimRequest" +
+      "H\000\022-\n\007outcome\030\003 \001(\0132\032.bramblerack.Record" +
+      "OutcomeH\000\022:\n\021put_configuration\030\004 \001(\0132\035.b" +
+      "ramblerack.PutConfigurationH\000\022.\n\013report_" +
+      "leaf\030\005 \001(\0132\027.bramblerack.LeafRecordH\000\022.\n" +
+      "\013report_host\030\006 \001(\0132\027.bramblerack.HostRec" +
+      "ordH\000\0224\n\016forget_members\030\007 \001(\0132\032.brambler" +
+      "ack.ForgetMembersH\000B\006\n\004body\"5\n\020PutConfig" +
+      "uration\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 \001" +
+      "(\014\"\211\002\n\nLeafRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n" +
+      "\005slots\030\005 \001(\005\022,\n\005phase\030\006 \001(\0162\035.bramblerac" +
+      "k.LeafRecord.Phase\022\020\n\010sequence\030\007 \001(\003\022\023\n\013" +
+      "cold_millis\030\010 \001(\005\022\030\n\020changed_revision\030\t " +
+      "\001(\003\"A\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\t\n\005R" +
+      "EADY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004GONE\020\003\"\225\002\n\nHostR" +
+      "ecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(" +
+      "\t\022\014\n\004zone\030\003 \001(\t\022\016\n\006region\030\004 \001(\t\022\027\n\017contr" +
+      "ol_address\030\005 \001(\t\022\r\n\005entry\030\006 \001(\010\022\023\n\013incar" +
+      "nation\030\007 \001(\003\022,\n\005phase\030\010 \001(\0162\035.bramblerac" +
+      "k.HostRecord.Phase\022\030\n\020changed_revision\030\t" +
+      " \001(\003\"@\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\t\n\005" +
+      "READY\020\001\022\013\n\007LEAVING\020\002\022\010\n\004GONE\020\003\"I\n\rForget" +
+      "Members\022\020\n\010leaf_ids\030\001 \003(\t\022&\n\005hosts\030\002 \003(\013" +
+      "2\027.bramblerack.HostRecord\"J\n\tTablePull\022\026" +
+      "\n\016known_revision\030\001 \001(\003\022%\n\004self\030\002 \001(\0132\027.b" +
+      "ramblerack.HostRecord\"\305\001\n\nTableDelta\022\017\n\007" +
+      "current\030\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\r\n\005whole" +
+      "\030\003 \001(\010\022\035\n\025configuration_version\030\004 \001(\003\022\025\n" +
+      "\rconfiguration\030\005 \001(\014\022\'\n\006leaves\030\006 \003(\0132\027.b" +
+      "ramblerack.LeafRecord\022&\n\005hosts\030\007 \003(\0132\027.b" +
+      "ramblerack.HostRecord\"4\n\014HeardMembers\022\020\n" +
+      "\010leaf_ids\030\001 \003(\t\022\022\n\nhost_names\030\002 \003(\t\"\034\n\013J" +
+      "oinRequest\022\r\n\005voter\030\001 \001(\t\"\006\n\004Ping\"\361\001\n\tSt" +
+      "ageCall\022\035\n\025configuration_version\030\001 \001(\003\022\r" +
+      "\n\005route\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\013\n\003uri\030\004 \001" +
+      "(\t\022\024\n\014header_names\030\005 \003(\t\022\025\n\rheader_value" +
+      "s\030\006 \003(\t\022\022\n\nrequest_id\030\007 \001(\t\022\023\n\013goal_micr" +
+      "os\030\010 \001(\003\022\027\n\017deadline_micros\030\t \001(\003\022\016\n\006sha" +
+      "rds\030\n \003(\005\022\032\n\022hedge_delay_micros\030\013 \001(\003\"$\n" +
+      "\rStageProgress\022\023\n\013asked_twice\030\001 \003(\005\"\314\001\n\013" +
+      "StageResult\022/\n\006status\030\001 \001(\0162\037.bramblerac" +
+      "k.StageResult.Status\022\022\n\nsignatures\030\002 \003(\t" +
+      "\022\016\n\006shards\030\003 \003(\005\022\017\n\007records\030\004 \001(\014\022\016\n\006rea" +
+      "son\030\005 \001(\t\"G\n\006Status\022\026\n\022STATUS_UNSPECIFIE" +
+      "D\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILED" +
+      "\020\003\"\033\n\013StageCancel\022\014\n\004call\030\001 \001(\003\"r\n\020Apply" +
+      "Declaration\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_i" +
+      "d\030\002 \001(\t\022\031\n\021expected_revision\030\003 \001(\003\022\014\n\004te" +
+      "xt\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014ClaimReq" +
+      "uest\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(" +
+      "\t\022\017\n\007attempt\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\003\022\023\n" +
+      "\013body_digest\030\005 \001(\014\022\030\n\020retention_millis\030\006" +
+      " \001(\003\022\030\n\020issued_at_millis\030\007 \001(\003\022\027\n\017deadli" +
+      "ne_millis\030\010 \001(\003\"\240\001\n\rRecordOutcome\022\017\n\007ser" +
+      "vice\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attemp" +
+      "t\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblerack.Outc" +
+      "omeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t\022" +
+      "\021\n\tat_millis\030\007 \001(\003\"\324\002\n\rCommandResult\022-\n\004" +
+      "kind\030\001 \001(\0162\037.bramblerack.CommandResult.K" +
+      "ind\022\020\n\010revision\030\002 \001(\003\022\030\n\020winner_change_i" +
+      "d\030\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.bramblerack.Cla" +
+      "im\"\304\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010ACC" +
+      "EPTED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n\007" +
+      "CLAIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDED\020\006\022\013\n\007" +
+      "EXPIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n\n" +
+      "NOT_HOLDER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPERSEDED\020" +
+      "\014\"\373\001\n\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_" +
+      "id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162" +
+      "\030.bramblerack.OutcomeKind\022\016\n\006answer\030\005 \001(" +
+      "\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n\013" +
+      "body_digest\030\010 \001(\014\022\031\n\021keep_until_millis\030\t" +
+      " \001(\003\022\030\n\020issue_time_known\030\n \001(\010\022\027\n\017deadli" +
+      "ne_millis\030\013 \001(\003\"\252\002\n\017ControlSnapshot\022\020\n\010r" +
+      "evision\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.br" +
+      "amblerack.PartnerDeclaration\022*\n\007history\030" +
+      "\003 \003(\0132\031.bramblerack.HistoryEntry\022*\n\007resu" +
+      "lts\030\004 \003(\0132\031.bramblerack.ChangeResult\022\"\n\006" +
+      "claims\030\005 \003(\0132\022.bramblerack.Claim\022\024\n\014cloc" +
+      "k_millis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\022)\n\006tab" +
+      "les\030\010 \001(\0132\031.bramblerack.MemberTables\"\343\001\n" +
+      "\014MemberTables\022\020\n\010revision\030\001 \001(\003\022\035\n\025confi" +
+      "guration_version\030\002 \001(\003\022\025\n\rconfiguration\030" +
+      "\003 \001(\014\022\036\n\026configuration_revision\030\004 \001(\003\022\'\n" +
+      "\006leaves\030\005 \003(\0132\027.bramblerack.LeafRecord\022&" +
+      "\n\005hosts\030\006 \003(\0132\027.bramblerack.HostRecord\022\032" +
+      "\n\022forgotten_revision\030\007 \001(\003\"Y\n\014ChangeResu" +
+      "lt\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t\022\020" +
+      "\n\010revision\030\003 \001(\003\022\023\n\013text_digest\030\004 \001(\014\"\234\001" +
+      "\n\tLogRecord\022,\n\nhard_state\030\001 \001(\0132\026.brambl" +
+      "erack.HardStateH\000\022&\n\005entry\030\002 \001(\0132\025.bramb" +
+      "lerack.LogEntryH\000\022\027\n\rtruncate_from\030\003 \001(\003" +
+      "H\000\022\030\n\016synced_through\030\004 \001(\003H\000B\006\n\004body\",\n\t" +
+      "HardState\022\014\n\004term\030\001 \001(\003\022\021\n\tvoted_for\030\002 \001" +
+      "(\t\"F\n\016SnapshotRecord\022\022\n\nlast_index\030\001 \001(\003" +
+      "\022\021\n\tlast_term\030\002 \001(\003\022\r\n\005state\030\003 \001(\014*Z\n\013Ou" +
+      "tcomeKind\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013IN" +
+      "_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007UNK" +
+      "NOWN\020\004B&\n\024org.bramblerack.wireB\014PeerProt" +
+      "ocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -326,7 +460,7 @@
     internal_static_bramblerack_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_Envelope_descriptor,
-        new java.lang.String[] { "CorrelationId", "Reply", "Sender", "LeafCall", "LeafResult", "LeafCancel", "Heartbeat", "Raft", "Propose", "ProposeResult", "ConfigurationPull", "ConfigurationDelta", "ControlRead", "ControlReadResult", "Body", });
+        new java.lang.String[] { "CorrelationId", "Reply", "Sender", "LeafCall", "LeafResult", "LeafCancel", "Heartbeat", "Raft", "Propose", "ProposeResult", "ConfigurationPull", "ConfigurationDelta", "ControlRead", "ControlReadResult", "TablePull", "TableDelta", "HeardMembers", "StageCall", "StageProgress", "StageResult", "StageCancel", "JoinRequest", "Ping", "Body", });
     internal_static_bramblerack_LeafCall_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bramblerack_LeafCall_fieldAccessorTable = new
@@ -422,7 +556,7 @@
     internal_static_bramblerack_ControlReadResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ControlReadResult_descriptor,
-        new java.lang.String[] { "Current", "Leader", "Revision", "InForce", "Claim", "History", "Term", "Declarations", "Forgotten", });
+        new java.lang.String[] { "Current", "Leader", "Revision", "InForce", "Claim", "History", "Term", "Declarations", "Forgotten", "RoutingVersion", "RoutingDocument", });
     internal_static_bramblerack_HistoryEntry_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_bramblerack_HistoryEntry_fieldAccessorTable = new
@@ -434,63 +568,147 @@
     internal_static_bramblerack_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_Command_descriptor,
-        new java.lang.String[] { "ApplyDeclaration", "Claim", "Outcome", "Body", });
-    internal_static_bramblerack_ApplyDeclaration_descriptor =
+        new java.lang.String[] { "ApplyDeclaration", "Claim", "Outcome", "PutConfiguration", "ReportLeaf", "ReportHost", "ForgetMembers", "Body", });
+    internal_static_bramblerack_PutConfiguration_descriptor =
       getDescriptor().getMessageType(19);
+    internal_static_bramblerack_PutConfiguration_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_PutConfiguration_descriptor,
+        new java.lang.String[] { "Version", "Document", });
+    internal_static_bramblerack_LeafRecord_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_bramblerack_LeafRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_LeafRecord_descriptor,
+        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Phase", "Sequence", "ColdMillis", "ChangedRevision", });
+    internal_static_bramblerack_HostRecord_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_bramblerack_HostRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_HostRecord_descriptor,
+        new java.lang.String[] { "Name", "PeerAddress", "Zone", "Region", "ControlAddress", "Entry", "Incarnation", "Phase", "ChangedRevision", });
+    internal_static_bramblerack_ForgetMembers_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_bramblerack_ForgetMembers_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_ForgetMembers_descriptor,
+        new java.lang.String[] { "LeafIds", "Hosts", });
+    internal_static_bramblerack_TablePull_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_bramblerack_TablePull_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_TablePull_descriptor,
+        new java.lang.String[] { "KnownRevision", "Self", });
+    internal_static_bramblerack_TableDelta_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_bramblerack_TableDelta_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_TableDelta_descriptor,
+        new java.lang.String[] { "Current", "Revision", "Whole", "ConfigurationVersion", "Configuration", "Leaves", "Hosts", });
+    internal_static_bramblerack_HeardMembers_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_bramblerack_HeardMembers_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_HeardMembers_descriptor,
+        new java.lang.String[] { "LeafIds", "HostNames", });
+    internal_static_bramblerack_JoinRequest_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_bramblerack_JoinRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_JoinRequest_descriptor,
+        new java.lang.String[] { "Voter", });
+    internal_static_bramblerack_Ping_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_bramblerack_Ping_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_Ping_descriptor,
+        new java.lang.String[] { });
+    internal_static_bramblerack_StageCall_descriptor =
+      getDescriptor().getMessageType(28);
+    internal_static_bramblerack_StageCall_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_StageCall_descriptor,
+        new java.lang.String[] { "ConfigurationVersion", "Route", "Method", "Uri", "HeaderNames", "HeaderValues", "RequestId", "GoalMicros", "DeadlineMicros", "Shards", "HedgeDelayMicros", });
+    internal_static_bramblerack_StageProgress_descriptor =
+      getDescriptor().getMessageType(29);
+    internal_static_bramblerack_StageProgress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_StageProgress_descriptor,
+        new java.lang.String[] { "AskedTwice", });
+    internal_static_bramblerack_StageResult_descriptor =
+      getDescriptor().getMessageType(30);
+    internal_static_bramblerack_StageResult_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_StageResult_descriptor,
+        new java.lang.String[] { "Status", "Signatures", "Shards", "Records", "Reason", });
+    internal_static_bramblerack_StageCancel_descriptor =
+      getDescriptor().getMessageType(31);
+    internal_static_bramblerack_StageCancel_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_StageCancel_descriptor,
+        new java.lang.String[] { "Call", });
+    internal_static_bramblerack_ApplyDeclaration_descriptor =
+      getDescriptor().getMessageType(32);
     internal_static_bramblerack_ApplyDeclaration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ApplyDeclaration_descriptor,
         new java.lang.String[] { "Partner", "ChangeId", "ExpectedRevision", "Text", "AtMillis", });
     internal_static_bramblerack_ClaimRequest_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(33);
     internal_static_bramblerack_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ClaimRequest_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Attempt", "AtMillis", "BodyDigest", "RetentionMillis", "IssuedAtMillis", "DeadlineMillis", });
     internal_static_bramblerack_RecordOutcome_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(34);
     internal_static_bramblerack_RecordOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_RecordOutcome_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Attempt", "Kind", "Answer", "Reason", "AtMillis", });
     internal_static_bramblerack_CommandResult_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(35);
     internal_static_bramblerack_CommandResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_CommandResult_descriptor,
         new java.lang.String[] { "Kind", "Revision", "WinnerChangeId", "Claim", });
     internal_static_bramblerack_Claim_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(36);
     internal_static_bramblerack_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_Claim_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Attempt", "Kind", "Answer", "Reason", "AtMillis", "BodyDigest", "KeepUntilMillis", "IssueTimeKnown", "DeadlineMillis", });
     internal_static_bramblerack_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(37);
     internal_static_bramblerack_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ControlSnapshot_descriptor,
-        new java.lang.String[] { "Revision", "Declarations", "History", "Results", "Claims", "ClockMillis", "Forgotten", });
+        new java.lang.String[] { "Revision", "Declarations", "History", "Results", "Claims", "ClockMillis", "Forgotten", "Tables", });
+    internal_static_bramblerack_MemberTables_descriptor =
+      getDescriptor().getMessageType(38);
+    internal_static_bramblerack_MemberTables_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_MemberTables_descriptor,
+        new java.lang.String[] { "Revision", "ConfigurationVersion", "Configuration", "ConfigurationRevision", "Leaves", "Hosts", "ForgottenRevision", });
     internal_static_bramblerack_ChangeResult_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(39);
     internal_static_bramblerack_ChangeResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ChangeResult_descriptor,
         new java.lang.String[] { "Partner", "ChangeId", "Revision", "TextDigest", });
     internal_static_bramblerack_LogRecord_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(40);
     internal_static_bramblerack_LogRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_LogRecord_descriptor,
         new java.lang.String[] { "HardState", "Entry", "TruncateFrom", "SyncedThrough", "Body", });
     internal_static_bramblerack_HardState_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(41);
     internal_static_bramblerack_HardState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_HardState_descriptor,
         new java.lang.String[] { "Term", "VotedFor", });
     internal_static_bramblerack_SnapshotRecord_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(42);
     internal_static_bramblerack_SnapshotRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_SnapshotRecord_descriptor,
