--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/Ballot.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/Ballot.java
@@ -1,17 +1,13 @@
 package org.bramblerack.process.agreement;
 
+import com.google.common.collect.ImmutableSortedSet;
 import java.util.HashSet;
 import java.util.Set;
 
 /** The votes granted to one candidate. Not safe for use by several threads. */
 final class Ballot {
-    private final int voters;
     private final Set<String> granted = new HashSet<>();
 
-    Ballot(int voters) {
-        this.voters = voters;
-    }
-
     void begin(String candidate) {
         granted.clear();
         granted.add(candidate);
@@ -21,7 +17,9 @@
         granted.add(voter);
     }
 
-    boolean isWon() {
-        return granted.size() > voters / 2;
+    /** Returns true if a majority of the voters granted theirs; votes of others do not count. */
+    boolean isWon(ImmutableSortedSet<String> voters) {
+        long counted = granted.stream().filter(voters::contains).count();
+        return counted > voters.size() / 2;
     }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerTable.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/FollowerTable.java
@@ -22,28 +22,72 @@
     private static final int MAX_ENTRIES_IN_MESSAGE = 512;
     private static final int MAX_UNACKNOWLEDGED = 4_096;
     private static final long SNAPSHOT_RESEND_NANOS = Duration.ofSeconds(2).toNanos();
+    /** A learner asks again while it is not heard, so it may be dropped soon. */
+    private static final long LEARNER_SILENCE_NANOS = Duration.ofSeconds(5).toNanos();
+    /** Some heartbeats: who was heard within it is there. */
+    static final long HEARD_NANOS = Duration.ofMillis(400).toNanos();
 
     private final String self;
-    private final ImmutableSortedSet<String> voters;
     private final Map<String, FollowerProgress> followers = new TreeMap<>();
+    private ImmutableSortedSet<String> voters = ImmutableSortedSet.of();
 
-    FollowerTable(String self, ImmutableSortedSet<String> voters) {
+    FollowerTable(String self) {
         this.self = self;
-        this.voters = voters;
     }
 
     /** What the followers are told of the leader. */
-    record LeaderView(long term, long commitIndex, long round, RaftLog log, ByteString snapshot) {}
-
-    void reset(long nextIndex, long nowNanos) {
+    record LeaderView(
+            long term,
+            long commitIndex,
+            long round,
+            RaftLog log,
+            ByteString snapshot,
+            ImmutableSortedSet<String> snapshotVoters) {}
+
+    void reset(ImmutableSortedSet<String> present, long nextIndex, long nowNanos) {
         followers.clear();
+        setVoters(present, nextIndex, nowNanos);
+    }
+
+    /** States who votes. Hosts that no longer do are followed on as learners until they fall silent. */
+    void setVoters(ImmutableSortedSet<String> present, long nextIndex, long nowNanos) {
+        voters = present;
         for (String voter : voters) {
-            if (!voter.equals(self)) {
-                followers.put(voter, new FollowerProgress(nextIndex, nowNanos));
-            }
+            admit(voter, nextIndex, nowNanos);
+        }
+    }
+
+    /** Begins to send the log to a host, if it is not sent to it yet. */
+    void admit(String host, long nextIndex, long nowNanos) {
+        if (!host.equals(self)) {
+            followers.computeIfAbsent(host, unused -> new FollowerProgress(nextIndex, nowNanos));
         }
     }
 
+    /** Stops sending to hosts that do not vote and have been silent. */
+    void dropSilentLearners(long nowNanos) {
+        followers
+                .entrySet()
+                .removeIf(entry -> !voters.contains(entry.getKey())
+                        && nowNanos - entry.getValue().lastHeardNanos > LEARNER_SILENCE_NANOS);
+    }
+
+    /** Returns the hosts that do not vote and have everything up to an index. */
+    ImmutableSortedSet<String> learnersThatHave(long index, long nowNanos) {
+        return followers.entrySet().stream()
+                .filter(entry -> !voters.contains(entry.getKey()))
+                .filter(entry -> entry.getValue().matchIndex >= index)
+                .filter(entry -> nowNanos - entry.getValue().lastHeardNanos < HEARD_NANOS)
+                .map(Map.Entry::getKey)
+                .collect(ImmutableSortedSet.toImmutableSortedSet(String::compareTo));
+    }
+
+    /** Returns true if a host was heard of within the given time. */
+    boolean isHeardWithin(String host, long withinNanos, long nowNanos) {
+        FollowerProgress follower = followers.get(host);
+        return host.equals(self) || (follower != null && nowNanos - follower.lastHeardNanos < withinNanos);
+    }
+
     void sendHeartbeats(LeaderView leader, long heartbeatNanos, long nowNanos, List<RaftAction> actions) {
         followers.forEach((name, follower) -> {
             if (nowNanos - follower.lastSentNanos >= heartbeatNanos) {
@@ -96,10 +140,9 @@
     }
 
     boolean hearsQuorum(long nowNanos, long silenceNanos) {
-        long heard = 1
-                + followers.values().stream()
-                        .filter(follower -> nowNanos - follower.lastHeardNanos < silenceNanos)
-                        .count();
+        long heard = voters.stream()
+                .filter(voter -> isHeardWithin(voter, silenceNanos, nowNanos))
+                .count();
         return heard > voters.size() / 2;
     }
 
@@ -115,10 +158,10 @@
 
     private long quorumOf(ToLongFunction<FollowerProgress> value, long own) {
         long[] values = new long[voters.size()];
-        values[0] = own;
-        int next = 1;
-        for (FollowerProgress follower : followers.values()) {
-            values[next] = value.applyAsLong(follower);
+        int next = 0;
+        for (String voter : voters) {
+            FollowerProgress follower = followers.get(voter);
+            values[next] = voter.equals(self) ? own : follower == null ? 0 : value.applyAsLong(follower);
             next++;
         }
         Arrays.sort(values);
@@ -186,6 +229,7 @@
                 .setLastIndex(index)
                 .setLastTerm(leader.log().termAt(index))
                 .setSnapshot(leader.snapshot())
+                .addAllSnapshotVoters(leader.snapshotVoters())
                 .build()));
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftAction.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftAction.java
@@ -1,6 +1,7 @@
 package org.bramblerack.process.agreement;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import com.google.protobuf.ByteString;
 import java.util.Optional;
 import org.bramblerack.wire.HardState;
@@ -30,10 +31,17 @@
      * @param index the last index that the snapshot covers
      * @param term the term of that index
      * @param state the state at that index
+     * @param voters the voters at that index
      * @param hardState the present term and vote
      * @param suffix the entries after the index that remain
      */
-    record SaveSnapshot(long index, long term, ByteString state, HardState hardState, ImmutableList<LogEntry> suffix)
+    record SaveSnapshot(
+            long index,
+            long term,
+            ByteString state,
+            ImmutableSortedSet<String> voters,
+            HardState hardState,
+            ImmutableList<LogEntry> suffix)
             implements RaftAction {}
 
     /** Replace the state by that of a snapshot. */
@@ -54,6 +62,9 @@
     /** A read could not be confirmed. */
     record ReadFailed(long token) implements RaftAction {}
 
+    /** The voters changed. */
+    record VotersChanged(ImmutableSortedSet<String> voters) implements RaftAction {}
+
     /** The role, the term or the known leader changed. */
     record RoleChanged(RaftRole role, long term, Optional<String> leader) implements RaftAction {}
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftLog.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftLog.java
@@ -3,8 +3,10 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.bramblerack.wire.LogEntry;
 
 /**
@@ -17,13 +19,21 @@
     private final List<LogEntry> entries = new ArrayList<>();
     private long snapshotIndex;
     private long snapshotTerm;
+    private final VoterHistory voters;
 
-    RaftLog(long snapshotIndex, long snapshotTerm, List<LogEntry> stored) {
+    /** Creates a log from what was stored; the voters are those at the snapshot's index. */
+    RaftLog(long snapshotIndex, long snapshotTerm, ImmutableSortedSet<String> voters, List<LogEntry> stored) {
         this.snapshotIndex = snapshotIndex;
         this.snapshotTerm = snapshotTerm;
+        this.voters = new VoterHistory(snapshotIndex, voters);
         stored.forEach(this::append);
     }
 
+    /** Returns the voters in force, and since when they are. */
+    VoterHistory voters() {
+        return voters;
+    }
+
     long snapshotIndex() {
         return snapshotIndex;
     }
@@ -38,6 +48,11 @@
                 : entries.get(entries.size() - 1).getTerm();
     }
 
+    /** Returns true if a log that ends with the given entry has all that this one can have committed. */
+    boolean isNotNewerThan(long otherLastTerm, long otherLastIndex) {
+        return otherLastTerm > lastTerm() || (otherLastTerm == lastTerm() && otherLastIndex >= lastIndex());
+    }
+
     /** Returns the term of an index, or -1 if the index is not held. */
     long termAt(long index) {
         if (index == snapshotIndex) {
@@ -59,11 +74,13 @@
         checkArgument(entry.getIndex() == lastIndex() + 1, "index %s after %s", entry.getIndex(), lastIndex());
         checkArgument(entry.getTerm() >= lastTerm(), "term %s after %s", entry.getTerm(), lastTerm());
         entries.add(entry);
+        voters.append(entry);
     }
 
     void truncateFrom(long index) {
         checkArgument(holds(index), "index %s is not held", index);
         entries.subList((int) (index - snapshotIndex - 1), entries.size()).clear();
+        voters.truncateFrom(index);
     }
 
     /** Returns at most the given number of entries from an index on. */
@@ -73,22 +90,50 @@
         return ImmutableList.copyOf(entries.subList(start, start + count));
     }
 
+    /**
+     * Takes entries of a leader: those that are held already are skipped, and what contradicts them is dropped.
+     *
+     * @param commitIndex up to which nothing may be dropped
+     */
+    Merge merge(List<LogEntry> received, long commitIndex) {
+        ImmutableList.Builder<LogEntry> added = ImmutableList.builder();
+        Optional<Long> truncatedFrom = Optional.empty();
+        for (LogEntry entry : received) {
+            if (termAt(entry.getIndex()) == entry.getTerm()) {
+                continue;
+            }
+            if (holds(entry.getIndex())) {
+                checkArgument(entry.getIndex() > commitIndex, "a committed entry would be replaced");
+                truncateFrom(entry.getIndex());
+                truncatedFrom = Optional.of(entry.getIndex());
+            }
+            append(entry);
+            added.add(entry);
+        }
+        return new Merge(truncatedFrom, added.build());
+    }
+
+    /** What a merge changed: the first index that was dropped, if any was, and the entries that were added. */
+    record Merge(Optional<Long> truncatedFrom, ImmutableList<LogEntry> added) {}
+
     /** Drops the entries up to an index that a snapshot covers. */
     void compact(long index) {
         long term = termAt(index);
         checkArgument(term >= 0, "index %s is not held", index);
         entries.subList(0, (int) (index - snapshotIndex)).clear();
+        voters.compact(index);
         snapshotIndex = index;
         snapshotTerm = term;
     }
 
     /** Replaces everything by a snapshot, keeping entries that follow it if they fit. */
-    void reset(long index, long term) {
+    void reset(long index, long term, ImmutableSortedSet<String> votersThere) {
         if (termAt(index) == term) {
             compact(index);
             return;
         }
         entries.clear();
+        voters.reset(index, votersThere);
         snapshotIndex = index;
         snapshotTerm = term;
     }
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftMessages.java
@@ -0,0 +1,57 @@
+package org.bramblerack.process.agreement;
+
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.List;
+import org.bramblerack.wire.RaftMessage;
+
+/** Writes the messages of one host. Immutable and safe for use by many threads. */
+final class RaftMessages {
+    private final String self;
+
+    RaftMessages(String self) {
+        this.self = self;
+    }
+
+    RaftMessage.Builder message(RaftMessage.Kind kind, String to, long term) {
+        return RaftMessage.newBuilder().setKind(kind).setFrom(self).setTo(to).setTerm(term);
+    }
+
+    /** Asks every other voter for its vote, or whether it would grant it. */
+    void askForVotes(
+            RaftMessage.Kind kind,
+            ImmutableSortedSet<String> voters,
+            long term,
+            RaftLog log,
+            List<RaftAction> actions) {
+        for (String voter : voters) {
+            if (!voter.equals(self)) {
+                actions.add(new RaftAction.Send(message(kind, voter, term)
+                        .setLastIndex(log.lastIndex())
+                        .setLastTerm(log.lastTerm())
+                        .build()));
+            }
+        }
+    }
+
+    /** Grants a vote, or does not. */
+    RaftAction voteReply(RaftMessage.Kind kind, String to, long term, boolean granted) {
+        return new RaftAction.Send(message(kind, to, term).setAccepted(granted).build());
+    }
+
+    /** Says what of an append was taken: everything up to an index, or nothing after it. */
+    RaftAction appendReply(RaftMessage request, long term, boolean accepted, long index) {
+        return new RaftAction.Send(message(RaftMessage.Kind.APPEND_REPLY, request.getFrom(), term)
+                .setAccepted(accepted)
+                .setLastIndex(index)
+                .setRound(request.getRound())
+                .build());
+    }
+
+    /** Says that a snapshot was taken. */
+    RaftAction snapshotReply(RaftMessage request, long term) {
+        return new RaftAction.Send(message(RaftMessage.Kind.SNAPSHOT_REPLY, request.getFrom(), term)
+                .setAccepted(true)
+                .setLastIndex(request.getLastIndex())
+                .build());
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
@@ -18,6 +18,10 @@
 /**
  * One voter of the replicated log.
  *
+ * <p>The voters change by one at a time, by an entry of the log that is in force once it is appended (section 4.1 of
+ * the dissertation). A host that is not a voter gets the log if it asks for it, and is made a voter when it has caught
+ * up and {@link VoterPolicy} wants one.
+ *
  * <p>The protocol is Raft as published by Ongaro and Ousterhout ("In Search of an Understandable Consensus Algorithm",
  * 2014), with the pre-vote, the check of the leader's quorum and the read rounds of Ongaro's dissertation (sections
  * 9.6, 6.2 and 6.4). Where it departs is listed in {@code docs/design/agreement.md}.
@@ -32,15 +36,16 @@
     private static final int MAX_UNCOMMITTED = 4_096;
 
     private final String self;
-    private final ImmutableSortedSet<String> voters;
-    private final RandomGenerator random;
+    private final ElectionTimer timer;
     private final long heartbeatNanos;
     private final long electionNanos;
     private final RaftLog log;
     private final FollowerTable followers;
     private final Map<Long, Long> tokensByIndex = new TreeMap<>();
     private final ReadRounds reads = new ReadRounds();
-    private final Ballot ballot;
+    private final RaftMessages messages;
+    private final Ballot ballot = new Ballot();
+    private final VoterPolicy policy;
     private ByteString snapshot;
     private long term;
     private String votedFor;
@@ -49,40 +54,39 @@
     private long commitIndex;
     private long appliedIndex;
     private long persistedIndex;
-    private long electionDueNanos;
-    private long lastHeardLeaderNanos;
-    private boolean heardLeader;
     private long leaderCommitIndex;
 
     /**
      * Creates a voter from what it has stored.
      *
-     * @param self the voter's name, one of the voters
-     * @param voters the names of all voters
+     * @param self this host's name; it votes only while it is one of the voters
+     * @param firstVoters the voters that the system began with; empty for a host that came later
+     * @param lossesBorne how many voters may be lost at once
      */
     public RaftNode(
             String self,
-            ImmutableSortedSet<String> voters,
+            ImmutableSortedSet<String> firstVoters,
+            int lossesBorne,
             RaftTimings timings,
             StoredState stored,
             RandomGenerator random,
             long nowNanos) {
-        checkArgument(voters.contains(self), "%s is not among the voters %s", self, voters);
+        checkArgument(lossesBorne >= 0, "%s losses cannot be borne", lossesBorne);
         this.self = self;
-        this.voters = voters;
-        this.random = random;
+        this.messages = new RaftMessages(self);
+        this.policy = new VoterPolicy(lossesBorne);
+        this.timer = new ElectionTimer(timings.election().toNanos(), random, nowNanos);
         this.heartbeatNanos = timings.heartbeat().toNanos();
         this.electionNanos = timings.election().toNanos();
-        this.log = new RaftLog(stored.snapshotIndex(), stored.snapshotTerm(), stored.entries());
+        ImmutableSortedSet<String> voters = stored.snapshotVoters().isEmpty() ? firstVoters : stored.snapshotVoters();
+        this.log = new RaftLog(stored.snapshotIndex(), stored.snapshotTerm(), voters, stored.entries());
         this.snapshot = stored.snapshot();
         this.term = stored.hardState().getTerm();
         this.votedFor = stored.hardState().getVotedFor();
         this.commitIndex = stored.snapshotIndex();
         this.appliedIndex = stored.snapshotIndex();
         this.persistedIndex = log.lastIndex();
-        this.ballot = new Ballot(voters.size());
-        this.followers = new FollowerTable(self, voters);
-        restartElectionTimer(nowNanos);
+        this.followers = new FollowerTable(self);
     }
 
     /** Looks at the time: heartbeats, elections, resignation. Call it several times in a heartbeat. */
@@ -93,8 +97,9 @@
                 becomeFollower(term, Optional.empty(), nowNanos, actions);
                 return actions;
             }
+            changeVotersIfDue(nowNanos, actions);
             followers.sendHeartbeats(view(), heartbeatNanos, nowNanos, actions);
-        } else if (nowNanos - electionDueNanos >= 0) {
+        } else if (isVoter() && timer.isDue(nowNanos)) {
             startPreVote(nowNanos, actions);
         }
         return actions;
@@ -103,7 +108,7 @@
     /** Takes a message from another voter. */
     public List<RaftAction> receive(RaftMessage message, long nowNanos) {
         List<RaftAction> actions = new ArrayList<>();
-        if (!voters.contains(message.getFrom()) || !message.getTo().equals(self)) {
+        if (!message.getTo().equals(self)) {
             return actions;
         }
         boolean asksOnly = message.getKind() == RaftMessage.Kind.PRE_VOTE
@@ -137,13 +142,8 @@
         if (role != RaftRole.LEADER || log.lastIndex() - commitIndex >= MAX_UNCOMMITTED) {
             return false;
         }
-        long index = log.lastIndex() + 1;
-        log.append(LogEntry.newBuilder()
-                .setTerm(term)
-                .setIndex(index)
-                .setCommand(command)
-                .build());
-        tokensByIndex.put(index, token);
+        appendOwn(LogEntry.newBuilder().setCommand(command));
+        tokensByIndex.put(log.lastIndex(), token);
         return true;
     }
 
@@ -195,8 +195,7 @@
         if (role == RaftRole.LEADER) {
             return log.termAt(commitIndex) == term;
         }
-        boolean heardLately = heardLeader && nowNanos - lastHeardLeaderNanos < 2 * electionNanos;
-        return heardLately && appliedIndex >= leaderCommitIndex;
+        return timer.hasHeardWithin(2, nowNanos) && appliedIndex >= leaderCommitIndex;
     }
 
     /** Returns the present role. */
@@ -224,48 +223,78 @@
         return appliedIndex - log.snapshotIndex();
     }
 
+    /** Returns true if this host votes. */
+    public boolean isVoter() {
+        return voters().contains(self);
+    }
+
+    /** Returns the voters in force. */
+    public ImmutableSortedSet<String> voters() {
+        return log.voters().latest();
+    }
+
+    /** Takes the wish of a host to get the log, and to vote once it has it. A host that does not lead ignores it. */
+    public void admit(String host, long nowNanos) {
+        if (role == RaftRole.LEADER) {
+            followers.admit(host, log.lastIndex() + 1, nowNanos);
+        }
+    }
+
+    /** Makes the next single change of the voters, once the last one is agreed. */
+    private void changeVotersIfDue(long nowNanos, List<RaftAction> actions) {
+        boolean settled = log.voters().lastChangeIndex() <= commitIndex && log.termAt(commitIndex) == term;
+        ImmutableSortedSet<String> before = voters();
+        Optional<ImmutableSortedSet<String>> next =
+                settled ? policy.next(self, before, followers, commitIndex, nowNanos) : Optional.empty();
+        if (next.isEmpty()) {
+            return;
+        }
+        appendOwn(LogEntry.newBuilder().addAllVoters(next.get()));
+        followers.setVoters(next.get(), log.lastIndex(), nowNanos);
+        tellVoters(before, actions);
+    }
+
+    private void appendOwn(LogEntry.Builder entry) {
+        log.append(entry.setTerm(term).setIndex(log.lastIndex() + 1).build());
+    }
+
+    private void tellVoters(ImmutableSortedSet<String> before, List<RaftAction> actions) {
+        if (!before.equals(voters())) {
+            actions.add(new RaftAction.VotersChanged(voters()));
+        }
+    }
+
     private void startPreVote(long nowNanos, List<RaftAction> actions) {
-        restartElectionTimer(nowNanos);
+        timer.restart(nowNanos);
         changeRole(RaftRole.PRE_CANDIDATE, Optional.empty(), actions);
         ballot.begin(self);
-        if (ballot.isWon()) {
+        if (ballot.isWon(voters())) {
             startElection(nowNanos, actions);
             return;
         }
-        broadcast(RaftMessage.Kind.PRE_VOTE, term + 1, actions);
+        messages.askForVotes(RaftMessage.Kind.PRE_VOTE, voters(), term + 1, log, actions);
     }
 
     private void startElection(long nowNanos, List<RaftAction> actions) {
         term++;
         votedFor = self;
-        restartElectionTimer(nowNanos);
+        timer.restart(nowNanos);
         changeRole(RaftRole.CANDIDATE, Optional.empty(), actions);
         actions.add(persistHardState());
         ballot.begin(self);
-        if (ballot.isWon()) {
+        if (ballot.isWon(voters())) {
             becomeLeader(nowNanos, actions);
             return;
         }
-        broadcast(RaftMessage.Kind.VOTE, term, actions);
-    }
-
-    private void broadcast(RaftMessage.Kind kind, long messageTerm, List<RaftAction> actions) {
-        for (String voter : voters) {
-            if (!voter.equals(self)) {
-                actions.add(new RaftAction.Send(message(kind, voter, messageTerm)
-                        .setLastIndex(log.lastIndex())
-                        .setLastTerm(log.lastTerm())
-                        .build()));
-            }
-        }
+        messages.askForVotes(RaftMessage.Kind.VOTE, voters(), term, log, actions);
     }
 
     private void answerPreVote(RaftMessage request, long nowNanos, List<RaftAction> actions) {
-        boolean granted = request.getTerm() > term && !hasLiveLeader(nowNanos) && isUpToDate(request);
+        boolean granted = request.getTerm() > term
+                && !hasLiveLeader(nowNanos)
+                && log.isNotNewerThan(request.getLastTerm(), request.getLastIndex());
         long replyTerm = granted ? request.getTerm() : term;
-        actions.add(new RaftAction.Send(message(RaftMessage.Kind.PRE_VOTE_REPLY, request.getFrom(), replyTerm)
-                .setAccepted(granted)
-                .build()));
+        actions.add(messages.voteReply(RaftMessage.Kind.PRE_VOTE_REPLY, request.getFrom(), replyTerm, granted));
     }
 
     private void countPreVote(RaftMessage reply, long nowNanos, List<RaftAction> actions) {
@@ -273,7 +302,7 @@
             return;
         }
         ballot.grant(reply.getFrom());
-        if (ballot.isWon()) {
+        if (ballot.isWon(voters())) {
             startElection(nowNanos, actions);
         }
     }
@@ -284,15 +313,16 @@
             return;
         }
         boolean free = votedFor.isEmpty() || votedFor.equals(request.getFrom());
-        boolean granted = request.getTerm() == term && free && role != RaftRole.LEADER && isUpToDate(request);
+        boolean granted = request.getTerm() == term
+                && free
+                && role != RaftRole.LEADER
+                && log.isNotNewerThan(request.getLastTerm(), request.getLastIndex());
         if (granted) {
             votedFor = request.getFrom();
-            restartElectionTimer(nowNanos);
+            timer.restart(nowNanos);
             actions.add(persistHardState());
         }
-        actions.add(new RaftAction.Send(message(RaftMessage.Kind.VOTE_REPLY, request.getFrom(), term)
-                .setAccepted(granted)
-                .build()));
+        actions.add(messages.voteReply(RaftMessage.Kind.VOTE_REPLY, request.getFrom(), term, granted));
     }
 
     private void countVote(RaftMessage reply, long nowNanos, List<RaftAction> actions) {
@@ -300,18 +330,15 @@
             return;
         }
         ballot.grant(reply.getFrom());
-        if (ballot.isWon()) {
+        if (ballot.isWon(voters())) {
             becomeLeader(nowNanos, actions);
         }
     }
 
     private void becomeLeader(long nowNanos, List<RaftAction> actions) {
         changeRole(RaftRole.LEADER, Optional.of(self), actions);
-        followers.reset(log.lastIndex() + 1, nowNanos);
-        log.append(LogEntry.newBuilder()
-                .setTerm(term)
-                .setIndex(log.lastIndex() + 1)
-                .build());
+        followers.reset(voters(), log.lastIndex() + 1, nowNanos);
+        appendOwn(LogEntry.newBuilder());
         actions.addAll(flush(nowNanos));
     }
 
@@ -321,7 +348,7 @@
             tokensByIndex.clear();
             reads.failAll(actions);
             persistOwnEntries(actions);
-            restartElectionTimer(nowNanos);
+            timer.restart(nowNanos);
         }
         if (newTerm > term) {
             term = newTerm;
@@ -333,46 +360,34 @@
 
     private void takeAppend(RaftMessage request, long nowNanos, List<RaftAction> actions) {
         if (request.getTerm() < term) {
-            actions.add(appendReply(request, false, log.lastIndex()));
+            actions.add(messages.appendReply(request, term, false, log.lastIndex()));
             return;
         }
         hearLeader(request.getFrom(), nowNanos, actions);
         leaderCommitIndex = request.getCommitIndex();
         long previous = request.getLastIndex();
         if (previous < log.snapshotIndex()) {
-            actions.add(appendReply(request, true, log.snapshotIndex()));
+            actions.add(messages.appendReply(request, term, true, log.snapshotIndex()));
             return;
         }
         if (log.termAt(previous) != request.getLastTerm()) {
-            actions.add(appendReply(request, false, Math.min(previous - 1, log.lastIndex())));
+            actions.add(messages.appendReply(request, term, false, Math.min(previous - 1, log.lastIndex())));
             return;
         }
         appendFrom(request, actions);
         long match = previous + request.getEntriesCount();
         commitTo(Math.min(request.getCommitIndex(), match), actions);
-        actions.add(appendReply(request, true, match));
+        actions.add(messages.appendReply(request, term, true, match));
     }
 
     private void appendFrom(RaftMessage request, List<RaftAction> actions) {
-        ImmutableList.Builder<LogEntry> added = ImmutableList.builder();
-        Optional<Long> truncateFrom = Optional.empty();
-        for (LogEntry entry : request.getEntriesList()) {
-            if (log.termAt(entry.getIndex()) == entry.getTerm()) {
-                continue;
-            }
-            if (log.holds(entry.getIndex())) {
-                checkArgument(entry.getIndex() > commitIndex, "a committed entry would be replaced");
-                log.truncateFrom(entry.getIndex());
-                truncateFrom = Optional.of(entry.getIndex());
-            }
-            log.append(entry);
-            added.add(entry);
-        }
-        ImmutableList<LogEntry> entries = added.build();
-        if (!entries.isEmpty()) {
-            actions.add(new RaftAction.Persist(Optional.empty(), truncateFrom, entries));
+        ImmutableSortedSet<String> before = voters();
+        RaftLog.Merge merge = log.merge(request.getEntriesList(), commitIndex);
+        if (!merge.added().isEmpty()) {
+            actions.add(new RaftAction.Persist(Optional.empty(), merge.truncatedFrom(), merge.added()));
         }
         persistedIndex = log.lastIndex();
+        tellVoters(before, actions);
     }
 
     private void takeSnapshot(RaftMessage request, long nowNanos, List<RaftAction> actions) {
@@ -381,7 +396,12 @@
         }
         hearLeader(request.getFrom(), nowNanos, actions);
         if (request.getLastIndex() > commitIndex) {
-            log.reset(request.getLastIndex(), request.getLastTerm());
+            ImmutableSortedSet<String> before = voters();
+            log.reset(
+                    request.getLastIndex(),
+                    request.getLastTerm(),
+                    ImmutableSortedSet.copyOf(request.getSnapshotVotersList()));
+            tellVoters(before, actions);
             snapshot = request.getSnapshot();
             commitIndex = request.getLastIndex();
             appliedIndex = request.getLastIndex();
@@ -389,10 +409,7 @@
             actions.add(saveSnapshot());
             actions.add(new RaftAction.RestoreSnapshot(snapshot));
         }
-        actions.add(new RaftAction.Send(message(RaftMessage.Kind.SNAPSHOT_REPLY, request.getFrom(), term)
-                .setAccepted(true)
-                .setLastIndex(request.getLastIndex())
-                .build()));
+        actions.add(messages.snapshotReply(request, term));
     }
 
     private void takeAppendReply(RaftMessage reply, long nowNanos, List<RaftAction> actions) {
@@ -405,7 +422,13 @@
     }
 
     private FollowerTable.LeaderView view() {
-        return new FollowerTable.LeaderView(term, commitIndex, reads.currentRound(), log, snapshot);
+        return new FollowerTable.LeaderView(
+                term,
+                commitIndex,
+                reads.currentRound(),
+                log,
+                snapshot,
+                log.voters().at(log.snapshotIndex()));
     }
 
     private void persistOwnEntries(List<RaftAction> actions) {
@@ -434,19 +457,12 @@
     }
 
     private void hearLeader(String from, long nowNanos, List<RaftAction> actions) {
-        heardLeader = true;
-        lastHeardLeaderNanos = nowNanos;
-        restartElectionTimer(nowNanos);
+        timer.hearLeader(nowNanos);
         changeRole(RaftRole.FOLLOWER, Optional.of(from), actions);
     }
 
     private boolean hasLiveLeader(long nowNanos) {
-        return role == RaftRole.LEADER || (heardLeader && nowNanos - lastHeardLeaderNanos < electionNanos);
-    }
-
-    private boolean isUpToDate(RaftMessage request) {
-        return request.getLastTerm() > log.lastTerm()
-                || (request.getLastTerm() == log.lastTerm() && request.getLastIndex() >= log.lastIndex());
+        return role == RaftRole.LEADER || timer.hasHeardWithin(1, nowNanos);
     }
 
     private void changeRole(RaftRole newRole, Optional<String> newLeader, List<RaftAction> actions) {
@@ -457,10 +473,6 @@
         }
     }
 
-    private void restartElectionTimer(long nowNanos) {
-        electionDueNanos = nowNanos + electionNanos + random.nextLong(electionNanos);
-    }
-
     private RaftAction persistHardState() {
         return new RaftAction.Persist(Optional.of(hardState()), Optional.empty(), ImmutableList.of());
     }
@@ -469,22 +481,15 @@
         ImmutableList<LogEntry> suffix = log.from(log.snapshotIndex() + 1, Integer.MAX_VALUE);
         persistedIndex = log.lastIndex();
         return new RaftAction.SaveSnapshot(
-                log.snapshotIndex(), log.termAt(log.snapshotIndex()), snapshot, hardState(), suffix);
+                log.snapshotIndex(),
+                log.termAt(log.snapshotIndex()),
+                snapshot,
+                log.voters().at(log.snapshotIndex()),
+                hardState(),
+                suffix);
     }
 
     private HardState hardState() {
         return HardState.newBuilder().setTerm(term).setVotedFor(votedFor).build();
     }
-
-    private RaftAction appendReply(RaftMessage request, boolean accepted, long index) {
-        return new RaftAction.Send(message(RaftMessage.Kind.APPEND_REPLY, request.getFrom(), term)
-                .setAccepted(accepted)
-                .setLastIndex(index)
-                .setRound(request.getRound())
-                .build());
-    }
-
-    private RaftMessage.Builder message(RaftMessage.Kind kind, String to, long messageTerm) {
-        return RaftMessage.newBuilder().setKind(kind).setFrom(self).setTo(to).setTerm(messageTerm);
-    }
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/process/agreement/AgreementWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/AgreementWorld.java
@@ -336,7 +336,7 @@
         }
 
         private RaftNode newNode(StoredState stored) {
-            return new RaftNode(name, names, TIMINGS, stored, new SplittableRandom(name.hashCode()), nowNanos);
+            return new RaftNode(name, names, 1, TIMINGS, stored, new SplittableRandom(name.hashCode()), nowNanos);
         }
     }
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/process/agreement/FakeDisk.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/FakeDisk.java
@@ -1,6 +1,7 @@
 package org.bramblerack.process.agreement;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,7 +11,8 @@
 /** The disk of one voter: what is synced outlives a crash, what is only written does not. */
 final class FakeDisk {
     private final boolean skipsSyncs;
-    private State synced = new State(HardState.getDefaultInstance(), 0, 0, ByteString.EMPTY, ImmutableList.of());
+    private State synced = new State(
+            HardState.getDefaultInstance(), 0, 0, ByteString.EMPTY, ImmutableSortedSet.of(), ImmutableList.of());
     private State written = synced;
 
     FakeDisk(boolean skipsSyncs) {
@@ -26,11 +28,12 @@
                 written.snapshotIndex(),
                 written.snapshotTerm(),
                 written.snapshot(),
+                written.voters(),
                 ImmutableList.copyOf(entries));
     }
 
     void write(RaftAction.SaveSnapshot save) {
-        written = new State(save.hardState(), save.index(), save.term(), save.state(), save.suffix());
+        written = new State(save.hardState(), save.index(), save.term(), save.state(), save.voters(), save.suffix());
     }
 
     void sync() {
@@ -42,7 +45,12 @@
     StoredState crash() {
         written = synced;
         return new StoredState(
-                synced.hardState(), synced.snapshotIndex(), synced.snapshotTerm(), synced.snapshot(), synced.entries());
+                synced.hardState(),
+                synced.snapshotIndex(),
+                synced.snapshotTerm(),
+                synced.snapshot(),
+                synced.voters(),
+                synced.entries());
     }
 
     private record State(
@@ -50,5 +58,6 @@
             long snapshotIndex,
             long snapshotTerm,
             ByteString snapshot,
+            ImmutableSortedSet<String> voters,
             ImmutableList<LogEntry> entries) {}
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/process/agreement/RaftNodeTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/RaftNodeTest.java
@@ -38,7 +38,7 @@
             done.put(name, new ArrayList<>());
             nodes.put(
                     name,
-                    new RaftNode(name, names, TIMINGS, StoredState.EMPTY, new SplittableRandom(name.hashCode()), 0));
+                    new RaftNode(name, names, 1, TIMINGS, StoredState.EMPTY, new SplittableRandom(name.hashCode()), 0));
         });
         run(100);
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlClient.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlClient.java
@@ -35,7 +35,7 @@
     private static final Duration LONGEST_TRY = Duration.ofMillis(800);
 
     private final String self;
-    private final ImmutableList<String> voters;
+    private final ImmutableList<String> firstVoters;
     private final Optional<ControlNode> local;
     private final PeerNetwork network;
     private final MonotonicClock clock;
@@ -51,7 +51,7 @@
             PeerNetwork network,
             MonotonicClock clock) {
         this.self = self;
-        this.voters = voters.asList();
+        this.firstVoters = voters.asList();
         this.local = local;
         this.network = network;
         this.clock = clock;
@@ -193,16 +193,27 @@
     }
 
     private String target() {
-        return localLeader()
-                .or(() -> leader)
-                .orElseGet(() -> voters.get(Math.floorMod(turn.getAndIncrement(), voters.size())));
+        return localLeader().or(() -> leader).orElseGet(this::anyVoter);
+    }
+
+    private String anyVoter() {
+        ImmutableList<String> voters = voters();
+        return voters.get(Math.floorMod(turn.getAndIncrement(), voters.size()));
+    }
+
+    /** Returns the voters as the local role knows them, or those that the system began with. */
+    private ImmutableList<String> voters() {
+        return local.map(ControlNode::voters)
+                .filter(known -> !known.isEmpty())
+                .map(ImmutableSortedSet::asList)
+                .orElse(firstVoters);
     }
 
     private void learn(String target, String hint, boolean confirmed) {
         if (confirmed) {
             leader = Optional.of(target);
             leaderHeardNanos = clock.nowNanos();
-        } else if (!hint.isEmpty() && !hint.equals(target) && voters.contains(hint)) {
+        } else if (!hint.isEmpty() && !hint.equals(target) && voters().contains(hint)) {
             leader = Optional.of(hint);
         } else {
             leader = Optional.empty();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -53,7 +53,8 @@
     private static final Duration DISK_CHECK = Duration.ofSeconds(2);
 
     private final String self;
-    private final ImmutableSortedSet<String> voters;
+    private final ImmutableSortedSet<String> firstVoters;
+    private final int lossesBorne;
     private final RaftTimings timings;
     private final LogStore store;
     private final PeerNetwork network;
@@ -69,23 +70,32 @@
     private @Nullable RaftNode node;
     private @Nullable Thread thread;
     private volatile boolean running;
+    private volatile boolean inTouch;
     private volatile Optional<String> leader = Optional.empty();
+    private volatile ImmutableSortedSet<String> voters = ImmutableSortedSet.of();
     private long nextToken = 1;
     private long snapshotBytes;
     private long diskCheckedNanos;
     private boolean diskNearlyFull;
 
-    /** Creates the role; nothing is read or sent before {@link #start}. */
+    /**
+     * Creates the role; nothing is read or sent before {@link #start}.
+     *
+     * @param firstVoters the voters that the system began with; empty for a host that came later
+     * @param lossesBorne how many voters may be lost at once
+     */
     public ControlNode(
             String self,
-            ImmutableSortedSet<String> voters,
+            ImmutableSortedSet<String> firstVoters,
+            int lossesBorne,
             RaftTimings timings,
             LogStore store,
             PeerNetwork network,
             MonotonicClock clock,
             RandomGenerator random) {
         this.self = self;
-        this.voters = voters;
+        this.firstVoters = firstVoters;
+        this.lossesBorne = lossesBorne;
         this.timings = timings;
         this.store = store;
         this.network = network;
@@ -101,7 +111,9 @@
     public synchronized void start() throws DiskFault {
         StoredState stored = store.load();
         restore(stored.snapshot());
-        node = new RaftNode(self, voters, timings, stored, random, clock.nowNanos());
+        RaftNode created = new RaftNode(self, firstVoters, lossesBorne, timings, stored, random, clock.nowNanos());
+        node = created;
+        voters = created.voters();
         running = true;
         Thread started = new Thread(this::runUntilStopped, self + "-control");
         started.setDaemon(true);
@@ -130,11 +142,29 @@
         return running;
     }
 
+    /** Returns true if this host leads, or heard of late from a leader and has applied what it said was agreed. */
+    public boolean isInTouch() {
+        return inTouch;
+    }
+
     /** Returns the leader that this host knows of. */
     public Optional<String> leader() {
         return leader;
     }
 
+    /** Returns the voters that this host knows of. */
+    public ImmutableSortedSet<String> voters() {
+        return voters;
+    }
+
+    /** Takes the wish of a host to get the log and to vote; only a leader grants it. */
+    public void admit(String host) {
+        offer((raft, nowNanos) -> {
+            raft.admit(host, nowNanos);
+            return List.of();
+        });
+    }
+
     /** Takes a message of another voter. */
     public void receive(RaftMessage message) {
         offer((raft, nowNanos) -> raft.receive(message, nowNanos));
@@ -263,7 +293,8 @@
         actions.addAll(raft.tick(nowNanos));
         actions.addAll(raft.flush(nowNanos));
         carryOut(actions);
-        subscriptions.answerDue(state.tables(), raft.isInTouch(nowNanos), nowNanos);
+        inTouch = raft.isInTouch(nowNanos);
+        subscriptions.answerDue(state.tables(), inTouch, nowNanos);
         if (raft.appliedSinceSnapshot() >= LEAST_ENTRIES_TO_COMPACT
                 && store.logBytes() >= Math.max(LEAST_BYTES_TO_COMPACT, 2 * snapshotBytes)) {
             ByteString snapshot = state.toSnapshot();
@@ -293,6 +324,9 @@
             } else if (action instanceof RaftAction.ReadFailed failed) {
                 reads.remove(failed.token());
                 runIfPresent(failedReads.remove(failed.token()));
+            } else if (action instanceof RaftAction.VotersChanged changed) {
+                voters = changed.voters();
+                LOGGER.log(Logger.Level.INFO, "{0} knows the voters {1}", self, voters);
             } else if (action instanceof RaftAction.RoleChanged changed) {
                 leader = changed.leader();
                 LOGGER.log(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
@@ -175,6 +175,7 @@
                 .setLastIndex(save.index())
                 .setLastTerm(save.term())
                 .setState(save.state())
+                .addAllVoters(save.voters())
                 .build();
         replace(snapshotFile, SNAPSHOT_MARK, ImmutableList.of(record.toByteArray()));
         close();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/LogReplay.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/LogReplay.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.control;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import java.util.ArrayList;
 import java.util.List;
 import org.bramblerack.process.agreement.StoredState;
@@ -41,6 +42,7 @@
                 snapshot.getLastIndex(),
                 snapshot.getLastTerm(),
                 snapshot.getState(),
+                ImmutableSortedSet.copyOf(snapshot.getVotersList()),
                 ImmutableList.copyOf(fitting()));
     }
 
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/VoterIdentity.java
@@ -0,0 +1,77 @@
+package org.bramblerack.daemon.control;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+
+/**
+ * The name under which a control host votes, and the voters that the system began with, kept beside its log.
+ *
+ * <p>Invariant: a name lives and dies with the disk that holds it, so that a host that lost its disk never votes under
+ * the name that it had. Immutable and safe for use by many threads.
+ *
+ * @param name the host's name among the voters
+ * @param firstVoters the voters that the system began with; empty for a host that came later
+ */
+public record VoterIdentity(String name, ImmutableSortedSet<String> firstVoters) {
+    private static final String FILE = "identity";
+
+    /**
+     * Reads the identity that a folder holds, or stores the given one there first.
+     *
+     * @throws DiskFault if the folder cannot be read or written
+     */
+    public static VoterIdentity loadOrStore(Path folder, VoterIdentity fresh) throws DiskFault {
+        Path file = folder.resolve(FILE);
+        try {
+            Files.createDirectories(folder);
+            if (!Files.exists(file)) {
+                fresh.store(folder, file);
+                return fresh;
+            }
+            return parse(Files.readString(file), file);
+        } catch (IOException failure) {
+            throw new DiskFault(
+                    "cannot read or write " + file + ": " + failure + "; check the disk and its rights", failure);
+        }
+    }
+
+    private void store(Path folder, Path file) throws IOException {
+        Path temporary = folder.resolve(FILE + ".new");
+        ImmutableList<String> lines = ImmutableList.<String>builder()
+                .add(name)
+                .addAll(firstVoters)
+                .add("")
+                .build();
+        byte[] text = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
+        try (FileChannel channel = FileChannel.open(
+                temporary, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            ByteBuffer bytes = ByteBuffer.wrap(text);
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true);
+        }
+        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    private static VoterIdentity parse(String text, Path file) throws DiskFault {
+        List<String> lines = Splitter.on('\n').omitEmptyStrings().splitToList(text);
+        if (lines.isEmpty()) {
+            throw new DiskFault(file + " is empty; clear the folder, and the host comes back under a new name");
+        }
+        return new VoterIdentity(lines.get(0), ImmutableSortedSet.copyOf(lines.subList(1, lines.size())));
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -6,9 +6,11 @@
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.ProposalResult;
 import org.bramblerack.daemon.peer.PeerHandler;
+import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.wire.Command;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.JoinRequest;
 import org.bramblerack.wire.Ping;
 import org.bramblerack.wire.ProposeResult;
 
@@ -18,11 +20,13 @@
 final class ControlPeers implements PeerHandler {
     private final ControlNode node;
     private final FleetControl fleet;
+    private final PeerNetwork network;
     private final MonotonicClock clock;
 
-    ControlPeers(ControlNode node, FleetControl fleet, MonotonicClock clock) {
+    ControlPeers(ControlNode node, FleetControl fleet, PeerNetwork network, MonotonicClock clock) {
         this.node = node;
         this.fleet = fleet;
+        this.network = network;
         this.clock = clock;
     }
 
@@ -32,6 +36,7 @@
             case PING -> reply.accept(Envelope.newBuilder().setPing(Ping.getDefaultInstance()));
             case RAFT -> node.receive(message.getRaft());
             case HEARD_MEMBERS -> fleet.takeHeard(message.getHeardMembers(), clock.nowNanos());
+            case JOIN_REQUEST -> join(message.getJoinRequest());
             case PROPOSE -> propose(message.getPropose().getCommand(), reply);
             case CONTROL_READ ->
                 node.read(message.getControlRead())
@@ -49,6 +54,17 @@
         }
     }
 
+    /** Admits a host that wants to vote, or passes its wish on to the leader. */
+    private void join(JoinRequest request) {
+        if (node.isLeader()) {
+            node.admit(request.getVoter());
+        } else {
+            node.leader()
+                    .ifPresent(
+                            leader -> network.send(leader, Envelope.newBuilder().setJoinRequest(request)));
+        }
+    }
+
     private void propose(ByteString bytes, Consumer<Envelope.Builder> reply) {
         Command command;
         try {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -1,5 +1,7 @@
 package org.bramblerack.daemon.fleet;
 
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.lang.System.Logger;
@@ -10,13 +12,17 @@
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.DiskFault;
 import org.bramblerack.daemon.control.FileLogStore;
+import org.bramblerack.daemon.control.VoterIdentity;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.agreement.RaftTimings;
+import org.bramblerack.process.agreement.VoterName;
+import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.JoinRequest;
 
 /**
  * A process of the control role: wires its parts together, starts and stops them.
@@ -26,9 +32,11 @@
 public final class ControlProcess {
     private static final Logger LOGGER = System.getLogger(ControlProcess.class.getName());
     private static final long SHARE_HEARD_MILLIS = 1_000;
+    private static final long JOIN_MILLIS = 300;
 
     private final ControlSettings settings;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final VoterIdentity identity;
     private final PeerNetwork network;
     private final FileLogStore store;
     private final ControlNode node;
@@ -37,22 +45,32 @@
     private final long incarnation;
 
     /**
-     * Creates a process that does nothing yet.
+     * Creates a process that does nothing yet but to find out who it is.
      *
      * @param incarnation tells this start of the host from others
+     * @throws DiskFault if its data folder cannot be used
      */
-    public ControlProcess(ControlSettings settings, MonotonicClock clock, RandomGenerator random, long incarnation) {
+    public ControlProcess(ControlSettings settings, MonotonicClock clock, RandomGenerator random, long incarnation)
+            throws DiskFault {
         this.settings = settings;
         this.incarnation = incarnation;
-        String self = settings.peerAddress().toString();
+        this.identity = VoterIdentity.loadOrStore(settings.dataFolder(), freshIdentity(settings, random));
         PeerTraffic traffic = new PeerTraffic();
-        this.network = PeerNetwork.byAddress(self, group, LinkPolicy.OPEN, traffic);
+        this.network = PeerNetwork.byAddress(identity.name(), group, LinkPolicy.OPEN, traffic);
         this.store = new FileLogStore(settings.dataFolder());
-        this.node = new ControlNode(self, settings.seeds(), RaftTimings.DEFAULT, store, network, clock, random);
-        ControlClient client = new ControlClient(self, settings.seeds(), Optional.of(node), network, clock);
+        this.node = new ControlNode(
+                identity.name(),
+                identity.firstVoters(),
+                settings.lossesBorne(),
+                RaftTimings.DEFAULT,
+                store,
+                network,
+                clock,
+                random);
+        ControlClient client = new ControlClient(identity.name(), settings.seeds(), Optional.of(node), network, clock);
         this.fleet = new FleetControl(node, client, network);
         this.peers = new PeerServer(
-                settings.peerAddress(), new ControlPeers(node, fleet, clock), group, LinkPolicy.OPEN, traffic);
+                settings.peerAddress(), new ControlPeers(node, fleet, network, clock), group, LinkPolicy.OPEN, traffic);
     }
 
     /**
@@ -62,7 +80,7 @@
      * @throws DiskFault if what was stored cannot be trusted
      */
     public void start() throws InterruptedException, DiskFault {
-        if (settings.firstStart() && !store.exists()) {
+        if (!store.exists()) {
             store.initialize();
         }
         peers.start();
@@ -70,7 +88,35 @@
         group.next()
                 .scheduleWithFixedDelay(
                         this::everySecond, SHARE_HEARD_MILLIS, SHARE_HEARD_MILLIS, TimeUnit.MILLISECONDS);
-        LOGGER.log(Logger.Level.INFO, "control host {0} takes part at {1}", settings.name(), settings.peerAddress());
+        group.next().scheduleWithFixedDelay(this::joinIfAlone, JOIN_MILLIS, JOIN_MILLIS, TimeUnit.MILLISECONDS);
+        LOGGER.log(Logger.Level.INFO, "control host {0} takes part as {1}", settings.name(), identity.name());
+    }
+
+    /** The seeds of a first start are the first voters; every other host with an empty disk has to join them. */
+    private static VoterIdentity freshIdentity(ControlSettings settings, RandomGenerator random) {
+        String address = settings.peerAddress().toString();
+        if (settings.firstStart() && settings.seeds().contains(address)) {
+            return new VoterIdentity(address, settings.seeds());
+        }
+        return new VoterIdentity(VoterName.fresh(address, random), ImmutableSortedSet.of());
+    }
+
+    /** Asks to be sent the log, and to vote in time, as long as no leader does so. */
+    private void joinIfAlone() {
+        if (node.isInTouch()) {
+            return;
+        }
+        ImmutableSet.<String>builder()
+                .addAll(settings.seeds())
+                .addAll(node.voters())
+                .addAll(fleet.knownControlHosts())
+                .build()
+                .stream()
+                .filter(host -> !host.equals(settings.peerAddress().toString()) && !host.equals(identity.name()))
+                .forEach(host -> network.send(
+                        host,
+                        Envelope.newBuilder()
+                                .setJoinRequest(JoinRequest.newBuilder().setVoter(identity.name()))));
     }
 
     /** Returns what it does for leafs and operators. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -1,5 +1,6 @@
 package org.bramblerack.daemon.fleet;
 
+import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import io.smallrye.mutiny.Uni;
 import java.lang.System.Logger;
@@ -41,6 +42,7 @@
     private final ControlClient client;
     private final PeerNetwork network;
     private final MemberWatch watch = new MemberWatch();
+    private volatile ImmutableList<String> knownControlHosts = ImmutableList.of();
     private boolean wasLeader;
 
     /** Creates the service; nothing happens before it is called. */
@@ -132,6 +134,10 @@
         node.withTables((tables, inTouch, nowNanos) -> {
                     synchronized (watch) {
                         watch.heardHost(own.getName(), nowNanos);
+                        knownControlHosts = tables.presentHosts().stream()
+                                .filter(host -> !host.getControlAddress().isEmpty())
+                                .map(HostRecord::getPeerAddress)
+                                .collect(ImmutableList.toImmutableList());
                         if (inTouch && tables.wouldChange(own)) {
                             announce(own);
                         }
@@ -174,6 +180,11 @@
         });
     }
 
+    /** Returns the peer addresses of the other control hosts in the tables, as of the last second. */
+    public ImmutableList<String> knownControlHosts() {
+        return knownControlHosts;
+    }
+
     private void send(String leader, HeardMembers report) {
         if (report.getLeafIdsCount() + report.getHostNamesCount() > 0) {
             network.send(leader, Envelope.newBuilder().setHeardMembers(report));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -268,6 +268,7 @@
         return Optional.of(new ControlNode(
                 settings.host(),
                 settings.voters(),
+                (settings.voters().size() - 1) / 2,
                 RaftTimings.DEFAULT,
                 new FileLogStore(settings.controlFolder()),
                 network,
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -140,8 +141,8 @@
     private void saveSnapshot() throws DiskFault {
         try (FileLogStore store = new FileLogStore(folder)) {
             store.load();
-            store.store(List.of(
-                    new RaftAction.SaveSnapshot(7, 3, ByteString.copyFromUtf8("state"), HARD_STATE, entries(8, 9))));
+            store.store(List.of(new RaftAction.SaveSnapshot(
+                    7, 3, ByteString.copyFromUtf8("state"), ImmutableSortedSet.of("a"), HARD_STATE, entries(8, 9))));
         }
     }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/LogEntryOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/LogEntryOrBuilder.java
@@ -27,4 +27,45 @@
    * @return The command.
    */
   com.google.protobuf.ByteString getCommand();
+
+  /**
+   * <pre>
+   * The voters from this entry on, if the entry changes them.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @return A list containing the voters.
+   */
+  java.util.List<java.lang.String>
+      getVotersList();
+  /**
+   * <pre>
+   * The voters from this entry on, if the entry changes them.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @return The count of voters.
+   */
+  int getVotersCount();
+  /**
+   * <pre>
+   * The voters from this entry on, if the entry changes them.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @param index The index of the element to return.
+   * @return The voters at the given index.
+   */
+  java.lang.String getVoters(int index);
+  /**
+   * <pre>
+   * The voters from this entry on, if the entry changes them.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the voters at the given index.
+   */
+  com.google.protobuf.ByteString
+      getVotersBytes(int index);
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
@@ -306,150 +306,151 @@
       "(\0132\032.bramblerack.ServedVersion\022\020\n\010sequen" +
       "ce\030\006 \001(\003\022\023\n\013incarnation\030\007 \001(\003\"J\n\rServedV" +
       "ersion\022\025\n\rindex_version\030\001 \001(\003\022\r\n\005shard\030\002" +
-      " \001(\005\022\023\n\013shard_count\030\003 \001(\005\"8\n\010LogEntry\022\014\n" +
+      " \001(\005\022\023\n\013shard_count\030\003 \001(\005\"H\n\010LogEntry\022\014\n" +
       "\004term\030\001 \001(\003\022\r\n\005index\030\002 \001(\003\022\017\n\007command\030\003 " +
-      "\001(\014\"\225\003\n\013RaftMessage\022+\n\004kind\030\001 \001(\0162\035.bram" +
-      "blerack.RaftMessage.Kind\022\014\n\004from\030\002 \001(\t\022\n" +
-      "\n\002to\030\003 \001(\t\022\014\n\004term\030\004 \001(\003\022\022\n\nlast_index\030\005" +
-      " \001(\003\022\021\n\tlast_term\030\006 \001(\003\022\024\n\014commit_index\030" +
-      "\007 \001(\003\022\020\n\010accepted\030\010 \001(\010\022\r\n\005round\030\t \001(\003\022&" +
-      "\n\007entries\030\n \003(\0132\025.bramblerack.LogEntry\022\020" +
-      "\n\010snapshot\030\013 \001(\014\"\230\001\n\004Kind\022\024\n\020KIND_UNSPEC" +
-      "IFIED\020\000\022\014\n\010PRE_VOTE\020\001\022\022\n\016PRE_VOTE_REPLY\020" +
-      "\002\022\010\n\004VOTE\020\003\022\016\n\nVOTE_REPLY\020\004\022\n\n\006APPEND\020\005\022" +
-      "\020\n\014APPEND_REPLY\020\006\022\014\n\010SNAPSHOT\020\007\022\022\n\016SNAPS" +
-      "HOT_REPLY\020\010\"\032\n\007Propose\022\017\n\007command\030\001 \001(\014\"" +
-      "\307\001\n\rProposeResult\0221\n\006status\030\001 \001(\0162!.bram" +
-      "blerack.ProposeResult.Status\022\016\n\006result\030\002" +
-      " \001(\014\022\016\n\006leader\030\003 \001(\t\022\r\n\005index\030\004 \001(\003\"T\n\006S" +
-      "tatus\022\026\n\022STATUS_UNSPECIFIED\020\000\022\013\n\007APPLIED" +
-      "\020\001\022\016\n\nNOT_LEADER\020\002\022\010\n\004LOST\020\003\022\013\n\007REFUSED\020" +
-      "\004\"m\n\021ConfigurationPull\022\014\n\004host\030\001 \001(\t\022\026\n\016" +
-      "known_revision\030\002 \001(\003\022\023\n\013incarnation\030\003 \001(" +
-      "\003\022\014\n\004zone\030\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\"\230\001\n\022Con" +
-      "figurationDelta\022\020\n\010revision\030\001 \001(\003\022\021\n\tcon" +
-      "firmed\030\002 \001(\010\0225\n\014declarations\030\003 \003(\0132\037.bra" +
-      "mblerack.PartnerDeclaration\022\016\n\006leader\030\004 " +
-      "\001(\t\022\026\n\016heard_revision\030\005 \001(\003\"E\n\022PartnerDe" +
-      "claration\022\017\n\007partner\030\001 \001(\t\022\020\n\010revision\030\002" +
-      " \001(\003\022\014\n\004text\030\003 \001(\t\"\277\001\n\013ControlRead\022+\n\004ki" +
-      "nd\030\001 \001(\0162\035.bramblerack.ControlRead.Kind\022" +
-      "\017\n\007service\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022\017\n\007" +
-      "partner\030\004 \001(\t\"M\n\004Kind\022\024\n\020KIND_UNSPECIFIE" +
-      "D\020\000\022\n\n\006STATUS\020\001\022\t\n\005CLAIM\020\002\022\013\n\007HISTORY\020\003\022" +
-      "\013\n\007ROUTING\020\004\"\315\002\n\021ControlReadResult\022\017\n\007cu" +
-      "rrent\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t\022\020\n\010revision\030" +
-      "\003 \001(\003\022+\n\010in_force\030\004 \003(\0132\031.bramblerack.Ho" +
-      "stRevision\022!\n\005claim\030\005 \001(\0132\022.bramblerack." +
-      "Claim\022*\n\007history\030\006 \003(\0132\031.bramblerack.His" +
-      "toryEntry\022\014\n\004term\030\007 \001(\003\0225\n\014declarations\030" +
-      "\010 \003(\0132\037.bramblerack.PartnerDeclaration\022\021" +
-      "\n\tforgotten\030\t \001(\010\022\027\n\017routing_version\030\n \001" +
-      "(\003\022\030\n\020routing_document\030\013 \001(\014\"`\n\014HistoryE" +
-      "ntry\022\020\n\010revision\030\001 \001(\003\022\017\n\007partner\030\002 \001(\t\022" +
-      "\021\n\tchange_id\030\003 \001(\t\022\032\n\022accepted_at_millis" +
-      "\030\004 \001(\003\"\372\002\n\007Command\022:\n\021apply_declaration\030" +
-      "\001 \001(\0132\035.bramblerack.ApplyDeclarationH\000\022*" +
-      "\n\005claim\030\002 \001(\0132\031.bramblerack.ClaimRequest" +
-      "H\000\022-\n\007outcome\030\003 \001(\0132\032.bramblerack.Record" +
-      "OutcomeH\000\022:\n\021put_configuration\030\004 \001(\0132\035.b" +
-      "ramblerack.PutConfigurationH\000\022.\n\013report_" +
-      "leaf\030\005 \001(\0132\027.bramblerack.LeafRecordH\000\022.\n" +
-      "\013report_host\030\006 \001(\0132\027.bramblerack.HostRec" +
-      "ordH\000\0224\n\016forget_members\030\007 \001(\0132\032.brambler" +
-      "ack.ForgetMembersH\000B\006\n\004body\"5\n\020PutConfig" +
-      "uration\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 \001" +
-      "(\014\"\211\002\n\nLeafRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007service" +
-      "\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n" +
-      "\005slots\030\005 \001(\005\022,\n\005phase\030\006 \001(\0162\035.bramblerac" +
-      "k.LeafRecord.Phase\022\020\n\010sequence\030\007 \001(\003\022\023\n\013" +
-      "cold_millis\030\010 \001(\005\022\030\n\020changed_revision\030\t " +
-      "\001(\003\"A\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\t\n\005R" +
-      "EADY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004GONE\020\003\"\225\002\n\nHostR" +
-      "ecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001(" +
-      "\t\022\014\n\004zone\030\003 \001(\t\022\016\n\006region\030\004 \001(\t\022\027\n\017contr" +
-      "ol_address\030\005 \001(\t\022\r\n\005entry\030\006 \001(\010\022\023\n\013incar" +
-      "nation\030\007 \001(\003\022,\n\005phase\030\010 \001(\0162\035.bramblerac" +
-      "k.HostRecord.Phase\022\030\n\020changed_revision\030\t" +
-      " \001(\003\"@\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\t\n\005" +
-      "READY\020\001\022\013\n\007LEAVING\020\002\022\010\n\004GONE\020\003\"I\n\rForget" +
-      "Members\022\020\n\010leaf_ids\030\001 \003(\t\022&\n\005hosts\030\002 \003(\013" +
-      "2\027.bramblerack.HostRecord\"J\n\tTablePull\022\026" +
-      "\n\016known_revision\030\001 \001(\003\022%\n\004self\030\002 \001(\0132\027.b" +
-      "ramblerack.HostRecord\"\305\001\n\nTableDelta\022\017\n\007" +
-      "current\030\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\r\n\005whole" +
-      "\030\003 \001(\010\022\035\n\025configuration_version\030\004 \001(\003\022\025\n" +
-      "\rconfiguration\030\005 \001(\014\022\'\n\006leaves\030\006 \003(\0132\027.b" +
-      "ramblerack.LeafRecord\022&\n\005hosts\030\007 \003(\0132\027.b" +
-      "ramblerack.HostRecord\"4\n\014HeardMembers\022\020\n" +
-      "\010leaf_ids\030\001 \003(\t\022\022\n\nhost_names\030\002 \003(\t\"\034\n\013J" +
-      "oinRequest\022\r\n\005voter\030\001 \001(\t\"\006\n\004Ping\"\361\001\n\tSt" +
-      "ageCall\022\035\n\025configuration_version\030\001 \001(\003\022\r" +
-      "\n\005route\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\013\n\003uri\030\004 \001" +
-      "(\t\022\024\n\014header_names\030\005 \003(\t\022\025\n\rheader_value" +
-      "s\030\006 \003(\t\022\022\n\nrequest_id\030\007 \001(\t\022\023\n\013goal_micr" +
-      "os\030\010 \001(\003\022\027\n\017deadline_micros\030\t \001(\003\022\016\n\006sha" +
-      "rds\030\n \003(\005\022\032\n\022hedge_delay_micros\030\013 \001(\003\"$\n" +
-      "\rStageProgress\022\023\n\013asked_twice\030\001 \003(\005\"\314\001\n\013" +
-      "StageResult\022/\n\006status\030\001 \001(\0162\037.bramblerac" +
-      "k.StageResult.Status\022\022\n\nsignatures\030\002 \003(\t" +
-      "\022\016\n\006shards\030\003 \003(\005\022\017\n\007records\030\004 \001(\014\022\016\n\006rea" +
-      "son\030\005 \001(\t\"G\n\006Status\022\026\n\022STATUS_UNSPECIFIE" +
-      "D\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILED" +
-      "\020\003\"\033\n\013StageCancel\022\014\n\004call\030\001 \001(\003\"r\n\020Apply" +
-      "Declaration\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_i" +
-      "d\030\002 \001(\t\022\031\n\021expected_revision\030\003 \001(\003\022\014\n\004te" +
-      "xt\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014ClaimReq" +
-      "uest\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(" +
-      "\t\022\017\n\007attempt\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\003\022\023\n" +
-      "\013body_digest\030\005 \001(\014\022\030\n\020retention_millis\030\006" +
-      " \001(\003\022\030\n\020issued_at_millis\030\007 \001(\003\022\027\n\017deadli" +
-      "ne_millis\030\010 \001(\003\"\240\001\n\rRecordOutcome\022\017\n\007ser" +
-      "vice\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attemp" +
-      "t\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblerack.Outc" +
-      "omeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t\022" +
-      "\021\n\tat_millis\030\007 \001(\003\"\324\002\n\rCommandResult\022-\n\004" +
-      "kind\030\001 \001(\0162\037.bramblerack.CommandResult.K" +
-      "ind\022\020\n\010revision\030\002 \001(\003\022\030\n\020winner_change_i" +
-      "d\030\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.bramblerack.Cla" +
-      "im\"\304\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010ACC" +
-      "EPTED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n\007" +
-      "CLAIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDED\020\006\022\013\n\007" +
-      "EXPIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n\n" +
-      "NOT_HOLDER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPERSEDED\020" +
-      "\014\"\373\001\n\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_" +
-      "id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162" +
-      "\030.bramblerack.OutcomeKind\022\016\n\006answer\030\005 \001(" +
-      "\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n\013" +
-      "body_digest\030\010 \001(\014\022\031\n\021keep_until_millis\030\t" +
-      " \001(\003\022\030\n\020issue_time_known\030\n \001(\010\022\027\n\017deadli" +
-      "ne_millis\030\013 \001(\003\"\252\002\n\017ControlSnapshot\022\020\n\010r" +
-      "evision\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.br" +
-      "amblerack.PartnerDeclaration\022*\n\007history\030" +
-      "\003 \003(\0132\031.bramblerack.HistoryEntry\022*\n\007resu" +
-      "lts\030\004 \003(\0132\031.bramblerack.ChangeResult\022\"\n\006" +
-      "claims\030\005 \003(\0132\022.bramblerack.Claim\022\024\n\014cloc" +
-      "k_millis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\022)\n\006tab" +
-      "les\030\010 \001(\0132\031.bramblerack.MemberTables\"\343\001\n" +
-      "\014MemberTables\022\020\n\010revision\030\001 \001(\003\022\035\n\025confi" +
-      "guration_version\030\002 \001(\003\022\025\n\rconfiguration\030" +
-      "\003 \001(\014\022\036\n\026configuration_revision\030\004 \001(\003\022\'\n" +
-      "\006leaves\030\005 \003(\0132\027.bramblerack.LeafRecord\022&" +
-      "\n\005hosts\030\006 \003(\0132\027.bramblerack.HostRecord\022\032" +
-      "\n\022forgotten_revision\030\007 \001(\003\"Y\n\014ChangeResu" +
-      "lt\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t\022\020" +
-      "\n\010revision\030\003 \001(\003\022\023\n\013text_digest\030\004 \001(\014\"\234\001" +
-      "\n\tLogRecord\022,\n\nhard_state\030\001 \001(\0132\026.brambl" +
-      "erack.HardStateH\000\022&\n\005entry\030\002 \001(\0132\025.bramb" +
-      "lerack.LogEntryH\000\022\027\n\rtruncate_from\030\003 \001(\003" +
-      "H\000\022\030\n\016synced_through\030\004 \001(\003H\000B\006\n\004body\",\n\t" +
-      "HardState\022\014\n\004term\030\001 \001(\003\022\021\n\tvoted_for\030\002 \001" +
-      "(\t\"F\n\016SnapshotRecord\022\022\n\nlast_index\030\001 \001(\003" +
-      "\022\021\n\tlast_term\030\002 \001(\003\022\r\n\005state\030\003 \001(\014*Z\n\013Ou" +
-      "tcomeKind\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013IN" +
-      "_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007UNK" +
-      "NOWN\020\004B&\n\024org.bramblerack.wireB\014PeerProt" +
-      "ocolP\001b\006proto3"
+      "\001(\014\022\016\n\006voters\030\004 \003(\t\"\256\003\n\013RaftMessage\022+\n\004k" +
+      "ind\030\001 \001(\0162\035.bramblerack.RaftMessage.Kind" +
+      "\022\014\n\004from\030\002 \001(\t\022\n\n\002to\030\003 \001(\t\022\014\n\004term\030\004 \001(\003" +
+      "\022\022\n\nlast_index\030\005 \001(\003\022\021\n\tlast_term\030\006 \001(\003\022" +
+      "\024\n\014commit_index\030\007 \001(\003\022\020\n\010accepted\030\010 \001(\010\022" +
+      "\r\n\005round\030\t \001(\003\022&\n\007entries\030\n \003(\0132\025.brambl" +
+      "erack.LogEntry\022\020\n\010snapshot\030\013 \001(\014\022\027\n\017snap" +
+      "shot_voters\030\014 \003(\t\"\230\001\n\004Kind\022\024\n\020KIND_UNSPE" +
+      "CIFIED\020\000\022\014\n\010PRE_VOTE\020\001\022\022\n\016PRE_VOTE_REPLY" +
+      "\020\002\022\010\n\004VOTE\020\003\022\016\n\nVOTE_REPLY\020\004\022\n\n\006APPEND\020\005" +
+      "\022\020\n\014APPEND_REPLY\020\006\022\014\n\010SNAPSHOT\020\007\022\022\n\016SNAP" +
+      "SHOT_REPLY\020\010\"\032\n\007Propose\022\017\n\007command\030\001 \001(\014" +
+      "\"\307\001\n\rProposeResult\0221\n\006status\030\001 \001(\0162!.bra" +
+      "mblerack.ProposeResult.Status\022\016\n\006result\030" +
+      "\002 \001(\014\022\016\n\006leader\030\003 \001(\t\022\r\n\005index\030\004 \001(\003\"T\n\006" +
+      "Status\022\026\n\022STATUS_UNSPECIFIED\020\000\022\013\n\007APPLIE" +
+      "D\020\001\022\016\n\nNOT_LEADER\020\002\022\010\n\004LOST\020\003\022\013\n\007REFUSED" +
+      "\020\004\"m\n\021ConfigurationPull\022\014\n\004host\030\001 \001(\t\022\026\n" +
+      "\016known_revision\030\002 \001(\003\022\023\n\013incarnation\030\003 \001" +
+      "(\003\022\014\n\004zone\030\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\"\230\001\n\022Co" +
+      "nfigurationDelta\022\020\n\010revision\030\001 \001(\003\022\021\n\tco" +
+      "nfirmed\030\002 \001(\010\0225\n\014declarations\030\003 \003(\0132\037.br" +
+      "amblerack.PartnerDeclaration\022\016\n\006leader\030\004" +
+      " \001(\t\022\026\n\016heard_revision\030\005 \001(\003\"E\n\022PartnerD" +
+      "eclaration\022\017\n\007partner\030\001 \001(\t\022\020\n\010revision\030" +
+      "\002 \001(\003\022\014\n\004text\030\003 \001(\t\"\277\001\n\013ControlRead\022+\n\004k" +
+      "ind\030\001 \001(\0162\035.bramblerack.ControlRead.Kind" +
+      "\022\017\n\007service\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022\017\n" +
+      "\007partner\030\004 \001(\t\"M\n\004Kind\022\024\n\020KIND_UNSPECIFI" +
+      "ED\020\000\022\n\n\006STATUS\020\001\022\t\n\005CLAIM\020\002\022\013\n\007HISTORY\020\003" +
+      "\022\013\n\007ROUTING\020\004\"\315\002\n\021ControlReadResult\022\017\n\007c" +
+      "urrent\030\001 \001(\010\022\016\n\006leader\030\002 \001(\t\022\020\n\010revision" +
+      "\030\003 \001(\003\022+\n\010in_force\030\004 \003(\0132\031.bramblerack.H" +
+      "ostRevision\022!\n\005claim\030\005 \001(\0132\022.bramblerack" +
+      ".Claim\022*\n\007history\030\006 \003(\0132\031.bramblerack.Hi" +
+      "storyEntry\022\014\n\004term\030\007 \001(\003\0225\n\014declarations" +
+      "\030\010 \003(\0132\037.bramblerack.PartnerDeclaration\022" +
+      "\021\n\tforgotten\030\t \001(\010\022\027\n\017routing_version\030\n " +
+      "\001(\003\022\030\n\020routing_document\030\013 \001(\014\"`\n\014History" +
+      "Entry\022\020\n\010revision\030\001 \001(\003\022\017\n\007partner\030\002 \001(\t" +
+      "\022\021\n\tchange_id\030\003 \001(\t\022\032\n\022accepted_at_milli" +
+      "s\030\004 \001(\003\"\372\002\n\007Command\022:\n\021apply_declaration" +
+      "\030\001 \001(\0132\035.bramblerack.ApplyDeclarationH\000\022" +
+      "*\n\005claim\030\002 \001(\0132\031.bramblerack.ClaimReques" +
+      "tH\000\022-\n\007outcome\030\003 \001(\0132\032.bramblerack.Recor" +
+      "dOutcomeH\000\022:\n\021put_configuration\030\004 \001(\0132\035." +
+      "bramblerack.PutConfigurationH\000\022.\n\013report" +
+      "_leaf\030\005 \001(\0132\027.bramblerack.LeafRecordH\000\022." +
+      "\n\013report_host\030\006 \001(\0132\027.bramblerack.HostRe" +
+      "cordH\000\0224\n\016forget_members\030\007 \001(\0132\032.bramble" +
+      "rack.ForgetMembersH\000B\006\n\004body\"5\n\020PutConfi" +
+      "guration\022\017\n\007version\030\001 \001(\003\022\020\n\010document\030\002 " +
+      "\001(\014\"\211\002\n\nLeafRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r" +
+      "\n\005slots\030\005 \001(\005\022,\n\005phase\030\006 \001(\0162\035.bramblera" +
+      "ck.LeafRecord.Phase\022\020\n\010sequence\030\007 \001(\003\022\023\n" +
+      "\013cold_millis\030\010 \001(\005\022\030\n\020changed_revision\030\t" +
+      " \001(\003\"A\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\t\n\005" +
+      "READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004GONE\020\003\"\225\002\n\nHost" +
+      "Record\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_address\030\002 \001" +
+      "(\t\022\014\n\004zone\030\003 \001(\t\022\016\n\006region\030\004 \001(\t\022\027\n\017cont" +
+      "rol_address\030\005 \001(\t\022\r\n\005entry\030\006 \001(\010\022\023\n\013inca" +
+      "rnation\030\007 \001(\003\022,\n\005phase\030\010 \001(\0162\035.bramblera" +
+      "ck.HostRecord.Phase\022\030\n\020changed_revision\030" +
+      "\t \001(\003\"@\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\t\n" +
+      "\005READY\020\001\022\013\n\007LEAVING\020\002\022\010\n\004GONE\020\003\"I\n\rForge" +
+      "tMembers\022\020\n\010leaf_ids\030\001 \003(\t\022&\n\005hosts\030\002 \003(" +
+      "\0132\027.bramblerack.HostRecord\"J\n\tTablePull\022" +
+      "\026\n\016known_revision\030\001 \001(\003\022%\n\004self\030\002 \001(\0132\027." +
+      "bramblerack.HostRecord\"\305\001\n\nTableDelta\022\017\n" +
+      "\007current\030\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\r\n\005whol" +
+      "e\030\003 \001(\010\022\035\n\025configuration_version\030\004 \001(\003\022\025" +
+      "\n\rconfiguration\030\005 \001(\014\022\'\n\006leaves\030\006 \003(\0132\027." +
+      "bramblerack.LeafRecord\022&\n\005hosts\030\007 \003(\0132\027." +
+      "bramblerack.HostRecord\"4\n\014HeardMembers\022\020" +
+      "\n\010leaf_ids\030\001 \003(\t\022\022\n\nhost_names\030\002 \003(\t\"\034\n\013" +
+      "JoinRequest\022\r\n\005voter\030\001 \001(\t\"\006\n\004Ping\"\361\001\n\tS" +
+      "tageCall\022\035\n\025configuration_version\030\001 \001(\003\022" +
+      "\r\n\005route\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\013\n\003uri\030\004 " +
+      "\001(\t\022\024\n\014header_names\030\005 \003(\t\022\025\n\rheader_valu" +
+      "es\030\006 \003(\t\022\022\n\nrequest_id\030\007 \001(\t\022\023\n\013goal_mic" +
+      "ros\030\010 \001(\003\022\027\n\017deadline_micros\030\t \001(\003\022\016\n\006sh" +
+      "ards\030\n \003(\005\022\032\n\022hedge_delay_micros\030\013 \001(\003\"$" +
+      "\n\rStageProgress\022\023\n\013asked_twice\030\001 \003(\005\"\314\001\n" +
+      "\013StageResult\022/\n\006status\030\001 \001(\0162\037.bramblera" +
+      "ck.StageResult.Status\022\022\n\nsignatures\030\002 \003(" +
+      "\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007records\030\004 \001(\014\022\016\n\006re" +
+      "ason\030\005 \001(\t\"G\n\006Status\022\026\n\022STATUS_UNSPECIFI" +
+      "ED\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILE" +
+      "D\020\003\"\033\n\013StageCancel\022\014\n\004call\030\001 \001(\003\"r\n\020Appl" +
+      "yDeclaration\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_" +
+      "id\030\002 \001(\t\022\031\n\021expected_revision\030\003 \001(\003\022\014\n\004t" +
+      "ext\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014ClaimRe" +
+      "quest\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001" +
+      "(\t\022\017\n\007attempt\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\003\022\023" +
+      "\n\013body_digest\030\005 \001(\014\022\030\n\020retention_millis\030" +
+      "\006 \001(\003\022\030\n\020issued_at_millis\030\007 \001(\003\022\027\n\017deadl" +
+      "ine_millis\030\010 \001(\003\"\240\001\n\rRecordOutcome\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attem" +
+      "pt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblerack.Out" +
+      "comeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t" +
+      "\022\021\n\tat_millis\030\007 \001(\003\"\324\002\n\rCommandResult\022-\n" +
+      "\004kind\030\001 \001(\0162\037.bramblerack.CommandResult." +
+      "Kind\022\020\n\010revision\030\002 \001(\003\022\030\n\020winner_change_" +
+      "id\030\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.bramblerack.Cl" +
+      "aim\"\304\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010AC" +
+      "CEPTED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n" +
+      "\007CLAIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDED\020\006\022\013\n" +
+      "\007EXPIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n" +
+      "\nNOT_HOLDER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPERSEDED" +
+      "\020\014\"\373\001\n\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest" +
+      "_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\016" +
+      "2\030.bramblerack.OutcomeKind\022\016\n\006answer\030\005 \001" +
+      "(\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n" +
+      "\013body_digest\030\010 \001(\014\022\031\n\021keep_until_millis\030" +
+      "\t \001(\003\022\030\n\020issue_time_known\030\n \001(\010\022\027\n\017deadl" +
+      "ine_millis\030\013 \001(\003\"\252\002\n\017ControlSnapshot\022\020\n\010" +
+      "revision\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.b" +
+      "ramblerack.PartnerDeclaration\022*\n\007history" +
+      "\030\003 \003(\0132\031.bramblerack.HistoryEntry\022*\n\007res" +
+      "ults\030\004 \003(\0132\031.bramblerack.ChangeResult\022\"\n" +
+      "\006claims\030\005 \003(\0132\022.bramblerack.Claim\022\024\n\014clo" +
+      "ck_millis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\022)\n\006ta" +
+      "bles\030\010 \001(\0132\031.bramblerack.MemberTables\"\343\001" +
+      "\n\014MemberTables\022\020\n\010revision\030\001 \001(\003\022\035\n\025conf" +
+      "iguration_version\030\002 \001(\003\022\025\n\rconfiguration" +
+      "\030\003 \001(\014\022\036\n\026configuration_revision\030\004 \001(\003\022\'" +
+      "\n\006leaves\030\005 \003(\0132\027.bramblerack.LeafRecord\022" +
+      "&\n\005hosts\030\006 \003(\0132\027.bramblerack.HostRecord\022" +
+      "\032\n\022forgotten_revision\030\007 \001(\003\"Y\n\014ChangeRes" +
+      "ult\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t\022" +
+      "\020\n\010revision\030\003 \001(\003\022\023\n\013text_digest\030\004 \001(\014\"\234" +
+      "\001\n\tLogRecord\022,\n\nhard_state\030\001 \001(\0132\026.bramb" +
+      "lerack.HardStateH\000\022&\n\005entry\030\002 \001(\0132\025.bram" +
+      "blerack.LogEntryH\000\022\027\n\rtruncate_from\030\003 \001(" +
+      "\003H\000\022\030\n\016synced_through\030\004 \001(\003H\000B\006\n\004body\",\n" +
+      "\tHardState\022\014\n\004term\030\001 \001(\003\022\021\n\tvoted_for\030\002 " +
+      "\001(\t\"V\n\016SnapshotRecord\022\022\n\nlast_index\030\001 \001(" +
+      "\003\022\021\n\tlast_term\030\002 \001(\003\022\r\n\005state\030\003 \001(\014\022\016\n\006v" +
+      "oters\030\004 \003(\t*Z\n\013OutcomeKind\022\027\n\023OUTCOME_UN" +
+      "SPECIFIED\020\000\022\017\n\013IN_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n" +
+      "\007NOT_RUN\020\003\022\013\n\007UNKNOWN\020\004B&\n\024org.bramblera" +
+      "ck.wireB\014PeerProtocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -508,13 +509,13 @@
     internal_static_bramblerack_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_LogEntry_descriptor,
-        new java.lang.String[] { "Term", "Index", "Command", });
+        new java.lang.String[] { "Term", "Index", "Command", "Voters", });
     internal_static_bramblerack_RaftMessage_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_bramblerack_RaftMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_RaftMessage_descriptor,
-        new java.lang.String[] { "Kind", "From", "To", "Term", "LastIndex", "LastTerm", "CommitIndex", "Accepted", "Round", "Entries", "Snapshot", });
+        new java.lang.String[] { "Kind", "From", "To", "Term", "LastIndex", "LastTerm", "CommitIndex", "Accepted", "Round", "Entries", "Snapshot", "SnapshotVoters", });
     internal_static_bramblerack_Propose_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_bramblerack_Propose_fieldAccessorTable = new
@@ -712,7 +713,7 @@
     internal_static_bramblerack_SnapshotRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_SnapshotRecord_descriptor,
-        new java.lang.String[] { "LastIndex", "LastTerm", "State", });
+        new java.lang.String[] { "LastIndex", "LastTerm", "State", "Voters", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/RaftMessage.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/RaftMessage.java
@@ -37,6 +37,8 @@
     to_ = "";
     entries_ = java.util.Collections.emptyList();
     snapshot_ = com.google.protobuf.ByteString.EMPTY;
+    snapshotVoters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -446,6 +448,59 @@
     return snapshot_;
   }
 
+  public static final int SNAPSHOT_VOTERS_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList snapshotVoters_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @return A list containing the snapshotVoters.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getSnapshotVotersList() {
+    return snapshotVoters_;
+  }
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @return The count of snapshotVoters.
+   */
+  public int getSnapshotVotersCount() {
+    return snapshotVoters_.size();
+  }
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @param index The index of the element to return.
+   * @return The snapshotVoters at the given index.
+   */
+  public java.lang.String getSnapshotVoters(int index) {
+    return snapshotVoters_.get(index);
+  }
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the snapshotVoters at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getSnapshotVotersBytes(int index) {
+    return snapshotVoters_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -493,6 +548,9 @@
     if (!snapshot_.isEmpty()) {
       output.writeBytes(11, snapshot_);
     }
+    for (int i = 0; i < snapshotVoters_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 12, snapshotVoters_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -544,6 +602,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(11, snapshot_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < snapshotVoters_.size(); i++) {
+        dataSize += computeStringSizeNoTag(snapshotVoters_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getSnapshotVotersList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -580,6 +646,8 @@
         .equals(other.getEntriesList())) return false;
     if (!getSnapshot()
         .equals(other.getSnapshot())) return false;
+    if (!getSnapshotVotersList()
+        .equals(other.getSnapshotVotersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -621,6 +689,10 @@
     }
     hash = (37 * hash) + SNAPSHOT_FIELD_NUMBER;
     hash = (53 * hash) + getSnapshot().hashCode();
+    if (getSnapshotVotersCount() > 0) {
+      hash = (37 * hash) + SNAPSHOT_VOTERS_FIELD_NUMBER;
+      hash = (53 * hash) + getSnapshotVotersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -773,6 +845,8 @@
       }
       bitField0_ = (bitField0_ & ~0x00000200);
       snapshot_ = com.google.protobuf.ByteString.EMPTY;
+      snapshotVoters_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -849,6 +923,10 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.snapshot_ = snapshot_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        snapshotVoters_.makeImmutable();
+        result.snapshotVoters_ = snapshotVoters_;
+      }
     }
 
     @java.lang.Override
@@ -923,6 +1001,16 @@
       if (!other.getSnapshot().isEmpty()) {
         setSnapshot(other.getSnapshot());
       }
+      if (!other.snapshotVoters_.isEmpty()) {
+        if (snapshotVoters_.isEmpty()) {
+          snapshotVoters_ = other.snapshotVoters_;
+          bitField0_ |= 0x00000800;
+        } else {
+          ensureSnapshotVotersIsMutable();
+          snapshotVoters_.addAll(other.snapshotVoters_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1012,6 +1100,12 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 90
+            case 98: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureSnapshotVotersIsMutable();
+              snapshotVoters_.add(s);
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1688,6 +1782,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList snapshotVoters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureSnapshotVotersIsMutable() {
+      if (!snapshotVoters_.isModifiable()) {
+        snapshotVoters_ = new com.google.protobuf.LazyStringArrayList(snapshotVoters_);
+      }
+      bitField0_ |= 0x00000800;
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @return A list containing the snapshotVoters.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getSnapshotVotersList() {
+      snapshotVoters_.makeImmutable();
+      return snapshotVoters_;
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @return The count of snapshotVoters.
+     */
+    public int getSnapshotVotersCount() {
+      return snapshotVoters_.size();
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @param index The index of the element to return.
+     * @return The snapshotVoters at the given index.
+     */
+    public java.lang.String getSnapshotVoters(int index) {
+      return snapshotVoters_.get(index);
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the snapshotVoters at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getSnapshotVotersBytes(int index) {
+      return snapshotVoters_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @param index The index to set the value at.
+     * @param value The snapshotVoters to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSnapshotVoters(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureSnapshotVotersIsMutable();
+      snapshotVoters_.set(index, value);
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @param value The snapshotVoters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSnapshotVoters(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureSnapshotVotersIsMutable();
+      snapshotVoters_.add(value);
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @param values The snapshotVoters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllSnapshotVoters(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureSnapshotVotersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, snapshotVoters_);
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSnapshotVoters() {
+      snapshotVoters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000800);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at the end of the snapshot.
+     * </pre>
+     *
+     * <code>repeated string snapshot_voters = 12;</code>
+     * @param value The bytes of the snapshotVoters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSnapshotVotersBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureSnapshotVotersIsMutable();
+      snapshotVoters_.add(value);
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.RaftMessage)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/RaftMessageOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/RaftMessageOrBuilder.java
@@ -110,4 +110,45 @@
    * @return The snapshot.
    */
   com.google.protobuf.ByteString getSnapshot();
+
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @return A list containing the snapshotVoters.
+   */
+  java.util.List<java.lang.String>
+      getSnapshotVotersList();
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @return The count of snapshotVoters.
+   */
+  int getSnapshotVotersCount();
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @param index The index of the element to return.
+   * @return The snapshotVoters at the given index.
+   */
+  java.lang.String getSnapshotVoters(int index);
+  /**
+   * <pre>
+   * The voters at the end of the snapshot.
+   * </pre>
+   *
+   * <code>repeated string snapshot_voters = 12;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the snapshotVoters at the given index.
+   */
+  com.google.protobuf.ByteString
+      getSnapshotVotersBytes(int index);
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/SnapshotRecord.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/SnapshotRecord.java
@@ -29,6 +29,8 @@
   }
   private SnapshotRecord() {
     state_ = com.google.protobuf.ByteString.EMPTY;
+    voters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -77,6 +79,59 @@
     return state_;
   }
 
+  public static final int VOTERS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList voters_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The voters at that index.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @return A list containing the voters.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getVotersList() {
+    return voters_;
+  }
+  /**
+   * <pre>
+   * The voters at that index.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @return The count of voters.
+   */
+  public int getVotersCount() {
+    return voters_.size();
+  }
+  /**
+   * <pre>
+   * The voters at that index.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @param index The index of the element to return.
+   * @return The voters at the given index.
+   */
+  public java.lang.String getVoters(int index) {
+    return voters_.get(index);
+  }
+  /**
+   * <pre>
+   * The voters at that index.
+   * </pre>
+   *
+   * <code>repeated string voters = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the voters at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getVotersBytes(int index) {
+    return voters_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -100,6 +155,9 @@
     if (!state_.isEmpty()) {
       output.writeBytes(3, state_);
     }
+    for (int i = 0; i < voters_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, voters_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -121,6 +179,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(3, state_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < voters_.size(); i++) {
+        dataSize += computeStringSizeNoTag(voters_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getVotersList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -142,6 +208,8 @@
         != other.getLastTerm()) return false;
     if (!getState()
         .equals(other.getState())) return false;
+    if (!getVotersList()
+        .equals(other.getVotersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -161,6 +229,10 @@
         getLastTerm());
     hash = (37 * hash) + STATE_FIELD_NUMBER;
     hash = (53 * hash) + getState().hashCode();
+    if (getVotersCount() > 0) {
+      hash = (37 * hash) + VOTERS_FIELD_NUMBER;
+      hash = (53 * hash) + getVotersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -295,6 +367,8 @@
       lastIndex_ = 0L;
       lastTerm_ = 0L;
       state_ = com.google.protobuf.ByteString.EMPTY;
+      voters_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -337,6 +411,10 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.state_ = state_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        voters_.makeImmutable();
+        result.voters_ = voters_;
+      }
     }
 
     @java.lang.Override
@@ -360,6 +438,16 @@
       if (!other.getState().isEmpty()) {
         setState(other.getState());
       }
+      if (!other.voters_.isEmpty()) {
+        if (voters_.isEmpty()) {
+          voters_ = other.voters_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureVotersIsMutable();
+          voters_.addAll(other.voters_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -401,6 +489,12 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureVotersIsMutable();
+              voters_.add(s);
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -514,6 +608,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList voters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureVotersIsMutable() {
+      if (!voters_.isModifiable()) {
+        voters_ = new com.google.protobuf.LazyStringArrayList(voters_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @return A list containing the voters.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getVotersList() {
+      voters_.makeImmutable();
+      return voters_;
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @return The count of voters.
+     */
+    public int getVotersCount() {
+      return voters_.size();
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @param index The index of the element to return.
+     * @return The voters at the given index.
+     */
+    public java.lang.String getVoters(int index) {
+      return voters_.get(index);
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the voters at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getVotersBytes(int index) {
+      return voters_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The voters to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVoters(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureVotersIsMutable();
+      voters_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @param value The voters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addVoters(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureVotersIsMutable();
+      voters_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @param values The voters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllVoters(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureVotersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, voters_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVoters() {
+      voters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The voters at that index.
+     * </pre>
+     *
+     * <code>repeated string voters = 4;</code>
+     * @param value The bytes of the voters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addVotersBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureVotersIsMutable();
+      voters_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.SnapshotRecord)
   }
 
