Close links on which nothing comes back; end a control process whose disk failed

Cause: a cut says nothing, and a connection that outlived one waits for its retransmission timer, seconds beyond the time in which a host must have caught up; a control role whose disk refused a write ended inside a process that lived on, so that the next loss took the quorum. Ruled out: TCP settings alone (a frozen peer still acknowledges at TCP).

Change: a peer connection on which something was written and nothing came back for 1.3 s is closed and made again (a probe each 500 ms while there is traffic); a control process ends when its role does, and its start reads the disk anew.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -11,7 +11,6 @@
 import org.bramblerack.wire.Command;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.JoinRequest;
-import org.bramblerack.wire.Ping;
 import org.bramblerack.wire.ProposeResult;
 
 /**
@@ -33,7 +32,6 @@
     @Override
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         switch (message.getBodyCase()) {
-            case PING -> reply.accept(Envelope.newBuilder().setPing(Ping.getDefaultInstance()));
             case RAFT -> node.receive(message.getRaft());
             case HEARD_MEMBERS -> fleet.takeHeard(message.getHeardMembers(), clock.nowNanos());
             case JOIN_REQUEST -> join(message.getJoinRequest());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -44,6 +44,8 @@
     private final PeerServer peers;
     private final long incarnation;
     private volatile ImmutableSortedSet<String> seeds;
+    private volatile Runnable onRoleEnded = () -> {};
+    private volatile boolean stopping;
 
     /**
      * Creates a process that does nothing yet but to find out who it is.
@@ -137,8 +139,14 @@
         return group;
     }
 
+    /** Sets what to do if the role ends by itself because its disk failed. */
+    public void onRoleEnded(Runnable task) {
+        onRoleEnded = task;
+    }
+
     /** Stops taking part. */
     public void stop() {
+        stopping = true;
         LOGGER.log(Logger.Level.INFO, "control host {0} stops", settings.name());
         node.stop();
         peers.stop();
@@ -146,6 +154,12 @@
     }
 
     private void everySecond() {
+        if (!stopping && !node.isRunning()) {
+            // Its disk failed: what was written last is unknown, so only a new start may read it again.
+            LOGGER.log(Logger.Level.ERROR, "the control role of {0} has ended, so the process does", settings.name());
+            onRoleEnded.run();
+            return;
+        }
         fleet.shareHeard(self());
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -20,7 +20,6 @@
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
-import org.bramblerack.wire.Ping;
 import org.bramblerack.wire.StageCall;
 
 /**
@@ -106,12 +105,9 @@
 
     @Override
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
-        switch (message.getBodyCase()) {
-            case PING -> reply.accept(Envelope.newBuilder().setPing(Ping.getDefaultInstance()));
-            case STAGE_CALL -> stageServer.handle(message.getStageCall(), reply);
-            default -> {
-                // A message of a newer program: not understood, so not answered.
-            }
+        // Other kinds are of a newer program: not understood, so not answered.
+        if (message.hasStageCall()) {
+            stageServer.handle(message.getStageCall(), reply);
         }
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -19,11 +20,15 @@
 import java.util.function.Consumer;
 import org.bramblerack.daemon.settings.HostEntry;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.Ping;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The connection to one other host, made when it is first needed and made again after it was lost.
  *
+ * <p>A connection on which something was written and nothing came back for a while is closed, since a cut says nothing
+ * and a connection that outlived one may take long to carry anything again.
+ *
  * <p>Invariants: every request is completed exactly once, by its reply or by a {@link PeerFailure} that says whether it
  * was handed over. What waits to be written is bounded: beyond that, requests are not sent. Attempts to connect are
  * spaced out.
@@ -32,7 +37,12 @@
  * it.
  */
 final class PeerConnection {
+    private static final Logger LOGGER = System.getLogger(PeerConnection.class.getName());
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long PROBE_NANOS = Duration.ofMillis(500).toNanos();
+    /** Two probes and a round trip between regions without a sign of life. */
+    private static final long SILENCE_NANOS = Duration.ofMillis(1_300).toNanos();
+
     private static final long RECONNECT_NANOS = Duration.ofMillis(200).toNanos();
 
     private final String self;
@@ -43,6 +53,8 @@
     private final AtomicLong nextCorrelation = new AtomicLong(1);
     private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
     private volatile @Nullable Channel channel;
+    private volatile long lastReadNanos;
+    private volatile boolean wroteSinceProbe;
     private boolean connecting;
     private boolean closed;
     private long lastAttemptNanos = System.nanoTime() - RECONNECT_NANOS;
@@ -94,6 +106,7 @@
     }
 
     private void write(Channel open, Envelope message) {
+        wroteSinceProbe = true;
         traffic.sent(message);
         Duration delay = links.delay(remote.name());
         if (delay.isZero()) {
@@ -138,14 +151,39 @@
             connecting = false;
             keep = future.isSuccess() && !closed;
             if (keep) {
+                lastReadNanos = System.nanoTime();
                 channel = future.channel();
             }
         }
+        if (keep) {
+            future.channel().eventLoop().schedule(() -> probe(future.channel()), PROBE_NANOS, TimeUnit.NANOSECONDS);
+        }
         if (!keep && future.isSuccess()) {
             future.channel().close();
         }
     }
 
+    /** Asks for a sign of life if anything was written, and closes a connection that has not given one for long. */
+    private void probe(Channel open) {
+        if (!open.isActive()) {
+            return;
+        }
+        boolean silent = System.nanoTime() - lastReadNanos > SILENCE_NANOS;
+        if (wroteSinceProbe && silent) {
+            LOGGER.log(Logger.Level.INFO, "the connection to {0} is silent and is closed", remote.name());
+            open.close();
+            return;
+        }
+        if (wroteSinceProbe && !links.isCut(remote.name())) {
+            wroteSinceProbe = silent;
+            open.writeAndFlush(Envelope.newBuilder()
+                    .setSender(self)
+                    .setPing(Ping.getDefaultInstance())
+                    .build());
+        }
+        open.eventLoop().schedule(() -> probe(open), PROBE_NANOS, TimeUnit.NANOSECONDS);
+    }
+
     private void fail(long correlation, PeerFailure.Kind kind, String reason) {
         Pending waiting = pending.remove(correlation);
         if (waiting != null) {
@@ -162,6 +200,7 @@
             if (links.isCut(remote.name())) {
                 return;
             }
+            lastReadNanos = System.nanoTime();
             if (message.hasStageProgress()) {
                 Pending working = pending.get(message.getCorrelationId());
                 if (working != null) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerServer.java
@@ -81,6 +81,10 @@
             if (links.isCut(message.getSender())) {
                 return;
             }
+            if (message.hasPing()) {
+                context.writeAndFlush(message.toBuilder().setReply(true).build());
+                return;
+            }
             Channel channel = context.channel();
             long correlation = message.getCorrelationId();
             handler.handle(message, reply -> {
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/SplitCursorTest.java
@@ -0,0 +1,28 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import org.bramblerack.version.routing.RouteTarget;
+import org.junit.jupiter.api.Test;
+
+final class SplitCursorTest {
+    @Test
+    void afterAnyNumberOfRequestsEachServiceHasHadItsShareToWithinOne() {
+        SplitCursor cursor = new SplitCursor(new RouteTarget.Split(ImmutableList.of(
+                new RouteTarget.Share("a", 5), new RouteTarget.Share("b", 3), new RouteTarget.Share("c", 0))));
+        Map<String, Integer> counts = new HashMap<>();
+        for (int request = 1; request <= 1_000; request++) {
+            counts.merge(cursor.next(), 1, Integer::sum);
+            assertThat(counts.getOrDefault("a", 0) - request * 5 / 8.0)
+                    .isWithin(1.0)
+                    .of(0);
+            assertThat(counts.getOrDefault("b", 0) - request * 3 / 8.0)
+                    .isWithin(1.0)
+                    .of(0);
+            assertThat(counts).doesNotContainKey("c");
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -0,0 +1,274 @@
+package org.bramblerack.daemon.leaf;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a leaf may send, byte for byte, and what the request is told. */
+final class LeafConnectionsTest {
+    private static final CallHeaders NAMES = new CallHeaders(
+            "Request-Id", "Deadline", "Expected", "Leaf-Id", "Signature", "Load", "Not-Run", "Retry-After", "P", "M");
+    private static final String WHOLE =
+            "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nSignature: sig\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String OTHERS =
+            "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nSignature: old\r\nContent-Length: 3\r\n\r\nold";
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final BlockingQueue<Object> results = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    private final AtomicInteger accepted = new AtomicInteger();
+    private ServerSocket server;
+    private LeafConnections connections;
+    private volatile String answer = WHOLE;
+    private volatile End end = End.STAY;
+
+    /** What the leaf does after its answer. */
+    enum End {
+        STAY,
+        CLOSE,
+        RESET
+    }
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::acceptAll, "leaf");
+        thread.setDaemon(true);
+        thread.start();
+        Leaf leaf = new Leaf("i-1", "s", "127.0.0.1:" + server.getLocalPort(), Distance.SAME_ZONE, 2, Duration.ZERO, 0);
+        connections = new LeafConnections(leaf, group, NAMES, MonotonicClock.system(), () -> 1);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aWholeAnswerCountsAndTheConnectionIsUsedAgain() throws Exception {
+        assertThat(success(send("r-1")).body().toStringUtf8()).isEqualTo("body");
+        answer = WHOLE.replace("r-1", "r-2");
+        success(send("r-2"));
+        assertThat(accepted.get()).isEqualTo(1);
+    }
+
+    @Test
+    void theLeafIsToldWhatIsMeantAndHowLongItHas() throws Exception {
+        send("r-1");
+        String request = requests.poll(2, TimeUnit.SECONDS);
+        assertThat(request).startsWith("GET /path?q=1 HTTP/1.1");
+        assertThat(request).contains("Expected: i-1");
+        assertThat(request).contains("Deadline: ");
+        assertThat(request).contains("Request-Id: r-1");
+        assertThat(request).doesNotContain("Connection:");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // Cut off within the head, within the body, within a chunk.
+        "HTTP/1.1 200 OK|Signature: sig|Conte, CLOSE",
+        "HTTP/1.1 200 OK|Signature: sig|Content-Length: 9||body, CLOSE",
+        "HTTP/1.1 200 OK|Signature: sig|Content-Length: 9||body, RESET",
+        "HTTP/1.1 200 OK|Signature: sig|Transfer-Encoding: chunked||9|body, CLOSE",
+        "HTTP/1.1 200 OK|Signature: sig|Transfer-Encoding: chunked||4|body|, CLOSE",
+        // Without a length, and the connection is reset.
+        "HTTP/1.1 200 OK|Signature: sig||body, RESET",
+        // No answer in the protocol, and none at all.
+        "garbage and nothing else||, CLOSE",
+        "'', CLOSE",
+        "'', RESET"
+    })
+    void anAnswerThatIsNotWholeIsAFailureThatMayHaveRun(String lines, End ending) throws Exception {
+        answer = lines.replace("|", "\r\n");
+        end = ending;
+        Object result = send("r-1");
+        assertThat(result).isAnyOf(LeafOutcome.BROKEN, LeafOutcome.GARBLED);
+    }
+
+    @Test
+    void anAnswerWithoutALengthIsWholeIfItsConnectionEndsInOrder() throws Exception {
+        answer = "HTTP/1.1 200 OK\r\nSignature: sig\r\n\r\nbody";
+        end = End.CLOSE;
+        assertThat(success(send("r-1")).body().toStringUtf8()).isEqualTo("body");
+    }
+
+    @Test
+    void anAnswerToAnEarlierRequestIsSkippedAndTheConnectionIsNotUsedAgain() throws Exception {
+        answer = OTHERS + WHOLE;
+        assertThat(success(send("r-1")).signature().orElse("")).isEqualTo("sig");
+        answer = WHOLE.replace("r-1", "r-2");
+        success(send("r-2"));
+        assertThat(accepted.get()).isEqualTo(2);
+    }
+
+    @Test
+    void bytesAfterAnAnswerReachNobody() throws Exception {
+        answer = WHOLE + OTHERS;
+        success(send("r-1"));
+        Thread.sleep(100);
+        answer = WHOLE.replace("r-1", "r-2");
+        assertThat(success(send("r-2")).signature().orElse("")).isEqualTo("sig");
+        assertThat(accepted.get()).isEqualTo(2);
+    }
+
+    @Test
+    void aSuccessWithoutASignatureOrWithAnEncodingIsNoAnswerOfTheLeaf() throws Exception {
+        answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        assertThat(((LeafAnswer) send("r-1")).outcome()).isEqualTo(LeafOutcome.GARBLED);
+        answer = "HTTP/1.1 200 OK\r\nSignature: sig\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n";
+        assertThat(((LeafAnswer) send("r-2")).outcome()).isEqualTo(LeafOutcome.GARBLED);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "503, Not-Run: 1, REFUSED_BUSY",
+        "429, Not-Run: 1, REFUSED_BUSY",
+        "421, Leaf-Id: i-2, REFUSED_GONE",
+        "503, Signature: sig, FAILED",
+        "500, Signature: sig, FAILED",
+        "504, Signature: sig, FAILED"
+    })
+    void onlyWhatSaysSoHasNotRun(int status, String header, LeafOutcome outcome) throws Exception {
+        answer = "HTTP/1.1 " + status + " X\r\n" + header + "\r\nContent-Length: 0\r\n\r\n";
+        assertThat(((LeafAnswer) send("r-1")).outcome()).isEqualTo(outcome);
+    }
+
+    @Test
+    void nobodyThereMeansThatNothingWasSent() throws Exception {
+        server.close();
+        assertThat(send("r-1")).isEqualTo(LeafOutcome.UNREACHABLE);
+    }
+
+    @Test
+    void noMoreConnectionsThanTheShare() throws Exception {
+        answer = "";
+        for (int request = 0; request < 5; request++) {
+            begin("r-" + request);
+        }
+        Thread.sleep(300);
+        assertThat(accepted.get()).isEqualTo(1);
+    }
+
+    @Test
+    void aRequestThatIsGivenUpClosesItsConnection() throws Exception {
+        answer = "";
+        BlockingQueue<LeafConnections.Ticket> tickets = new LinkedBlockingQueue<>();
+        group.next().execute(() -> tickets.add(connections.send(request("r-1"), deadline(), new Taker())));
+        assertThat(requests.poll(2, TimeUnit.SECONDS)).isNotNull();
+        LeafConnections.Ticket ticket = tickets.poll(2, TimeUnit.SECONDS);
+        group.next().execute(() -> {
+            if (ticket != null) {
+                ticket.giveUp();
+            }
+        });
+        assertThat(results.poll(2, TimeUnit.SECONDS)).isEqualTo(LeafOutcome.BROKEN);
+    }
+
+    private Object send(String id) throws InterruptedException {
+        begin(id);
+        Object result = results.poll(5, TimeUnit.SECONDS);
+        assertThat(result).isNotNull();
+        return result;
+    }
+
+    private void begin(String id) {
+        group.next().execute(() -> connections.send(request(id), deadline(), new Taker()));
+    }
+
+    private static long deadline() {
+        return System.nanoTime() + Duration.ofSeconds(3).toNanos();
+    }
+
+    private static LeafRequest request(String id) {
+        return LeafRequest.create(
+                "GET",
+                "/path?q=1",
+                new DefaultHttpHeaders().set("Host", "h").set("Request-Id", id).set("Connection", "keep-alive"),
+                new byte[0],
+                NAMES);
+    }
+
+    private static LeafAnswer success(Object result) {
+        assertThat(result).isInstanceOf(LeafAnswer.class);
+        LeafAnswer answer = (LeafAnswer) result;
+        assertThat(answer.outcome()).isEqualTo(LeafOutcome.SUCCEEDED);
+        return answer;
+    }
+
+    private void acceptAll() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                accepted.incrementAndGet();
+                Thread thread = new Thread(() -> serve(socket), "leaf-connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException closed) {
+            // The test is over.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            StringBuilder head = new StringBuilder();
+            String line = reader.readLine();
+            while (line != null) {
+                if (line.isEmpty()) {
+                    requests.add(head.toString());
+                    head.setLength(0);
+                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    if (end != End.STAY) {
+                        Thread.sleep(50);
+                        socket.setSoLinger(end == End.RESET, 0);
+                        return;
+                    }
+                } else {
+                    head.append(line).append("\n");
+                }
+                line = reader.readLine();
+            }
+        } catch (IOException | InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Notes what came. */
+    private final class Taker implements LeafExchange {
+        @Override
+        public void answered(LeafAnswer whole) {
+            results.add(whole);
+        }
+
+        @Override
+        public void failed(LeafOutcome outcome) {
+            results.add(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
@@ -0,0 +1,102 @@
+package org.bramblerack.daemon.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.net.HostAndPort;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.Ping;
+import org.bramblerack.wire.RaftMessage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class PeerConnectionTest {
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final PeerNetwork network = PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic());
+
+    @AfterEach
+    void stop() {
+        network.stop();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** A cut says nothing: the other end accepts, and then neither reads nor closes. */
+    @Test
+    void aConnectionOnWhichNothingComesBackIsClosedAndMadeAgain() throws Exception {
+        AtomicInteger accepted = new AtomicInteger();
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread thread = new Thread(() -> acceptAll(silent, accepted), "silent");
+            thread.setDaemon(true);
+            thread.start();
+            String host = "127.0.0.1:" + silent.getLocalPort();
+            sendFor(host, Duration.ofSeconds(5));
+            assertThat(accepted.get()).isAtLeast(2);
+        }
+    }
+
+    @Test
+    void aConnectionThatAnswersIsKept() throws Exception {
+        HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        AtomicInteger messages = new AtomicInteger();
+        PeerServer server = new PeerServer(
+                address, (message, reply) -> messages.incrementAndGet(), group, LinkPolicy.OPEN, new PeerTraffic());
+        server.start();
+        sendFor(address.toString(), Duration.ofSeconds(3));
+        assertThat(messages.get()).isAtLeast(20);
+        assertThat(network.request(
+                                address.toString(),
+                                Envelope.newBuilder().setPing(Ping.getDefaultInstance()),
+                                Duration.ofSeconds(1))
+                        .await()
+                        .atMost(Duration.ofSeconds(2))
+                        .hasPing())
+                .isTrue();
+        server.stop();
+    }
+
+    @Test
+    void whatFollowsTheTagIsNotPartOfTheAddress() throws Exception {
+        AtomicInteger accepted = new AtomicInteger();
+        try (ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread thread = new Thread(() -> acceptAll(listening, accepted), "tagged");
+            thread.setDaemon(true);
+            thread.start();
+            sendFor("127.0.0.1:" + listening.getLocalPort() + PeerNetwork.TAG + "7", Duration.ofMillis(500));
+            assertThat(accepted.get()).isEqualTo(1);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0)) {
+            return any.getLocalPort();
+        }
+    }
+
+    private void sendFor(String host, Duration length) throws InterruptedException {
+        long endNanos = System.nanoTime() + length.toNanos();
+        while (System.nanoTime() < endNanos) {
+            network.send(host, Envelope.newBuilder().setRaft(RaftMessage.getDefaultInstance()));
+            Thread.sleep(50);
+        }
+    }
+
+    private static void acceptAll(ServerSocket server, AtomicInteger accepted) {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                socket.setReceiveBufferSize(4_096);
+                accepted.incrementAndGet();
+            }
+        } catch (IOException closed) {
+            // The test is over.
+        }
+    }
+}
