--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -25,6 +25,15 @@
     /** How much slower a leaf is just after its start, as observed of cold leafs. */
     private static final double COLD_FACTOR = 1.6;
 
+    /** How long a leaf counts as stalled after an overdue call to it was given up: part of an observed pause. */
+    private static final long STALL_MEMORY_NANOS = Duration.ofMillis(80).toNanos();
+    /** Overdue calls in a row that were given up with no answer between them, as a leaf that is dark leaves. */
+    private static final int ABANDONED_TO_EJECT = 4;
+    /** How fast old evidence of slowness fades. */
+    private static final long FADE_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private static final double LEAST_SLOWNESS = 0.3;
+    private static final double MOST_SLOWNESS = 10.0;
     private static final double STALLED_AFTER = 3.0;
     private static final double SMOOTHING = 0.15;
 
@@ -40,6 +49,9 @@
     private long loadAtNanos;
     private long busyUntilNanos;
     private double slowness = 1.0;
+    private long slownessAtNanos;
+    private long stalledUntilNanos;
+    private int consecutiveAbandoned;
     private double failureRate;
     private int consecutiveFailures;
     private long ejectionNanos;
@@ -60,6 +72,8 @@
         this.warmAtNanos = nowNanos + coldFor.toNanos();
         this.busyUntilNanos = nowNanos;
         this.ejectedUntilNanos = nowNanos;
+        this.stalledUntilNanos = nowNanos;
+        this.slownessAtNanos = nowNanos;
     }
 
     /** Returns the identifier of this start of the leaf. */
@@ -133,6 +147,29 @@
         }
     }
 
+    /**
+     * Notes that this host gave a call up. That says nothing bad of the leaf by itself, but a call that was long
+     * overdue does, and several in a row with no answer between them count as a failure.
+     */
+    public void abandon(Call call, long nowNanos) {
+        if (!calls.remove(call)) {
+            return;
+        }
+        double ratio = (double) (nowNanos - call.sentNanos) / Math.max(1, call.expectedNanos);
+        if (ratio < STALLED_AFTER) {
+            return;
+        }
+        stalledUntilNanos = nowNanos + STALL_MEMORY_NANOS;
+        if (ratio > slowness(nowNanos)) {
+            observe(ratio, nowNanos);
+        }
+        consecutiveAbandoned++;
+        if (consecutiveAbandoned >= ABANDONED_TO_EJECT) {
+            consecutiveAbandoned = 0;
+            failed(FAILURES_TO_EJECT, nowNanos);
+        }
+    }
+
     /** Returns true while repeated failures keep it from getting work. */
     public boolean isEjected(long nowNanos) {
         return consecutiveFailures >= FAILURES_TO_EJECT && nowNanos - ejectedUntilNanos < 0;
@@ -140,6 +177,9 @@
 
     /** Returns true if a call is long overdue, so that the leaf probably pauses. */
     public boolean isStalled(long nowNanos) {
+        if (nowNanos - stalledUntilNanos < 0) {
+            return true;
+        }
         for (Call call : calls) {
             if (nowNanos - call.sentNanos > STALLED_AFTER * call.expectedNanos + 2 * distance.handicapNanos()) {
                 return true;
@@ -148,9 +188,9 @@
         return false;
     }
 
-    /** Returns true if its slots are taken, as far as this host can tell. */
-    public boolean isBusy(long nowNanos) {
-        return occupancy(nowNanos) >= slots || nowNanos - busyUntilNanos < 0;
+    /** Returns true if one more call would wait behind as many as it works on at a time, or it just refused one. */
+    public boolean isOverloaded(long nowNanos) {
+        return occupancy(nowNanos) >= 2 * slots || nowNanos - busyUntilNanos < 0;
     }
 
     /**
@@ -160,7 +200,7 @@
      */
     public double costNanos(long expectedNanos, long nowNanos) {
         int ahead = Math.max(0, occupancy(nowNanos) + 1 - slots);
-        double work = expectedNanos * slowness;
+        double work = expectedNanos * slowness(nowNanos);
         if (nowNanos - warmAtNanos < 0) {
             work *= COLD_FACTOR;
         }
@@ -181,11 +221,23 @@
 
     private void succeeded(Call call, long nowNanos) {
         consecutiveFailures = 0;
+        consecutiveAbandoned = 0;
         ejectionNanos = 0;
+        stalledUntilNanos = nowNanos;
         failureRate -= SMOOTHING * failureRate;
-        double ratio = (double) (nowNanos - call.sentNanos) / Math.max(1, call.expectedNanos);
-        slowness += SMOOTHING * (Math.min(ratio, 10.0) - slowness);
-        slowness = Math.max(0.3, slowness);
+        observe((double) (nowNanos - call.sentNanos) / Math.max(1, call.expectedNanos), nowNanos);
+    }
+
+    private void observe(double ratio, long nowNanos) {
+        double before = slowness(nowNanos);
+        slowness = Math.max(LEAST_SLOWNESS, before + SMOOTHING * (Math.min(ratio, MOST_SLOWNESS) - before));
+        slownessAtNanos = nowNanos;
+    }
+
+    /** Returns how many times as long as usual its calls take; what was seen long ago fades. */
+    private double slowness(long nowNanos) {
+        double weight = (double) FADE_NANOS / (FADE_NANOS + Math.max(0, nowNanos - slownessAtNanos));
+        return 1 + (slowness - 1) * weight;
     }
 
     private void failed(int weight, long nowNanos) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -30,9 +30,9 @@
  */
 public final class ScatterQuery {
     /** If more shards than this, and than a part of all, are late at once, the service as a whole is slow. */
-    private static final int LEAST_LATE_TO_SUSPECT = 3;
+    private static final int LEAST_LATE_TO_SUSPECT = 4;
 
-    private static final int SLOW_SERVICE_DIVISOR = 4;
+    private static final int SLOW_SERVICE_DIVISOR = 3;
 
     private final RouteTarget.Scatter target;
     private final RequestBounds bounds;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -22,6 +22,10 @@
     private static final int MAX_REFUSED = 3;
     /** Hedges leave this part of the budget to retries, which are certain to be needed. */
     private static final int RESERVED_FOR_RETRIES_PERCENT = 35;
+    /** How often a hedge is considered again, each time a part of the first delay later. */
+    private static final int MAX_HEDGES_REFUSED = 4;
+
+    private static final int HEDGE_AGAIN_DIVISOR = 4;
     /** How long to leave a service alone all of whose leafs said that they are full. */
     private static final long BACKOFF_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -33,7 +37,8 @@
     private int spentElsewhere;
     private boolean delegated;
     private boolean finished;
-    private boolean hedgeRefused;
+    private int hedgesRefused;
+    private long hedgeNotBeforeNanos;
     private long retryAtNanos;
     private boolean retryDue;
 
@@ -164,8 +169,7 @@
         } else if (isHedgeDue(nowNanos) && mayHedge) {
             hedge(nowNanos, actions);
         } else if (isHedgeDue(nowNanos)) {
-            hedgeRefused = true;
-            actions.add(new RoutedAction.Count(AttemptCounter.HEDGE_DENIED_SLOW_SERVICE));
+            refuseHedge(AttemptCounter.HEDGE_DENIED_SLOW_SERVICE, nowNanos, actions);
         }
     }
 
@@ -177,8 +181,8 @@
         if (retryDue) {
             return Optional.of(retryAtNanos);
         }
-        boolean mayHedge = repeatable && !hedgeRefused && attempts.size() == 1;
-        return mayHedge ? Optional.of(attempts.get(0).sentNanos() + bounds.hedgeDelayNanos()) : Optional.empty();
+        boolean mayHedge = repeatable && hedgesRefused < MAX_HEDGES_REFUSED && attempts.size() == 1;
+        return mayHedge ? Optional.of(hedgeDueNanos()) : Optional.empty();
     }
 
     boolean isFinished() {
@@ -223,11 +227,23 @@
 
     /** Returns true if the first attempt is late and none was made since. */
     boolean isHedgeDue(long nowNanos) {
-        return repeatable
-                && !hedgeRefused
+        return !finished
+                && repeatable
+                && hedgesRefused < MAX_HEDGES_REFUSED
                 && attempts.size() == 1
                 && !attempts.get(0).isFinished()
-                && nowNanos - attempts.get(0).sentNanos() >= bounds.hedgeDelayNanos();
+                && nowNanos - hedgeDueNanos() >= 0;
+    }
+
+    private long hedgeDueNanos() {
+        return hedgesRefused > 0 ? hedgeNotBeforeNanos : attempts.get(0).sentNanos() + bounds.hedgeDelayNanos();
+    }
+
+    /** Counts a hedge that is not made; a little later things may look better. */
+    private void refuseHedge(AttemptCounter reason, long nowNanos, List<RoutedAction> actions) {
+        hedgesRefused++;
+        hedgeNotBeforeNanos = nowNanos + bounds.hedgeDelayNanos() / HEDGE_AGAIN_DIVISOR;
+        actions.add(new RoutedAction.Count(reason));
     }
 
     private void hedge(long nowNanos, List<RoutedAction> actions) {
@@ -235,11 +251,9 @@
                 ? Optional.empty()
                 : pool.choose(leaf -> isGoodForHedge(leaf, nowNanos), bounds.expectedNanos(), random, nowNanos);
         if (other.isEmpty()) {
-            hedgeRefused = true;
-            actions.add(new RoutedAction.Count(AttemptCounter.HEDGE_DENIED_NO_LEAF));
+            refuseHedge(AttemptCounter.HEDGE_DENIED_NO_LEAF, nowNanos, actions);
         } else if (!pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT)) {
-            hedgeRefused = true;
-            actions.add(new RoutedAction.Count(AttemptCounter.HEDGE_DENIED_BUDGET));
+            refuseHedge(AttemptCounter.HEDGE_DENIED_BUDGET, nowNanos, actions);
         } else {
             actions.add(new RoutedAction.Count(AttemptCounter.HEDGE));
             ask(other.get(), Attempt.Purpose.HEDGE, nowNanos, actions);
@@ -248,7 +262,10 @@
 
     /** A hedge at a leaf that is full, or late itself, makes both worse. */
     private boolean isGoodForHedge(Leaf leaf, long nowNanos) {
-        return !wasAsked(leaf) && !leaf.isEjected(nowNanos) && !leaf.isBusy(nowNanos) && !leaf.isStalled(nowNanos);
+        return !wasAsked(leaf)
+                && !leaf.isEjected(nowNanos)
+                && !leaf.isOverloaded(nowNanos)
+                && !leaf.isStalled(nowNanos);
     }
 
     private void retry(long nowNanos, List<RoutedAction> actions) {
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
@@ -32,6 +32,46 @@
         assertThat(near.isStalled(151 * MILLI)).isFalse();
     }
 
+    @Test
+    void aCallThatIsGivenUpEarlySaysNothingOfTheLeaf() {
+        Leaf near = leaf("near", Distance.SAME_ZONE);
+        leaf("far", Distance.OTHER_REGION);
+        for (int call = 0; call < 20; call++) {
+            near.abandon(near.begin(EXPECTED, 0), 10 * MILLI);
+        }
+        assertThat(near.isEjected(10 * MILLI)).isFalse();
+        assertThat(choose(10 * MILLI)).isEqualTo(near);
+    }
+
+    @Test
+    void aCallThatIsGivenUpLateMeansAStall() {
+        Leaf near = leaf("near", Distance.SAME_ZONE);
+        Leaf far = leaf("far", Distance.OTHER_REGION);
+        near.abandon(near.begin(EXPECTED, 0), 100 * MILLI);
+        assertThat(choose(110 * MILLI)).isEqualTo(far);
+        assertThat(near.isEjected(110 * MILLI)).isFalse();
+    }
+
+    @Test
+    void aLeafThatNeverAnswersIsEjectedInTheEnd() {
+        Leaf dark = leaf("dark", Distance.SAME_ZONE);
+        for (int call = 0; call < 4; call++) {
+            dark.abandon(dark.begin(EXPECTED, 0), 100 * MILLI);
+        }
+        assertThat(dark.isEjected(101 * MILLI)).isTrue();
+    }
+
+    @Test
+    void slownessThatWasSeenLongAgoFades() {
+        Leaf slow = leaf("slow", Distance.SAME_ZONE);
+        leaf("far", Distance.OTHER_REGION);
+        for (int call = 0; call < 20; call++) {
+            slow.end(slow.begin(EXPECTED, 0), LeafOutcome.SUCCEEDED, Optional.empty(), 10 * EXPECTED);
+        }
+        assertThat(choose(10 * EXPECTED)).isNotEqualTo(slow);
+        assertThat(choose(Duration.ofMinutes(2).toNanos())).isEqualTo(slow);
+    }
+
     @Test
     void aLeafThatFailsAgainAndAgainIsUsedOnlyIfThereIsNoOther() {
         Leaf bad = leaf("bad", Distance.SAME_ZONE);
@@ -58,7 +98,8 @@
         Leaf told = leaf("told", Distance.SAME_ZONE);
         Leaf other = leaf("other", Distance.SAME_ZONE);
         told.end(told.begin(EXPECTED, 0), LeafOutcome.SUCCEEDED, LeafLoad.parse("2,3,2"), 20 * MILLI);
-        assertThat(told.isBusy(21 * MILLI)).isTrue();
+        assertThat(told.isOverloaded(21 * MILLI)).isTrue();
+        assertThat(other.isOverloaded(21 * MILLI)).isFalse();
         assertThat(choose(21 * MILLI)).isEqualTo(other);
     }
 
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -5,7 +5,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.version.routing.RouteTarget;
@@ -45,17 +49,24 @@
     }
 
     @Test
-    void noHedgeToALeafThatIsFull() {
+    void noHedgeToALeafThatIsFullUntilItHasRoom() {
+        Map<Leaf.Call, Leaf> calls = new HashMap<>();
         ScatterQuery query = query(1, 2, 10, 1);
         world.carryOut(query.start(0), 0);
         world.pools.values().iterator().next().all().stream()
                 .filter(leaf -> leaf != world.asked.get(0).leaf())
                 .forEach(leaf -> {
-                    leaf.begin(RoutedWorld.EXPECTED_NANOS, RoutedWorld.HEDGE_NANOS);
-                    leaf.begin(RoutedWorld.EXPECTED_NANOS, RoutedWorld.HEDGE_NANOS);
+                    for (int call = 0; call < 4; call++) {
+                        calls.put(leaf.begin(RoutedWorld.EXPECTED_NANOS, RoutedWorld.HEDGE_NANOS), leaf);
+                    }
                 });
         world.carryOut(query.wake(RoutedWorld.HEDGE_NANOS), RoutedWorld.HEDGE_NANOS);
         assertThat(world.counts).contains(AttemptCounter.HEDGE_DENIED_NO_LEAF);
+        assertThat(world.asked).hasSize(1);
+        long laterNanos = RoutedWorld.HEDGE_NANOS * 3 / 2;
+        calls.forEach((call, leaf) -> leaf.end(call, LeafOutcome.SUCCEEDED, Optional.empty(), laterNanos));
+        world.carryOut(query.wake(laterNanos), laterNanos);
+        assertThat(world.asked).hasSize(2);
     }
 
     @Test
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -1,5 +1,6 @@
 package org.bramblerack.daemon.fleet;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedSet;
 import io.netty.channel.EventLoopGroup;
@@ -53,7 +54,12 @@
      * @param incarnation tells this start of the host from others
      * @throws DiskFault if its data folder cannot be used
      */
-    public ControlProcess(ControlSettings settings, MonotonicClock clock, RandomGenerator random, long incarnation)
+    public ControlProcess(
+            ControlSettings settings,
+            MetricRegistry metrics,
+            MonotonicClock clock,
+            RandomGenerator random,
+            long incarnation)
             throws DiskFault {
         this.settings = settings;
         this.seeds = settings.seeds();
@@ -72,7 +78,7 @@
                 clock,
                 random);
         ControlClient client = new ControlClient(identity.name(), settings.seeds(), Optional.of(node), network, clock);
-        this.fleet = new FleetControl(node, client, network);
+        this.fleet = new FleetControl(node, client, network, metrics);
         this.peers = new PeerServer(
                 settings.peerAddress(), new ControlPeers(node, fleet, network, clock), group, LinkPolicy.OPEN, traffic);
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -1,10 +1,12 @@
 package org.bramblerack.daemon.fleet;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import io.smallrye.mutiny.Uni;
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
@@ -41,15 +43,17 @@
     private final ControlNode node;
     private final ControlClient client;
     private final PeerNetwork network;
+    private final MetricRegistry metrics;
     private final MemberWatch watch = new MemberWatch();
     private volatile ImmutableList<String> knownControlHosts = ImmutableList.of();
     private boolean wasLeader;
 
     /** Creates the service; nothing happens before it is called. */
-    public FleetControl(ControlNode node, ControlClient client, PeerNetwork network) {
+    public FleetControl(ControlNode node, ControlClient client, PeerNetwork network, MetricRegistry metrics) {
         this.node = node;
         this.client = client;
         this.network = network;
+        this.metrics = metrics;
     }
 
     /** Takes the report of a leaf. */
@@ -69,7 +73,8 @@
                         ? Uni.createFrom().item(known.get())
                         : propose(Command.newBuilder().setReportLeaf(report).build(), REPORT_WAIT))
                 .onFailure()
-                .recoverWithItem(FleetControl::stopped);
+                .recoverWithItem(FleetControl::stopped)
+                .invoke(outcome -> count("fleet_leaf_report_", outcome));
     }
 
     /** Takes a whole configuration that was checked before. */
@@ -78,7 +83,7 @@
                 .setPutConfiguration(
                         PutConfiguration.newBuilder().setVersion(version).setDocument(compressedDocument))
                 .build();
-        return propose(command, CHANGE_WAIT);
+        return propose(command, CHANGE_WAIT).invoke(outcome -> count("fleet_configuration_", outcome));
     }
 
     /** Returns the compressed document of the newest configuration, if it is certain that it is the newest. */
@@ -214,6 +219,10 @@
         });
     }
 
+    private void count(String prefix, FleetOutcome outcome) {
+        metrics.counter(prefix + outcome.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     private static FleetOutcome stopped(Throwable failure) {
         LOGGER.log(Logger.Level.DEBUG, "a report came while the control role stops: {0}", failure.getMessage());
         return FleetOutcome.NOT_TAKEN;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import java.nio.charset.StandardCharsets;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafAnswer;
@@ -41,6 +42,7 @@
         }
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream");
         metrics.merged(answer.missing());
+        metrics.answered(exchange.receivedNanos());
         exchange.respond(response);
     }
 
@@ -50,6 +52,7 @@
                 answer.status(), Unpooled.wrappedBuffer(answer.body().asReadOnlyByteBuffer()));
         LeafRequest.copyEndToEnd(answer.headers(), response.headers());
         metrics.passed(answer.status());
+        metrics.answered(exchange.receivedNanos());
         exchange.respond(response);
     }
 
@@ -70,11 +73,12 @@
     }
 
     private void refuse(int status, String retryAfterSeconds, String text) {
-        FullHttpResponse response = HttpExchange.response(
-                status, Unpooled.copiedBuffer(text + "\n", java.nio.charset.StandardCharsets.UTF_8));
+        FullHttpResponse response =
+                HttpExchange.response(status, Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8));
         response.headers()
                 .set(names.retryAfterSeconds(), retryAfterSeconds)
                 .set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+        metrics.answered(exchange.receivedNanos());
         exchange.respond(response);
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -66,7 +66,14 @@
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
         this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self);
         this.gateway = new Gateway(
-                view, follower::isSynchronized, network, names, new GatewayMetrics(metrics), clock, loop, random);
+                view,
+                follower::isSynchronized,
+                network,
+                names,
+                new GatewayMetrics(metrics, clock),
+                clock,
+                loop,
+                random);
         this.peers = new PeerServer(settings.peerAddress(), gateway, group, LinkPolicy.OPEN, traffic);
         this.warmUp = new WarmUp(names, group, settings.peerAddress().getPort() + 1, clock);
         this.callers = new HttpListener(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -1,30 +1,38 @@
 package org.bramblerack.daemon.gateway;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.request.routed.Attempt;
 import org.bramblerack.request.routed.AttemptCounter;
 import org.bramblerack.request.routed.RefusalReason;
+import org.jspecify.annotations.Nullable;
 
-/** The counters of the entry role: one for each reason. Safe for use by many threads. */
+/** The counters of the entry role, one for each reason, and how long answers took. Safe for use by many threads. */
 public final class GatewayMetrics {
     private final Map<AttemptCounter, Counter> attempts = new EnumMap<>(AttemptCounter.class);
     private final Map<LeafOutcome, Counter> outcomes = new EnumMap<>(LeafOutcome.class);
     private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
     private final MetricRegistry registry;
+    private final MonotonicClock clock;
+    private final Histogram answerMicros;
     private final Counter whole;
     private final Counter partial;
     private final Counter stagesAnswered;
     private final Counter stagesFailed;
 
     /** Creates the counters in a registry. */
-    public GatewayMetrics(MetricRegistry registry) {
+    public GatewayMetrics(MetricRegistry registry, MonotonicClock clock) {
         this.registry = registry;
+        this.clock = clock;
+        this.answerMicros = registry.histogram("gateway_answer_micros");
         this.whole = registry.counter("gateway_answers_whole");
         this.partial = registry.counter("gateway_answers_partial");
         this.stagesAnswered = registry.counter("gateway_stages_answered");
@@ -40,6 +48,11 @@
         }
     }
 
+    /** Notes that the answer to a request is on its way, of whichever kind. */
+    void answered(long receivedNanos) {
+        answerMicros.update(TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - receivedNanos));
+    }
+
     void asked(Attempt.Purpose purpose, Distance distance) {
         registry.counter("gateway_asked_" + lower(purpose) + "_" + lower(distance))
                 .inc();
@@ -83,7 +96,7 @@
         return text.toString();
     }
 
-    private static void increment(@org.jspecify.annotations.Nullable Counter counter) {
+    private static void increment(@Nullable Counter counter) {
         if (counter != null) {
             counter.inc();
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
@@ -37,7 +37,7 @@
     private final FleetView view;
     private final MonotonicClock clock;
     private final EventLoop loop;
-    private final Map<Attempt, LeafConnections.Ticket> underWay = new HashMap<>();
+    private final Map<Attempt, Sent> underWay = new HashMap<>();
     private @Nullable ScheduledFuture<?> wake;
 
     LeafSender(
@@ -85,21 +85,26 @@
             @Override
             public void failed(LeafOutcome outcome) {
                 underWay.remove(attempt);
+                if (!leaf.isUnderWay(call)) {
+                    // This host gave it up, and closed the connection itself.
+                    return;
+                }
                 leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
                 taker.failed(attempt, outcome);
             }
         };
         LeafConnections.Ticket ticket = view.connectionsTo(leaf).send(request, leafDeadlineNanos, exchange);
         if (leaf.isUnderWay(call)) {
-            underWay.put(attempt, ticket);
+            underWay.put(attempt, new Sent(ticket, call));
         }
     }
 
     /** Gives up an attempt; its taker hears nothing of it that matters any more. */
     void giveUp(Attempt attempt) {
-        LeafConnections.Ticket ticket = underWay.remove(attempt);
-        if (ticket != null) {
-            ticket.giveUp();
+        Sent sent = underWay.remove(attempt);
+        if (sent != null) {
+            attempt.leaf().abandon(sent.call(), clock.nowNanos());
+            sent.ticket().giveUp();
         }
     }
 
@@ -124,7 +129,7 @@
     }
 
     private void giveUpAll() {
-        List.copyOf(underWay.values()).forEach(LeafConnections.Ticket::giveUp);
+        List.copyOf(underWay.keySet()).forEach(this::giveUp);
     }
 
     private void cancelWake() {
@@ -133,4 +138,7 @@
             wake = null;
         }
     }
+
+    /** A call that was sent, or waits for a connection. */
+    private record Sent(LeafConnections.Ticket ticket, Leaf.Call call) {}
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -101,7 +101,7 @@
                 () -> true,
                 network,
                 names,
-                new GatewayMetrics(new MetricRegistry()),
+                new GatewayMetrics(new MetricRegistry(), clock),
                 clock,
                 group.next(),
                 new SplittableRandom(1));
