--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Distance.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Distance.java
@@ -11,7 +11,7 @@
     SAME_REGION(Duration.ofMillis(2)),
 
     /** In another region. */
-    OTHER_REGION(Duration.ofMillis(25));
+    OTHER_REGION(Duration.ofMillis(40));
 
     private final long handicapNanos;
 
