--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -148,6 +148,16 @@
                 callers.connectionCount());
     }
 
+    /** Ends everything at once, whatever is under way. */
+    public void stopNow() {
+        stopping = true;
+        callers.stopNow();
+        follower.stop();
+        gateway.stop();
+        peers.stop();
+        network.stop();
+    }
+
     private long sinceNanos(long beganNanos) {
         return clock.nowNanos() - beganNanos;
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -106,7 +107,7 @@
     public ImmutableList<String> controlAddresses() {
         return hosts.values().stream()
                 .filter(host -> !host.getControlAddress().isEmpty() && host.getPhase() == HostRecord.Phase.READY)
-                .sorted(java.util.Comparator.comparing(host -> place.distanceTo(host.getZone())))
+                .sorted(Comparator.comparing(host -> place.distanceTo(host.getZone())))
                 .map(HostRecord::getPeerAddress)
                 .collect(ImmutableList.toImmutableList());
     }
