--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -32,6 +32,11 @@
     /** How fast old evidence of slowness fades. */
     private static final long FADE_NANOS = Duration.ofSeconds(5).toNanos();
 
+    /**
+     * Calls that fill slots slow one another a little: an eighth of the work each, chosen to break ties, not measured.
+     */
+    private static final double FREE_SLOT_DIVISOR = 8.0;
+
     private static final double LEAST_SLOWNESS = 0.3;
     private static final double MOST_SLOWNESS = 10.0;
     private static final double STALLED_AFTER = 3.0;
@@ -205,7 +210,7 @@
             work *= COLD_FACTOR;
         }
         double cost = work * (1 + (double) ahead / slots) + distance.handicapNanos();
-        cost += occupancy(nowNanos) * work / (8.0 * slots);
+        cost += occupancy(nowNanos) * work / (FREE_SLOT_DIVISOR * slots);
         cost += failureRate * FAILURE_HANDICAP_NANOS;
         if (nowNanos - busyUntilNanos < 0) {
             cost += work;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.lang.System.Logger;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.ProposalResult;
@@ -17,6 +18,8 @@
  * Hands each message of another host to the part of the control role that it concerns. Safe for use by many threads.
  */
 final class ControlPeers implements PeerHandler {
+    private static final Logger LOGGER = System.getLogger(ControlPeers.class.getName());
+
     private final ControlNode node;
     private final FleetControl fleet;
     private final PeerNetwork network;
@@ -68,6 +71,7 @@
         try {
             command = Command.parseFrom(bytes);
         } catch (InvalidProtocolBufferException malformed) {
+            LOGGER.log(Logger.Level.WARNING, "a command of another host cannot be read: {0}", malformed.getMessage());
             reply.accept(Envelope.newBuilder()
                     .setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.REFUSED)));
             return;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
@@ -17,6 +17,9 @@
      */
     private static final double SHARED_OUT = 0.8;
 
+    /** The part of the ratio that a host spends: the fleet counts requests in windows that a host cannot see. */
+    private static final double OWN_RATIO = 0.9;
+
     /** Refuses a negative budget. */
     public FleetBudget {
         checkArgument(extraPercent >= 0, "extra attempts of %s percent", extraPercent);
@@ -30,6 +33,6 @@
 
     /** Returns the extra attempts that a host may make for 100 of its own requests. */
     public int ownPercent() {
-        return (int) Math.floor(extraPercent * 0.9);
+        return (int) Math.floor(extraPercent * OWN_RATIO);
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -35,6 +35,8 @@
     private static final int TOO_LARGE = 413;
     /** What the way to the caller and the writing of the answer may take of the goal. */
     private static final long ANSWER_WAY_NANOS = Duration.ofMillis(10).toNanos();
+    /** What a caller that names no time is taken to wait; the route's time-out bounds it. */
+    private static final long NO_DEADLINE_NANOS = Duration.ofDays(1).toNanos();
     /** The final answer is on its way this long before the caller stops waiting. */
     private static final long DEADLINE_WAY_NANOS = Duration.ofMillis(15).toNanos();
 
@@ -174,12 +176,13 @@
     private long callerWaitNanos(HttpExchange exchange) {
         String text = exchange.headers().get(names.deadlineMillis());
         if (text == null) {
-            return Long.MAX_VALUE / 4;
+            return NO_DEADLINE_NANOS;
         }
         try {
             return TimeUnit.MILLISECONDS.toNanos(Math.max(0, Long.parseLong(text.trim())));
         } catch (NumberFormatException malformed) {
-            return Long.MAX_VALUE / 4;
+            metrics.malformedDeadline();
+            return NO_DEADLINE_NANOS;
         }
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -53,6 +53,11 @@
         answerMicros.update(TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - receivedNanos));
     }
 
+    /** Notes a request whose deadline is no number; it is served as if it named none. */
+    void malformedDeadline() {
+        registry.counter("gateway_malformed_deadline").inc();
+    }
+
     void asked(Attempt.Purpose purpose, Distance distance) {
         registry.counter("gateway_asked_" + lower(purpose) + "_" + lower(distance))
                 .inc();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -9,6 +9,7 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.request.routed.Attempt;
+import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.PartReply;
 import org.bramblerack.request.routed.RoutedAction;
 import org.bramblerack.request.routed.ScatterQuery;
@@ -111,18 +112,23 @@
     }
 
     /** Logs what an answer lacks or why it is late; a whole one in time leaves no line. */
+    private void explain(MergedAnswer answer) {
+        boolean late = clock.nowNanos() - call.times().goalNanos() > LATE_SLACK_NANOS;
+        if (answer.missing() > 0) {
+            explain("partial", answer.missing());
+        } else if (late) {
+            explain("late", 0);
+        }
+    }
+
     private void explain(String outcome, int missing) {
         long nowNanos = clock.nowNanos();
-        boolean late = nowNanos - call.times().goalNanos() > LATE_SLACK_NANOS;
-        if (missing == 0 && outcome.equals("late") && !late) {
-            return;
-        }
+        long afterGoalMillis =
+                TimeUnit.NANOSECONDS.toMillis(nowNanos - call.times().goalNanos());
         log.decision(
                 call.request().requestId(),
                 outcome,
-                () -> "missing=" + missing + " afterGoalMs="
-                        + TimeUnit.NANOSECONDS.toMillis(nowNanos - call.times().goalNanos()) + " "
-                        + query.describeMissing(nowNanos));
+                () -> "missing=" + missing + " afterGoalMs=" + afterGoalMillis + " " + query.describeMissing(nowNanos));
     }
 
     private void carryOut(List<RoutedAction> actions) {
@@ -138,9 +144,7 @@
                 sender.wakeAt(wake.atNanos(), this::wake);
             } else if (action instanceof RoutedAction.DeliverMerged deliver) {
                 sender.finish();
-                explain(
-                        deliver.answer().missing() == 0 ? "late" : "partial",
-                        deliver.answer().missing());
+                explain(deliver.answer());
                 sink.deliver(deliver.answer());
             } else if (action instanceof RoutedAction.Refuse refuse) {
                 sender.finish();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -40,6 +40,8 @@
 
     /** What a host and the link may take beyond the usual before silence means that something is wrong. */
     private static final long SILENCE_SLACK_NANOS = Duration.ofMillis(30).toNanos();
+    /** The round trip of the call and its reply, and half of one for a link that is slower than it was. */
+    private static final double SILENT_ROUND_TRIPS = 1.5;
     /** Fewer shards than this are asked from here: one call costs no more than one message to another host. */
     private static final int LEAST_SHARDS = 2;
 
@@ -222,7 +224,7 @@
 
         /** Returns how long the host may be silent before it counts as lost. */
         long silenceNanos(long hedgeDelayNanos) {
-            return hedgeDelayNanos + roundTripNanos * 3 / 2 + SILENCE_SLACK_NANOS;
+            return hedgeDelayNanos + (long) (SILENT_ROUND_TRIPS * roundTripNanos) + SILENCE_SLACK_NANOS;
         }
 
         void begin() {
