--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
@@ -11,6 +11,12 @@
     /** Have another host ask some shards. */
     record AskStage(StageAttempt stage) implements RoutedAction {}
 
+    /** Leave the host of a stage alone for a while: it is silent for too long. */
+    record SuspectStage(StageAttempt stage) implements RoutedAction {}
+
+    /** Tell the host of a stage that nobody waits for its reply any more. */
+    record GiveUpStage(StageAttempt stage) implements RoutedAction {}
+
     /** Call {@code wake} at the given time, unless the request is over by then. */
     record Wake(long atNanos) implements RoutedAction {}
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -185,6 +185,7 @@
             if (stage.isAwaited() && nowNanos - startedNanos - stage.silenceNanos() >= 0) {
                 stage.abandon();
                 actions.add(new RoutedAction.Count(AttemptCounter.STAGE_SILENT));
+                actions.add(new RoutedAction.SuspectStage(stage));
                 stage.shards().forEach(shard -> shards[shard].backUp(nowNanos, actions));
             }
         }
@@ -201,11 +202,14 @@
     }
 
     /** Ends the query because its caller went away. */
-    public void callerGone() {
+    public List<RoutedAction> callerGone() {
+        List<RoutedAction> actions = new ArrayList<>();
         over = true;
         for (ShardRequest shard : shards) {
             shard.abandon();
         }
+        giveUpStages(actions);
+        return actions;
     }
 
     /** Returns true once the query has delivered, refused or lost its caller. */
@@ -315,6 +319,15 @@
         for (ShardRequest shard : shards) {
             shard.finish(actions);
         }
+        giveUpStages(actions);
+    }
+
+    private void giveUpStages(List<RoutedAction> actions) {
+        for (StageAttempt stage : stages) {
+            if (!stage.isOver()) {
+                actions.add(new RoutedAction.GiveUpStage(stage));
+            }
+        }
     }
 
     private void armWake(long nowNanos, List<RoutedAction> actions) {
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -285,6 +285,37 @@
                 target(leastShare), pools(), ImmutableList.of(), RoutedWorld.bounds(2), RoutedWorld.random());
     }
 
+    @Test
+    void aStageThatNobodyWaitsForIsGivenUp() {
+        ScatterQuery query = staged(4, 0, 2, 3);
+        world.carryOut(query.start(0), 0);
+        List<RoutedAction> actions = query.callerGone();
+        assertThat(actions).contains(new RoutedAction.GiveUpStage(world.stages.get(0)));
+    }
+
+    @Test
+    void aStageThatIsLateAtTheGoalIsGivenUpWithTheAnswer() {
+        ScatterQuery query = staged(4, 0, 2, 3);
+        world.carryOut(query.start(0), 0);
+        answerAll(query, MILLI);
+        query.stageProgress(world.stages.get(0), List.of());
+        List<RoutedAction> actions = query.wake(RoutedWorld.GOAL_NANOS);
+        assertThat(actions).contains(new RoutedAction.GiveUpStage(world.stages.get(0)));
+        world.carryOut(actions, RoutedWorld.GOAL_NANOS);
+        assertThat(world.delivered).hasSize(1);
+    }
+
+    @Test
+    void aSilentStageIsSuspectedBeforeItsShardsAreAskedAgain() {
+        ScatterQuery query = staged(4, 10, 2, 3);
+        world.carryOut(query.start(0), 0);
+        List<RoutedAction> actions = query.wake(STAGE_SILENCE);
+        int suspected = actions.indexOf(new RoutedAction.SuspectStage(world.stages.get(0)));
+        assertThat(suspected).isAtLeast(0);
+        assertThat(actions.subList(0, suspected).stream().filter(action -> action instanceof RoutedAction.Ask))
+                .isEmpty();
+    }
+
     private ScatterQuery staged(int shards, int budget, Integer... far) {
         for (int shard = 0; shard < shards; shard++) {
             world.service("s" + shard, 2, budget);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -62,7 +62,8 @@
         this.incarnation = incarnation;
         EventLoop loop = group.next();
         PeerTraffic traffic = new PeerTraffic();
-        this.view = new FleetView(settings.place(), settings.budget(), names, group, clock, random);
+        this.view = new FleetView(
+                settings.peerAddress().toString(), settings.place(), settings.budget(), names, group, clock, random);
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
         this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self);
         this.gateway = new Gateway(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
@@ -31,6 +31,24 @@
         return (int) Math.floor(slack * SHARED_OUT / Math.max(1, hosts));
     }
 
+    /**
+     * Returns the part of the slack of a shard that is one host's if others hold the connections to its leafs: one
+     * attempt, for when a holder fails, as long as that leaves half of the slack to the holders.
+     */
+    public int slackBesideHolders(int hosts) {
+        return 2 * hosts <= slack * SHARED_OUT ? 1 : 0;
+    }
+
+    /**
+     * Returns the part of the slack of a shard that is its holder's in one availability zone.
+     *
+     * @param zones in how many zones the shard has a holder
+     */
+    public int slackOfHolder(int hosts, int zones) {
+        double left = slack * SHARED_OUT - (double) hosts * slackBesideHolders(hosts);
+        return (int) Math.floor(left / Math.max(1, zones));
+    }
+
     /** Returns the extra attempts that a host may make for 100 of its own requests. */
     public int ownPercent() {
         return (int) Math.floor(extraPercent * OWN_RATIO);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import java.util.Comparator;
@@ -33,8 +34,6 @@
  * from the moment at which the change arrives. Owned by the event loop.
  */
 public final class FleetView {
-    /** The part of a leaf's connections that the hosts share out; the rest is for those of hosts that have left. */
-    private static final double CONNECTIONS_SHARED_OUT = 0.85;
     /** The share of the goal that a call is taken to need before any was seen. */
     private static final int GOAL_PARTS = 4;
     /** The quantile of a route's calls after which one is late. */
@@ -43,10 +42,15 @@
     /** A host that restarted may have spent its share just before. */
     private static final int FIRST_BUDGET_PERCENT = 30;
 
+    /** The first table may name a part of a fleet that is just starting: this long until connections are made ahead. */
+    private static final Duration WARM_AFTER = Duration.ofMillis(400);
+    /** Hosts make connections at different moments within this time, so that no leaf gets all at once. */
     private static final Duration WARM_WITHIN = Duration.ofMillis(1_500);
+
     private static final Duration EXPECTED_WITHOUT_GOAL = Duration.ofMillis(100);
 
     private final Place place;
+    private final LeafAccess access;
     private final FleetBudget budget;
     private final CallHeaders names;
     private final EventLoopGroup group;
@@ -59,9 +63,15 @@
     private final Map<String, LatencyTracker> latencies = new HashMap<>();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private long revision;
+    private boolean connectionsReviewed = true;
 
-    /** Creates a view that knows nothing. */
+    /**
+     * Creates a view that knows nothing.
+     *
+     * @param self the peer address of this host
+     */
     public FleetView(
+            String self,
             Place place,
             FleetBudget budget,
             CallHeaders names,
@@ -69,6 +79,7 @@
             MonotonicClock clock,
             RandomGenerator random) {
         this.place = place;
+        this.access = new LeafAccess(self, place);
         this.budget = budget;
         this.names = names;
         this.group = group;
@@ -117,6 +128,28 @@
         return pools.computeIfAbsent(service, this::newPool);
     }
 
+    /** Returns a leaf by its identifier. */
+    Optional<Leaf> leaf(String id) {
+        return leafRecord(id).flatMap(record -> pool(record.getService()).find(id));
+    }
+
+    /** Returns the hosts through which to ask a leaf, the preferred first; empty if this host is to ask it itself. */
+    ImmutableList<String> holdersOf(Leaf leaf) {
+        return leafRecord(leaf.id())
+                .map(record -> access.holdersOf(record.getService(), record.getZone()))
+                .orElse(ImmutableList.of());
+    }
+
+    /** Returns the hosts that hold connections to any shard, if shards are reached through holders. */
+    ImmutableSet<String> holders() {
+        return access.holders();
+    }
+
+    /** Returns true if shards are reached through holders, since the hosts are too many to connect to every leaf. */
+    boolean usesHolders() {
+        return access.isAnyHeld();
+    }
+
     /** Returns the record of a leaf. */
     public Optional<LeafRecord> leafRecord(String id) {
         return Optional.ofNullable(leafRecords.get(id));
@@ -125,7 +158,7 @@
     /** Returns the connections of this host to a leaf. */
     public LeafConnections connectionsTo(Leaf leaf) {
         return connections.computeIfAbsent(
-                leaf, unused -> new LeafConnections(leaf, group, names, clock, () -> connectionShare(leaf.service())));
+                leaf, unused -> new LeafConnections(leaf, group, names, clock, () -> connectionShare(leaf)));
     }
 
     /** Returns what is known of how long the calls of a route take. */
@@ -146,12 +179,17 @@
         if (newer.isPresent() && newer.get().version() > configuration.version()) {
             configuration = newer.get();
         }
-        applyHosts(delta);
-        applyLeaves(delta);
+        boolean hostsChanged = applyHosts(delta);
+        boolean leavesChanged = applyLeaves(delta);
+        if (hostsChanged || leavesChanged || newer.isPresent()) {
+            access.update(entryHosts(), leafRecords.values(), configuration);
+            pools.values().forEach(pool -> pool.budget().setReserve(reserveOf(pool.service())));
+            reviewConnectionsLater();
+        }
     }
 
-    private void applyHosts(TableDelta delta) {
-        int before = entryHosts().size();
+    private boolean applyHosts(TableDelta delta) {
+        ImmutableList<HostRecord> before = entryHosts();
         if (delta.getWhole()) {
             hosts.clear();
         }
@@ -162,13 +200,11 @@
                 hosts.put(host.getName(), host);
             }
         }
-        int after = entryHosts().size();
-        if (before != after) {
-            pools.values().forEach(pool -> pool.budget().setReserve(budget.slackOf(after)));
-        }
+        return !before.equals(entryHosts());
     }
 
-    private void applyLeaves(TableDelta delta) {
+    private boolean applyLeaves(TableDelta delta) {
+        Set<String> before = ImmutableSet.copyOf(leafRecords.keySet());
         if (delta.getWhole()) {
             Set<String> present = new HashSet<>();
             delta.getLeavesList().forEach(leaf -> present.add(leaf.getId()));
@@ -185,6 +221,7 @@
                 put(record);
             }
         }
+        return !before.equals(leafRecords.keySet());
     }
 
     private void put(LeafRecord record) {
@@ -201,7 +238,6 @@
                     clock.nowNanos());
             pool.add(leaf);
             known = Optional.of(leaf);
-            warmLater(leaf);
         }
         leafRecords.put(record.getId(), record);
         if (record.getPhase() == LeafRecord.Phase.DRAINING) {
@@ -209,15 +245,32 @@
         }
     }
 
-    /** Connects to a new leaf a little later, each host at another moment, so that its first caller need not wait. */
-    private void warmLater(Leaf leaf) {
-        long delayMillis = random.nextLong(WARM_WITHIN.toMillis());
-        group.next().schedule(() -> warm(leaf), delayMillis, TimeUnit.MILLISECONDS);
+    /** Looks a little later, each host at another moment, at which connections to keep. */
+    private void reviewConnectionsLater() {
+        if (connectionsReviewed) {
+            connectionsReviewed = false;
+            long delayMillis = WARM_AFTER.toMillis() + random.nextLong(WARM_WITHIN.toMillis());
+            group.next().schedule(this::reviewConnections, delayMillis, TimeUnit.MILLISECONDS);
+        }
     }
 
-    private void warm(Leaf leaf) {
-        if (leaf.acceptsWork() && configuration.services().containsKey(leaf.service())) {
+    /** Makes connections ahead to the leafs that this host asks itself, and closes idle ones to those of others. */
+    private void reviewConnections() {
+        connectionsReviewed = true;
+        for (LeafRecord record : leafRecords.values()) {
+            leaf(record.getId()).filter(Leaf::acceptsWork).ifPresent(leaf -> review(leaf, record.getZone()));
+        }
+    }
+
+    private void review(Leaf leaf, String zone) {
+        LeafConnections held = connections.get(leaf);
+        if (!configuration.services().containsKey(leaf.service())) {
+            return;
+        }
+        if (access.keepsConnections(leaf.service(), zone)) {
             connectionsTo(leaf).warm();
+        } else if (held != null && !access.isNamedFor(leaf.service(), zone)) {
+            held.closeIdle();
         }
     }
 
@@ -237,18 +290,23 @@
     }
 
     private LeafPool newPool(String service) {
-        int reserve = budget.slackOf(entryHosts().size());
-        RetryBudget own = RetryBudget.create(budget.ownPercent(), reserve);
+        RetryBudget own = RetryBudget.create(budget.ownPercent(), reserveOf(service));
         own.reduceTo(FIRST_BUDGET_PERCENT);
         return new LeafPool(service, own);
     }
 
-    private int connectionShare(String service) {
-        int most = Optional.ofNullable(configuration.services().get(service))
-                .map(known -> known.maxConnections())
-                .orElse(1);
-        int share =
-                (int) (most * CONNECTIONS_SHARED_OUT / Math.max(1, entryHosts().size()));
-        return Math.max(1, share);
+    private int reserveOf(String service) {
+        int hostCount = entryHosts().size();
+        if (!access.isHeld(service)) {
+            return budget.slackOf(hostCount);
+        }
+        return access.isHolderOf(service)
+                ? budget.slackOfHolder(hostCount, access.zonesOf(service))
+                : budget.slackBesideHolders(hostCount);
+    }
+
+    private int connectionShare(Leaf leaf) {
+        String zone = leafRecord(leaf.id()).map(LeafRecord::getZone).orElse("");
+        return access.connectionShare(leaf.service(), zone);
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -109,7 +109,9 @@
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         // Other kinds are of a newer program: not understood, so not answered.
         if (message.hasStageCall()) {
-            stageServer.handle(message.getStageCall(), reply);
+            stageServer.handle(message.getSender(), message.getStageCall(), reply);
+        } else if (message.hasStageCancel()) {
+            stageServer.cancel(message.getSender(), message.getStageCancel());
         }
     }
 
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -0,0 +1,103 @@
+package org.bramblerack.daemon.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.daemon.leaf.LeafConnections;
+import org.bramblerack.daemon.leaf.LeafExchange;
+import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageResult;
+
+/**
+ * Asks single leafs on behalf of other hosts, which this host holds the connections to.
+ *
+ * <p>Invariant: a call goes to the leaf that is named, or to none; whether to ask another is decided, and paid for, by
+ * the host that sent the call. Owned by the event loop.
+ */
+final class HeldLeafCalls {
+    private final FleetView view;
+    private final MonotonicClock clock;
+
+    HeldLeafCalls(FleetView view, MonotonicClock clock) {
+        this.view = view;
+        this.clock = clock;
+    }
+
+    /**
+     * Sends a call to the leaf that it names and replies with what comes of it.
+     *
+     * @return what to call to give it up
+     */
+    Runnable ask(StageCall call, LeafRequest request, Consumer<Envelope.Builder> reply) {
+        Optional<Leaf> leaf = view.leaf(call.getLeaf()).filter(Leaf::acceptsWork);
+        if (leaf.isEmpty()) {
+            reply.accept(ended(LeafOutcome.REFUSED_GONE));
+            return () -> {};
+        }
+        long nowNanos = clock.nowNanos();
+        long expectedNanos = view.configuration()
+                .routeNamed(call.getRoute())
+                .map(route -> view.latency(route).medianNanos())
+                .orElse(TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()));
+        Exchange exchange = new Exchange(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), reply);
+        long deadlineNanos = nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros());
+        exchange.ticket = Optional.of(view.connectionsTo(leaf.get()).send(request, deadlineNanos, exchange));
+        return exchange::giveUp;
+    }
+
+    private static Envelope.Builder ended(LeafOutcome outcome) {
+        return Envelope.newBuilder()
+                .setStageResult(StageResult.newBuilder()
+                        .setStatus(outcome.isNotRun() ? StageResult.Status.NOT_RUN : StageResult.Status.FAILED)
+                        .setLeafOutcome(outcome.name()));
+    }
+
+    /** One call under way. */
+    private final class Exchange implements LeafExchange {
+        private final Leaf leaf;
+        private final Leaf.Call call;
+        private final Consumer<Envelope.Builder> reply;
+        private Optional<LeafConnections.Ticket> ticket = Optional.empty();
+
+        Exchange(Leaf leaf, Leaf.Call call, Consumer<Envelope.Builder> reply) {
+            this.leaf = leaf;
+            this.call = call;
+            this.reply = reply;
+        }
+
+        @Override
+        public void answered(LeafAnswer answer) {
+            leaf.end(call, answer.outcome(), answer.load(), clock.nowNanos());
+            if (answer.outcome() != LeafOutcome.SUCCEEDED || answer.signature().isEmpty()) {
+                reply.accept(ended(answer.outcome() == LeafOutcome.SUCCEEDED ? LeafOutcome.FAILED : answer.outcome()));
+                return;
+            }
+            reply.accept(Envelope.newBuilder()
+                    .setStageResult(StageResult.newBuilder()
+                            .setStatus(StageResult.Status.ANSWERED)
+                            .addSignatures(answer.signature().get())
+                            .setRecords(answer.body())));
+        }
+
+        @Override
+        public void failed(LeafOutcome outcome) {
+            if (leaf.isUnderWay(call)) {
+                leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
+                reply.accept(ended(outcome));
+            }
+        }
+
+        void giveUp() {
+            if (leaf.isUnderWay(call)) {
+                leaf.abandon(call, clock.nowNanos());
+                ticket.ifPresent(LeafConnections.Ticket::giveUp);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -0,0 +1,135 @@
+package org.bramblerack.daemon.gateway;
+
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.daemon.leaf.LeafConnections;
+import org.bramblerack.daemon.leaf.LeafExchange;
+import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.daemon.peer.PeerFailure;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageResult;
+
+/**
+ * Sends the calls of one query to leafs through the hosts that hold the connections to them; to other leafs, and if no
+ * such host can be reached, over connections of this host. Owned by the event loop.
+ */
+final class HolderPath implements LeafPath {
+    private static final int OK = 200;
+
+    private final StageCall query;
+    private final FleetView view;
+    private final StageLinks links;
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates the path of a query.
+     *
+     * @param query what the other hosts are told of the query; leaf and time are added for each call
+     */
+    HolderPath(StageCall query, FleetView view, StageLinks links, PeerNetwork network, MonotonicClock clock) {
+        this.query = query;
+        this.view = view;
+        this.links = links;
+        this.network = network;
+        this.clock = clock;
+    }
+
+    @Override
+    public LeafConnections.Ticket send(Leaf leaf, LeafRequest request, long deadlineNanos, LeafExchange taker) {
+        Optional<StageLinks.Link> holder = links.firstUsable(view.holdersOf(leaf));
+        if (holder.isEmpty()) {
+            return view.connectionsTo(leaf).send(request, deadlineNanos, taker);
+        }
+        HeldCall call = new HeldCall(holder.get(), taker);
+        call.send(leaf, deadlineNanos);
+        return call;
+    }
+
+    /** One call through one holder. */
+    private final class HeldCall implements LeafConnections.Ticket {
+        private final StageLinks.Link holder;
+        private final LeafExchange taker;
+        private final long number = links.nextCall();
+        private boolean over;
+
+        HeldCall(StageLinks.Link holder, LeafExchange taker) {
+            this.holder = holder;
+            this.taker = taker;
+        }
+
+        void send(Leaf leaf, long deadlineNanos) {
+            long remainingNanos = Math.max(1, deadlineNanos - clock.nowNanos());
+            StageCall.Builder message = query.toBuilder()
+                    .clearShards()
+                    .setLeaf(leaf.id())
+                    .setCall(number)
+                    .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(remainingNanos - holder.roundTripNanos() / 2));
+            holder.begin();
+            network.request(
+                            holder.host(),
+                            Envelope.newBuilder().setStageCall(message),
+                            Duration.ofNanos(remainingNanos))
+                    .subscribe()
+                    .with(reply -> take(reply.getStageResult()), this::fail);
+        }
+
+        @Override
+        public boolean giveUp() {
+            if (!over) {
+                over = true;
+                holder.end();
+                links.cancel(holder, number);
+            }
+            return false;
+        }
+
+        private void take(StageResult result) {
+            if (over) {
+                return;
+            }
+            over = true;
+            holder.end();
+            if (result.getStatus() == StageResult.Status.ANSWERED && result.getSignaturesCount() == 1) {
+                taker.answered(new LeafAnswer(
+                        OK,
+                        EmptyHttpHeaders.INSTANCE,
+                        result.getRecords(),
+                        LeafOutcome.SUCCEEDED,
+                        Optional.of(result.getSignatures(0)),
+                        Optional.empty()));
+            } else {
+                taker.failed(outcomeOf(result));
+            }
+        }
+
+        private void fail(Throwable failure) {
+            if (over) {
+                return;
+            }
+            over = true;
+            holder.end();
+            holder.suspect(clock.nowNanos());
+            boolean notSent = failure instanceof PeerFailure peer && peer.kind() == PeerFailure.Kind.NOT_SENT;
+            taker.failed(notSent ? LeafOutcome.NO_CONNECTION : LeafOutcome.BROKEN);
+        }
+
+        /** Returns how the call ended at the leaf; a word of a newer program counts as a failure that may have run. */
+        private LeafOutcome outcomeOf(StageResult result) {
+            for (LeafOutcome outcome : LeafOutcome.values()) {
+                if (outcome.name().equals(result.getLeafOutcome()) && outcome != LeafOutcome.SUCCEEDED) {
+                    return outcome;
+                }
+            }
+            return result.getStatus() == StageResult.Status.NOT_RUN ? LeafOutcome.NO_CONNECTION : LeafOutcome.BROKEN;
+        }
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
@@ -34,7 +34,7 @@
     private final long leafDeadlineNanos;
     private final long expectedNanos;
     private final LatencyTracker latency;
-    private final FleetView view;
+    private final LeafPath path;
     private final MonotonicClock clock;
     private final EventLoop loop;
     private final Map<Attempt, Sent> underWay = new HashMap<>();
@@ -45,14 +45,14 @@
             long leafDeadlineNanos,
             long expectedNanos,
             LatencyTracker latency,
-            FleetView view,
+            LeafPath path,
             MonotonicClock clock,
             EventLoop loop) {
         this.request = request;
         this.leafDeadlineNanos = leafDeadlineNanos;
         this.expectedNanos = expectedNanos;
         this.latency = latency;
-        this.view = view;
+        this.path = path;
         this.clock = clock;
         this.loop = loop;
     }
@@ -93,7 +93,7 @@
                 taker.failed(attempt, outcome);
             }
         };
-        LeafConnections.Ticket ticket = view.connectionsTo(leaf).send(request, leafDeadlineNanos, exchange);
+        LeafConnections.Ticket ticket = path.send(leaf, request, leafDeadlineNanos, exchange);
         if (leaf.isUnderWay(call)) {
             underWay.put(attempt, new Sent(ticket, call));
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -74,10 +74,11 @@
     }
 
     /** Creates a run that asks every shard from here, on behalf of another host that says when to hedge. */
-    ScatterRun scatterHere(RoutedCall call, RouteTarget.Scatter target, long hedgeDelayNanos, AnswerSink sink) {
+    ScatterRun scatterHere(
+            RoutedCall call, RouteTarget.Scatter target, long hedgeDelayNanos, StageCaller caller, AnswerSink sink) {
         RequestBounds bounds = bounds(call, hedgeDelayNanos);
         ScatterQuery query = new ScatterQuery(target, pools(target), ImmutableList.of(), bounds, random);
-        return run(call, query, stageCaller(StageCall.getDefaultInstance(), call.times()), sink);
+        return run(call, query, caller, sink);
     }
 
     /** Creates what has other hosts ask the shards of one query. */
@@ -86,7 +87,8 @@
     }
 
     private ScatterRun run(RoutedCall call, ScatterQuery query, StageCaller caller, AnswerSink sink) {
-        return new ScatterRun(call, query, sender(call), caller, sink, metrics, clock, log);
+        LeafPath path = new HolderPath(caller.query(), view, links, network, clock);
+        return new ScatterRun(call, query, sender(call, path), caller, sink, metrics, clock, log);
     }
 
     private ImmutableList<LeafPool> pools(RouteTarget.Scatter target) {
@@ -101,7 +103,9 @@
         boolean repeatable = call.route().kind() == RequestKind.IDEMPOTENT;
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
         ForwardedRequest forwarded = new ForwardedRequest(view.pool(service), repeatable, bounds, random);
-        return new ForwardRun(forwarded, sender(call), caller, metrics, clock);
+        LeafPath path = (leaf, request, deadlineNanos, taker) ->
+                view.connectionsTo(leaf).send(request, deadlineNanos, taker);
+        return new ForwardRun(forwarded, sender(call, path), caller, metrics, clock);
     }
 
     private RequestBounds bounds(RoutedCall call, long hedgeDelayNanos) {
@@ -113,9 +117,9 @@
                 call.route().maxAttempts());
     }
 
-    private LeafSender sender(RoutedCall call) {
+    private LeafSender sender(RoutedCall call, LeafPath path) {
         LatencyTracker latency = view.latency(call.route());
         return new LeafSender(
-                call.request(), call.times().leafDeadlineNanos(), latency.medianNanos(), latency, view, clock, loop);
+                call.request(), call.times().leafDeadlineNanos(), latency.medianNanos(), latency, path, clock, loop);
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -67,10 +67,14 @@
     }
 
     void callerGone() {
-        query.callerGone();
+        carryOut(query.callerGone());
         sender.callerGone();
     }
 
+    boolean isOver() {
+        return query.isOver();
+    }
+
     ImmutableList<Integer> askedTwice() {
         return query.askedTwice();
     }
@@ -138,6 +142,10 @@
                 sender.send(ask.attempt(), this);
             } else if (action instanceof RoutedAction.AskStage ask) {
                 stages.call(ask.stage(), stageTaker);
+            } else if (action instanceof RoutedAction.SuspectStage suspect) {
+                stages.suspect(suspect.stage());
+            } else if (action instanceof RoutedAction.GiveUpStage giveUp) {
+                stages.giveUp(giveUp.stage());
             } else if (action instanceof RoutedAction.GiveUp giveUp) {
                 sender.giveUp(giveUp.attempt());
             } else if (action instanceof RoutedAction.Wake wake) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.bramblerack.daemon.peer.PeerFailure;
 import org.bramblerack.daemon.peer.PeerNetwork;
@@ -24,6 +26,7 @@
     private final PeerNetwork network;
     private final MonotonicClock clock;
     private final GatewayMetrics metrics;
+    private final Map<StageAttempt, Sent> underWay = new HashMap<>();
 
     /**
      * Creates a caller.
@@ -45,6 +48,11 @@
         this.metrics = metrics;
     }
 
+    /** Returns what all hosts are told of the query. */
+    StageCall query() {
+        return call;
+    }
+
     /** Takes what comes of a stage. */
     interface Taker {
         /** Takes word that the host is at work, and at which shards it asked second leafs. */
@@ -60,8 +68,11 @@
     void call(StageAttempt stage, Taker taker) {
         long nowNanos = clock.nowNanos();
         StageLinks.Link link = links.link(stage.host());
+        Sent sent = new Sent(link, links.nextCall());
+        underWay.put(stage, sent);
         StageCall.Builder message = call.toBuilder()
                 .addAllShards(stage.shards())
+                .setCall(sent.number())
                 .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(
                         times.goalNanos() - nowNanos - link.roundTripNanos() - GOAL_SLACK_NANOS))
                 .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(
@@ -83,6 +94,19 @@
                 });
     }
 
+    /** Leaves a host alone for a while that is silent for too long; its reply still counts if it comes. */
+    void suspect(StageAttempt stage) {
+        links.link(stage.host()).suspect(clock.nowNanos());
+    }
+
+    /** Tells a host that nobody waits for its reply any more. */
+    void giveUp(StageAttempt stage) {
+        Sent sent = underWay.get(stage);
+        if (sent != null) {
+            links.cancel(sent.link(), sent.number());
+        }
+    }
+
     private void take(StageAttempt stage, StageLinks.Link link, StageResult result, Taker taker) {
         boolean answered = result.getStatus() == StageResult.Status.ANSWERED
                 && result.getShardsCount() == result.getSignaturesCount();
@@ -100,10 +124,11 @@
     }
 
     private void end(StageAttempt stage, StageLinks.Link link, boolean answered) {
+        underWay.remove(stage);
         link.end();
         metrics.stage(answered);
-        if (stage.isAbandoned()) {
-            link.suspect(clock.nowNanos());
-        }
     }
+
+    /** A call that was sent and not answered yet. */
+    private record Sent(StageLinks.Link link, long number) {}
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +24,7 @@
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.Ping;
+import org.bramblerack.wire.StageCancel;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -55,6 +57,7 @@
     private final EventLoop loop;
     private final RandomGenerator random;
     private final Map<String, Link> links = new HashMap<>();
+    private long lastCall;
     private @Nullable ScheduledFuture<?> probing;
 
     StageLinks(FleetView view, PeerNetwork network, MonotonicClock clock, EventLoop loop, RandomGenerator random) {
@@ -77,16 +80,20 @@
     }
 
     /**
-     * Divides the shards whose best leafs are in another region among hosts there. Shards that are not in the result
-     * are asked from here.
+     * Divides shards among the hosts that hold the connections to their best leafs or, in a fleet that is small enough
+     * for every host to connect to every leaf, those whose best leafs are in another region among hosts there. Shards
+     * that are not in the result are asked from here.
      *
      * @param expectedNanos how long a call usually takes
      * @param hedgeDelayNanos after which a host asks second leafs, and says so
      */
     ImmutableList<StageAttempt> plan(ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos) {
         Map<String, List<Integer>> shardsByRegion = new HashMap<>();
-        List<Integer> far = farShards(pools, expectedNanos, shardsByRegion);
+        Map<Link, ImmutableList.Builder<Integer>> shardsByHolder = new LinkedHashMap<>();
+        List<Integer> far = farShards(pools, expectedNanos, shardsByRegion, shardsByHolder);
         ImmutableList.Builder<StageAttempt> stages = ImmutableList.builder();
+        shardsByHolder.forEach((holder, shards) ->
+                stages.add(new StageAttempt(holder.host, shards.build(), holder.silenceNanos(hedgeDelayNanos))));
         while (far.size() >= LEAST_SHARDS) {
             Optional<Link> link = bestRegion(shardsByRegion).flatMap(region -> leastBusy(hostsIn(region), region));
             if (link.isEmpty()) {
@@ -105,12 +112,22 @@
     }
 
     private List<Integer> farShards(
-            ImmutableList<LeafPool> pools, long expectedNanos, Map<String, List<Integer>> shardsByRegion) {
+            ImmutableList<LeafPool> pools,
+            long expectedNanos,
+            Map<String, List<Integer>> shardsByRegion,
+            Map<Link, ImmutableList.Builder<Integer>> shardsByHolder) {
         long nowNanos = clock.nowNanos();
         List<Integer> far = new ArrayList<>();
         for (int shard = 0; shard < pools.size(); shard++) {
             LeafPool pool = pools.get(shard);
             Optional<Leaf> best = pool.choose(leaf -> true, expectedNanos, random, nowNanos);
+            Optional<Link> holder = best.flatMap(leaf -> firstUsable(view.holdersOf(leaf)));
+            if (holder.isPresent()) {
+                shardsByHolder
+                        .computeIfAbsent(holder.get(), unused -> ImmutableList.builder())
+                        .add(shard);
+                continue;
+            }
             if (best.isEmpty() || best.get().distance() != Distance.OTHER_REGION) {
                 continue;
             }
@@ -158,8 +175,7 @@
         for (int offset = 0; offset < hosts.size(); offset++) {
             Link link = link(hosts.get((start + offset) % hosts.size()));
             link.region = region;
-            boolean usable = link.confirmed && nowNanos - link.suspectUntilNanos >= 0;
-            if (usable && (least == null || link.inFlight < least.inFlight)) {
+            if (link.isUsable(nowNanos) && (least == null || link.inFlight < least.inFlight)) {
                 least = link;
             }
         }
@@ -173,22 +189,45 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns the way to the first of some hosts that can be asked now. */
+    Optional<Link> firstUsable(List<String> hosts) {
+        long nowNanos = clock.nowNanos();
+        return hosts.stream()
+                .map(this::link)
+                .filter(link -> link.isUsable(nowNanos))
+                .findFirst();
+    }
+
+    /** Returns a number that no other call of this host has. */
+    long nextCall() {
+        return ++lastCall;
+    }
+
+    /** Tells a host that nobody waits for the result of a call any more. */
+    void cancel(Link link, long call) {
+        network.send(
+                link.host,
+                Envelope.newBuilder().setStageCancel(StageCancel.newBuilder().setCall(call)));
+    }
+
     /** Returns what is known of the way to a host. */
     Link link(String host) {
         return links.computeIfAbsent(host, unused -> new Link(host));
     }
 
-    /** Probes the link to every host in another region. */
+    /**
+     * Probes the links that may be needed: in a fleet that uses holders, those to holders that are not known to answer;
+     * otherwise those to every host in another region.
+     */
     void probe() {
-        Set<String> wanted = new HashSet<>();
-        for (HostRecord host : view.entryHosts()) {
-            if (!host.getRegion().equals(view.place().region())) {
-                wanted.add(host.getPeerAddress());
-            }
-        }
+        boolean throughHolders = view.usesHolders();
+        Set<String> wanted = throughHolders ? view.holders() : hostsElsewhere();
         links.keySet().removeIf(host -> !wanted.contains(host));
         for (String host : wanted) {
             Link link = link(host);
+            if (throughHolders && link.confirmed) {
+                continue;
+            }
             long sentNanos = clock.nowNanos();
             network.request(host, Envelope.newBuilder().setPing(Ping.getDefaultInstance()), PROBE_WAIT)
                     .subscribe()
@@ -196,6 +235,16 @@
         }
     }
 
+    private Set<String> hostsElsewhere() {
+        Set<String> hosts = new HashSet<>();
+        for (HostRecord host : view.entryHosts()) {
+            if (!host.getRegion().equals(view.place().region())) {
+                hosts.add(host.getPeerAddress());
+            }
+        }
+        return hosts;
+    }
+
     private void probeFailed(Link link, Throwable failure) {
         boolean notSent = failure instanceof PeerFailure peer && peer.kind() == PeerFailure.Kind.NOT_SENT;
         if (!notSent) {
@@ -218,6 +267,14 @@
             this.host = host;
         }
 
+        String host() {
+            return host;
+        }
+
+        boolean isUsable(long nowNanos) {
+            return confirmed && nowNanos - suspectUntilNanos >= 0;
+        }
+
         long roundTripNanos() {
             return roundTripNanos;
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafRequest;
@@ -17,6 +18,7 @@
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageCancel;
 import org.bramblerack.wire.StageProgress;
 import org.bramblerack.wire.StageResult;
 
@@ -31,6 +33,8 @@
     private final QueryRuns runs;
     private final CallHeaders names;
     private final MonotonicClock clock;
+    private final HeldLeafCalls leafCalls;
+    private final StageCalls calls = new StageCalls();
     private boolean refusesWork;
 
     StageServer(FleetView view, QueryRuns runs, CallHeaders names, MonotonicClock clock) {
@@ -38,6 +42,7 @@
         this.runs = runs;
         this.names = names;
         this.clock = clock;
+        this.leafCalls = new HeldLeafCalls(view, clock);
     }
 
     /** Refuses new queries from now on; those under way are finished. */
@@ -45,8 +50,39 @@
         refusesWork = true;
     }
 
+    /** Gives up a call of another host that nobody waits for any more. */
+    void cancel(String sender, StageCancel cancel) {
+        calls.cancel(sender, cancel.getCall());
+    }
+
+    /** Runs a query, or asks the one leaf that is named, and replies. */
+    void handle(String sender, StageCall call, Consumer<Envelope.Builder> reply) {
+        Consumer<Envelope.Builder> lastReply = message -> {
+            calls.end(sender, call.getCall());
+            reply.accept(message);
+        };
+        LeafRequest request = LeafRequest.create(call.getMethod(), call.getUri(), headers(call), new byte[0], names);
+        if (call.getLeaf().isEmpty()) {
+            runQuery(sender, call, request, reply, lastReply);
+        } else {
+            AtomicBoolean over = new AtomicBoolean();
+            Runnable giveUp = leafCalls.ask(call, request, message -> {
+                over.set(true);
+                lastReply.accept(message);
+            });
+            if (!over.get()) {
+                calls.begin(sender, call.getCall(), giveUp);
+            }
+        }
+    }
+
     /** Runs a query and replies, with word of progress before if shards are asked twice. */
-    void handle(StageCall call, Consumer<Envelope.Builder> reply) {
+    private void runQuery(
+            String sender,
+            StageCall call,
+            LeafRequest request,
+            Consumer<Envelope.Builder> reply,
+            Consumer<Envelope.Builder> lastReply) {
         Optional<Route> route = view.configuration().version() == call.getConfigurationVersion() && !refusesWork
                 ? view.configuration().routeNamed(call.getRoute())
                 : Optional.empty();
@@ -60,7 +96,6 @@
             return;
         }
         long nowNanos = clock.nowNanos();
-        LeafRequest request = LeafRequest.create(call.getMethod(), call.getUri(), headers(call), new byte[0], names);
         RequestTimes times = new RequestTimes(
                 nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()),
                 nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()),
@@ -69,11 +104,15 @@
                 new RoutedCall(route.get(), request, times),
                 part(target, call.getShardsList()),
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
-                new Replier(reply, call.getShardsList()));
+                runs.stageCaller(call, times),
+                new Replier(lastReply, call.getShardsList()));
         run.onStillAtWork(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
                         .addAllAskedTwice(translate(run.askedTwice(), call.getShardsList())))));
         run.start();
+        if (!run.isOver()) {
+            calls.begin(sender, call.getCall(), run::callerGone);
+        }
     }
 
     private static boolean areShardsOf(RouteTarget.Scatter target, List<Integer> shards) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -93,7 +93,8 @@
      */
     public void run() throws InterruptedException {
         long beganNanos = clock.nowNanos();
-        FleetView view = new FleetView(place(), new FleetBudget(10, 10), names, group, clock, new SplittableRandom(1));
+        FleetView view = new FleetView(
+                "warm-up", place(), new FleetBudget(10, 10), names, group, clock, new SplittableRandom(1));
         PeerTraffic traffic = new PeerTraffic();
         PeerNetwork network = PeerNetwork.byAddress("warm-up", group, LinkPolicy.OPEN, traffic);
         Gateway gateway = new Gateway(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -88,6 +88,11 @@
     /** Closes what is idle; requests under way are finished first. */
     public void retire() {
         failWaiting(LeafOutcome.NO_CONNECTION);
+        closeIdle();
+    }
+
+    /** Closes what is idle; another connection is made when one is needed. */
+    public void closeIdle() {
         for (LeafConnection connection : List.copyOf(idle)) {
             connection.close();
         }
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
@@ -0,0 +1,140 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bramblerack.version.routing.LeafService;
+import org.bramblerack.version.routing.RequestKind;
+import org.bramblerack.version.routing.RequestLimits;
+import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.LeafRecord;
+import org.junit.jupiter.api.Test;
+
+/** The shares of all hosts stay within what a leaf takes, and every shard is reached by somebody. */
+final class LeafAccessTest {
+    private static final int SHARDS = 30;
+    private static final int ZONES = 6;
+    private static final ImmutableMap<String, String> REGIONS =
+            ImmutableMap.of("z0", "r0", "z1", "r1", "z2", "r2", "z3", "r0", "z4", "r1", "z5", "r2");
+
+    @Test
+    void aSmallFleetConnectsToEveryLeaf() {
+        LeafAccess access = access(hosts(7), 26, "10.0.0.0:1", "z0");
+        assertThat(access.isAnyHeld()).isFalse();
+        assertThat(access.holdersOf("s0", "z1")).isEmpty();
+        assertThat(access.connectionShare("s0", "z1")).isEqualTo(3);
+    }
+
+    @Test
+    void noLeafGetsMoreConnectionsThanItTakes() {
+        for (int fleet : new int[] {3, 7, 20, 83, 300}) {
+            for (int most : new int[] {26, 52, 64, 110}) {
+                List<HostRecord> hosts = hosts(fleet);
+                int held = 0;
+                int own = 0;
+                for (HostRecord host : hosts) {
+                    LeafAccess access = access(hosts, most, host.getPeerAddress(), host.getZone());
+                    boolean mayConnect = access.keepsConnections("s0", "z0") || access.isNamedFor("s0", "z0");
+                    held += mayConnect ? access.connectionShare("s0", "z0") : 0;
+                    own += access.isHolderOf("s0") && host.getZone().equals("z0") ? 1 : 0;
+                }
+                assertThat(held).isAtMost(most);
+                assertThat(held).isAtLeast(1);
+                assertThat(own).isEqualTo(1);
+            }
+        }
+    }
+
+    @Test
+    void holdersAreOfTheLeafsZoneWhileItHasHosts() {
+        List<HostRecord> hosts = hosts(83);
+        LeafAccess access = access(hosts, 64, "10.0.0.1:1", "z1");
+        Map<String, String> zones = new HashMap<>();
+        hosts.forEach(host -> zones.put(host.getPeerAddress(), host.getZone()));
+        for (String holder : access.holdersOf("s0", "z0")) {
+            assertThat(zones.get(holder)).isEqualTo("z0");
+        }
+        List<HostRecord> others =
+                hosts.stream().filter(host -> !host.getZone().equals("z0")).toList();
+        LeafAccess afterLoss = access(others, 26, "10.0.0.1:1", "z1");
+        for (String holder : afterLoss.holdersOf("s0", "z0")) {
+            assertThat(zones.get(holder)).isEqualTo("z3");
+        }
+    }
+
+    @Test
+    void aServiceOfSingleRequestsIsNotHeld() {
+        LeafAccess access = access(hosts(83), 64, "10.0.0.1:1", "z1");
+        assertThat(access.isHeld("single")).isFalse();
+        assertThat(access.connectionShare("single", "z0")).isEqualTo(1);
+    }
+
+    @Test
+    void theBudgetsOfHoldersAndOthersAreWithinTheSlack() {
+        for (int slack : new int[] {54, 158, 206}) {
+            FleetBudget budget = new FleetBudget(20, slack);
+            for (int fleet : new int[] {7, 59, 83, 300}) {
+                int others = (fleet - 3) * budget.slackBesideHolders(fleet);
+                assertThat(others + 3 * budget.slackOfHolder(fleet, 3)).isAtMost(slack);
+                assertThat(budget.slackOfHolder(fleet, 3)).isAtLeast(budget.slackBesideHolders(fleet));
+            }
+        }
+    }
+
+    private static LeafAccess access(List<HostRecord> hosts, int maxConnections, String self, String zone) {
+        ImmutableList.Builder<String> shards = ImmutableList.builder();
+        ImmutableMap.Builder<String, LeafService> services = ImmutableMap.builder();
+        List<LeafRecord> leaves = new ArrayList<>();
+        for (int shard = 0; shard < SHARDS; shard++) {
+            String service = "s" + shard;
+            shards.add(service);
+            services.put(service, new LeafService(service, "/health", maxConnections));
+            for (int copy = 0; copy < 3; copy++) {
+                leaves.add(LeafRecord.newBuilder()
+                        .setId(service + "-" + copy)
+                        .setService(service)
+                        .setZone("z" + (shard + copy) % ZONES)
+                        .build());
+            }
+        }
+        services.put("single", new LeafService("single", "/health", maxConnections));
+        Route scatter = route("scatter", new RouteTarget.Scatter(shards.build(), 5, 0.5));
+        Route single = route("single", new RouteTarget.Single("single"));
+        LeafAccess access = new LeafAccess(self, new Place(zone, REGIONS.getOrDefault(zone, zone), REGIONS));
+        access.update(
+                hosts,
+                leaves,
+                RoutingConfiguration.create(
+                        1, ImmutableList.of(scatter, single), services.buildOrThrow(), RequestLimits.DEFAULT));
+        return access;
+    }
+
+    private static Route route(String name, RouteTarget target) {
+        Duration time = Duration.ofSeconds(1);
+        return new Route(name, "h.example", "/" + name + "/", RequestKind.IDEMPOTENT, time, time, 0, 2, target);
+    }
+
+    private static List<HostRecord> hosts(int count) {
+        List<HostRecord> hosts = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            String zone = "z" + number % ZONES;
+            hosts.add(HostRecord.newBuilder()
+                    .setName("host" + number)
+                    .setPeerAddress("10.0.0." + number + ":1")
+                    .setZone(zone)
+                    .setRegion(REGIONS.getOrDefault(zone, zone))
+                    .setEntry(true)
+                    .build());
+        }
+        return hosts;
+    }
+}
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
@@ -41,6 +41,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     requestId_ = "";
     shards_ = emptyIntList();
+    leaf_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -376,6 +377,68 @@
     return hedgeDelayMicros_;
   }
 
+  public static final int LEAF_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object leaf_ = "";
+  /**
+   * <pre>
+   * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+   * </pre>
+   *
+   * <code>string leaf = 12;</code>
+   * @return The leaf.
+   */
+  @java.lang.Override
+  public java.lang.String getLeaf() {
+    java.lang.Object ref = leaf_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      leaf_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+   * </pre>
+   *
+   * <code>string leaf = 12;</code>
+   * @return The bytes for leaf.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getLeafBytes() {
+    java.lang.Object ref = leaf_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      leaf_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int CALL_FIELD_NUMBER = 13;
+  private long call_ = 0L;
+  /**
+   * <pre>
+   * The number by which the sender may cancel the call; its own calls all differ.
+   * </pre>
+   *
+   * <code>int64 call = 13;</code>
+   * @return The call.
+   */
+  @java.lang.Override
+  public long getCall() {
+    return call_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -428,6 +491,12 @@
     if (hedgeDelayMicros_ != 0L) {
       output.writeInt64(11, hedgeDelayMicros_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leaf_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 12, leaf_);
+    }
+    if (call_ != 0L) {
+      output.writeInt64(13, call_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -495,6 +564,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(11, hedgeDelayMicros_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leaf_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(12, leaf_);
+    }
+    if (call_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(13, call_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -532,6 +608,10 @@
         .equals(other.getShardsList())) return false;
     if (getHedgeDelayMicros()
         != other.getHedgeDelayMicros()) return false;
+    if (!getLeaf()
+        .equals(other.getLeaf())) return false;
+    if (getCall()
+        != other.getCall()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -575,6 +655,11 @@
     hash = (37 * hash) + HEDGE_DELAY_MICROS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getHedgeDelayMicros());
+    hash = (37 * hash) + LEAF_FIELD_NUMBER;
+    hash = (53 * hash) + getLeaf().hashCode();
+    hash = (37 * hash) + CALL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCall());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -723,6 +808,8 @@
       deadlineMicros_ = 0L;
       shards_ = emptyIntList();
       hedgeDelayMicros_ = 0L;
+      leaf_ = "";
+      call_ = 0L;
       return this;
     }
 
@@ -792,6 +879,12 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.hedgeDelayMicros_ = hedgeDelayMicros_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.leaf_ = leaf_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.call_ = call_;
+      }
     }
 
     @java.lang.Override
@@ -869,6 +962,14 @@
       if (other.getHedgeDelayMicros() != 0L) {
         setHedgeDelayMicros(other.getHedgeDelayMicros());
       }
+      if (!other.getLeaf().isEmpty()) {
+        leaf_ = other.leaf_;
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
+      if (other.getCall() != 0L) {
+        setCall(other.getCall());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -963,6 +1064,16 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 98: {
+              leaf_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
+            case 104: {
+              call_ = input.readInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1742,6 +1853,142 @@
       return this;
     }
 
+    private java.lang.Object leaf_ = "";
+    /**
+     * <pre>
+     * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+     * </pre>
+     *
+     * <code>string leaf = 12;</code>
+     * @return The leaf.
+     */
+    public java.lang.String getLeaf() {
+      java.lang.Object ref = leaf_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        leaf_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+     * </pre>
+     *
+     * <code>string leaf = 12;</code>
+     * @return The bytes for leaf.
+     */
+    public com.google.protobuf.ByteString
+        getLeafBytes() {
+      java.lang.Object ref = leaf_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        leaf_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+     * </pre>
+     *
+     * <code>string leaf = 12;</code>
+     * @param value The leaf to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaf(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      leaf_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+     * </pre>
+     *
+     * <code>string leaf = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaf() {
+      leaf_ = getDefaultInstance().getLeaf();
+      bitField0_ = (bitField0_ & ~0x00000800);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+     * </pre>
+     *
+     * <code>string leaf = 12;</code>
+     * @param value The bytes for leaf to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeafBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      leaf_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+
+    private long call_ ;
+    /**
+     * <pre>
+     * The number by which the sender may cancel the call; its own calls all differ.
+     * </pre>
+     *
+     * <code>int64 call = 13;</code>
+     * @return The call.
+     */
+    @java.lang.Override
+    public long getCall() {
+      return call_;
+    }
+    /**
+     * <pre>
+     * The number by which the sender may cancel the call; its own calls all differ.
+     * </pre>
+     *
+     * <code>int64 call = 13;</code>
+     * @param value The call to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCall(long value) {
+
+      call_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The number by which the sender may cancel the call; its own calls all differ.
+     * </pre>
+     *
+     * <code>int64 call = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCall() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      call_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageCall)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
@@ -164,4 +164,34 @@
    * @return The hedgeDelayMicros.
    */
   long getHedgeDelayMicros();
+
+  /**
+   * <pre>
+   * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+   * </pre>
+   *
+   * <code>string leaf = 12;</code>
+   * @return The leaf.
+   */
+  java.lang.String getLeaf();
+  /**
+   * <pre>
+   * The identifier of the only leaf to ask, in place of shards: the host that is asked holds its connections.
+   * </pre>
+   *
+   * <code>string leaf = 12;</code>
+   * @return The bytes for leaf.
+   */
+  com.google.protobuf.ByteString
+      getLeafBytes();
+
+  /**
+   * <pre>
+   * The number by which the sender may cancel the call; its own calls all differ.
+   * </pre>
+   *
+   * <code>int64 call = 13;</code>
+   * @return The call.
+   */
+  long getCall();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCancel.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCancel.java
@@ -6,6 +6,10 @@
 package org.bramblerack.wire;
 
 /**
+ * <pre>
+ * Tells that nobody waits for the result of a StageCall any more.
+ * </pre>
+ *
  * Protobuf type {@code bramblerack.StageCancel}
  */
 @com.google.protobuf.Generated
@@ -213,6 +217,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Tells that nobody waits for the result of a StageCall any more.
+   * </pre>
+   *
    * Protobuf type {@code bramblerack.StageCancel}
    */
   public static final class Builder extends
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResult.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResult.java
@@ -34,6 +34,7 @@
     shards_ = emptyIntList();
     records_ = com.google.protobuf.ByteString.EMPTY;
     reason_ = "";
+    leafOutcome_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -339,6 +340,53 @@
     }
   }
 
+  public static final int LEAF_OUTCOME_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object leafOutcome_ = "";
+  /**
+   * <pre>
+   * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+   * </pre>
+   *
+   * <code>string leaf_outcome = 6;</code>
+   * @return The leafOutcome.
+   */
+  @java.lang.Override
+  public java.lang.String getLeafOutcome() {
+    java.lang.Object ref = leafOutcome_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      leafOutcome_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+   * </pre>
+   *
+   * <code>string leaf_outcome = 6;</code>
+   * @return The bytes for leafOutcome.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getLeafOutcomeBytes() {
+    java.lang.Object ref = leafOutcome_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      leafOutcome_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -373,6 +421,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, reason_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leafOutcome_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, leafOutcome_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -415,6 +466,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, reason_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leafOutcome_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, leafOutcome_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -439,6 +493,8 @@
         .equals(other.getRecords())) return false;
     if (!getReason()
         .equals(other.getReason())) return false;
+    if (!getLeafOutcome()
+        .equals(other.getLeafOutcome())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -464,6 +520,8 @@
     hash = (53 * hash) + getRecords().hashCode();
     hash = (37 * hash) + REASON_FIELD_NUMBER;
     hash = (53 * hash) + getReason().hashCode();
+    hash = (37 * hash) + LEAF_OUTCOME_FIELD_NUMBER;
+    hash = (53 * hash) + getLeafOutcome().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -601,6 +659,7 @@
       shards_ = emptyIntList();
       records_ = com.google.protobuf.ByteString.EMPTY;
       reason_ = "";
+      leafOutcome_ = "";
       return this;
     }
 
@@ -651,6 +710,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.reason_ = reason_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.leafOutcome_ = leafOutcome_;
+      }
     }
 
     @java.lang.Override
@@ -697,6 +759,11 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (!other.getLeafOutcome().isEmpty()) {
+        leafOutcome_ = other.leafOutcome_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -760,6 +827,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              leafOutcome_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1155,6 +1227,98 @@
       return this;
     }
 
+    private java.lang.Object leafOutcome_ = "";
+    /**
+     * <pre>
+     * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+     * </pre>
+     *
+     * <code>string leaf_outcome = 6;</code>
+     * @return The leafOutcome.
+     */
+    public java.lang.String getLeafOutcome() {
+      java.lang.Object ref = leafOutcome_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        leafOutcome_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+     * </pre>
+     *
+     * <code>string leaf_outcome = 6;</code>
+     * @return The bytes for leafOutcome.
+     */
+    public com.google.protobuf.ByteString
+        getLeafOutcomeBytes() {
+      java.lang.Object ref = leafOutcome_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        leafOutcome_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+     * </pre>
+     *
+     * <code>string leaf_outcome = 6;</code>
+     * @param value The leafOutcome to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeafOutcome(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      leafOutcome_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+     * </pre>
+     *
+     * <code>string leaf_outcome = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeafOutcome() {
+      leafOutcome_ = getDefaultInstance().getLeafOutcome();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+     * </pre>
+     *
+     * <code>string leaf_outcome = 6;</code>
+     * @param value The bytes for leafOutcome to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeafOutcomeBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      leafOutcome_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageResult)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResultOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResultOrBuilder.java
@@ -92,4 +92,24 @@
    */
   com.google.protobuf.ByteString
       getReasonBytes();
+
+  /**
+   * <pre>
+   * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+   * </pre>
+   *
+   * <code>string leaf_outcome = 6;</code>
+   * @return The leafOutcome.
+   */
+  java.lang.String getLeafOutcome();
+  /**
+   * <pre>
+   * How the call ended at the leaf, if one was named: the name of a constant of LeafOutcome.
+   * </pre>
+   *
+   * <code>string leaf_outcome = 6;</code>
+   * @return The bytes for leafOutcome.
+   */
+  com.google.protobuf.ByteString
+      getLeafOutcomeBytes();
 }
