Write structured events to standard output; explain a request from them

Cause: the users' on-call engineers have only logs and metrics, and lines were text on standard error, written by the thread that serves: a blocked reader of the output would have blocked every request, and requests to single leafs left no line at all.

Change: EventLog writes one JSON object a line through a bounded queue and a thread of its own; a full queue drops and counts lines (log_lines_lost).

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
@@ -22,6 +22,7 @@
             new CheckCommand(),
             new ApplyCommand(),
             new StatusCommand(),
+            new ExplainCommand(),
             new QueryCommand(),
             new StandInCommand(),
             new BenchCommand(),
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -97,6 +97,11 @@
         return over;
     }
 
+    /** Returns in words what was tried, for a log line. */
+    public String describe(long nowNanos) {
+        return request.describe(nowNanos);
+    }
+
     private void decide(long nowNanos, List<RoutedAction> actions) {
         boolean deadlineCome = nowNanos - bounds.deadlineNanos() >= 0;
         if (!request.isFinished() && !deadlineCome) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -228,6 +228,11 @@
         return numbers.build();
     }
 
+    /** Returns how many shards are not in. */
+    public int shardsMissing() {
+        return shards.length - in;
+    }
+
     /** Returns in words which shards are not in and why, for a log line. */
     public String describeMissing(long nowNanos) {
         StringBuilder text = new StringBuilder();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.agreement.ControlState;
@@ -45,6 +46,7 @@
  */
 public final class ControlNode {
     private static final Logger LOGGER = System.getLogger(ControlNode.class.getName());
+    private static final EventLog EVENTS = EventLog.of(ControlNode.class);
     private static final Duration TICK = Duration.ofMillis(15);
     private static final int MAX_EVENTS_IN_BATCH = 1_000;
     private static final int MAX_EVENTS_WAITING = 20_000;
@@ -326,16 +328,18 @@
                 runIfPresent(failedReads.remove(failed.token()));
             } else if (action instanceof RaftAction.VotersChanged changed) {
                 voters = changed.voters();
-                LOGGER.log(Logger.Level.INFO, "{0} knows the voters {1}", self, voters);
+                EVENTS.info("voters_changed")
+                        .with("voter", self)
+                        .with("voters", String.join(" ", voters))
+                        .write();
             } else if (action instanceof RaftAction.RoleChanged changed) {
                 leader = changed.leader();
-                LOGGER.log(
-                        Logger.Level.INFO,
-                        "{0} is {1} in term {2}, leader {3}",
-                        self,
-                        changed.role(),
-                        changed.term(),
-                        changed.leader().orElse("none"));
+                EVENTS.info("role_changed")
+                        .with("voter", self)
+                        .with("role", changed.role().name())
+                        .with("term", changed.term())
+                        .with("leader", changed.leader().orElse(""))
+                        .write();
             }
         }
     }
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
@@ -0,0 +1,112 @@
+package org.bramblerack.daemon.event;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Explains a request from the lines of the hosts: how it ended, and what changed on those hosts shortly before.
+ *
+ * <p>Immutable and safe for use by many threads.
+ */
+public final class RequestExplanation {
+    /** A change that a request meets is seldom older: hosts forget what is silent within some seconds. */
+    private static final Duration LOOK_BACK = Duration.ofSeconds(10);
+
+    private static final String ENDED = "request_ended";
+
+    /** What an outcome means and where to look next. */
+    private static final ImmutableMap<String, String> MEANINGS = ImmutableMap.<String, String>builder()
+            .put("WHOLE", "whole and in time; nothing went wrong on this host")
+            .put("PASSED_ON", "a leaf's answer was passed on in time")
+            .put("PARTIAL", "shards were missing when the answer had to leave; 'tried' names each and what was tried")
+            .put("LATE", "the answer came after the route's goal; 'tried' says what it waited for")
+            .put("NO_LEAF", "not run: no leaf of the service takes work; look for leaves and crashes before it")
+            .put("ALL_BUSY", "not run: every leaf that was asked said that it is full")
+            .put("TOO_FEW_SHARDS", "fewer shards answered than the route demands")
+            .put("TIME_UP", "the deadline or the route's time-out came first")
+            .put("OUTCOME_UNKNOWN", "a leaf broke off; the request may have run, so it was not sent again")
+            .put("NO_ROUTE", "no route of the configuration named in the line takes this host and path")
+            .put("NOT_READY", "the host did not know the tables yet")
+            .put("BODY_TOO_LONG", "the body is longer than the configuration allows")
+            .buildOrThrow();
+
+    private final ImmutableList<String> lines;
+
+    private RequestExplanation(ImmutableList<String> lines) {
+        this.lines = lines;
+    }
+
+    /**
+     * Explains a request.
+     *
+     * @param requestId the identifier that the caller gave it
+     * @param events what all hosts wrote, in any order
+     */
+    public static RequestExplanation of(String requestId, List<LoggedEvent> events) {
+        requireNonNull(requestId);
+        List<LoggedEvent> sorted = new ArrayList<>(events);
+        sorted.sort(Comparator.comparing(LoggedEvent::at));
+        ImmutableList.Builder<String> lines = ImmutableList.builder();
+        for (LoggedEvent event : sorted) {
+            if (event.event().equals(ENDED) && event.field("request").equals(requestId)) {
+                lines.addAll(explain(event, sorted));
+            }
+        }
+        return new RequestExplanation(lines.build());
+    }
+
+    /** Returns true if any host wrote a line about the request. */
+    public boolean isFound() {
+        return !lines.isEmpty();
+    }
+
+    /** Returns the explanation, line by line. */
+    public ImmutableList<String> lines() {
+        return lines;
+    }
+
+    private static ImmutableList<String> explain(LoggedEvent ended, List<LoggedEvent> events) {
+        String outcome = ended.field("outcome");
+        ImmutableList.Builder<String> lines = ImmutableList.builder();
+        lines.add(ended.file() + " " + ended.at() + " " + outcome + " after " + ended.field("tookMillis") + " ms");
+        lines.add("  meaning: " + MEANINGS.getOrDefault(outcome, "the leaf's own answer was passed on"));
+        if (!ended.field("onBehalfOf").isEmpty()) {
+            lines.add("  asked on behalf of host " + ended.field("onBehalfOf"));
+        }
+        lines.add("  route " + ended.field("route") + ", configuration " + ended.field("configuration")
+                + ", tables at revision " + ended.field("revision"));
+        for (String tried : ended.field("tried").split("; ", -1)) {
+            if (!tried.isBlank()) {
+                lines.add("  tried: " + tried);
+            }
+        }
+        Instant since = ended.at().minus(LOOK_BACK);
+        for (LoggedEvent event : events) {
+            boolean before = !event.at().isBefore(since) && !event.at().isAfter(ended.at());
+            if (before && isBackground(event, ended)) {
+                lines.add("  before: " + event.at() + " " + event.file() + " " + event.event() + " " + event.fields());
+            }
+        }
+        return lines.build();
+    }
+
+    /** What changed on the same host, and what leafs that the request was sent to reported anywhere. */
+    private static boolean isBackground(LoggedEvent event, LoggedEvent ended) {
+        if (event.event().equals(ENDED) || event.event().equals("counters")) {
+            return false;
+        }
+        boolean ofALeafThatWasTried = !event.field("leaf").isEmpty()
+                && (ended.field("tried").contains(event.field("leaf"))
+                        || ended.field("tried").contains(event.field("service")));
+        boolean ofTheSameHost =
+                event.file().equals(ended.file()) && event.field("leaf").isEmpty();
+        return ofTheSameHost || ofALeafThatWasTried;
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.ImmutableSortedSet;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.lang.System.Logger;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -14,6 +13,7 @@
 import org.bramblerack.daemon.control.DiskFault;
 import org.bramblerack.daemon.control.FileLogStore;
 import org.bramblerack.daemon.control.VoterIdentity;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
@@ -31,7 +31,7 @@
  * <p>Started once, stopped once.
  */
 public final class ControlProcess {
-    private static final Logger LOGGER = System.getLogger(ControlProcess.class.getName());
+    private static final EventLog EVENTS = EventLog.of(ControlProcess.class);
     private static final long SHARE_HEARD_MILLIS = 1_000;
     private static final long JOIN_MILLIS = 300;
 
@@ -99,7 +99,10 @@
                 .scheduleWithFixedDelay(
                         this::everySecond, SHARE_HEARD_MILLIS, SHARE_HEARD_MILLIS, TimeUnit.MILLISECONDS);
         group.next().scheduleWithFixedDelay(this::joinIfAlone, JOIN_MILLIS, JOIN_MILLIS, TimeUnit.MILLISECONDS);
-        LOGGER.log(Logger.Level.INFO, "control host {0} takes part as {1}", settings.name(), identity.name());
+        EVENTS.info("started")
+                .with("host", settings.name())
+                .with("voter", identity.name())
+                .write();
     }
 
     /** The seeds of a first start are the first voters; every other host with an empty disk has to join them. */
@@ -137,7 +140,10 @@
     /** Takes over from changed settings what may change while the process runs: the seeds. */
     public void reload(ControlSettings changed) {
         seeds = changed.seeds();
-        LOGGER.log(Logger.Level.INFO, "control host {0} reloaded its settings", settings.name());
+        EVENTS.info("settings_reloaded")
+                .with("host", settings.name())
+                .with("seeds", String.join(" ", changed.seeds()))
+                .write();
     }
 
     /** Returns the event loop, for listeners that share it. */
@@ -153,7 +159,7 @@
     /** Stops taking part. */
     public void stop() {
         stopping = true;
-        LOGGER.log(Logger.Level.INFO, "control host {0} stops", settings.name());
+        EVENTS.info("stopping").with("host", settings.name()).write();
         node.stop();
         peers.stop();
         network.stop();
@@ -162,7 +168,7 @@
     private void everySecond() {
         if (!stopping && !node.isRunning()) {
             // Its disk failed: what was written last is unknown, so only a new start may read it again.
-            LOGGER.log(Logger.Level.ERROR, "the control role of {0} has ended, so the process does", settings.name());
+            EVENTS.warning("disk_failed").with("host", settings.name()).write();
             onRoleEnded.run();
             return;
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -11,6 +11,7 @@
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.ProposalResult;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.members.MemberWatch;
 import org.bramblerack.wire.Command;
@@ -33,6 +34,7 @@
  */
 public final class FleetControl {
     private static final Logger LOGGER = System.getLogger(FleetControl.class.getName());
+    private static final EventLog EVENTS = EventLog.of(FleetControl.class);
     /** A leaf waits a second for its acknowledgement, so a decision must come sooner. */
     private static final Duration REPORT_WAIT = Duration.ofMillis(850);
     /** An operator moves on after a second without an answer. */
@@ -71,19 +73,39 @@
                 })
                 .chain(known -> known.isPresent()
                         ? Uni.createFrom().item(known.get())
-                        : propose(Command.newBuilder().setReportLeaf(report).build(), REPORT_WAIT))
+                        : propose(Command.newBuilder().setReportLeaf(report).build(), REPORT_WAIT)
+                                .invoke(outcome -> sayReported(report, outcome)))
                 .onFailure()
                 .recoverWithItem(FleetControl::stopped)
                 .invoke(outcome -> count("fleet_leaf_report_", outcome));
     }
 
+    /**
+     * Writes a line about what a leaf reports anew; the log of agreement takes few enough that none need be left out.
+     */
+    private static void sayReported(LeafRecord report, FleetOutcome outcome) {
+        EVENTS.info("leaf_reported")
+                .with("leaf", report.getId())
+                .with("service", report.getService())
+                .with("phase", report.getPhase().name())
+                .with("sequence", report.getSequence())
+                .with("outcome", outcome.name())
+                .write();
+    }
+
     /** Takes a whole configuration that was checked before. */
     public Uni<FleetOutcome> putConfiguration(long version, ByteString compressedDocument) {
         Command command = Command.newBuilder()
                 .setPutConfiguration(
                         PutConfiguration.newBuilder().setVersion(version).setDocument(compressedDocument))
                 .build();
-        return propose(command, CHANGE_WAIT).invoke(outcome -> count("fleet_configuration_", outcome));
+        return propose(command, CHANGE_WAIT).invoke(outcome -> {
+            count("fleet_configuration_", outcome);
+            EVENTS.info("configuration_put")
+                    .with("configuration", version)
+                    .with("outcome", outcome.name())
+                    .write();
+        });
     }
 
     /** Returns the compressed document of the newest configuration, if it is certain that it is the newest. */
@@ -200,11 +222,10 @@
         if (silent.getLeafIdsCount() + silent.getHostsCount() == 0) {
             return;
         }
-        LOGGER.log(
-                Logger.Level.INFO,
-                "nobody hears the leafs {0} and {1} hosts any more",
-                silent.getLeafIdsList(),
-                silent.getHostsCount());
+        EVENTS.info("members_forgotten")
+                .with("leafs", String.join(" ", silent.getLeafIdsList()))
+                .with("hosts", silent.getHostsCount())
+                .write();
         propose(Command.newBuilder().setForgetMembers(silent).build(), REPORT_WAIT)
                 .subscribe()
                 .with(outcome -> {}, failure -> LOGGER.log(Logger.Level.WARNING, "forgetting failed", failure));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/AnswerSink.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/AnswerSink.java
@@ -10,4 +10,9 @@
 
     /** Takes the reason for which there is none. */
     void refuse(RefusalReason reason);
+
+    /** Returns the host that the answer is for; empty if it is for a caller of this one. */
+    default String onBehalfOf() {
+        return "";
+    }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
@@ -1,47 +1,92 @@
 package org.bramblerack.daemon.gateway;
 
-import java.lang.System.Logger;
-import java.time.Duration;
-import java.util.function.Supplier;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.bramblerack.daemon.event.EventLog;
+import org.bramblerack.daemon.event.RateBound;
 import org.bramblerack.process.MonotonicClock;
 
 /**
- * Logs the decisions about single requests that did not end as well as they could, a bounded number a second.
+ * Writes a line for each request that did not end as well as it could, and a sample of the others, a bounded number a
+ * second of either.
  *
  * <p>What is left out is counted and said. Owned by the event loop.
  */
 final class DecisionLog {
-    private static final Logger LOGGER = System.getLogger(DecisionLog.class.getName());
-    private static final long PERIOD_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final EventLog EVENTS = EventLog.of(DecisionLog.class);
     /** Enough to explain any one failure in a storm of them, at a cost well below a percent of a small core. */
-    private static final int LINES_IN_PERIOD = 20;
+    private static final int IMPERFECT_LINES_A_SECOND = 20;
+    /** Enough to see how requests usually go. */
+    private static final int ORDINARY_LINES_A_SECOND = 1;
 
     private final MonotonicClock clock;
-    private long periodBeganNanos;
-    private int lines;
-    private int leftOut;
+    private final FleetView view;
+    private final RateBound imperfect;
+    private final RateBound ordinary;
 
-    DecisionLog(MonotonicClock clock) {
+    DecisionLog(MonotonicClock clock, FleetView view) {
         this.clock = clock;
-        this.periodBeganNanos = clock.nowNanos();
+        this.view = view;
+        this.imperfect = new RateBound(clock, IMPERFECT_LINES_A_SECOND);
+        this.ordinary = new RateBound(clock, ORDINARY_LINES_A_SECOND);
     }
 
-    /** Logs how a request ended and why; the reason is worked out only if the line is written. */
-    void decision(String requestId, String outcome, Supplier<String> reason) {
-        long nowNanos = clock.nowNanos();
-        if (nowNanos - periodBeganNanos >= PERIOD_NANOS) {
-            if (leftOut > 0) {
-                LOGGER.log(Logger.Level.INFO, "{0} lines about requests were left out", leftOut);
-            }
-            periodBeganNanos = nowNanos;
-            lines = 0;
-            leftOut = 0;
+    /** Writes a line about a request that ended as well as it could, if one is due. */
+    void ordinary(RoutedCall call, String outcome) {
+        if (ordinary.admits()) {
+            ordinary.takeLeftOut();
+            line(call, outcome).write();
         }
-        if (lines >= LINES_IN_PERIOD) {
-            leftOut++;
+    }
+
+    /**
+     * Writes a line about a request that did not end as well as it could.
+     *
+     * @param details adds what decided it; called only if the line is written
+     */
+    void imperfect(RoutedCall call, String outcome, Consumer<EventLog.Line> details) {
+        if (!imperfect.admits()) {
             return;
         }
-        lines++;
-        LOGGER.log(Logger.Level.INFO, "request {0} {1}: {2}", requestId, outcome, reason.get());
+        sayWhatWasLeftOut();
+        EventLog.Line line = line(call, outcome);
+        details.accept(line);
+        line.write();
+    }
+
+    /** Writes a line about a request that was refused before a route was found. */
+    void refusedUnrouted(String requestId, String host, String path, String outcome) {
+        if (imperfect.admits()) {
+            sayWhatWasLeftOut();
+            EVENTS.info("request_ended")
+                    .with("request", requestId)
+                    .with("outcome", outcome)
+                    .with("host", host)
+                    .with("path", path)
+                    .with("configuration", view.configuration().version())
+                    .with("revision", view.revision())
+                    .write();
+        }
+    }
+
+    private void sayWhatWasLeftOut() {
+        long leftOut = imperfect.takeLeftOut();
+        if (leftOut > 0) {
+            EVENTS.info("request_lines_left_out").with("count", leftOut).write();
+        }
+    }
+
+    private EventLog.Line line(RoutedCall call, String outcome) {
+        long nowNanos = clock.nowNanos();
+        return EVENTS.info("request_ended")
+                .with("request", call.request().requestId())
+                .with("outcome", outcome)
+                .with("route", call.route().name())
+                .with("configuration", call.configurationVersion())
+                .with("revision", view.revision())
+                .with("tookMillis", TimeUnit.NANOSECONDS.toMillis(nowNanos - call.arrivedNanos()))
+                .with(
+                        "afterGoalMillis",
+                        TimeUnit.NANOSECONDS.toMillis(nowNanos - call.times().goalNanos()));
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -4,9 +4,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpListener;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.peer.LinkPolicy;
@@ -22,7 +22,7 @@
  * <p>Started once, stopped once. All of its parts run on one event loop.
  */
 public final class EntryProcess {
-    private static final Logger LOGGER = System.getLogger(EntryProcess.class.getName());
+    private static final EventLog EVENTS = EventLog.of(EntryProcess.class);
     private static final Duration LOOK_EVERY = Duration.ofMillis(50);
     /**
      * For how long a stopping host still takes requests: callers reach it until the balancer has missed its readiness
@@ -97,7 +97,10 @@
         gateway.start();
         warmUp.run();
         warm = true;
-        LOGGER.log(Logger.Level.INFO, "entry host {0} listens at {1}", settings.name(), settings.callerAddress());
+        EVENTS.info("started")
+                .with("host", settings.name())
+                .with("address", settings.callerAddress().toString())
+                .write();
     }
 
     /** Returns true if callers should be sent here. */
@@ -108,7 +111,10 @@
     /** Takes over from changed settings what may change while the process runs: the seeds. */
     public void reload(EntrySettings changed) {
         follower.setSeeds(changed.seeds());
-        LOGGER.log(Logger.Level.INFO, "entry host {0} reloaded its settings", settings.name());
+        EVENTS.info("settings_reloaded")
+                .with("host", settings.name())
+                .with("seeds", String.join(" ", changed.seeds()))
+                .write();
     }
 
     /** Returns the event loop, for listeners that share it. */
@@ -127,7 +133,7 @@
         stopping = true;
         callers.beginStop();
         gateway.beginStop();
-        LOGGER.log(Logger.Level.INFO, "entry host {0} stops", settings.name());
+        EVENTS.info("stopping").with("host", settings.name()).write();
         while (sinceNanos(beganNanos) < STILL_TAKES_REQUESTS.toNanos()) {
             Thread.sleep(LOOK_EVERY.toMillis());
         }
@@ -142,11 +148,10 @@
         gateway.stop();
         peers.stop();
         network.stop();
-        LOGGER.log(
-                Logger.Level.INFO,
-                "entry host {0} stopped with {1} connections open",
-                settings.name(),
-                callers.connectionCount());
+        EVENTS.info("stopped")
+                .with("host", settings.name())
+                .with("connectionsOpen", callers.connectionCount())
+                .write();
     }
 
     /** Ends everything at once, whatever is under way. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -14,6 +14,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafConnections;
 import org.bramblerack.process.LatencyTracker;
@@ -49,6 +51,10 @@
 
     private static final Duration EXPECTED_WITHOUT_GOAL = Duration.ofMillis(100);
 
+    private static final EventLog EVENTS = EventLog.of(FleetView.class);
+    /** How many leafs a line names at the most. */
+    private static final int MOST_NAMED = 12;
+
     private final Place place;
     private final LeafAccess access;
     private final FleetBudget budget;
@@ -179,15 +185,36 @@
         if (newer.isPresent() && newer.get().version() > configuration.version()) {
             configuration = newer.get();
         }
+        int hostsBefore = entryHosts().size();
+        int leavesBefore = leafRecords.size();
         boolean hostsChanged = applyHosts(delta);
         boolean leavesChanged = applyLeaves(delta);
         if (hostsChanged || leavesChanged || newer.isPresent()) {
             access.update(entryHosts(), leafRecords.values(), configuration);
             pools.values().forEach(pool -> pool.budget().setReserve(reserveOf(pool.service())));
             reviewConnectionsLater();
+            EVENTS.info("tables_changed")
+                    .with("revision", revision)
+                    .with("configuration", configuration.version())
+                    .with("entryHosts", entryHosts().size())
+                    .with("entryHostsBefore", hostsBefore)
+                    .with("leafs", leafRecords.size())
+                    .with("leafsBefore", leavesBefore)
+                    .with("leaving", leaving(delta))
+                    .with("throughHolders", access.isAnyHeld())
+                    .write();
         }
     }
 
+    /** Returns the leafs of a change that take no new work from now on, the first of them by name. */
+    private static String leaving(TableDelta delta) {
+        return delta.getLeavesList().stream()
+                .filter(leaf -> leaf.getPhase() != LeafRecord.Phase.READY)
+                .map(LeafRecord::getId)
+                .limit(MOST_NAMED)
+                .collect(Collectors.joining(" "));
+    }
+
     private boolean applyHosts(TableDelta delta) {
         ImmutableList<HostRecord> before = entryHosts();
         if (delta.getWhole()) {
@@ -221,7 +248,8 @@
                 put(record);
             }
         }
-        return !before.equals(leafRecords.keySet());
+        boolean leaving = delta.getLeavesList().stream().anyMatch(leaf -> leaf.getPhase() != LeafRecord.Phase.READY);
+        return leaving || !before.equals(leafRecords.keySet());
     }
 
     private void put(LeafRecord record) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ForwardRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ForwardRun.java
@@ -12,24 +12,32 @@
 
 /** Carries out the decisions of one request to one leaf. Owned by the event loop. */
 final class ForwardRun implements LeafSender.Taker {
+    private static final int LEAST_FAILURE = 300;
+
+    private final RoutedCall call;
     private final ForwardedRequest request;
     private final LeafSender sender;
     private final CallerAnswers caller;
     private final GatewayMetrics metrics;
     private final MonotonicClock clock;
+    private final DecisionLog log;
     private final Map<Attempt, LeafAnswer> answers = new HashMap<>();
 
     ForwardRun(
+            RoutedCall call,
             ForwardedRequest request,
             LeafSender sender,
             CallerAnswers caller,
             GatewayMetrics metrics,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            DecisionLog log) {
+        this.call = call;
         this.request = request;
         this.sender = sender;
         this.caller = caller;
         this.metrics = metrics;
         this.clock = clock;
+        this.log = log;
     }
 
     void start() {
@@ -58,6 +66,21 @@
         carryOut(request.failed(attempt, outcome, false, clock.nowNanos()));
     }
 
+    private void explain(LeafAnswer answer) {
+        boolean late = clock.nowNanos() - call.times().goalNanos() > 0;
+        if (answer.status() >= LEAST_FAILURE) {
+            explain("LEAF_ANSWERED_" + answer.status());
+        } else if (late) {
+            explain("LATE");
+        } else {
+            log.ordinary(call, "PASSED_ON");
+        }
+    }
+
+    private void explain(String outcome) {
+        log.imperfect(call, outcome, line -> line.with("tried", request.describe(clock.nowNanos())));
+    }
+
     private void carryOut(List<RoutedAction> actions) {
         for (RoutedAction action : actions) {
             if (action instanceof RoutedAction.Ask ask) {
@@ -72,10 +95,12 @@
                 LeafAnswer answer = answers.get(deliver.attempt());
                 if (answer != null) {
                     caller.pass(answer);
+                    explain(answer);
                 }
             } else if (action instanceof RoutedAction.Refuse refuse) {
                 sender.finish();
                 caller.refuse(refuse.reason());
+                explain(refuse.reason().name());
             } else if (action instanceof RoutedAction.Count count) {
                 metrics.count(count.counter());
             }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -1,7 +1,6 @@
 package org.bramblerack.daemon.gateway;
 
 import io.netty.channel.EventLoop;
-import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -10,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpHandler;
 import org.bramblerack.daemon.leaf.CallHeaders;
@@ -28,7 +28,7 @@
  * <p>A request is bound to the configuration that was in force when it arrived. Owned by the event loop.
  */
 public final class Gateway implements HttpHandler, PeerHandler {
-    private static final Logger LOGGER = System.getLogger(Gateway.class.getName());
+    private static final EventLog EVENTS = EventLog.of(Gateway.class);
     private static final Duration SUMMARY_EVERY = Duration.ofSeconds(10);
     private static final long SECOND_PROBE_MILLIS = 30;
     private static final int NOT_FOUND = 404;
@@ -45,6 +45,7 @@
     private final CallHeaders names;
     private final GatewayMetrics metrics;
     private final EventLoop loop;
+    private final DecisionLog log;
     private final QueryRuns runs;
     private final StageLinks stages;
     private final StageServer stageServer;
@@ -70,7 +71,8 @@
         this.metrics = metrics;
         this.loop = loop;
         this.stages = new StageLinks(view, network, clock, loop, random);
-        this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random);
+        this.log = new DecisionLog(clock, view);
+        this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random, log);
         this.stageServer = new StageServer(view, runs, names, clock);
     }
 
@@ -78,7 +80,9 @@
     public void start() {
         stages.start();
         loop.scheduleWithFixedDelay(
-                () -> LOGGER.log(Logger.Level.INFO, "counters: {0}", metrics.summary()),
+                () -> EVENTS.info("counters")
+                        .with("counters", metrics.summary())
+                        .write(),
                 SUMMARY_EVERY.toMillis(),
                 SUMMARY_EVERY.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -120,22 +124,26 @@
         CallerAnswers caller = new CallerAnswers(exchange, names, metrics);
         if (!tablesKnown.getAsBoolean() || view.configuration().version() == 0) {
             caller.notReady();
+            refusedUnrouted(exchange, "NOT_READY");
             return;
         }
         // A connection is held to the limits of the time when it was opened; a body to those of now.
         if (exchange.body().length > view.configuration().limits().maxBodyBytes()) {
             exchange.respond(TOO_LARGE, "text/plain", "the body is longer than the configuration allows\n");
+            refusedUnrouted(exchange, "BODY_TOO_LONG");
             return;
         }
         Optional<Route> route = view.configuration().find(exchange.headers().get("Host", ""), exchange.path());
         if (route.isEmpty()) {
             exchange.respond(NOT_FOUND, "text/plain", "no route takes this host and path\n");
+            refusedUnrouted(exchange, "NO_ROUTE");
             return;
         }
         LeafRequest request =
                 LeafRequest.create(exchange.method(), exchange.uri(), exchange.headers(), exchange.body(), names);
         RequestTimes times = times(exchange, route.get());
-        RoutedCall call = new RoutedCall(route.get(), request, times);
+        RoutedCall call =
+                new RoutedCall(route.get(), view.configuration().version(), request, exchange.receivedNanos(), times);
         if (route.get().target() instanceof RouteTarget.Scatter target) {
             StageCaller stageCaller = runs.stageCaller(stageCall(exchange, route.get()), times);
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
@@ -148,6 +156,15 @@
         }
     }
 
+    private void refusedUnrouted(HttpExchange exchange, String outcome) {
+        metrics.refusedUnrouted(outcome);
+        log.refusedUnrouted(
+                exchange.headers().get(names.requestId(), ""),
+                exchange.headers().get("Host", ""),
+                exchange.path(),
+                outcome);
+    }
+
     private StageCall stageCall(HttpExchange exchange, Route route) {
         StageCall.Builder call = StageCall.newBuilder()
                 .setConfigurationVersion(view.configuration().version())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -58,6 +58,11 @@
         registry.counter("gateway_malformed_deadline").inc();
     }
 
+    /** Notes a request that was refused before a route was found. */
+    void refusedUnrouted(String outcome) {
+        registry.counter("gateway_refused_" + outcome.toLowerCase(Locale.ROOT)).inc();
+    }
+
     void asked(Attempt.Purpose purpose, Distance distance) {
         registry.counter("gateway_asked_" + lower(purpose) + "_" + lower(distance))
                 .inc();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.daemon.leaf.LeafConnections;
 import org.bramblerack.daemon.leaf.LeafExchange;
@@ -15,6 +16,7 @@
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafLoad;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.request.routed.Attempt;
 import org.jspecify.annotations.Nullable;
@@ -27,6 +29,7 @@
  * by the event loop.
  */
 final class LeafSender {
+    private static final EventLog EVENTS = EventLog.of(LeafSender.class);
     /** How long a call may go on after its caller went away: leafs should not work for nobody. */
     private static final Duration LINGER = Duration.ofMillis(300);
 
@@ -75,7 +78,7 @@
             public void answered(LeafAnswer answer) {
                 long nowNanos = clock.nowNanos();
                 underWay.remove(attempt);
-                leaf.end(call, answer.outcome(), answer.load(), nowNanos);
+                end(leaf, call, answer.outcome(), answer.load(), nowNanos);
                 if (answer.outcome() == LeafOutcome.SUCCEEDED) {
                     latency.record(nowNanos - call.sentNanos(), nowNanos);
                 }
@@ -89,7 +92,7 @@
                     // This host gave it up, and closed the connection itself.
                     return;
                 }
-                leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
+                end(leaf, call, outcome, Optional.empty(), clock.nowNanos());
                 taker.failed(attempt, outcome);
             }
         };
@@ -99,6 +102,21 @@
         }
     }
 
+    /** Notes what came of a call; a leaf that is set aside for it, or no longer, leaves a line. */
+    private void end(Leaf leaf, Leaf.Call call, LeafOutcome outcome, Optional<LeafLoad> load, long nowNanos) {
+        boolean ejectedBefore = leaf.isEjected(nowNanos);
+        leaf.end(call, outcome, load, nowNanos);
+        boolean ejected = leaf.isEjected(nowNanos);
+        if (ejected != ejectedBefore) {
+            EVENTS.info(ejected ? "leaf_ejected" : "leaf_restored")
+                    .with("leaf", leaf.id())
+                    .with("service", leaf.service())
+                    .with("outcome", outcome.name())
+                    .with("request", request.requestId())
+                    .write();
+        }
+    }
+
     /** Gives up an attempt; its taker hears nothing of it that matters any more. */
     void giveUp(Attempt attempt) {
         Sent sent = underWay.remove(attempt);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -42,7 +42,8 @@
             GatewayMetrics metrics,
             MonotonicClock clock,
             EventLoop loop,
-            RandomGenerator random) {
+            RandomGenerator random,
+            DecisionLog log) {
         this.view = view;
         this.links = links;
         this.network = network;
@@ -50,7 +51,7 @@
         this.clock = clock;
         this.loop = loop;
         this.random = random;
-        this.log = new DecisionLog(clock);
+        this.log = log;
     }
 
     /** Returns after how long an attempt of the route is hedged. */
@@ -105,7 +106,7 @@
         ForwardedRequest forwarded = new ForwardedRequest(view.pool(service), repeatable, bounds, random);
         LeafPath path = (leaf, request, deadlineNanos, taker) ->
                 view.connectionsTo(leaf).send(request, deadlineNanos, taker);
-        return new ForwardRun(forwarded, sender(call, path), caller, metrics, clock);
+        return new ForwardRun(call, forwarded, sender(call, path), caller, metrics, clock, log);
     }
 
     private RequestBounds bounds(RoutedCall call, long hedgeDelayNanos) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/RoutedCall.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/RoutedCall.java
@@ -9,7 +9,9 @@
  * <p>Immutable and safe for use by many threads.
  *
  * @param route the route
+ * @param configurationVersion the version of the configuration that the route is of
  * @param request the request as leafs get it
+ * @param arrivedNanos when it came to this host
  * @param times its times on this host's clock
  */
-record RoutedCall(Route route, LeafRequest request, RequestTimes times) {}
+record RoutedCall(Route route, long configurationVersion, LeafRequest request, long arrivedNanos, RequestTimes times) {}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -115,24 +114,23 @@
         }
     }
 
-    /** Logs what an answer lacks or why it is late; a whole one in time leaves no line. */
+    /** Logs how the query ended, what its answer lacks, and what was tried for that. */
     private void explain(MergedAnswer answer) {
         boolean late = clock.nowNanos() - call.times().goalNanos() > LATE_SLACK_NANOS;
-        if (answer.missing() > 0) {
-            explain("partial", answer.missing());
-        } else if (late) {
-            explain("late", 0);
+        if (answer.missing() == 0 && !late) {
+            log.ordinary(call, "WHOLE");
+        } else {
+            explain(answer.missing() > 0 ? "PARTIAL" : "LATE", answer.missing());
         }
     }
 
     private void explain(String outcome, int missing) {
-        long nowNanos = clock.nowNanos();
-        long afterGoalMillis =
-                TimeUnit.NANOSECONDS.toMillis(nowNanos - call.times().goalNanos());
-        log.decision(
-                call.request().requestId(),
+        log.imperfect(
+                call,
                 outcome,
-                () -> "missing=" + missing + " afterGoalMs=" + afterGoalMillis + " " + query.describeMissing(nowNanos));
+                line -> line.with("missing", missing)
+                        .with("tried", query.describeMissing(clock.nowNanos()))
+                        .with("onBehalfOf", sink.onBehalfOf()));
     }
 
     private void carryOut(List<RoutedAction> actions) {
@@ -156,7 +154,7 @@
                 sink.deliver(deliver.answer());
             } else if (action instanceof RoutedAction.Refuse refuse) {
                 sender.finish();
-                explain(refuse.reason().name(), 0);
+                explain(refuse.reason().name(), query.shardsMissing());
                 sink.refuse(refuse.reason());
             } else if (action instanceof RoutedAction.Count count) {
                 metrics.count(count.counter());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerFailure;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
@@ -34,6 +35,7 @@
  * failed is left alone for a while. Owned by the event loop.
  */
 final class StageLinks {
+    private static final EventLog EVENTS = EventLog.of(StageLinks.class);
     private static final Duration PROBE_EVERY = Duration.ofMillis(700);
     private static final Duration PROBE_WAIT = Duration.ofMillis(500);
     private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
@@ -293,11 +295,20 @@
         }
 
         void suspect(long nowNanos) {
+            if (confirmed) {
+                EVENTS.info("host_suspected").with("host", host).write();
+            }
             suspectUntilNanos = nowNanos + SUSPECT_NANOS;
             confirmed = false;
         }
 
         private void answered(long tookNanos) {
+            if (!confirmed) {
+                EVENTS.info("host_answers")
+                        .with("host", host)
+                        .with("tookMicros", TimeUnit.NANOSECONDS.toMicros(tookNanos))
+                        .write();
+            }
             confirmed = true;
             roundTripNanos += (long) (SMOOTHING * (tookNanos - roundTripNanos));
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -101,11 +101,11 @@
                 nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()),
                 nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()));
         ScatterRun run = runs.scatterHere(
-                new RoutedCall(route.get(), request, times),
+                new RoutedCall(route.get(), call.getConfigurationVersion(), request, nowNanos, times),
                 part(target, call.getShardsList()),
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
                 runs.stageCaller(call, times),
-                new Replier(lastReply, call.getShardsList()));
+                new Replier(lastReply, call.getShardsList(), sender));
         run.onStillAtWork(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
                         .addAllAskedTwice(translate(run.askedTwice(), call.getShardsList())))));
@@ -146,7 +146,8 @@
     }
 
     /** Sends the end of a query back to the host that asked. */
-    private record Replier(Consumer<Envelope.Builder> reply, List<Integer> shards) implements AnswerSink {
+    private record Replier(Consumer<Envelope.Builder> reply, List<Integer> shards, String onBehalfOf)
+            implements AnswerSink {
         @Override
         public void deliver(MergedAnswer answer) {
             reply.accept(Envelope.newBuilder()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -4,11 +4,11 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
-import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.fleet.Compression;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.version.routing.RoutingConfiguration;
@@ -25,7 +25,7 @@
  * in touch with a leader. Owned by the event loop.
  */
 public final class TableFollower {
-    private static final Logger LOGGER = System.getLogger(TableFollower.class.getName());
+    private static final EventLog EVENTS = EventLog.of(TableFollower.class);
     /** A control host holds a request back for at most 700 ms; more is a host or a link that does not answer. */
     private static final Duration REPLY_WAIT = Duration.ofMillis(1_100);
 
@@ -40,6 +40,7 @@
     private String source;
     private int failures;
     private boolean synchronizedOnce;
+    private boolean lost;
     private boolean stopped;
 
     /**
@@ -111,7 +112,14 @@
         apply(delta);
         if (!synchronizedOnce) {
             synchronizedOnce = true;
-            LOGGER.log(Logger.Level.INFO, "following the tables from {0} at revision {1}", source, view.revision());
+            lost = true;
+        }
+        if (lost) {
+            lost = false;
+            EVENTS.info("tables_followed")
+                    .with("controlHost", source)
+                    .with("revision", view.revision())
+                    .write();
         }
         preferNearest();
         pull();
@@ -128,18 +136,21 @@
         long before = view.configuration().version();
         view.apply(delta, newer);
         if (view.configuration().version() != before) {
-            LOGGER.log(
-                    Logger.Level.INFO,
-                    "configuration {0} is in force, after {1}",
-                    String.valueOf(view.configuration().version()),
-                    String.valueOf(before));
+            EVENTS.info("configuration_in_force")
+                    .with("configuration", view.configuration().version())
+                    .with("before", before)
+                    .with("revision", view.revision())
+                    .with("controlHost", source)
+                    .write();
         }
     }
 
     private Optional<RoutingConfiguration> read(ByteString compressed) {
         Either<String, RoutingConfiguration> read = codec.read(Compression.inflate(compressed));
         if (read.isLeft()) {
-            LOGGER.log(Logger.Level.ERROR, "an agreed configuration cannot be read: {0}", read.getLeft());
+            EVENTS.warning("configuration_unreadable")
+                    .with("reason", read.getLeft())
+                    .write();
             return Optional.empty();
         }
         return Optional.of(read.get());
@@ -158,7 +169,15 @@
         ImmutableList<String> candidates = candidates();
         int next = (candidates.indexOf(asked) + 1) % candidates.size();
         source = candidates.get(next);
-        LOGGER.log(Logger.Level.DEBUG, "control host {0} is left for {1}: {2}", asked, source, reason);
+        if (!lost && synchronizedOnce) {
+            lost = true;
+            EVENTS.warning("tables_lost")
+                    .with("controlHost", asked)
+                    .with("next", source)
+                    .with("reason", reason)
+                    .with("revision", view.revision())
+                    .write();
+        }
         if (failures % candidates.size() == 0) {
             loop.schedule(this::pull, AGAIN_MILLIS, TimeUnit.MILLISECONDS);
         } else {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpListener;
 import org.bramblerack.daemon.leaf.CallHeaders;
@@ -50,6 +51,7 @@
  */
 public final class WarmUp {
     private static final Logger LOGGER = System.getLogger(WarmUp.class.getName());
+    private static final EventLog EVENTS = EventLog.of(WarmUp.class);
     private static final String LOOPBACK = "127.0.0.1";
     private static final String HOST = "warm-up.invalid";
     private static final String NEAR = "near";
@@ -125,12 +127,11 @@
         peers.stop();
         network.stop();
         gateway.stop();
-        LOGGER.log(
-                Logger.Level.INFO,
-                "warmed up by {0} leaf calls in {1} ms{2}",
-                answers.get(),
-                TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - beganNanos),
-                finished ? "" : ", not finished");
+        EVENTS.info("warmed_up")
+                .with("leafCalls", answers.get())
+                .with("tookMillis", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - beganNanos))
+                .with("finished", finished)
+                .write();
     }
 
     private void answerAsLeaf(HttpExchange exchange) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/MetricsPage.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/MetricsPage.java
@@ -34,6 +34,7 @@
     private String render() {
         StringBuilder text = new StringBuilder(4_096);
         registry.getCounters().forEach((name, counter) -> line(text, name, Long.toString(counter.getCount())));
+        registry.getGauges().forEach((name, gauge) -> line(text, name, String.valueOf(gauge.getValue())));
         registry.getHistograms().forEach((name, histogram) -> {
             Snapshot snapshot = histogram.getSnapshot();
             for (double quantile : QUANTILES) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/lifecycle/LogSetup.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/lifecycle/LogSetup.java
@@ -6,13 +6,20 @@
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
+import org.bramblerack.daemon.event.BoundedAppender;
+import org.bramblerack.daemon.event.JsonLineEncoder;
 import org.slf4j.LoggerFactory;
 
-/** Sends the lines of {@code System.Logger} to standard error, as text or as JSON. Call it before other threads log. */
+/**
+ * Sends log lines to standard error as text or JSON, or to standard output as structured events.
+ *
+ * <p>Call one of the methods before other threads log.
+ */
 public final class LogSetup {
-    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %logger{0}: %msg%n%ex{short}";
+    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %logger{0}: %msg %kvp%n%ex{short}";
 
     private LogSetup() {}
 
@@ -35,16 +42,41 @@
         configure(encoder);
     }
 
+    /**
+     * Writes one JSON object a line to standard output, by a thread of its own; callers never wait for the output.
+     *
+     * @return what tells how many lines were lost because the reader of the output was too slow
+     */
+    public static BoundedAppender useEvents() {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        BoundedAppender bounded = new BoundedAppender();
+        bounded.setContext(context);
+        bounded.addAppender(console(context, new JsonLineEncoder(), "System.out"));
+        bounded.start();
+        setLevels(context, bounded);
+        return bounded;
+    }
+
     private static void configure(Encoder<ILoggingEvent> encoder) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
+        setLevels(context, console(context, encoder, "System.err"));
+    }
+
+    private static ConsoleAppender<ILoggingEvent> console(
+            LoggerContext context, Encoder<ILoggingEvent> encoder, String target) {
         encoder.setContext(context);
         encoder.start();
         ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
         appender.setContext(context);
-        appender.setTarget("System.err");
+        appender.setTarget(target);
         appender.setEncoder(encoder);
         appender.start();
+        return appender;
+    }
+
+    private static void setLevels(LoggerContext context, Appender<ILoggingEvent> appender) {
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.WARN);
         root.addAppender(appender);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
-import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -18,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.settings.HostEntry;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.Ping;
@@ -37,7 +37,7 @@
  * it.
  */
 final class PeerConnection {
-    private static final Logger LOGGER = System.getLogger(PeerConnection.class.getName());
+    private static final EventLog EVENTS = EventLog.of(PeerConnection.class);
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long PROBE_NANOS = Duration.ofMillis(500).toNanos();
     /** Two probes and a round trip between regions without a sign of life. */
@@ -170,7 +170,7 @@
         }
         boolean silent = System.nanoTime() - lastReadNanos > SILENCE_NANOS;
         if (wroteSinceProbe && silent) {
-            LOGGER.log(Logger.Level.INFO, "the connection to {0} is silent and is closed", remote.name());
+            EVENTS.info("connection_silent").with("host", remote.name()).write();
             open.close();
             return;
         }
