Send on what a stage has at the goal, and the rest as it comes

A stage sealed what it had at the goal and gave its late shards up; the host that asked needs 95 of 100 shards, and had no budget to ask them again (retry_denied_budget 8 to 91 a host).

Ruled out: a greater budget a host (the sum is the fleet's), no goal for stages (then what is in would come late with the rest).

Change: a query on behalf of another host sends at its goal the parts that are in, and each later one as it comes, until it is cancelled or done; none is asked twice for that.

Tests: three cases of ScatterQueryTest.

--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/GatheredParts.java
@@ -0,0 +1,87 @@
+package org.bramblerack.request.routed;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The parts of one query that are in: which shards, their signatures, and the greatest of their records.
+ *
+ * <p>Invariants: each signature is in once. What {@link #takeNew} has returned is not returned again. Not safe for use
+ * by several threads.
+ */
+final class GatheredParts {
+    private final int topRecords;
+    private final int shardCount;
+    private final Set<Integer> shards = new HashSet<>();
+    private final Set<String> signatures = new HashSet<>();
+    private ImmutableList.Builder<Integer> newShards = ImmutableList.builder();
+    private ImmutableList.Builder<String> newSignatures = ImmutableList.builder();
+    private TopRecords newRecords;
+    private int newCount;
+
+    GatheredParts(int topRecords, int shardCount) {
+        this.topRecords = topRecords;
+        this.shardCount = shardCount;
+        this.newRecords = new TopRecords(topRecords);
+    }
+
+    /** Returns how many shards are in. */
+    int count() {
+        return shards.size();
+    }
+
+    /** Returns the numbers of the shards that are in. */
+    ImmutableSet<Integer> shards() {
+        return ImmutableSet.copyOf(shards);
+    }
+
+    /** Returns true if parts are in that were not taken yet. */
+    boolean hasNew() {
+        return newCount > 0;
+    }
+
+    /** Adds the part of one shard; returns false if its signature is in already. */
+    boolean add(int shard, PartReply part) {
+        if (!signatures.add(part.signature())) {
+            return false;
+        }
+        note(shard, part.signature());
+        newRecords.addAll(part.records());
+        return true;
+    }
+
+    /** Returns true if none of the signatures is in, and none appears twice. */
+    boolean areNew(List<String> others) {
+        return new HashSet<>(others).size() == others.size() && others.stream().noneMatch(signatures::contains);
+    }
+
+    /** Adds the merged parts of several shards, whose signatures are new. */
+    void addAll(StageReply reply) {
+        for (int position = 0; position < reply.shards().size(); position++) {
+            signatures.add(reply.signatures().get(position));
+            note(reply.shards().get(position), reply.signatures().get(position));
+        }
+        newRecords.addAll(reply.records());
+    }
+
+    /** Returns the parts that came since the last call, merged. */
+    MergedAnswer takeNew() {
+        MergedAnswer answer = new MergedAnswer(
+                newShards.build(), newSignatures.build(), shardCount - shards.size(), newRecords.toBytes());
+        newShards = ImmutableList.builder();
+        newSignatures = ImmutableList.builder();
+        newRecords = new TopRecords(topRecords);
+        newCount = 0;
+        return answer;
+    }
+
+    private void note(int shard, String signature) {
+        shards.add(shard);
+        newShards.add(shard);
+        newSignatures.add(signature);
+        newCount++;
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
@@ -23,6 +23,9 @@
     /** Answer the caller from these parts; some shards may be missing. */
     record DeliverMerged(MergedAnswer answer) implements RoutedAction {}
 
+    /** Send on the parts that came since the last piece; more may follow. */
+    record DeliverPiece(MergedAnswer piece) implements RoutedAction {}
+
     /** Answer the caller with what the attempt's leaf answered. */
     record DeliverAnswer(Attempt attempt) implements RoutedAction {}
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -38,16 +38,24 @@
     private final RequestBounds bounds;
     private final ShardRequest[] shards;
     private final ImmutableList<StageAttempt> stages;
-    private final Set<String> signatures = new HashSet<>();
-    private final ImmutableList.Builder<Integer> shardsInOrder = ImmutableList.builder();
-    private final ImmutableList.Builder<String> signaturesInOrder = ImmutableList.builder();
-    private final TopRecords records;
-    private int in;
+    private final GatheredParts parts;
+    private final Delivery delivery;
     private boolean over;
     private long startedNanos;
     private long armedWakeNanos;
     private boolean wakeArmed;
 
+    /** What becomes of the parts that are in at the goal. */
+    public enum Delivery {
+        /** They are the answer, if they are enough; one answer is given. */
+        AT_ONCE,
+        /**
+         * They are sent on, however few, and later ones follow as they come, since only the host that asked for them
+         * knows whether they are enough.
+         */
+        IN_PIECES
+    }
+
     /**
      * Creates a query; nothing is asked before {@link #start}.
      *
@@ -59,11 +67,13 @@
             ImmutableList<LeafPool> pools,
             ImmutableList<StageAttempt> stages,
             RequestBounds bounds,
+            Delivery delivery,
             RandomGenerator random) {
         this.target = target;
         this.stages = stages;
         this.bounds = bounds;
-        this.records = new TopRecords(target.topRecords());
+        this.delivery = delivery;
+        this.parts = new GatheredParts(target.topRecords(), pools.size());
         this.shards = new ShardRequest[pools.size()];
         for (int shard = 0; shard < shards.length; shard++) {
             shards[shard] = new ShardRequest(pools.get(shard), bounds, true, random);
@@ -97,14 +107,10 @@
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
         }
-        if (!signatures.add(reply.signature())) {
+        if (!parts.add(indexOf(shard), reply)) {
             return failed(attempt, LeafOutcome.GARBLED, nowNanos);
         }
         shard.answered(attempt, actions);
-        shardsInOrder.add(indexOf(shard));
-        signaturesInOrder.add(reply.signature());
-        records.addAll(reply.records());
-        in++;
         decide(nowNanos, actions);
         return actions;
     }
@@ -119,7 +125,20 @@
         return actions;
     }
 
-    /** Takes what another host gathered; shards that it lacks are asked here if attempts are left. */
+    /** Takes what another host gathered so far; more may follow. */
+    public List<RoutedAction> stageBrought(StageAttempt stage, StageReply piece, long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>(2);
+        if (over || stage.isOver()) {
+            actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
+            return actions;
+        }
+        stage.hear();
+        take(stage, piece);
+        decide(nowNanos, actions);
+        return actions;
+    }
+
+    /** Takes the last of what another host gathered; shards that it lacks are asked here if attempts are left. */
     public List<RoutedAction> stageAnswered(StageAttempt stage, StageReply reply, long nowNanos) {
         List<RoutedAction> actions = new ArrayList<>(2);
         if (over || stage.isOver()) {
@@ -127,16 +146,7 @@
             return actions;
         }
         stage.finish();
-        if (fits(stage, reply)) {
-            for (int position = 0; position < reply.shards().size(); position++) {
-                shards[reply.shards().get(position)].answeredElsewhere();
-                signatures.add(reply.signatures().get(position));
-            }
-            shardsInOrder.addAll(reply.shards());
-            signaturesInOrder.addAll(reply.signatures());
-            records.addAll(reply.records());
-            in += reply.shards().size();
-        }
+        take(stage, reply);
         boolean inTime = nowNanos + bounds.expectedNanos() - bounds.goalNanos() < 0;
         if (inTime || !isEnough()) {
             takeBack(stage, false, nowNanos, actions);
@@ -230,13 +240,13 @@
 
     /** Returns how many shards are not in. */
     public int shardsMissing() {
-        return shards.length - in;
+        return shards.length - parts.count();
     }
 
     /** Returns in words which shards are not in and why, for a log line. */
     public String describeMissing(long nowNanos) {
         StringBuilder text = new StringBuilder();
-        ImmutableSet<Integer> present = ImmutableSet.copyOf(shardsInOrder.build());
+        ImmutableSet<Integer> present = parts.shards();
         for (int shard = 0; shard < shards.length; shard++) {
             if (!present.contains(shard)) {
                 text.append(text.length() == 0 ? "" : "; ").append(shards[shard].describe(nowNanos));
@@ -249,20 +259,32 @@
     }
 
     private void decide(long nowNanos, List<RoutedAction> actions) {
-        boolean enough = isEnough();
         boolean nothingToWaitFor = waitingCount() == 0;
         boolean deadlineCome = nowNanos - bounds.deadlineNanos() >= 0;
         boolean goalCome = nowNanos - bounds.goalNanos() >= 0;
-        if (enough && (nothingToWaitFor || goalCome || deadlineCome)) {
+        boolean finished = nothingToWaitFor || deadlineCome;
+        if (isEnough() && (finished || (goalCome && delivery == Delivery.AT_ONCE))) {
             end(actions);
-            actions.add(new RoutedAction.DeliverMerged(new MergedAnswer(
-                    shardsInOrder.build(), signaturesInOrder.build(), shards.length - in, records.toBytes())));
-        } else if (nothingToWaitFor || deadlineCome) {
+            actions.add(new RoutedAction.DeliverMerged(parts.takeNew()));
+            return;
+        }
+        if (finished) {
             RefusalReason reason = refusalReason(deadlineCome);
             end(actions);
             actions.add(new RoutedAction.Refuse(reason));
-        } else {
-            armWake(nowNanos, actions);
+            return;
+        }
+        if (goalCome && delivery == Delivery.IN_PIECES && parts.hasNew()) {
+            actions.add(new RoutedAction.DeliverPiece(parts.takeNew()));
+        }
+        armWake(nowNanos, actions);
+    }
+
+    /** Adds what another host gathered, if it fits; otherwise its shards stay as they are. */
+    private void take(StageAttempt stage, StageReply reply) {
+        if (fits(stage, reply)) {
+            reply.shards().forEach(shard -> shards[shard].answeredElsewhere());
+            parts.addAll(reply);
         }
     }
 
@@ -272,11 +294,11 @@
         for (int position = 0; position < reply.shards().size(); position++) {
             int shard = reply.shards().get(position);
             boolean open = stage.shards().contains(shard) && seen.add(shard) && !shards[shard].isFinished();
-            if (!open || signatures.contains(reply.signatures().get(position))) {
+            if (!open) {
                 return false;
             }
         }
-        return new HashSet<>(reply.signatures()).size() == reply.signatures().size();
+        return parts.areNew(reply.signatures());
     }
 
     private void takeBack(StageAttempt stage, boolean notRun, long nowNanos, List<RoutedAction> actions) {
@@ -308,7 +330,7 @@
     }
 
     private boolean isEnough() {
-        return in > 0 && in >= target.leastShare() * shards.length;
+        return parts.count() > 0 && parts.count() >= target.leastShare() * shards.length;
     }
 
     private int waitingCount() {
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedWorld.java
@@ -24,6 +24,7 @@
     final Map<String, LeafPool> pools = new LinkedHashMap<>();
     final List<Attempt> asked = new ArrayList<>();
     final List<StageAttempt> stages = new ArrayList<>();
+    final List<MergedAnswer> pieces = new ArrayList<>();
     final List<MergedAnswer> delivered = new ArrayList<>();
     final List<Attempt> givenUp = new ArrayList<>();
     final List<Attempt> passed = new ArrayList<>();
@@ -62,6 +63,8 @@
                 givenUp.add(giveUp.attempt());
             } else if (action instanceof RoutedAction.DeliverMerged deliver) {
                 delivered.add(deliver.answer());
+            } else if (action instanceof RoutedAction.DeliverPiece deliver) {
+                pieces.add(deliver.piece());
             } else if (action instanceof RoutedAction.DeliverAnswer deliver) {
                 passed.add(deliver.attempt());
             } else if (action instanceof RoutedAction.Refuse refuse) {
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -282,7 +282,12 @@
             }
         }
         return new ScatterQuery(
-                target(leastShare), pools(), ImmutableList.of(), RoutedWorld.bounds(2), RoutedWorld.random());
+                target(leastShare),
+                pools(),
+                ImmutableList.of(),
+                RoutedWorld.bounds(2),
+                ScatterQuery.Delivery.AT_ONCE,
+                RoutedWorld.random());
     }
 
     @Test
@@ -305,6 +310,53 @@
         assertThat(world.delivered).hasSize(1);
     }
 
+    @Test
+    void aQueryOnBehalfOfAnotherHostSendsLatePartsOn() {
+        for (int shard = 0; shard < 3; shard++) {
+            world.service("s" + shard, 2, 0);
+        }
+        ScatterQuery query = new ScatterQuery(
+                target(0),
+                pools(),
+                ImmutableList.of(),
+                RoutedWorld.bounds(1),
+                ScatterQuery.Delivery.IN_PIECES,
+                RoutedWorld.random());
+        world.carryOut(query.start(0), 0);
+        answer(query, world.asked.get(0), "sig0", MILLI);
+        assertThat(world.pieces).isEmpty();
+        world.carryOut(query.wake(RoutedWorld.GOAL_NANOS), RoutedWorld.GOAL_NANOS);
+        assertThat(world.pieces.get(0).signatures()).containsExactly("sig0");
+        answer(query, world.asked.get(1), "sig1", RoutedWorld.GOAL_NANOS + MILLI);
+        assertThat(world.pieces.get(1).signatures()).containsExactly("sig1");
+        assertThat(world.delivered).isEmpty();
+        answer(query, world.asked.get(2), "sig2", RoutedWorld.GOAL_NANOS + 2 * MILLI);
+        assertThat(world.delivered.get(0).signatures()).containsExactly("sig2");
+        assertThat(world.givenUp).isEmpty();
+    }
+
+    @Test
+    void aQueryThatLacksShardsAtTheGoalTakesThemFromTheStageWithoutSpendingAnAttempt() {
+        ScatterQuery query = staged(4, 0, 1, 2, 3);
+        world.carryOut(query.start(0), 0);
+        answer(query, world.asked.get(0), "sig0", MILLI);
+        long goal = RoutedWorld.GOAL_NANOS;
+        world.carryOut(query.stageBrought(world.stages.get(0), reply(1), goal), goal);
+        assertThat(world.delivered.get(0).signatures()).containsExactly("sig0", "stage1");
+    }
+
+    @Test
+    void piecesOfAStageAreMergedWithItsLastReply() {
+        ScatterQuery query = staged(4, 0, 1, 2, 3);
+        world.carryOut(query.start(0), 0);
+        world.carryOut(query.stageBrought(world.stages.get(0), reply(1), MILLI), MILLI);
+        world.carryOut(query.stageAnswered(world.stages.get(0), reply(2, 3), 2 * MILLI), 2 * MILLI);
+        answer(query, world.asked.get(0), "sig0", 3 * MILLI);
+        assertThat(world.asked).hasSize(1);
+        assertThat(world.delivered.get(0).missing()).isEqualTo(0);
+        assertThat(world.delivered.get(0).signatures()).containsExactly("stage1", "stage2", "stage3", "sig0");
+    }
+
     @Test
     void aSilentStageIsSuspectedBeforeItsShardsAreAskedAgain() {
         ScatterQuery query = staged(4, 10, 2, 3);
@@ -322,7 +374,12 @@
         }
         StageAttempt stage = new StageAttempt("host", ImmutableList.copyOf(far), STAGE_SILENCE);
         return new ScatterQuery(
-                target(0.5), pools(), ImmutableList.of(stage), RoutedWorld.bounds(2), RoutedWorld.random());
+                target(0.5),
+                pools(),
+                ImmutableList.of(stage),
+                RoutedWorld.bounds(2),
+                ScatterQuery.Delivery.AT_ONCE,
+                RoutedWorld.random());
     }
 
     private static StageReply reply(Integer... shards) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/AnswerSink.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/AnswerSink.java
@@ -8,6 +8,11 @@
     /** Takes the answer. */
     void deliver(MergedAnswer answer);
 
+    /** Takes parts that came so far, if the query was asked for them in pieces; more may follow. */
+    default void deliverPiece(MergedAnswer piece) {
+        throw new UnsupportedOperationException("a whole answer was asked for");
+    }
+
     /** Takes the reason for which there is none. */
     void refuse(RefusalReason reason);
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -71,14 +71,19 @@
         ImmutableList<LeafPool> pools = pools(target);
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
         ImmutableList<StageAttempt> stages = links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos());
-        return run(call, new ScatterQuery(target, pools, stages, bounds, random), caller, sink);
+        return run(
+                call,
+                new ScatterQuery(target, pools, stages, bounds, ScatterQuery.Delivery.AT_ONCE, random),
+                caller,
+                sink);
     }
 
     /** Creates a run that asks every shard from here, on behalf of another host that says when to hedge. */
     ScatterRun scatterHere(
             RoutedCall call, RouteTarget.Scatter target, long hedgeDelayNanos, StageCaller caller, AnswerSink sink) {
         RequestBounds bounds = bounds(call, hedgeDelayNanos);
-        ScatterQuery query = new ScatterQuery(target, pools(target), ImmutableList.of(), bounds, random);
+        ScatterQuery query = new ScatterQuery(
+                target, pools(target), ImmutableList.of(), bounds, ScatterQuery.Delivery.IN_PIECES, random);
         return run(call, query, caller, sink);
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -103,6 +103,11 @@
             query.stageProgress(stage, askedTwice);
         }
 
+        @Override
+        public void brought(StageAttempt stage, StageReply piece) {
+            carryOut(query.stageBrought(stage, piece, clock.nowNanos()));
+        }
+
         @Override
         public void answered(StageAttempt stage, StageReply reply) {
             carryOut(query.stageAnswered(stage, reply, clock.nowNanos()));
@@ -152,6 +157,8 @@
                 sender.finish();
                 explain(deliver.answer());
                 sink.deliver(deliver.answer());
+            } else if (action instanceof RoutedAction.DeliverPiece deliver) {
+                sink.deliverPiece(deliver.piece());
             } else if (action instanceof RoutedAction.Refuse refuse) {
                 sender.finish();
                 explain(refuse.reason().name(), query.shardsMissing());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -13,6 +13,7 @@
 import org.bramblerack.request.routed.StageReply;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageProgress;
 import org.bramblerack.wire.StageResult;
 
 /** Has other hosts ask shards of one query. Owned by the event loop. */
@@ -58,7 +59,10 @@
         /** Takes word that the host is at work, and at which shards it asked second leafs. */
         void progressed(StageAttempt stage, List<Integer> askedTwice);
 
-        /** Takes what the host gathered. */
+        /** Takes what the host gathered so far. */
+        void brought(StageAttempt stage, StageReply piece);
+
+        /** Takes the last of what the host gathered. */
         void answered(StageAttempt stage, StageReply reply);
 
         /** Takes a failure; {@code notRun} is true if no leaf was asked. */
@@ -83,8 +87,7 @@
                         stage.host(),
                         Envelope.newBuilder().setStageCall(message),
                         wait,
-                        progress -> taker.progressed(
-                                stage, progress.getStageProgress().getAskedTwiceList()))
+                        progress -> progressed(stage, progress.getStageProgress(), taker))
                 .subscribe()
                 .with(reply -> take(stage, link, reply.getStageResult(), taker), failure -> {
                     end(stage, link, false);
@@ -107,6 +110,19 @@
         }
     }
 
+    private static void progressed(StageAttempt stage, StageProgress progress, Taker taker) {
+        taker.progressed(stage, progress.getAskedTwiceList());
+        boolean matches = progress.getShardsCount() == progress.getSignaturesCount();
+        if (progress.getShardsCount() > 0 && matches) {
+            taker.brought(
+                    stage,
+                    new StageReply(
+                            ImmutableList.copyOf(progress.getShardsList()),
+                            ImmutableList.copyOf(progress.getSignaturesList()),
+                            progress.getRecords()));
+        }
+    }
+
     private void take(StageAttempt stage, StageLinks.Link link, StageResult result, Taker taker) {
         boolean answered = result.getStatus() == StageResult.Status.ANSWERED
                 && result.getShardsCount() == result.getSignaturesCount();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -105,7 +105,7 @@
                 part(target, call.getShardsList()),
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
                 runs.stageCaller(call, times),
-                new Replier(lastReply, call.getShardsList(), sender));
+                new Replier(reply, lastReply, call.getShardsList(), sender));
         run.onStillAtWork(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
                         .addAllAskedTwice(translate(run.askedTwice(), call.getShardsList())))));
@@ -122,8 +122,8 @@
     }
 
     /**
-     * Returns the part of a query that is asked here. What is in at the goal is sent back however little it is, since
-     * only the host that asked knows the rest.
+     * Returns the part of a query that is asked here: however little is in is sent back, since only the host that asked
+     * knows the rest.
      */
     private static RouteTarget.Scatter part(RouteTarget.Scatter whole, List<Integer> shards) {
         ImmutableList<String> services =
@@ -146,8 +146,21 @@
     }
 
     /** Sends the end of a query back to the host that asked. */
-    private record Replier(Consumer<Envelope.Builder> reply, List<Integer> shards, String onBehalfOf)
+    private record Replier(
+            Consumer<Envelope.Builder> progress,
+            Consumer<Envelope.Builder> reply,
+            List<Integer> shards,
+            String onBehalfOf)
             implements AnswerSink {
+        @Override
+        public void deliverPiece(MergedAnswer piece) {
+            progress.accept(Envelope.newBuilder()
+                    .setStageProgress(StageProgress.newBuilder()
+                            .addAllSignatures(piece.signatures())
+                            .addAllShards(translate(piece.shards(), shards))
+                            .setRecords(piece.records())));
+        }
+
         @Override
         public void deliver(MergedAnswer answer) {
             reply.accept(Envelope.newBuilder()
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageProgress.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageProgress.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Tells that a stage still works on its call, and which shards it asked twice.
+ * Tells that a stage still works on its call, which shards it asked twice, and what came since the last piece.
  * </pre>
  *
  * Protobuf type {@code bramblerack.StageProgress}
@@ -33,6 +33,10 @@
   }
   private StageProgress() {
     askedTwice_ = emptyIntList();
+    signatures_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    shards_ = emptyIntList();
+    records_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -78,6 +82,100 @@
   }
   private int askedTwiceMemoizedSerializedSize = -1;
 
+  public static final int SIGNATURES_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList signatures_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @return A list containing the signatures.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getSignaturesList() {
+    return signatures_;
+  }
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @return The count of signatures.
+   */
+  public int getSignaturesCount() {
+    return signatures_.size();
+  }
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @param index The index of the element to return.
+   * @return The signatures at the given index.
+   */
+  public java.lang.String getSignatures(int index) {
+    return signatures_.get(index);
+  }
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the signatures at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getSignaturesBytes(int index) {
+    return signatures_.getByteString(index);
+  }
+
+  public static final int SHARDS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList shards_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * The numbers of the shards that are in, in the order of the signatures.
+   * </pre>
+   *
+   * <code>repeated int32 shards = 3;</code>
+   * @return A list containing the shards.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getShardsList() {
+    return shards_;
+  }
+  /**
+   * <pre>
+   * The numbers of the shards that are in, in the order of the signatures.
+   * </pre>
+   *
+   * <code>repeated int32 shards = 3;</code>
+   * @return The count of shards.
+   */
+  public int getShardsCount() {
+    return shards_.size();
+  }
+  /**
+   * <pre>
+   * The numbers of the shards that are in, in the order of the signatures.
+   * </pre>
+   *
+   * <code>repeated int32 shards = 3;</code>
+   * @param index The index of the element to return.
+   * @return The shards at the given index.
+   */
+  public int getShards(int index) {
+    return shards_.getInt(index);
+  }
+  private int shardsMemoizedSerializedSize = -1;
+
+  public static final int RECORDS_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString records_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The greatest records of these shards alone.
+   * </pre>
+   *
+   * <code>bytes records = 4;</code>
+   * @return The records.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getRecords() {
+    return records_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -100,6 +198,19 @@
     for (int i = 0; i < askedTwice_.size(); i++) {
       output.writeInt32NoTag(askedTwice_.getInt(i));
     }
+    for (int i = 0; i < signatures_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, signatures_.getRaw(i));
+    }
+    if (getShardsList().size() > 0) {
+      output.writeUInt32NoTag(26);
+      output.writeUInt32NoTag(shardsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < shards_.size(); i++) {
+      output.writeInt32NoTag(shards_.getInt(i));
+    }
+    if (!records_.isEmpty()) {
+      output.writeBytes(4, records_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -123,6 +234,32 @@
       }
       askedTwiceMemoizedSerializedSize = dataSize;
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < signatures_.size(); i++) {
+        dataSize += computeStringSizeNoTag(signatures_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getSignaturesList().size();
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < shards_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeInt32SizeNoTag(shards_.getInt(i));
+      }
+      size += dataSize;
+      if (!getShardsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      shardsMemoizedSerializedSize = dataSize;
+    }
+    if (!records_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(4, records_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -140,6 +277,12 @@
 
     if (!getAskedTwiceList()
         .equals(other.getAskedTwiceList())) return false;
+    if (!getSignaturesList()
+        .equals(other.getSignaturesList())) return false;
+    if (!getShardsList()
+        .equals(other.getShardsList())) return false;
+    if (!getRecords()
+        .equals(other.getRecords())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -155,6 +298,16 @@
       hash = (37 * hash) + ASKED_TWICE_FIELD_NUMBER;
       hash = (53 * hash) + getAskedTwiceList().hashCode();
     }
+    if (getSignaturesCount() > 0) {
+      hash = (37 * hash) + SIGNATURES_FIELD_NUMBER;
+      hash = (53 * hash) + getSignaturesList().hashCode();
+    }
+    if (getShardsCount() > 0) {
+      hash = (37 * hash) + SHARDS_FIELD_NUMBER;
+      hash = (53 * hash) + getShardsList().hashCode();
+    }
+    hash = (37 * hash) + RECORDS_FIELD_NUMBER;
+    hash = (53 * hash) + getRecords().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -254,7 +407,7 @@
   }
   /**
    * <pre>
-   * Tells that a stage still works on its call, and which shards it asked twice.
+   * Tells that a stage still works on its call, which shards it asked twice, and what came since the last piece.
    * </pre>
    *
    * Protobuf type {@code bramblerack.StageProgress}
@@ -291,6 +444,10 @@
       super.clear();
       bitField0_ = 0;
       askedTwice_ = emptyIntList();
+      signatures_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      shards_ = emptyIntList();
+      records_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -328,6 +485,17 @@
         askedTwice_.makeImmutable();
         result.askedTwice_ = askedTwice_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        signatures_.makeImmutable();
+        result.signatures_ = signatures_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        shards_.makeImmutable();
+        result.shards_ = shards_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.records_ = records_;
+      }
     }
 
     @java.lang.Override
@@ -353,6 +521,30 @@
         }
         onChanged();
       }
+      if (!other.signatures_.isEmpty()) {
+        if (signatures_.isEmpty()) {
+          signatures_ = other.signatures_;
+          bitField0_ |= 0x00000002;
+        } else {
+          ensureSignaturesIsMutable();
+          signatures_.addAll(other.signatures_);
+        }
+        onChanged();
+      }
+      if (!other.shards_.isEmpty()) {
+        if (shards_.isEmpty()) {
+          shards_ = other.shards_;
+          shards_.makeImmutable();
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureShardsIsMutable();
+          shards_.addAll(other.shards_);
+        }
+        onChanged();
+      }
+      if (!other.getRecords().isEmpty()) {
+        setRecords(other.getRecords());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -395,6 +587,33 @@
               input.popLimit(limit);
               break;
             } // case 10
+            case 18: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureSignaturesIsMutable();
+              signatures_.add(s);
+              break;
+            } // case 18
+            case 24: {
+              int v = input.readInt32();
+              ensureShardsIsMutable();
+              shards_.addInt(v);
+              break;
+            } // case 24
+            case 26: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureShardsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                shards_.addInt(input.readInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 26
+            case 34: {
+              records_ = input.readBytes();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -496,6 +715,273 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList signatures_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureSignaturesIsMutable() {
+      if (!signatures_.isModifiable()) {
+        signatures_ = new com.google.protobuf.LazyStringArrayList(signatures_);
+      }
+      bitField0_ |= 0x00000002;
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @return A list containing the signatures.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getSignaturesList() {
+      signatures_.makeImmutable();
+      return signatures_;
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @return The count of signatures.
+     */
+    public int getSignaturesCount() {
+      return signatures_.size();
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @param index The index of the element to return.
+     * @return The signatures at the given index.
+     */
+    public java.lang.String getSignatures(int index) {
+      return signatures_.get(index);
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the signatures at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getSignaturesBytes(int index) {
+      return signatures_.getByteString(index);
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @param index The index to set the value at.
+     * @param value The signatures to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSignatures(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureSignaturesIsMutable();
+      signatures_.set(index, value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @param value The signatures to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSignatures(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureSignaturesIsMutable();
+      signatures_.add(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @param values The signatures to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllSignatures(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureSignaturesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, signatures_);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSignatures() {
+      signatures_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000002);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string signatures = 2;</code>
+     * @param value The bytes of the signatures to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSignaturesBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureSignaturesIsMutable();
+      signatures_.add(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList shards_ = emptyIntList();
+    private void ensureShardsIsMutable() {
+      if (!shards_.isModifiable()) {
+        shards_ = makeMutableCopy(shards_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that are in, in the order of the signatures.
+     * </pre>
+     *
+     * <code>repeated int32 shards = 3;</code>
+     * @return A list containing the shards.
+     */
+    public java.util.List<java.lang.Integer>
+        getShardsList() {
+      shards_.makeImmutable();
+      return shards_;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that are in, in the order of the signatures.
+     * </pre>
+     *
+     * <code>repeated int32 shards = 3;</code>
+     * @return The count of shards.
+     */
+    public int getShardsCount() {
+      return shards_.size();
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that are in, in the order of the signatures.
+     * </pre>
+     *
+     * <code>repeated int32 shards = 3;</code>
+     * @param index The index of the element to return.
+     * @return The shards at the given index.
+     */
+    public int getShards(int index) {
+      return shards_.getInt(index);
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that are in, in the order of the signatures.
+     * </pre>
+     *
+     * <code>repeated int32 shards = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The shards to set.
+     * @return This builder for chaining.
+     */
+    public Builder setShards(
+        int index, int value) {
+
+      ensureShardsIsMutable();
+      shards_.setInt(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that are in, in the order of the signatures.
+     * </pre>
+     *
+     * <code>repeated int32 shards = 3;</code>
+     * @param value The shards to add.
+     * @return This builder for chaining.
+     */
+    public Builder addShards(int value) {
+
+      ensureShardsIsMutable();
+      shards_.addInt(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that are in, in the order of the signatures.
+     * </pre>
+     *
+     * <code>repeated int32 shards = 3;</code>
+     * @param values The shards to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllShards(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureShardsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, shards_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that are in, in the order of the signatures.
+     * </pre>
+     *
+     * <code>repeated int32 shards = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearShards() {
+      shards_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString records_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The greatest records of these shards alone.
+     * </pre>
+     *
+     * <code>bytes records = 4;</code>
+     * @return The records.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getRecords() {
+      return records_;
+    }
+    /**
+     * <pre>
+     * The greatest records of these shards alone.
+     * </pre>
+     *
+     * <code>bytes records = 4;</code>
+     * @param value The records to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRecords(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      records_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The greatest records of these shards alone.
+     * </pre>
+     *
+     * <code>bytes records = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRecords() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      records_ = getDefaultInstance().getRecords();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageProgress)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageProgressOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageProgressOrBuilder.java
@@ -26,4 +26,68 @@
    * @return The askedTwice at the given index.
    */
   int getAskedTwice(int index);
+
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @return A list containing the signatures.
+   */
+  java.util.List<java.lang.String>
+      getSignaturesList();
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @return The count of signatures.
+   */
+  int getSignaturesCount();
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @param index The index of the element to return.
+   * @return The signatures at the given index.
+   */
+  java.lang.String getSignatures(int index);
+  /**
+   * <code>repeated string signatures = 2;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the signatures at the given index.
+   */
+  com.google.protobuf.ByteString
+      getSignaturesBytes(int index);
+
+  /**
+   * <pre>
+   * The numbers of the shards that are in, in the order of the signatures.
+   * </pre>
+   *
+   * <code>repeated int32 shards = 3;</code>
+   * @return A list containing the shards.
+   */
+  java.util.List<java.lang.Integer> getShardsList();
+  /**
+   * <pre>
+   * The numbers of the shards that are in, in the order of the signatures.
+   * </pre>
+   *
+   * <code>repeated int32 shards = 3;</code>
+   * @return The count of shards.
+   */
+  int getShardsCount();
+  /**
+   * <pre>
+   * The numbers of the shards that are in, in the order of the signatures.
+   * </pre>
+   *
+   * <code>repeated int32 shards = 3;</code>
+   * @param index The index of the element to return.
+   * @return The shards at the given index.
+   */
+  int getShards(int index);
+
+  /**
+   * <pre>
+   * The greatest records of these shards alone.
+   * </pre>
+   *
+   * <code>bytes records = 4;</code>
+   * @return The records.
+   */
+  com.google.protobuf.ByteString getRecords();
 }
