Begin a split's turns at a random place on each host

Change: a host begins anywhere in the order of turns, so the first requests of all hosts are divided by weight too.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -45,6 +45,7 @@
     private final CallHeaders names;
     private final GatewayMetrics metrics;
     private final EventLoop loop;
+    private final RandomGenerator random;
     private final DecisionLog log;
     private final QueryRuns runs;
     private final StageLinks stages;
@@ -70,6 +71,7 @@
         this.names = names;
         this.metrics = metrics;
         this.loop = loop;
+        this.random = random;
         this.stages = new StageLinks(view, network, clock, loop, random);
         this.log = new DecisionLog(clock, view);
         this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random, log);
@@ -209,7 +211,7 @@
         if (route.target() instanceof RouteTarget.Split split) {
             SplitCursor cursor = splits.get(route.name());
             if (cursor == null || !cursor.isOf(split)) {
-                cursor = new SplitCursor(split);
+                cursor = SplitCursor.beginningAnywhere(split, random);
                 splits.put(route.name(), cursor);
             }
             return cursor.next();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/SplitCursor.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/SplitCursor.java
@@ -1,15 +1,19 @@
 package org.bramblerack.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import java.util.random.RandomGenerator;
 import org.bramblerack.version.routing.RouteTarget;
 
 /**
  * Divides the requests of one split among its services, each as evenly spread as its weight allows.
  *
- * <p>After any number of requests each service has had its share of them to within one request. Owned by the event
- * loop.
+ * <p>After any number of requests each service has had its share of them to within two requests, and over a fleet whose
+ * hosts begin anywhere the first requests of all hosts together are divided by weight as well. Owned by the event loop.
  */
 final class SplitCursor {
+    /** More places to begin at than a fleet has hosts, at a cost far below a millisecond. */
+    private static final int BEGINNINGS = 1_000;
+
     private final ImmutableList<RouteTarget.Share> shares;
     private final double[] credit;
     private final long sum;
@@ -20,6 +24,18 @@
         this.sum = shares.stream().mapToLong(RouteTarget.Share::weight).sum();
     }
 
+    /**
+     * Creates a cursor that begins at a place drawn at random: hosts that all began with the same service would send it
+     * too much, the more hosts there are and the fewer requests each has.
+     */
+    static SplitCursor beginningAnywhere(RouteTarget.Split split, RandomGenerator random) {
+        SplitCursor cursor = new SplitCursor(split);
+        for (int step = random.nextInt(BEGINNINGS); step > 0; step--) {
+            var unused = cursor.next();
+        }
+        return cursor;
+    }
+
     boolean isOf(RouteTarget.Split split) {
         return shares.equals(split.shares());
     }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/SplitCursorTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/SplitCursorTest.java
@@ -5,10 +5,28 @@
 import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import org.bramblerack.version.routing.RouteTarget;
 import org.junit.jupiter.api.Test;
 
 final class SplitCursorTest {
+    @Test
+    void aFleetOfManyHostsWithFewRequestsEachDividesThemByWeight() {
+        RouteTarget.Split split =
+                new RouteTarget.Split(ImmutableList.of(new RouteTarget.Share("a", 85), new RouteTarget.Share("b", 15)));
+        SplittableRandom random = new SplittableRandom(1);
+        for (int each = 1; each <= 6; each++) {
+            int toSecond = 0;
+            for (int host = 0; host < 300; host++) {
+                SplitCursor cursor = SplitCursor.beginningAnywhere(split, random);
+                for (int request = 0; request < each; request++) {
+                    toSecond += cursor.next().equals("b") ? 1 : 0;
+                }
+            }
+            assertThat(toSecond / (300.0 * each)).isWithin(0.05).of(0.15);
+        }
+    }
+
     @Test
     void afterAnyNumberOfRequestsEachServiceHasHadItsShareToWithinOne() {
         SplitCursor cursor = new SplitCursor(new RouteTarget.Split(ImmutableList.of(
