Count a link's silence from what it did not answer, not from its last word

A link was closed if its last word was older than 1.3 s and something had been written since the last probe: true of every link that rested and was just used. The small sites did not show it, since their links are probed all the time.

Change: silence counts from the oldest write that nothing has followed. Test: failed first ("the connection was lost" on the first request after a rest).

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -53,8 +54,7 @@
     private final AtomicLong nextCorrelation = new AtomicLong(1);
     private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
     private volatile @Nullable Channel channel;
-    private volatile long lastReadNanos;
-    private volatile boolean wroteSinceProbe;
+    private volatile Optional<Long> unansweredSinceNanos = Optional.empty();
     private boolean connecting;
     private boolean closed;
     private long lastAttemptNanos = System.nanoTime() - RECONNECT_NANOS;
@@ -106,7 +106,7 @@
     }
 
     private void write(Channel open, Envelope message) {
-        wroteSinceProbe = true;
+        awaitSignOfLife();
         traffic.sent(message);
         Duration delay = links.delay(remote.name());
         if (delay.isZero()) {
@@ -151,7 +151,7 @@
             connecting = false;
             keep = future.isSuccess() && !closed;
             if (keep) {
-                lastReadNanos = System.nanoTime();
+                unansweredSinceNanos = Optional.empty();
                 channel = future.channel();
             }
         }
@@ -163,19 +163,21 @@
         }
     }
 
-    /** Asks for a sign of life if anything was written, and closes a connection that has not given one for long. */
+    /**
+     * Asks for a sign of life if something was written and nothing came since, and closes a connection that has not
+     * given one for long.
+     */
     private void probe(Channel open) {
         if (!open.isActive()) {
             return;
         }
-        boolean silent = System.nanoTime() - lastReadNanos > SILENCE_NANOS;
-        if (wroteSinceProbe && silent) {
+        Optional<Long> unanswered = unansweredSinceNanos;
+        if (unanswered.isPresent() && System.nanoTime() - unanswered.get() > SILENCE_NANOS) {
             EVENTS.info("connection_silent").with("host", remote.name()).write();
             open.close();
             return;
         }
-        if (wroteSinceProbe && !links.isCut(remote.name())) {
-            wroteSinceProbe = silent;
+        if (unanswered.isPresent() && !links.isCut(remote.name())) {
             open.writeAndFlush(Envelope.newBuilder()
                     .setSender(self)
                     .setPing(Ping.getDefaultInstance())
@@ -184,6 +186,13 @@
         open.eventLoop().schedule(() -> probe(open), PROBE_NANOS, TimeUnit.NANOSECONDS);
     }
 
+    /** Notes that something is written, from when on silence counts unless it counts already. */
+    private void awaitSignOfLife() {
+        if (unansweredSinceNanos.isEmpty()) {
+            unansweredSinceNanos = Optional.of(System.nanoTime());
+        }
+    }
+
     private void fail(long correlation, PeerFailure.Kind kind, String reason) {
         Pending waiting = pending.remove(correlation);
         if (waiting != null) {
@@ -200,7 +209,7 @@
             if (links.isCut(remote.name())) {
                 return;
             }
-            lastReadNanos = System.nanoTime();
+            unansweredSinceNanos = Optional.empty();
             if (message.hasStageProgress()) {
                 Pending working = pending.get(message.getCorrelationId());
                 if (working != null) {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
@@ -15,6 +15,8 @@
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.Ping;
 import org.bramblerack.wire.RaftMessage;
+import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -62,6 +64,36 @@
         server.stop();
     }
 
+    /** Silence counts from what was written and not answered, not from the last time that there was anything to say. */
+    @Test
+    void aConnectionThatWasIdleForLongIsNotTakenForSilent() throws Exception {
+        HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        PeerServer server = new PeerServer(
+                address,
+                (message, reply) -> group.next()
+                        .schedule(
+                                () -> reply.accept(
+                                        Envelope.newBuilder().setStageResult(StageResult.getDefaultInstance())),
+                                700,
+                                TimeUnit.MILLISECONDS),
+                group,
+                LinkPolicy.OPEN,
+                new PeerTraffic());
+        server.start();
+        sendFor(address.toString(), Duration.ofMillis(300));
+        for (int round = 0; round < 3; round++) {
+            Thread.sleep(1_600);
+            Envelope reply = network.request(
+                            address.toString(),
+                            Envelope.newBuilder().setStageCall(StageCall.getDefaultInstance()),
+                            Duration.ofSeconds(2))
+                    .await()
+                    .atMost(Duration.ofSeconds(3));
+            assertThat(reply.hasStageResult()).isTrue();
+        }
+        server.stop();
+    }
+
     @Test
     void whatFollowsTheTagIsNotPartOfTheAddress() throws Exception {
         AtomicInteger accepted = new AtomicInteger();
