--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -70,6 +70,7 @@
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private long revision;
     private boolean connectionsReviewed = true;
+    private boolean accessStale;
 
     /**
      * Creates a view that knows nothing.
@@ -142,18 +143,18 @@
     /** Returns the hosts through which to ask a leaf, the preferred first; empty if this host is to ask it itself. */
     ImmutableList<String> holdersOf(Leaf leaf) {
         return leafRecord(leaf.id())
-                .map(record -> access.holdersOf(record.getService(), record.getZone()))
+                .map(record -> access().holdersOf(record.getService(), record.getZone()))
                 .orElse(ImmutableList.of());
     }
 
     /** Returns the hosts that hold connections to any shard, if shards are reached through holders. */
     ImmutableSet<String> holders() {
-        return access.holders();
+        return access().holders();
     }
 
     /** Returns true if shards are reached through holders, since the hosts are too many to connect to every leaf. */
     boolean usesHolders() {
-        return access.isAnyHeld();
+        return access().isAnyHeld();
     }
 
     /** Returns the record of a leaf. */
@@ -190,8 +191,7 @@
         boolean hostsChanged = applyHosts(delta);
         boolean leavesChanged = applyLeaves(delta);
         if (hostsChanged || leavesChanged || newer.isPresent()) {
-            access.update(entryHosts(), leafRecords.values(), configuration);
-            pools.values().forEach(pool -> pool.budget().setReserve(reserveOf(pool.service())));
+            accessStale = true;
             reviewConnectionsLater();
             EVENTS.info("tables_changed")
                     .with("revision", revision)
@@ -201,11 +201,22 @@
                     .with("leafs", leafRecords.size())
                     .with("leafsBefore", leavesBefore)
                     .with("leaving", leaving(delta))
-                    .with("throughHolders", access.isAnyHeld())
                     .write();
         }
     }
 
+    /**
+     * Returns how leafs are reached, worked out anew only if it is asked for after a change: changes come in series.
+     */
+    private LeafAccess access() {
+        if (accessStale) {
+            accessStale = false;
+            access.update(entryHosts(), leafRecords.values(), configuration);
+            pools.values().forEach(pool -> pool.budget().setReserve(reserveOf(pool.service())));
+        }
+        return access;
+    }
+
     /** Returns the leafs of a change that take no new work from now on, the first of them by name. */
     private static String leaving(TableDelta delta) {
         return delta.getLeavesList().stream()
@@ -295,9 +306,9 @@
         if (!configuration.services().containsKey(leaf.service())) {
             return;
         }
-        if (access.keepsConnections(leaf.service(), zone)) {
+        if (access().keepsConnections(leaf.service(), zone)) {
             connectionsTo(leaf).warm();
-        } else if (held != null && !access.isNamedFor(leaf.service(), zone)) {
+        } else if (held != null && !access().isNamedFor(leaf.service(), zone)) {
             held.closeIdle();
         }
     }
@@ -325,16 +336,16 @@
 
     private int reserveOf(String service) {
         int hostCount = entryHosts().size();
-        if (!access.isHeld(service)) {
+        if (!access().isHeld(service)) {
             return budget.slackOf(hostCount);
         }
-        return access.isHolderOf(service)
-                ? budget.slackOfHolder(hostCount, access.zonesOf(service))
+        return access().isHolderOf(service)
+                ? budget.slackOfHolder(hostCount, access().zonesOf(service))
                 : budget.slackBesideHolders(hostCount);
     }
 
     private int connectionShare(Leaf leaf) {
         String zone = leafRecord(leaf.id()).map(LeafRecord::getZone).orElse("");
-        return access.connectionShare(leaf.service(), zone);
+        return access().connectionShare(leaf.service(), zone);
     }
 }
