Wait for a disk that refuses writes instead of ending the process; sync what is read

And read from the code: a log that a killed process had written and not synced was read and counted as stored; a loss of power after that could have taken an entry that this voter had already confirmed again.

Change: after a failed write the control role takes no part until the store can be loaded again, as a restart would; loading syncs the log before any of it counts.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -8,9 +8,7 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -47,6 +45,9 @@
 public final class ControlNode {
     private static final Logger LOGGER = System.getLogger(ControlNode.class.getName());
     private static final EventLog EVENTS = EventLog.of(ControlNode.class);
+    /** How long after a failed write the disk is tried again: a full disk of the platform stays full for seconds. */
+    private static final Duration DISK_RETRY = Duration.ofMillis(250);
+
     private static final Duration TICK = Duration.ofMillis(15);
     private static final int MAX_EVENTS_IN_BATCH = 1_000;
     private static final int MAX_EVENTS_WAITING = 20_000;
@@ -63,19 +64,17 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>(MAX_EVENTS_WAITING);
-    private final Map<Long, UniEmitter<? super ProposalResult>> proposals = new HashMap<>();
-    private final Map<Long, Runnable> reads = new HashMap<>();
-    private final Map<Long, Runnable> failedReads = new HashMap<>();
+    private final PendingCalls calls = new PendingCalls();
     private final InForceTable inForce = new InForceTable();
     private final ControlState state = new ControlState();
     private final TableSubscriptions subscriptions = new TableSubscriptions();
     private @Nullable RaftNode node;
     private @Nullable Thread thread;
     private volatile boolean running;
+    private volatile boolean serving;
     private volatile boolean inTouch;
     private volatile Optional<String> leader = Optional.empty();
     private volatile ImmutableSortedSet<String> voters = ImmutableSortedSet.of();
-    private long nextToken = 1;
     private long snapshotBytes;
     private long diskCheckedNanos;
     private boolean diskNearlyFull;
@@ -111,11 +110,7 @@
      * @throws DiskFault if what was stored cannot be trusted
      */
     public synchronized void start() throws DiskFault {
-        StoredState stored = store.load();
-        restore(stored.snapshot());
-        RaftNode created = new RaftNode(self, firstVoters, lossesBorne, timings, stored, random, clock.nowNanos());
-        node = created;
-        voters = created.voters();
+        begin(store.load());
         running = true;
         Thread started = new Thread(this::runUntilStopped, self + "-control");
         started.setDaemon(true);
@@ -123,6 +118,14 @@
         thread = started;
     }
 
+    private void begin(StoredState stored) {
+        restore(stored.snapshot());
+        RaftNode created = new RaftNode(self, firstVoters, lossesBorne, timings, stored, random, clock.nowNanos());
+        node = created;
+        voters = created.voters();
+        serving = true;
+    }
+
     /** Stops taking part, waits for the thread to end, and closes the files. */
     public synchronized void stop() {
         running = false;
@@ -139,7 +142,7 @@
         thread = null;
     }
 
-    /** Returns true until the role was stopped or its disk failed. */
+    /** Returns true until the role was stopped, or ended because an agreed command cannot be read. */
     public boolean isRunning() {
         return running;
     }
@@ -255,13 +258,13 @@
     }
 
     private boolean offer(Event event) {
-        return running && events.offer(event);
+        return running && serving && events.offer(event);
     }
 
     private void runUntilStopped() {
         try {
             while (running) {
-                runBatch();
+                runBatchOrAwaitDisk();
             }
         } catch (InterruptedException stopped) {
             LOGGER.log(Logger.Level.DEBUG, "the control role stops");
@@ -275,7 +278,41 @@
         }
     }
 
-    private void runBatch() throws InterruptedException, RoleEnded {
+    private void runBatchOrAwaitDisk() throws InterruptedException, RoleEnded {
+        try {
+            runBatch();
+        } catch (DiskFault fault) {
+            EVENTS.warning("disk_failed")
+                    .with("voter", self)
+                    .with("reason", String.valueOf(fault.getMessage()))
+                    .write();
+            awaitDisk();
+        }
+    }
+
+    /**
+     * Takes no part until what is stored can be read and synced again, and goes on from that, as after a restart: what
+     * the failed write left behind is unknown until then.
+     */
+    private void awaitDisk() throws InterruptedException {
+        serving = false;
+        inTouch = false;
+        leader = Optional.empty();
+        store.close();
+        failEverything();
+        while (running) {
+            Thread.sleep(DISK_RETRY.toMillis());
+            try {
+                begin(store.load());
+                EVENTS.info("disk_recovered").with("voter", self).write();
+                return;
+            } catch (DiskFault stillFailing) {
+                LOGGER.log(Logger.Level.DEBUG, "the disk of {0}: {1}", self, stillFailing.getMessage());
+            }
+        }
+    }
+
+    private void runBatch() throws InterruptedException, RoleEnded, DiskFault {
         RaftNode raft = node;
         if (raft == null) {
             throw new IllegalStateException("not started");
@@ -305,12 +342,8 @@
         }
     }
 
-    private void carryOut(List<RaftAction> actions) throws RoleEnded {
-        try {
-            store.store(actions);
-        } catch (DiskFault fault) {
-            throw new RoleEnded(String.valueOf(fault.getMessage()));
-        }
+    private void carryOut(List<RaftAction> actions) throws RoleEnded, DiskFault {
+        store.store(actions);
         for (RaftAction action : actions) {
             if (action instanceof RaftAction.Send send) {
                 network.send(send.message().getTo(), Envelope.newBuilder().setRaft(send.message()));
@@ -319,13 +352,11 @@
             } else if (action instanceof RaftAction.RestoreSnapshot restore) {
                 restore(restore.state());
             } else if (action instanceof RaftAction.ProposalLost lost) {
-                complete(lost.token(), new ProposalResult.Undecided("the leader changed"));
+                calls.complete(lost.token(), new ProposalResult.Undecided("the leader changed"));
             } else if (action instanceof RaftAction.ReadReady ready) {
-                failedReads.remove(ready.token());
-                runIfPresent(reads.remove(ready.token()));
+                calls.readReady(ready.token());
             } else if (action instanceof RaftAction.ReadFailed failed) {
-                reads.remove(failed.token());
-                runIfPresent(failedReads.remove(failed.token()));
+                calls.readFailed(failed.token());
             } else if (action instanceof RaftAction.VotersChanged changed) {
                 voters = changed.voters();
                 EVENTS.info("voters_changed")
@@ -350,14 +381,11 @@
             result = state.apply(parse(apply.entry().getCommand()));
         }
         if (apply.token().isPresent()) {
-            complete(apply.token().get(), new ProposalResult.Applied(result));
+            calls.complete(apply.token().get(), new ProposalResult.Applied(result));
         }
     }
 
     private void restore(ByteString snapshot) {
-        if (snapshot.isEmpty()) {
-            return;
-        }
         try {
             state.restore(ControlSnapshot.parseFrom(snapshot));
             snapshotBytes = snapshot.size();
@@ -372,19 +400,18 @@
             emitter.complete(new ProposalResult.NotTaken("the leader's disk is nearly full; make room on " + self));
             return;
         }
-        long token = nextToken++;
+        long token = calls.nextToken();
         if (raft.propose(token, command.toByteString())) {
-            proposals.put(token, emitter);
+            calls.addProposal(token, emitter);
         } else {
             emitter.complete(new ProposalResult.NotTaken("this host does not lead"));
         }
     }
 
     private void readNow(RaftNode raft, Runnable ready, Runnable failed) {
-        long token = nextToken++;
+        long token = calls.nextToken();
         if (raft.read(token)) {
-            reads.put(token, ready);
-            failedReads.put(token, failed);
+            calls.addRead(token, ready, failed);
         } else {
             failed.run();
         }
@@ -436,28 +463,11 @@
         }
     }
 
-    private void complete(long token, ProposalResult result) {
-        UniEmitter<? super ProposalResult> emitter = proposals.remove(token);
-        if (emitter != null) {
-            emitter.complete(result);
-        }
-    }
-
     private void failEverything() {
-        new ArrayList<>(proposals.keySet())
-                .forEach(token -> complete(token, new ProposalResult.Undecided("the control role ended")));
-        new ArrayList<>(failedReads.values()).forEach(Runnable::run);
-        reads.clear();
-        failedReads.clear();
+        calls.failAll("the control role ended, or waits for its disk");
         subscriptions.answerAll();
     }
 
-    private static void runIfPresent(@Nullable Runnable task) {
-        if (task != null) {
-            task.run();
-        }
-    }
-
     private static Command parse(ByteString bytes) throws RoleEnded {
         try {
             return Command.parseFrom(bytes);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
@@ -38,6 +38,7 @@
     private static final byte[] SNAPSHOT_MARK = "BRSNP001".getBytes(StandardCharsets.US_ASCII);
     private static final long LEAST_FREE_BYTES = 64L * 1024 * 1024;
 
+    private final FileSync sync;
     private final Path folder;
     private final Path logFile;
     private final Path snapshotFile;
@@ -47,6 +48,16 @@
 
     /** Creates a store in a folder; nothing is read or written yet. */
     public FileLogStore(Path folder) {
+        this(folder, channel -> channel.force(true));
+    }
+
+    /**
+     * Creates a store that is told how to sync, for tests.
+     *
+     * @param sync makes everything written to a file last
+     */
+    FileLogStore(Path folder, FileSync sync) {
+        this.sync = sync;
         this.folder = folder;
         this.logFile = folder.resolve("log");
         this.snapshotFile = folder.resolve("snapshot");
@@ -86,6 +97,7 @@
             LogReplay replay = new LogReplay(loadSnapshot());
             replayLog(replay);
             openLog();
+            failed = false;
             return replay.result();
         } catch (DiskFault fault) {
             throw fault;
@@ -97,7 +109,7 @@
     @Override
     public void store(List<RaftAction> actions) throws DiskFault {
         if (failed) {
-            throw new DiskFault("the store in " + folder + " failed before; restart the process on a sound disk");
+            throw new DiskFault("the store in " + folder + " failed before; load it again once the disk is sound");
         }
         try {
             boolean written = false;
@@ -110,14 +122,15 @@
                 }
             }
             if (written) {
-                channel().force(false);
+                sync.sync(channel());
                 syncedBytes = channel().position();
             }
         } catch (IOException failure) {
             failed = true;
             throw new DiskFault(
-                    "cannot write to " + folder + ": " + failure + "; the control role ends here, repair the disk"
-                            + " and restart the process",
+                    "cannot write to " + folder + ": " + failure
+                            + "; the control role takes no part until it can be read"
+                            + " again; make room, or repair the disk",
                     failure);
         }
     }
@@ -199,7 +212,7 @@
             for (byte[] record : records) {
                 writeFully(channel, RecordFrame.frame(record));
             }
-            channel.force(true);
+            sync.sync(channel);
         }
         Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
@@ -209,7 +222,14 @@
 
     private void openLog() throws IOException {
         FileChannel opened = FileChannel.open(logFile, StandardOpenOption.WRITE);
-        opened.position(opened.size());
+        try {
+            // What an earlier process wrote and did not sync is read as if it were stored, so it must be from now on.
+            sync.sync(opened);
+            opened.position(opened.size());
+        } catch (IOException failure) {
+            opened.close();
+            throw failure;
+        }
         log = opened;
         syncedBytes = opened.size();
     }
@@ -256,7 +276,7 @@
                 badOffset);
         try (FileChannel channel = FileChannel.open(logFile, StandardOpenOption.WRITE)) {
             channel.truncate(badOffset);
-            channel.force(true);
+            sync.sync(channel);
         }
     }
 
@@ -298,4 +318,10 @@
             channel.write(bytes);
         }
     }
+
+    /** Makes what was written to a file last. */
+    @FunctionalInterface
+    interface FileSync {
+        void sync(FileChannel channel) throws IOException;
+    }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/LogStore.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/LogStore.java
@@ -16,7 +16,7 @@
     /**
      * Stores the persists and snapshots among the actions, in order, and returns once all are synced.
      *
-     * @throws DiskFault if anything of it failed; the store must not be used again
+     * @throws DiskFault if anything of it failed; the store must be closed and loaded before it is used again
      */
     void store(List<RaftAction> actions) throws DiskFault;
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -151,7 +151,7 @@
         return group;
     }
 
-    /** Sets what to do if the role ends by itself because its disk failed. */
+    /** Sets what to do if the role ends by itself, because an agreed command cannot be read. */
     public void onRoleEnded(Runnable task) {
         onRoleEnded = task;
     }
@@ -167,8 +167,8 @@
 
     private void everySecond() {
         if (!stopping && !node.isRunning()) {
-            // Its disk failed: what was written last is unknown, so only a new start may read it again.
-            EVENTS.warning("disk_failed").with("host", settings.name()).write();
+            // An agreed command cannot be read: only another version of the program can go on from there.
+            EVENTS.warning("role_ended").with("host", settings.name()).write();
             onRoleEnded.run();
             return;
         }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
@@ -12,6 +12,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bramblerack.process.agreement.RaftAction;
 import org.bramblerack.process.agreement.StoredState;
 import org.bramblerack.wire.HardState;
@@ -44,6 +46,37 @@
         assertThat(stored.entries()).hasSize(9);
     }
 
+    /** A process may die between its write and its sync; what the next one reads must not be lost by a later crash. */
+    @Test
+    void whatIsReadIsSyncedBeforeItCounts() throws DiskFault {
+        AtomicInteger syncs = new AtomicInteger();
+        try (FileLogStore store = new FileLogStore(folder, channel -> syncs.incrementAndGet())) {
+            assertThat(store.load().entries()).hasSize(9);
+        }
+        assertThat(syncs.get()).isEqualTo(1);
+    }
+
+    @Test
+    void aStoreThatFailedCanBeLoadedAgain() throws DiskFault {
+        AtomicBoolean full = new AtomicBoolean();
+        FileLogStore.FileSync sync = channel -> {
+            if (full.get()) {
+                throw new IOException("no space left");
+            }
+        };
+        FileLogStore store = new FileLogStore(folder, sync);
+        store.load();
+        full.set(true);
+        assertThrows(DiskFault.class, () -> store.store(List.of(persist(Optional.empty(), 10, 10))));
+        assertThrows(DiskFault.class, () -> store.store(List.of(persist(Optional.empty(), 10, 10))));
+        store.close();
+        assertThrows(DiskFault.class, store::load);
+        full.set(false);
+        assertThat(store.load().entries().size()).isAtLeast(9);
+        store.store(List.of(persist(Optional.empty(), 11, 11)));
+        store.close();
+    }
+
     @Test
     void aTruncationIsStored() throws DiskFault {
         try (FileLogStore store = new FileLogStore(folder)) {
