Add a soak of real processes with faults from outside

The warm-up of an entry host now listens at the host's own address, so that several hosts fit on one machine.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
@@ -86,6 +86,8 @@
         out.println();
         out.println(
                 "  demo          Starts hosts and stand-in upstreams on this machine and shows what the tier does.");
+        out.println(
+                "  soak          Runs the programs as processes, injects faults, and checks the promises; see docs/SOAK.md.");
         for (Command command : COMMANDS) {
             if (!command.name().startsWith("demo-")) {
                 out.printf("  %-13s %s%n", command.name(), command.summary());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -76,7 +76,12 @@
                 loop,
                 random);
         this.peers = new PeerServer(settings.peerAddress(), gateway, group, LinkPolicy.OPEN, traffic);
-        this.warmUp = new WarmUp(names, group, settings.peerAddress().getPort() + 1, clock);
+        this.warmUp = new WarmUp(
+                names,
+                group,
+                settings.peerAddress().getHost(),
+                settings.peerAddress().getPort() + 1,
+                clock);
         this.callers = new HttpListener(
                 settings.callerAddress(),
                 group,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -46,13 +46,12 @@
  * Serves a few queries within the process before it counts as ready, so that its code is loaded and compiled when the
  * first caller comes.
  *
- * <p>A gateway of its own with made-up leafs runs on loopback; nothing of it is left afterwards, and a failure only
- * means that the first queries are slower. Run once.
+ * <p>A gateway of its own with made-up leafs runs within the machine; nothing of it is left afterwards, and a failure
+ * only means that the first queries are slower. Run once.
  */
 public final class WarmUp {
     private static final Logger LOGGER = System.getLogger(WarmUp.class.getName());
     private static final EventLog EVENTS = EventLog.of(WarmUp.class);
-    private static final String LOOPBACK = "127.0.0.1";
     private static final String HOST = "warm-up.invalid";
     private static final String NEAR = "near";
     private static final String FAR = "far";
@@ -77,15 +76,16 @@
     /**
      * Creates a warm-up that does nothing yet.
      *
-     * @param firstPort the first of three ports on loopback that are free
+     * @param address an address of this machine
+     * @param firstPort the first of three ports at that address that are free
      */
-    public WarmUp(CallHeaders names, EventLoopGroup group, int firstPort, MonotonicClock clock) {
+    public WarmUp(CallHeaders names, EventLoopGroup group, String address, int firstPort, MonotonicClock clock) {
         this.names = names;
         this.group = group;
         this.clock = clock;
-        this.leafAddress = HostAndPort.fromParts(LOOPBACK, firstPort);
-        this.callerAddress = HostAndPort.fromParts(LOOPBACK, firstPort + 1);
-        this.peerAddress = HostAndPort.fromParts(LOOPBACK, firstPort + 2);
+        this.leafAddress = HostAndPort.fromParts(address, firstPort);
+        this.callerAddress = HostAndPort.fromParts(address, firstPort + 1);
+        this.peerAddress = HostAndPort.fromParts(address, firstPort + 2);
     }
 
     /**
