Seal as early as this host needs, measured by itself

Ruled out: giving late shards up at the stage again (502s for want of budget).

Change: the lead before the goal is the way to the caller and twice what this host took of late from its seal to the written answer (SealLead); a fresh host counts as slow. Stages still send at their goal, 8 ms and a round trip before; what comes later follows one by one, so nothing is lost by it.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -33,8 +33,6 @@
     private static final long SECOND_PROBE_MILLIS = 30;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
-    /** What the way to the caller and the writing of the answer may take of the goal. */
-    private static final long ANSWER_WAY_NANOS = Duration.ofMillis(10).toNanos();
     /** What a caller that names no time is taken to wait; the route's time-out bounds it. */
     private static final long NO_DEADLINE_NANOS = Duration.ofDays(1).toNanos();
     /** The final answer is on its way this long before the caller stops waiting. */
@@ -47,6 +45,7 @@
     private final EventLoop loop;
     private final RandomGenerator random;
     private final DecisionLog log;
+    private final SealLead sealLead = new SealLead();
     private final QueryRuns runs;
     private final StageLinks stages;
     private final StageServer stageServer;
@@ -149,6 +148,7 @@
         if (route.get().target() instanceof RouteTarget.Scatter target) {
             StageCaller stageCaller = runs.stageCaller(stageCall(exchange, route.get()), times);
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
+            run.onSealedAtGoal(writtenNanos -> sealLead.sealed(times.goalNanos(), writtenNanos));
             exchange.onCallerGone(run::callerGone);
             run.start();
         } else {
@@ -187,7 +187,7 @@
         long timeoutNanos = route.timeout().toNanos();
         long callerNanos = callerWaitNanos(exchange);
         long finalNanos = Math.min(timeoutNanos, Math.max(callerNanos / 2, callerNanos - DEADLINE_WAY_NANOS));
-        long goalNanos = route.goal().isZero() ? finalNanos : route.goal().toNanos() - ANSWER_WAY_NANOS;
+        long goalNanos = route.goal().isZero() ? finalNanos : route.goal().toNanos() - sealLead.nanos();
         return new RequestTimes(
                 arrivedNanos + Math.max(0, goalNanos),
                 arrivedNanos + finalNanos,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -29,6 +30,7 @@
     private final DecisionLog log;
     private final StageEvents stageTaker = new StageEvents();
     private Runnable onStillAtWork = () -> {};
+    private LongConsumer onSealedAtGoal = writtenNanos -> {};
 
     ScatterRun(
             RoutedCall call,
@@ -54,6 +56,11 @@
         onStillAtWork = task;
     }
 
+    /** Sets what to tell when an answer that had waited for the goal was written. */
+    void onSealedAtGoal(LongConsumer taker) {
+        onSealedAtGoal = taker;
+    }
+
     void start() {
         carryOut(query.start(clock.nowNanos()));
     }
@@ -156,7 +163,11 @@
             } else if (action instanceof RoutedAction.DeliverMerged deliver) {
                 sender.finish();
                 explain(deliver.answer());
+                boolean waited = clock.nowNanos() - call.times().goalNanos() >= 0;
                 sink.deliver(deliver.answer());
+                if (waited && deliver.answer().missing() > 0) {
+                    onSealedAtGoal.accept(clock.nowNanos());
+                }
             } else if (action instanceof RoutedAction.DeliverPiece deliver) {
                 sink.deliverPiece(deliver.piece());
             } else if (action instanceof RoutedAction.Refuse refuse) {
