--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/ElectionTimerTest.java
@@ -0,0 +1,31 @@
+package org.bramblerack.process.agreement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** After a start there is no leader to wait for; once one was heard of, it is given its time. */
+final class ElectionTimerTest {
+    private static final long ELECTION = Duration.ofMillis(400).toNanos();
+
+    @Test
+    void theFirstElectionComesEarly() {
+        for (int seed = 0; seed < 100; seed++) {
+            ElectionTimer timer = new ElectionTimer(ELECTION, new SplittableRandom(seed), 0);
+            assertThat(timer.isDue(ELECTION / 8)).isFalse();
+            assertThat(timer.isDue(ELECTION / 2)).isTrue();
+        }
+    }
+
+    @Test
+    void aLeaderThatWasHeardOfIsGivenItsTime() {
+        for (int seed = 0; seed < 100; seed++) {
+            ElectionTimer timer = new ElectionTimer(ELECTION, new SplittableRandom(seed), 0);
+            timer.hearLeader(0);
+            assertThat(timer.isDue(ELECTION - 1)).isFalse();
+            assertThat(timer.isDue(2 * ELECTION)).isTrue();
+        }
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -30,6 +30,7 @@
 import org.bramblerack.wire.ControlReadResult;
 import org.bramblerack.wire.ControlSnapshot;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.Ping;
 import org.bramblerack.wire.RaftMessage;
 import org.bramblerack.wire.TableDelta;
 import org.bramblerack.wire.TablePull;
@@ -53,7 +54,6 @@
     private static final int MAX_EVENTS_WAITING = 20_000;
     private static final long LEAST_ENTRIES_TO_COMPACT = 2_000;
     private static final long LEAST_BYTES_TO_COMPACT = 1024L * 1024;
-    private static final Duration DISK_CHECK = Duration.ofSeconds(2);
 
     private final String self;
     private final ImmutableSortedSet<String> firstVoters;
@@ -65,6 +65,7 @@
     private final RandomGenerator random;
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>(MAX_EVENTS_WAITING);
     private final PendingCalls calls = new PendingCalls();
+    private final DiskRoom diskRoom;
     private final InForceTable inForce = new InForceTable();
     private final ControlState state = new ControlState();
     private final TableSubscriptions subscriptions = new TableSubscriptions();
@@ -76,8 +77,6 @@
     private volatile Optional<String> leader = Optional.empty();
     private volatile ImmutableSortedSet<String> voters = ImmutableSortedSet.of();
     private long snapshotBytes;
-    private long diskCheckedNanos;
-    private boolean diskNearlyFull;
 
     /**
      * Creates the role; nothing is read or sent before {@link #start}.
@@ -99,6 +98,7 @@
         this.lossesBorne = lossesBorne;
         this.timings = timings;
         this.store = store;
+        this.diskRoom = new DiskRoom(store, self);
         this.network = network;
         this.clock = clock;
         this.random = random;
@@ -124,6 +124,14 @@
         node = created;
         voters = created.voters();
         serving = true;
+        openLinks();
+    }
+
+    /** Opens the links to the other voters: the first message on a link that is not open is lost. */
+    private void openLinks() {
+        voters.stream()
+                .filter(voter -> !voter.equals(self))
+                .forEach(voter -> network.send(voter, Envelope.newBuilder().setPing(Ping.getDefaultInstance())));
     }
 
     /** Stops taking part, waits for the thread to end, and closes the files. */
@@ -324,7 +332,7 @@
             events.drainTo(batch, MAX_EVENTS_IN_BATCH);
         }
         long nowNanos = clock.nowNanos();
-        checkDisk(nowNanos);
+        diskRoom.look(nowNanos);
         List<RaftAction> actions = new ArrayList<>();
         for (Event event : batch) {
             actions.addAll(event.run(raft, nowNanos));
@@ -396,7 +404,7 @@
     }
 
     private void proposeNow(RaftNode raft, Command command, UniEmitter<? super ProposalResult> emitter) {
-        if (diskNearlyFull) {
+        if (diskRoom.isNearlyFull()) {
             emitter.complete(new ProposalResult.NotTaken("the leader's disk is nearly full; make room on " + self));
             return;
         }
@@ -447,22 +455,6 @@
         return result.build();
     }
 
-    private void checkDisk(long nowNanos) {
-        if (nowNanos - diskCheckedNanos >= DISK_CHECK.toNanos()) {
-            diskCheckedNanos = nowNanos;
-            boolean nearlyFull = store.isNearlyFull();
-            if (nearlyFull != diskNearlyFull) {
-                LOGGER.log(
-                        Logger.Level.WARNING,
-                        nearlyFull
-                                ? "the disk of {0} is nearly full: changes and once-only requests are refused"
-                                : "the disk of {0} has room again",
-                        self);
-            }
-            diskNearlyFull = nearlyFull;
-        }
-    }
-
     private void failEverything() {
         calls.failAll("the control role ended, or waits for its disk");
         subscriptions.answerAll();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -71,6 +71,7 @@
     private long revision;
     private boolean connectionsReviewed = true;
     private boolean accessStale;
+    private Runnable onHostsChanged = () -> {};
 
     /**
      * Creates a view that knows nothing.
@@ -109,6 +110,11 @@
         return place;
     }
 
+    /** Sets what to do when entry or control hosts have come or gone. */
+    void onHostsChanged(Runnable task) {
+        onHostsChanged = task;
+    }
+
     /** Returns true once requests can be served: a configuration and at least one leaf are known. */
     public boolean isComplete() {
         return configuration.version() > 0 && !leafRecords.isEmpty();
@@ -192,6 +198,9 @@
         boolean leavesChanged = applyLeaves(delta);
         if (hostsChanged || leavesChanged || newer.isPresent()) {
             accessStale = true;
+            if (hostsChanged) {
+                onHostsChanged.run();
+            }
             reviewConnectionsLater();
             EVENTS.info("tables_changed")
                     .with("revision", revision)
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -72,6 +72,7 @@
         this.loop = loop;
         this.random = random;
         this.stages = new StageLinks(view, network, clock, loop, random);
+        view.onHostsChanged(stages::hostsChanged);
         this.log = new DecisionLog(clock, view);
         this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random, log);
         this.stageServer = new StageServer(view, runs, names, clock);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -37,6 +37,9 @@
 final class StageLinks {
     private static final EventLog EVENTS = EventLog.of(StageLinks.class);
     private static final Duration PROBE_EVERY = Duration.ofMillis(700);
+    /** A round trip between regions, which opening a link takes, and some room for a slow start. */
+    private static final Duration PROBE_SOON = Duration.ofMillis(50);
+
     private static final Duration PROBE_WAIT = Duration.ofMillis(500);
     private static final long SUSPECT_NANOS = Duration.ofSeconds(2).toNanos();
     /** What a round trip between regions is taken to need before it was measured. */
@@ -60,6 +63,7 @@
     private final RandomGenerator random;
     private final Map<String, Link> links = new HashMap<>();
     private long lastCall;
+    private boolean probesSoon;
     private @Nullable ScheduledFuture<?> probing;
 
     StageLinks(FleetView view, PeerNetwork network, MonotonicClock clock, EventLoop loop, RandomGenerator random) {
@@ -75,6 +79,21 @@
                 this::probe, PROBE_EVERY.toMillis(), PROBE_EVERY.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Probes soon, since hosts came or went: changes come in series, and the first probe only opens the links. */
+    void hostsChanged() {
+        if (!probesSoon) {
+            probesSoon = true;
+            loop.schedule(this::probe, PROBE_SOON.toMillis(), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        probesSoon = false;
+                        probe();
+                    },
+                    2 * PROBE_SOON.toMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     void stop() {
         if (probing != null) {
             probing.cancel(false);
