Connect to the leafs of shards to come through their holders alone

Leafs of an index that is cut anew start before a version names them in a route, so they were taken for services of single requests, and 59 hosts connected to each of 405.

Change: a service that no route asks for single answers counts as a shard. Test: failed first (83 hosts connect in place of 1).

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -59,7 +59,9 @@
         hosts = entryHosts.stream().map(HostRecord::getPeerAddress).collect(ImmutableList.toImmutableList());
         holdersByZone.clear();
         shards.clear();
+        leaves.forEach(leaf -> shards.add(leaf.getService()));
         configuration.routes().forEach(this::addShards);
+        configuration.routes().forEach(this::removeSingles);
         hostsByZone.clear();
         Map<String, ImmutableList.Builder<String>> zoneHosts = new HashMap<>();
         for (HostRecord host : entryHosts) {
@@ -148,6 +150,13 @@
         return candidates.contains(self) ? Math.max(1, evenShare(service, candidates.size())) : 1;
     }
 
+    /** A service that no route asks for single answers is taken for a shard: the next version may name it as one. */
+    private void removeSingles(Route route) {
+        if (!(route.target() instanceof RouteTarget.Scatter)) {
+            shards.removeAll(route.target().services());
+        }
+    }
+
     private void addShards(Route route) {
         if (route.target() instanceof RouteTarget.Scatter scatter) {
             shards.addAll(scatter.shards());
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
@@ -78,6 +78,18 @@
         assertThat(access.connectionShare("single", "z0")).isEqualTo(1);
     }
 
+    /** The leafs of an index that is cut anew start before the version that names them as shards. */
+    @Test
+    void leafsOfShardsToComeAreConnectedToByTheirHoldersAlone() {
+        List<HostRecord> hosts = hosts(83);
+        int connecting = 0;
+        for (HostRecord host : hosts) {
+            LeafAccess access = access(hosts, 64, host.getPeerAddress(), host.getZone());
+            connecting += access.keepsConnections("to-come", "z0") ? 1 : 0;
+        }
+        assertThat(connecting).isEqualTo(1);
+    }
+
     @Test
     void theBudgetsOfHoldersAndOthersAreWithinTheSlack() {
         for (int slack : new int[] {54, 158, 206}) {
@@ -106,6 +118,12 @@
                         .build());
             }
         }
+        services.put("to-come", new LeafService("to-come", "/health", maxConnections));
+        leaves.add(LeafRecord.newBuilder()
+                .setId("to-come")
+                .setService("to-come")
+                .setZone("z0")
+                .build());
         services.put("single", new LeafService("single", "/health", maxConnections));
         Route scatter = route("scatter", new RouteTarget.Scatter(shards.build(), 5, 0.5));
         Route single = route("single", new RouteTarget.Single("single"));
