Say of each attempt how it ended; keep an explanation to what matters

Cause (explain on the replay of swl inc-a183): an attempt that brought the answer, or that was given up when the answer was sealed, stood as "-failed", and every change of the tables at the start came before the one that mattered; an empty name of a service matched every request. Change: an attempt ends as ANSWERED, REFUSED, FAILED or GIVEN_UP; an explanation shows the latest 20 changes, without those by which nothing left. Tests: ExplainFailuresTest; no decision changes.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
@@ -18,12 +18,25 @@
         RETRY
     }
 
+    /** How the attempt stands. */
+    enum State {
+        /** Nothing came of it yet. */
+        UNDER_WAY,
+        /** It brought the answer, or one that came too late. */
+        ANSWERED,
+        /** The leaf certainly did not run it. */
+        REFUSED,
+        /** It failed and may have run. */
+        FAILED,
+        /** This host stopped waiting for it. */
+        GIVEN_UP
+    }
+
     private final ShardRequest shard;
     private final Leaf leaf;
     private final Purpose purpose;
     private final long sentNanos;
-    private boolean finished;
-    private boolean notRun;
+    private State state = State.UNDER_WAY;
 
     Attempt(ShardRequest shard, Leaf leaf, Purpose purpose, long sentNanos) {
         this.shard = shard;
@@ -52,15 +65,18 @@
     }
 
     boolean isFinished() {
-        return finished;
+        return state != State.UNDER_WAY;
     }
 
     boolean isNotRun() {
-        return notRun;
+        return state == State.REFUSED;
+    }
+
+    State state() {
+        return state;
     }
 
-    void finish(boolean certainlyNotRun) {
-        finished = true;
-        notRun = certainlyNotRun;
+    void finish(State end) {
+        state = end;
     }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -46,7 +46,7 @@
     public List<RoutedAction> answered(Attempt attempt) {
         List<RoutedAction> actions = new ArrayList<>(1);
         if (over) {
-            attempt.finish(false);
+            attempt.finish(Attempt.State.ANSWERED);
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -103,7 +103,7 @@
         List<RoutedAction> actions = new ArrayList<>(2);
         ShardRequest shard = attempt.shard();
         if (over || shard.isFinished()) {
-            attempt.finish(false);
+            attempt.finish(Attempt.State.ANSWERED);
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -123,7 +123,7 @@
 
     /** Notes that an attempt brought the answer; the others are of no use any more. */
     void answered(Attempt attempt, List<RoutedAction> actions) {
-        attempt.finish(false);
+        attempt.finish(Attempt.State.ANSWERED);
         finish(actions);
     }
 
@@ -132,7 +132,7 @@
         finished = true;
         for (Attempt attempt : attempts) {
             if (!attempt.isFinished()) {
-                attempt.finish(false);
+                attempt.finish(Attempt.State.GIVEN_UP);
                 actions.add(new RoutedAction.GiveUp(attempt));
             }
         }
@@ -148,7 +148,7 @@
         if (attempt.isFinished()) {
             return;
         }
-        attempt.finish(outcome.isNotRun());
+        attempt.finish(outcome.isNotRun() ? Attempt.State.REFUSED : Attempt.State.FAILED);
         if (!finished && !hasAttemptInFlight()) {
             retry(nowNanos, actions);
         }
@@ -217,10 +217,8 @@
                     .append(attempt.leaf().id());
             text.append('-')
                     .append(TimeUnit.NANOSECONDS.toMillis(nowNanos - attempt.sentNanos()))
-                    .append("ms");
-            if (attempt.isFinished()) {
-                text.append(attempt.isNotRun() ? "-refused" : "-failed");
-            }
+                    .append("ms-")
+                    .append(attempt.state());
         }
         return text.toString();
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
@@ -19,6 +19,9 @@
     /** A change that a request meets is seldom older: hosts forget what is silent within some seconds. */
     private static final Duration LOOK_BACK = Duration.ofSeconds(10);
 
+    /** The latest of what happened before; more would bury it. */
+    private static final int MOST_BACKGROUND = 20;
+
     private static final String ENDED = "request_ended";
 
     /** What an outcome means and where to look next. */
@@ -88,12 +91,15 @@
             }
         }
         Instant since = ended.at().minus(LOOK_BACK);
+        List<String> background = new ArrayList<>();
         for (LoggedEvent event : events) {
             boolean before = !event.at().isBefore(since) && !event.at().isAfter(ended.at());
             if (before && isBackground(event, ended)) {
-                lines.add("  before: " + event.at() + " " + event.file() + " " + event.event() + " " + event.fields());
+                background.add(
+                        "  before: " + event.at() + " " + event.file() + " " + event.event() + " " + event.fields());
             }
         }
+        lines.addAll(background.subList(Math.max(0, background.size() - MOST_BACKGROUND), background.size()));
         return lines.build();
     }
 
@@ -102,11 +108,21 @@
         if (event.event().equals(ENDED) || event.event().equals("counters")) {
             return false;
         }
-        boolean ofALeafThatWasTried = !event.field("leaf").isEmpty()
-                && (ended.field("tried").contains(event.field("leaf"))
-                        || ended.field("tried").contains(event.field("service")));
+        String tried = ended.field("tried");
+        boolean ofALeafThatWasTried = isNamedIn(tried, event.field("leaf")) || isNamedIn(tried, event.field("service"));
         boolean ofTheSameHost =
-                event.file().equals(ended.file()) && event.field("leaf").isEmpty();
+                event.file().equals(ended.file()) && event.field("leaf").isEmpty() && !isRoutine(event);
         return ofTheSameHost || ofALeafThatWasTried;
     }
+
+    private static boolean isNamedIn(String tried, String name) {
+        return !name.isEmpty() && tried.contains(name);
+    }
+
+    /** A change of the tables by which no host came or went and no leaf left. */
+    private static boolean isRoutine(LoggedEvent event) {
+        return event.event().equals("tables_changed")
+                && event.field("leaving").isEmpty()
+                && event.field("entryHosts").equals(event.field("entryHostsBefore"));
+    }
 }
