Hand the body of a query to the hosts that ask on behalf of others

Cause (found while reading the change): a stage was told method, target and header fields of a query, but not its body, so leafs that are reached through other hosts got an empty one: a request changed on its way. Change: StageCall carries the body.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package org.bramblerack.daemon.gateway;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HashMap;
@@ -174,7 +175,8 @@
                 .setRoute(route.name())
                 .setHedgeDelayMicros(TimeUnit.NANOSECONDS.toMicros(runs.hedgeDelayNanos(route)))
                 .setMethod(exchange.method())
-                .setUri(exchange.uri());
+                .setUri(exchange.uri())
+                .setBody(ByteString.copyFrom(exchange.body()));
         exchange.headers().forEach(header -> {
             if (!LeafRequest.isOfOneConnection(header.getKey())) {
                 call.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -61,7 +61,8 @@
             calls.end(sender, call.getCall());
             reply.accept(message);
         };
-        LeafRequest request = LeafRequest.create(call.getMethod(), call.getUri(), headers(call), new byte[0], names);
+        LeafRequest request = LeafRequest.create(
+                call.getMethod(), call.getUri(), headers(call), call.getBody().toByteArray(), names);
         if (call.getLeaf().isEmpty()) {
             runQuery(sender, call, request, reply, lastReply);
         } else {
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
@@ -384,76 +384,76 @@
       "bramblerack.LeafRecord\022&\n\005hosts\030\007 \003(\0132\027." +
       "bramblerack.HostRecord\"4\n\014HeardMembers\022\020" +
       "\n\010leaf_ids\030\001 \003(\t\022\022\n\nhost_names\030\002 \003(\t\"\034\n\013" +
-      "JoinRequest\022\r\n\005voter\030\001 \001(\t\"\006\n\004Ping\"\215\002\n\tS" +
+      "JoinRequest\022\r\n\005voter\030\001 \001(\t\"\006\n\004Ping\"\233\002\n\tS" +
       "tageCall\022\035\n\025configuration_version\030\001 \001(\003\022" +
       "\r\n\005route\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\013\n\003uri\030\004 " +
       "\001(\t\022\024\n\014header_names\030\005 \003(\t\022\025\n\rheader_valu" +
       "es\030\006 \003(\t\022\022\n\nrequest_id\030\007 \001(\t\022\023\n\013goal_mic" +
       "ros\030\010 \001(\003\022\027\n\017deadline_micros\030\t \001(\003\022\016\n\006sh" +
       "ards\030\n \003(\005\022\032\n\022hedge_delay_micros\030\013 \001(\003\022\014" +
-      "\n\004leaf\030\014 \001(\t\022\014\n\004call\030\r \001(\003\"Y\n\rStageProgr" +
-      "ess\022\023\n\013asked_twice\030\001 \003(\005\022\022\n\nsignatures\030\002" +
-      " \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007records\030\004 \001(\014\"\342\001" +
-      "\n\013StageResult\022/\n\006status\030\001 \001(\0162\037.brambler" +
-      "ack.StageResult.Status\022\022\n\nsignatures\030\002 \003" +
-      "(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007records\030\004 \001(\014\022\016\n\006r" +
-      "eason\030\005 \001(\t\022\024\n\014leaf_outcome\030\006 \001(\t\"G\n\006Sta" +
-      "tus\022\026\n\022STATUS_UNSPECIFIED\020\000\022\014\n\010ANSWERED\020" +
-      "\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILED\020\003\"\033\n\013StageCance" +
-      "l\022\014\n\004call\030\001 \001(\003\"r\n\020ApplyDeclaration\022\017\n\007p" +
-      "artner\030\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t\022\031\n\021expec" +
-      "ted_revision\030\003 \001(\003\022\014\n\004text\030\004 \001(\t\022\021\n\tat_m" +
-      "illis\030\005 \001(\003\"\271\001\n\014ClaimRequest\022\017\n\007service\030" +
-      "\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001" +
-      "(\t\022\021\n\tat_millis\030\004 \001(\003\022\023\n\013body_digest\030\005 \001" +
-      "(\014\022\030\n\020retention_millis\030\006 \001(\003\022\030\n\020issued_a" +
-      "t_millis\030\007 \001(\003\022\027\n\017deadline_millis\030\010 \001(\003\"" +
-      "\240\001\n\rRecordOutcome\022\017\n\007service\030\001 \001(\t\022\022\n\nre" +
-      "quest_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030" +
-      "\004 \001(\0162\030.bramblerack.OutcomeKind\022\016\n\006answe" +
-      "r\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001" +
-      "(\003\"\324\002\n\rCommandResult\022-\n\004kind\030\001 \001(\0162\037.bra" +
-      "mblerack.CommandResult.Kind\022\020\n\010revision\030" +
-      "\002 \001(\003\022\030\n\020winner_change_id\030\003 \001(\t\022!\n\005claim" +
-      "\030\004 \001(\0132\022.bramblerack.Claim\"\304\001\n\004Kind\022\024\n\020K" +
-      "IND_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFL" +
-      "ICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n\007CLAIMED\020\004\022\013\n\007ALR" +
-      "EADY\020\005\022\014\n\010RECORDED\020\006\022\013\n\007EXPIRED\020\007\022\014\n\010MIS" +
-      "MATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n\nNOT_HOLDER\020\n\022\013\n\007" +
-      "INVALID\020\013\022\016\n\nSUPERSEDED\020\014\"\373\001\n\005Claim\022\017\n\007s" +
-      "ervice\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007atte" +
-      "mpt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblerack.Ou" +
-      "tcomeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(" +
-      "\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n\013body_digest\030\010 \001(" +
-      "\014\022\031\n\021keep_until_millis\030\t \001(\003\022\030\n\020issue_ti" +
-      "me_known\030\n \001(\010\022\027\n\017deadline_millis\030\013 \001(\003\"" +
-      "\252\002\n\017ControlSnapshot\022\020\n\010revision\030\001 \001(\003\0225\n" +
-      "\014declarations\030\002 \003(\0132\037.bramblerack.Partne" +
-      "rDeclaration\022*\n\007history\030\003 \003(\0132\031.brambler" +
-      "ack.HistoryEntry\022*\n\007results\030\004 \003(\0132\031.bram" +
-      "blerack.ChangeResult\022\"\n\006claims\030\005 \003(\0132\022.b" +
-      "ramblerack.Claim\022\024\n\014clock_millis\030\006 \001(\003\022\021" +
-      "\n\tforgotten\030\007 \001(\014\022)\n\006tables\030\010 \001(\0132\031.bram" +
-      "blerack.MemberTables\"\343\001\n\014MemberTables\022\020\n" +
-      "\010revision\030\001 \001(\003\022\035\n\025configuration_version" +
-      "\030\002 \001(\003\022\025\n\rconfiguration\030\003 \001(\014\022\036\n\026configu" +
-      "ration_revision\030\004 \001(\003\022\'\n\006leaves\030\005 \003(\0132\027." +
-      "bramblerack.LeafRecord\022&\n\005hosts\030\006 \003(\0132\027." +
-      "bramblerack.HostRecord\022\032\n\022forgotten_revi" +
-      "sion\030\007 \001(\003\"Y\n\014ChangeResult\022\017\n\007partner\030\001 " +
-      "\001(\t\022\021\n\tchange_id\030\002 \001(\t\022\020\n\010revision\030\003 \001(\003" +
-      "\022\023\n\013text_digest\030\004 \001(\014\"\234\001\n\tLogRecord\022,\n\nh" +
-      "ard_state\030\001 \001(\0132\026.bramblerack.HardStateH" +
-      "\000\022&\n\005entry\030\002 \001(\0132\025.bramblerack.LogEntryH" +
-      "\000\022\027\n\rtruncate_from\030\003 \001(\003H\000\022\030\n\016synced_thr" +
-      "ough\030\004 \001(\003H\000B\006\n\004body\",\n\tHardState\022\014\n\004ter" +
-      "m\030\001 \001(\003\022\021\n\tvoted_for\030\002 \001(\t\"V\n\016SnapshotRe" +
-      "cord\022\022\n\nlast_index\030\001 \001(\003\022\021\n\tlast_term\030\002 " +
-      "\001(\003\022\r\n\005state\030\003 \001(\014\022\016\n\006voters\030\004 \003(\t*Z\n\013Ou" +
-      "tcomeKind\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013IN" +
-      "_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007UNK" +
-      "NOWN\020\004B&\n\024org.bramblerack.wireB\014PeerProt" +
-      "ocolP\001b\006proto3"
+      "\n\004leaf\030\014 \001(\t\022\014\n\004call\030\r \001(\003\022\014\n\004body\030\016 \001(\014" +
+      "\"Y\n\rStageProgress\022\023\n\013asked_twice\030\001 \003(\005\022\022" +
+      "\n\nsignatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007re" +
+      "cords\030\004 \001(\014\"\342\001\n\013StageResult\022/\n\006status\030\001 " +
+      "\001(\0162\037.bramblerack.StageResult.Status\022\022\n\n" +
+      "signatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007reco" +
+      "rds\030\004 \001(\014\022\016\n\006reason\030\005 \001(\t\022\024\n\014leaf_outcom" +
+      "e\030\006 \001(\t\"G\n\006Status\022\026\n\022STATUS_UNSPECIFIED\020" +
+      "\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILED\020\003" +
+      "\"\033\n\013StageCancel\022\014\n\004call\030\001 \001(\003\"r\n\020ApplyDe" +
+      "claration\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_id\030" +
+      "\002 \001(\t\022\031\n\021expected_revision\030\003 \001(\003\022\014\n\004text" +
+      "\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014ClaimReque" +
+      "st\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022" +
+      "\017\n\007attempt\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\003\022\023\n\013b" +
+      "ody_digest\030\005 \001(\014\022\030\n\020retention_millis\030\006 \001" +
+      "(\003\022\030\n\020issued_at_millis\030\007 \001(\003\022\027\n\017deadline" +
+      "_millis\030\010 \001(\003\"\240\001\n\rRecordOutcome\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attempt\030" +
+      "\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblerack.Outcom" +
+      "eKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t\022\021\n" +
+      "\tat_millis\030\007 \001(\003\"\324\002\n\rCommandResult\022-\n\004ki" +
+      "nd\030\001 \001(\0162\037.bramblerack.CommandResult.Kin" +
+      "d\022\020\n\010revision\030\002 \001(\003\022\030\n\020winner_change_id\030" +
+      "\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.bramblerack.Claim" +
+      "\"\304\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010ACCEP" +
+      "TED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n\007CL" +
+      "AIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDED\020\006\022\013\n\007EX" +
+      "PIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n\nNO" +
+      "T_HOLDER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPERSEDED\020\014\"" +
+      "\373\001\n\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id" +
+      "\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030." +
+      "bramblerack.OutcomeKind\022\016\n\006answer\030\005 \001(\014\022" +
+      "\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n\013bo" +
+      "dy_digest\030\010 \001(\014\022\031\n\021keep_until_millis\030\t \001" +
+      "(\003\022\030\n\020issue_time_known\030\n \001(\010\022\027\n\017deadline" +
+      "_millis\030\013 \001(\003\"\252\002\n\017ControlSnapshot\022\020\n\010rev" +
+      "ision\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.bram" +
+      "blerack.PartnerDeclaration\022*\n\007history\030\003 " +
+      "\003(\0132\031.bramblerack.HistoryEntry\022*\n\007result" +
+      "s\030\004 \003(\0132\031.bramblerack.ChangeResult\022\"\n\006cl" +
+      "aims\030\005 \003(\0132\022.bramblerack.Claim\022\024\n\014clock_" +
+      "millis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\022)\n\006table" +
+      "s\030\010 \001(\0132\031.bramblerack.MemberTables\"\343\001\n\014M" +
+      "emberTables\022\020\n\010revision\030\001 \001(\003\022\035\n\025configu" +
+      "ration_version\030\002 \001(\003\022\025\n\rconfiguration\030\003 " +
+      "\001(\014\022\036\n\026configuration_revision\030\004 \001(\003\022\'\n\006l" +
+      "eaves\030\005 \003(\0132\027.bramblerack.LeafRecord\022&\n\005" +
+      "hosts\030\006 \003(\0132\027.bramblerack.HostRecord\022\032\n\022" +
+      "forgotten_revision\030\007 \001(\003\"Y\n\014ChangeResult" +
+      "\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t\022\020\n\010" +
+      "revision\030\003 \001(\003\022\023\n\013text_digest\030\004 \001(\014\"\234\001\n\t" +
+      "LogRecord\022,\n\nhard_state\030\001 \001(\0132\026.brambler" +
+      "ack.HardStateH\000\022&\n\005entry\030\002 \001(\0132\025.bramble" +
+      "rack.LogEntryH\000\022\027\n\rtruncate_from\030\003 \001(\003H\000" +
+      "\022\030\n\016synced_through\030\004 \001(\003H\000B\006\n\004body\",\n\tHa" +
+      "rdState\022\014\n\004term\030\001 \001(\003\022\021\n\tvoted_for\030\002 \001(\t" +
+      "\"V\n\016SnapshotRecord\022\022\n\nlast_index\030\001 \001(\003\022\021" +
+      "\n\tlast_term\030\002 \001(\003\022\r\n\005state\030\003 \001(\014\022\016\n\006vote" +
+      "rs\030\004 \003(\t*Z\n\013OutcomeKind\022\027\n\023OUTCOME_UNSPE" +
+      "CIFIED\020\000\022\017\n\013IN_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NO" +
+      "T_RUN\020\003\022\013\n\007UNKNOWN\020\004B&\n\024org.bramblerack." +
+      "wireB\014PeerProtocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -632,7 +632,7 @@
     internal_static_bramblerack_StageCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_StageCall_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", "Route", "Method", "Uri", "HeaderNames", "HeaderValues", "RequestId", "GoalMicros", "DeadlineMicros", "Shards", "HedgeDelayMicros", "Leaf", "Call", });
+        new java.lang.String[] { "ConfigurationVersion", "Route", "Method", "Uri", "HeaderNames", "HeaderValues", "RequestId", "GoalMicros", "DeadlineMicros", "Shards", "HedgeDelayMicros", "Leaf", "Call", "Body", });
     internal_static_bramblerack_StageProgress_descriptor =
       getDescriptor().getMessageType(29);
     internal_static_bramblerack_StageProgress_fieldAccessorTable = new
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
@@ -42,6 +42,7 @@
     requestId_ = "";
     shards_ = emptyIntList();
     leaf_ = "";
+    body_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -439,6 +440,17 @@
     return call_;
   }
 
+  public static final int BODY_FIELD_NUMBER = 14;
+  private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes body = 14;</code>
+   * @return The body.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getBody() {
+    return body_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -497,6 +509,9 @@
     if (call_ != 0L) {
       output.writeInt64(13, call_);
     }
+    if (!body_.isEmpty()) {
+      output.writeBytes(14, body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -571,6 +586,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(13, call_);
     }
+    if (!body_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(14, body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -612,6 +631,8 @@
         .equals(other.getLeaf())) return false;
     if (getCall()
         != other.getCall()) return false;
+    if (!getBody()
+        .equals(other.getBody())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -660,6 +681,8 @@
     hash = (37 * hash) + CALL_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCall());
+    hash = (37 * hash) + BODY_FIELD_NUMBER;
+    hash = (53 * hash) + getBody().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -810,6 +833,7 @@
       hedgeDelayMicros_ = 0L;
       leaf_ = "";
       call_ = 0L;
+      body_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -885,6 +909,9 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.call_ = call_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.body_ = body_;
+      }
     }
 
     @java.lang.Override
@@ -970,6 +997,9 @@
       if (other.getCall() != 0L) {
         setCall(other.getCall());
       }
+      if (!other.getBody().isEmpty()) {
+        setBody(other.getBody());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1074,6 +1104,11 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 114: {
+              body_ = input.readBytes();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1989,6 +2024,38 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes body = 14;</code>
+     * @return The body.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getBody() {
+      return body_;
+    }
+    /**
+     * <code>bytes body = 14;</code>
+     * @param value The body to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBody(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      body_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes body = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBody() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      body_ = getDefaultInstance().getBody();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageCall)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
@@ -194,4 +194,10 @@
    * @return The call.
    */
   long getCall();
+
+  /**
+   * <code>bytes body = 14;</code>
+   * @return The body.
+   */
+  com.google.protobuf.ByteString getBody();
 }
