Make no attempts on behalf of others after their goal; tell retries too

Also, a stage told what it had asked twice only at its wakes, not after a retry in between.

Change: after its goal a query on behalf of another host only waits for what is under way; what was asked twice is told before the last reply.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -118,6 +118,7 @@
     /** Takes the failure of an attempt. */
     public List<RoutedAction> failed(Attempt attempt, LeafOutcome outcome, long nowNanos) {
         List<RoutedAction> actions = new ArrayList<>(2);
+        closeAtGoal(nowNanos, actions);
         attempt.shard().failed(attempt, outcome, nowNanos, actions);
         if (!over) {
             decide(nowNanos, actions);
@@ -191,6 +192,7 @@
             return actions;
         }
         wakeArmed = false;
+        closeAtGoal(nowNanos, actions);
         for (StageAttempt stage : stages) {
             if (stage.isAwaited() && nowNanos - startedNanos - stage.silenceNanos() >= 0) {
                 stage.abandon();
@@ -280,6 +282,15 @@
         armWake(nowNanos, actions);
     }
 
+    /** After its goal a query for another host makes no attempts: that host may make them itself, and counts them. */
+    private void closeAtGoal(long nowNanos, List<RoutedAction> actions) {
+        if (delivery == Delivery.IN_PIECES && nowNanos - bounds.goalNanos() >= 0) {
+            for (ShardRequest shard : shards) {
+                shard.close(actions);
+            }
+        }
+    }
+
     /** Adds what another host gathered, if it fits; otherwise its shards stay as they are. */
     private void take(StageAttempt stage, StageReply reply) {
         if (fits(stage, reply)) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -37,6 +37,7 @@
     private int spentElsewhere;
     private boolean delegated;
     private boolean finished;
+    private boolean closed;
     private int hedgesRefused;
     private long hedgeNotBeforeNanos;
     private long retryAtNanos;
@@ -143,6 +144,14 @@
         finished = true;
     }
 
+    /** Makes no attempt from now on; those under way are waited for. */
+    void close(List<RoutedAction> actions) {
+        closed = true;
+        if (!finished && !hasAttemptInFlight()) {
+            giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+        }
+    }
+
     /** Notes that an attempt failed, and makes another if that is allowed. */
     void failed(Attempt attempt, LeafOutcome outcome, long nowNanos, List<RoutedAction> actions) {
         if (attempt.isFinished()) {
@@ -175,7 +184,7 @@
 
     /** Returns when this shard wants to be woken next, if it does. */
     Optional<Long> nextWakeNanos() {
-        if (finished || delegated) {
+        if (finished || delegated || closed) {
             return Optional.empty();
         }
         if (retryDue) {
@@ -226,6 +235,7 @@
     /** Returns true if the first attempt is late and none was made since. */
     boolean isHedgeDue(long nowNanos) {
         return !finished
+                && !closed
                 && repeatable
                 && hedgesRefused < MAX_HEDGES_REFUSED
                 && attempts.size() == 1
@@ -315,7 +325,7 @@
     }
 
     private boolean mayAskAgain() {
-        if (!repeatable && !isNotRun()) {
+        if (closed || (!repeatable && !isNotRun())) {
             return false;
         }
         return mayRunCount() < bounds.maxAttempts() && attempts.size() < bounds.maxAttempts() + MAX_REFUSED;
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -335,6 +335,27 @@
         assertThat(world.givenUp).isEmpty();
     }
 
+    @Test
+    void aQueryOnBehalfOfAnotherHostMakesNoAttemptAfterItsGoal() {
+        for (int shard = 0; shard < 2; shard++) {
+            world.service("s" + shard, 2, 10);
+        }
+        ScatterQuery query = new ScatterQuery(
+                target(0),
+                pools(),
+                ImmutableList.of(),
+                RoutedWorld.bounds(2),
+                ScatterQuery.Delivery.IN_PIECES,
+                RoutedWorld.random());
+        world.carryOut(query.start(0), 0);
+        long late = RoutedWorld.GOAL_NANOS + MILLI;
+        world.carryOut(query.wake(late), late);
+        fail(query, world.asked.get(0), LeafOutcome.BROKEN, late + MILLI);
+        fail(query, world.asked.get(1), LeafOutcome.BROKEN, late + 2 * MILLI);
+        assertThat(world.asked).hasSize(2);
+        assertThat(world.refused).hasSize(1);
+    }
+
     @Test
     void aQueryThatLacksShardsAtTheGoalTakesThemFromTheStageWithoutSpendingAnAttempt() {
         ScatterQuery query = staged(4, 0, 1, 2, 3);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -145,6 +145,13 @@
                         .with("onBehalfOf", sink.onBehalfOf()));
     }
 
+    /** Before the last reply: retries are made between wakes, and the host that asked must not make a third attempt. */
+    private void sayWhatWasAskedTwice() {
+        if (!query.askedTwice().isEmpty()) {
+            onStillAtWork.run();
+        }
+    }
+
     private void carryOut(List<RoutedAction> actions) {
         for (RoutedAction action : actions) {
             if (action instanceof RoutedAction.Ask ask) {
@@ -162,6 +169,7 @@
                 sender.wakeAt(wake.atNanos(), this::wake);
             } else if (action instanceof RoutedAction.DeliverMerged deliver) {
                 sender.finish();
+                sayWhatWasAskedTwice();
                 explain(deliver.answer());
                 boolean waited = clock.nowNanos() - call.times().goalNanos() >= 0;
                 sink.deliver(deliver.answer());
@@ -172,6 +180,7 @@
                 sink.deliverPiece(deliver.piece());
             } else if (action instanceof RoutedAction.Refuse refuse) {
                 sender.finish();
+                sayWhatWasAskedTwice();
                 explain(refuse.reason().name(), query.shardsMissing());
                 sink.refuse(refuse.reason());
             } else if (action instanceof RoutedAction.Count count) {
