--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -114,12 +115,7 @@
         taker.progressed(stage, progress.getAskedTwiceList());
         boolean matches = progress.getShardsCount() == progress.getSignaturesCount();
         if (progress.getShardsCount() > 0 && matches) {
-            taker.brought(
-                    stage,
-                    new StageReply(
-                            ImmutableList.copyOf(progress.getShardsList()),
-                            ImmutableList.copyOf(progress.getSignaturesList()),
-                            progress.getRecords()));
+            taker.brought(stage, parts(progress.getShardsList(), progress.getSignaturesList(), progress.getRecords()));
         }
     }
 
@@ -128,17 +124,16 @@
                 && result.getShardsCount() == result.getSignaturesCount();
         end(stage, link, answered);
         if (answered) {
-            taker.answered(
-                    stage,
-                    new StageReply(
-                            ImmutableList.copyOf(result.getShardsList()),
-                            ImmutableList.copyOf(result.getSignaturesList()),
-                            result.getRecords()));
+            taker.answered(stage, parts(result.getShardsList(), result.getSignaturesList(), result.getRecords()));
         } else {
             taker.failed(stage, result.getStatus() == StageResult.Status.NOT_RUN);
         }
     }
 
+    private static StageReply parts(List<Integer> shards, List<String> signatures, ByteString records) {
+        return new StageReply(ImmutableList.copyOf(shards), ImmutableList.copyOf(signatures), records);
+    }
+
     private void end(StageAttempt stage, StageLinks.Link link, boolean answered) {
         underWay.remove(stage);
         link.end();
