Make connections ahead to new leafs once, not at every change of the tables

Ruled out: the holders' own connections, which are needed all the time and are still made ahead; the small sites use none. Change: only a leaf that this host never connected to is connected to ahead. Test: FleetViewTest, failed first (2 connections in place of 1).

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -316,7 +316,10 @@
             return;
         }
         if (access().keepsConnections(leaf.service(), zone)) {
-            connectionsTo(leaf).warm();
+            // A connection that rested and was closed is made again when it is needed; a holder is asked all the time.
+            if (held == null || access().isHeld(leaf.service())) {
+                connectionsTo(leaf).warm();
+            }
         } else if (held != null && !access().isNamedFor(leaf.service(), zone)) {
             held.closeIdle();
         }
