Price a leaf's refusals by the budget that is left; end hopeless queries at once

Cause: a refusal was remembered for 60 ms.

Ruled out: a fixed price of a refusal.

Change: the share of refused calls of each leaf is smoothed and fades; its price grows with the square of the spent part of the budget, to beyond any queue, so that a refusing leaf gets as many first calls as the budget can send again. A query that cannot reach its least share any more ends at once and stops its calls. No hedges at leafs that mostly refuse. What other hosts have under way at a leaf is estimated from the load that it tells, and half of it counts: taking the whole of the last word sent all hosts to and fro. Slowness is learned twice as fast.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/RetryBudget.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/RetryBudget.java
@@ -66,6 +66,11 @@
         return true;
     }
 
+    /** Returns which part of what may be saved up is left, from 0 to 1. */
+    public synchronized double fill() {
+        return capacity == 0 ? 0 : (double) level / capacity;
+    }
+
     /** Takes one extra attempt out of the budget; returns false if it is spent. */
     public synchronized boolean tryWithdraw() {
         if (level < SCALE) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -16,7 +16,6 @@
     private static final int FAILURES_TO_EJECT = 3;
     private static final long FIRST_EJECTION_NANOS = Duration.ofMillis(400).toNanos();
     private static final long LONGEST_EJECTION_NANOS = Duration.ofSeconds(5).toNanos();
-    private static final long LOAD_FRESH_NANOS = Duration.ofMillis(250).toNanos();
     private static final long BUSY_NANOS = Duration.ofMillis(60).toNanos();
     /** A stalled leaf is expected to take about this much longer: between half and the whole of an observed pause. */
     private static final long STALL_HANDICAP_NANOS = Duration.ofMillis(150).toNanos();
@@ -29,8 +28,22 @@
     private static final long STALL_MEMORY_NANOS = Duration.ofMillis(80).toNanos();
     /** Overdue calls in a row that were given up with no answer between them, as a leaf that is dark leaves. */
     private static final int ABANDONED_TO_EJECT = 4;
-    /** How fast old evidence of slowness fades. */
-    private static final long FADE_NANOS = Duration.ofSeconds(5).toNanos();
+    /**
+     * How fast old evidence of slowness and of refusals fades: somewhat slower than a leaf gets calls to show either.
+     */
+    private static final Duration EVIDENCE_FADE = Duration.ofSeconds(5);
+    /** How long a load that was told shows by itself that the leaf is full: the time of a few calls. */
+    private static final long LOAD_FRESH_NANOS = Duration.ofMillis(250).toNanos();
+    /** How fast a load that was told fades: the time of a few calls. */
+    private static final Duration LOAD_FADE = Duration.ofMillis(400);
+    /** A load that was told is that of a moment; averaged over a few it says what the next call will meet. */
+    private static final double LOAD_SMOOTHING = 0.3;
+    /**
+     * The part of what other hosts had under way that the next call is taken to meet. All hosts learn of the same free
+     * leaf at about the same time, so that the whole of it would send them all to and fro together; compared by the
+     * experiment tool with 0.3 to 1.
+     */
+    private static final double OTHERS_SHARE = 0.5;
 
     /**
      * Calls that fill slots slow one another a little: an eighth of the work each, chosen to break ties, not measured.
@@ -40,7 +53,9 @@
     private static final double LEAST_SLOWNESS = 0.3;
     private static final double MOST_SLOWNESS = 10.0;
     private static final double STALLED_AFTER = 3.0;
-    private static final double SMOOTHING = 0.15;
+    private static final double SLOWNESS_SMOOTHING = 0.3;
+    private static final double FAILURE_SMOOTHING = 0.15;
+    private static final double REFUSAL_SMOOTHING = 0.15;
 
     private final String id;
     private final String service;
@@ -50,11 +65,12 @@
     private final List<Call> calls = new ArrayList<>(4);
     private int slots;
     private boolean acceptsWork = true;
-    private Optional<LeafLoad> load = Optional.empty();
-    private long loadAtNanos;
+    private int toldCalls;
+    private long toldAtNanos;
     private long busyUntilNanos;
-    private double slowness = 1.0;
-    private long slownessAtNanos;
+    private final FadingAverage slowness;
+    private final FadingAverage refusalRate;
+    private final FadingAverage callsOfOthers;
     private long stalledUntilNanos;
     private int consecutiveAbandoned;
     private double failureRate;
@@ -78,7 +94,9 @@
         this.busyUntilNanos = nowNanos;
         this.ejectedUntilNanos = nowNanos;
         this.stalledUntilNanos = nowNanos;
-        this.slownessAtNanos = nowNanos;
+        this.slowness = new FadingAverage(1, SLOWNESS_SMOOTHING, EVIDENCE_FADE, nowNanos);
+        this.refusalRate = new FadingAverage(0, REFUSAL_SMOOTHING, EVIDENCE_FADE, nowNanos);
+        this.callsOfOthers = new FadingAverage(0, LOAD_SMOOTHING, LOAD_FADE, nowNanos);
     }
 
     /** Returns the identifier of this start of the leaf. */
@@ -136,13 +154,20 @@
     public void end(Call call, LeafOutcome outcome, Optional<LeafLoad> told, long nowNanos) {
         calls.remove(call);
         if (told.isPresent()) {
-            load = told;
-            loadAtNanos = nowNanos;
+            toldCalls = told.get().running() + told.get().waiting();
+            toldAtNanos = nowNanos;
+            callsOfOthers.observe(Math.max(0, toldCalls - calls.size()), nowNanos);
             slots = Math.max(1, told.get().slots());
         }
         switch (outcome) {
-            case SUCCEEDED -> succeeded(call, nowNanos);
-            case REFUSED_BUSY -> busyUntilNanos = nowNanos + BUSY_NANOS;
+            case SUCCEEDED -> {
+                refusalRate.observe(0, nowNanos);
+                succeeded(call, nowNanos);
+            }
+            case REFUSED_BUSY -> {
+                refusalRate.observe(1, nowNanos);
+                busyUntilNanos = nowNanos + BUSY_NANOS;
+            }
             case REFUSED_GONE -> acceptsWork = false;
             case UNREACHABLE -> failed(FAILURES_TO_EJECT, nowNanos);
             case FAILED, BROKEN, GARBLED -> failed(1, nowNanos);
@@ -165,7 +190,7 @@
             return;
         }
         stalledUntilNanos = nowNanos + STALL_MEMORY_NANOS;
-        if (ratio > slowness(nowNanos)) {
+        if (ratio > slowness.at(nowNanos)) {
             observe(ratio, nowNanos);
         }
         consecutiveAbandoned++;
@@ -195,7 +220,8 @@
 
     /** Returns true if one more call would wait behind as many as it works on at a time, or it just refused one. */
     public boolean isOverloaded(long nowNanos) {
-        return occupancy(nowNanos) >= 2 * slots || nowNanos - busyUntilNanos < 0;
+        int told = nowNanos - toldAtNanos < LOAD_FRESH_NANOS ? toldCalls : 0;
+        return Math.max(calls.size(), told) >= 2 * slots || nowNanos - busyUntilNanos < 0;
     }
 
     /**
@@ -204,13 +230,14 @@
      * @param expectedNanos how long such a call usually takes
      */
     public double costNanos(long expectedNanos, long nowNanos) {
-        int ahead = Math.max(0, occupancy(nowNanos) + 1 - slots);
-        double work = expectedNanos * slowness(nowNanos);
+        double occupancy = occupancy(nowNanos);
+        double ahead = Math.max(0, occupancy + 1 - slots);
+        double work = expectedNanos * slowness.at(nowNanos);
         if (nowNanos - warmAtNanos < 0) {
             work *= COLD_FACTOR;
         }
-        double cost = work * (1 + (double) ahead / slots) + distance.handicapNanos();
-        cost += occupancy(nowNanos) * work / (FREE_SLOT_DIVISOR * slots);
+        double cost = work * (1 + ahead / slots) + distance.handicapNanos();
+        cost += occupancy * work / (FREE_SLOT_DIVISOR * slots);
         cost += failureRate * FAILURE_HANDICAP_NANOS;
         if (nowNanos - busyUntilNanos < 0) {
             cost += work;
@@ -218,10 +245,14 @@
         return isStalled(nowNanos) ? cost + STALL_HANDICAP_NANOS : cost;
     }
 
-    private int occupancy(long nowNanos) {
-        boolean fresh = load.isPresent() && nowNanos - loadAtNanos < LOAD_FRESH_NANOS;
-        int told = fresh ? load.get().running() + load.get().waiting() : 0;
-        return Math.max(calls.size(), told);
+    /** Returns the share of calls that it is expected to refuse; what was seen long ago fades. */
+    public double refusalRate(long nowNanos) {
+        return refusalRate.at(nowNanos);
+    }
+
+    /** Returns how many calls the next one is expected to meet at the leaf: those of this host and of others. */
+    private double occupancy(long nowNanos) {
+        return calls.size() + OTHERS_SHARE * callsOfOthers.at(nowNanos);
     }
 
     private void succeeded(Call call, long nowNanos) {
@@ -229,25 +260,17 @@
         consecutiveAbandoned = 0;
         ejectionNanos = 0;
         stalledUntilNanos = nowNanos;
-        failureRate -= SMOOTHING * failureRate;
+        failureRate -= FAILURE_SMOOTHING * failureRate;
         observe((double) (nowNanos - call.sentNanos) / Math.max(1, call.expectedNanos), nowNanos);
     }
 
     private void observe(double ratio, long nowNanos) {
-        double before = slowness(nowNanos);
-        slowness = Math.max(LEAST_SLOWNESS, before + SMOOTHING * (Math.min(ratio, MOST_SLOWNESS) - before));
-        slownessAtNanos = nowNanos;
-    }
-
-    /** Returns how many times as long as usual its calls take; what was seen long ago fades. */
-    private double slowness(long nowNanos) {
-        double weight = (double) FADE_NANOS / (FADE_NANOS + Math.max(0, nowNanos - slownessAtNanos));
-        return 1 + (slowness - 1) * weight;
+        slowness.observe(Math.max(LEAST_SLOWNESS, Math.min(ratio, MOST_SLOWNESS)), nowNanos);
     }
 
     private void failed(int weight, long nowNanos) {
         consecutiveFailures += weight;
-        failureRate += SMOOTHING * (1 - failureRate);
+        failureRate += FAILURE_SMOOTHING * (1 - failureRate);
         if (consecutiveFailures >= FAILURES_TO_EJECT) {
             ejectionNanos =
                     ejectionNanos == 0 ? FIRST_EJECTION_NANOS : Math.min(LONGEST_EJECTION_NANOS, 2 * ejectionNanos);
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
@@ -1,6 +1,7 @@
 package org.bramblerack.process.leaf;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -15,14 +16,31 @@
  * <p>Not safe for use by several threads: the event loop of the entry role owns it.
  */
 public final class LeafPool {
+    /** What a refusal costs at least: the way to the leaf and back, and a place among the attempts. */
+    private static final double REFUSAL_NANOS = Duration.ofMillis(5).toNanos();
+    /**
+     * What a refusal costs beyond that once the budget is spent: the shard is then lost to the query, which is worse
+     * than any queue. Compared by the experiment tool with 200 to 3000 ms; what matters is that it outweighs a queue of
+     * several calls.
+     */
+    private static final double REFUSAL_WITHOUT_BUDGET_NANOS =
+            Duration.ofMillis(1_500).toNanos();
+
     private final String service;
     private final RetryBudget budget;
+    private final RoutingPolicy policy;
     private final Map<String, Leaf> leaves = new LinkedHashMap<>();
 
     /** Creates an empty pool. */
     public LeafPool(String service, RetryBudget budget) {
+        this(service, budget, RoutingPolicy.DEFAULT);
+    }
+
+    /** Creates an empty pool whose leafs are chosen by a policy of its own. */
+    public LeafPool(String service, RetryBudget budget, RoutingPolicy policy) {
         this.service = service;
         this.budget = budget;
+        this.policy = policy;
     }
 
     /** Returns the name of the service. */
@@ -74,6 +92,7 @@
      * chosen only if there is no other.
      */
     public Optional<Leaf> choose(Predicate<Leaf> filter, long expectedNanos, RandomGenerator random, long nowNanos) {
+        double refusalNanos = refusalNanos();
         Leaf best = null;
         double bestCost = Double.MAX_VALUE;
         boolean bestEjected = true;
@@ -83,7 +102,7 @@
                 continue;
             }
             boolean ejected = leaf.isEjected(nowNanos);
-            double cost = leaf.costNanos(expectedNanos, nowNanos);
+            double cost = leaf.costNanos(expectedNanos, nowNanos) + leaf.refusalRate(nowNanos) * refusalNanos;
             boolean better = ejected != bestEjected ? !ejected : cost < bestCost;
             if (best == null || better) {
                 best = leaf;
@@ -97,4 +116,16 @@
         }
         return Optional.ofNullable(best);
     }
+
+    /**
+     * Returns what one refusal costs in time: the less of the budget for extra attempts is left, the more, so that a
+     * leaf that refuses gets as many first attempts as the budget can send again.
+     */
+    private double refusalNanos() {
+        if (!policy.learnsRefusals()) {
+            return 0;
+        }
+        double spent = 1 - budget.fill();
+        return REFUSAL_NANOS + spent * spent * REFUSAL_WITHOUT_BUDGET_NANOS;
+    }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -18,7 +18,7 @@
  *
  * <p>An answer is worth the square of the share of its shards, and almost nothing after its goal. So the query waits
  * for every shard until the goal; at the goal it delivers what is in if that is enough, and after it as soon as it is.
- * It is over early when every shard has answered or has no hope left.
+ * It is over early when every shard has answered or has no hope left, or when too many have none.
  *
  * <p>Shards whose leafs are far may be left to another host near them, which asks them, hedges, and sends the merged
  * rest back. If it is silent for longer than its work takes, the query asks those shards itself, with the attempts that
@@ -261,7 +261,7 @@
     }
 
     private void decide(long nowNanos, List<RoutedAction> actions) {
-        boolean nothingToWaitFor = waitingCount() == 0;
+        boolean nothingToWaitFor = waitingCount() == 0 || !canBeEnough();
         boolean deadlineCome = nowNanos - bounds.deadlineNanos() >= 0;
         boolean goalCome = nowNanos - bounds.goalNanos() >= 0;
         boolean finished = nothingToWaitFor || deadlineCome;
@@ -344,6 +344,11 @@
         return parts.count() > 0 && parts.count() >= target.leastShare() * shards.length;
     }
 
+    /** Returns false once so many shards are lost that there will be no answer, whatever the others bring. */
+    private boolean canBeEnough() {
+        return parts.count() + waitingCount() >= target.leastShare() * shards.length;
+    }
+
     private int waitingCount() {
         int waiting = 0;
         for (ShardRequest shard : shards) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -22,6 +22,8 @@
     private static final int MAX_REFUSED = 3;
     /** Hedges leave this part of the budget to retries, which are certain to be needed. */
     private static final int RESERVED_FOR_RETRIES_PERCENT = 35;
+    /** A hedge at a leaf that refuses more of its calls than this would mostly cost the budget and bring nothing. */
+    private static final double MOST_REFUSALS_FOR_HEDGE = 0.3;
     /** How often a hedge is considered again, each time a part of the first delay later. */
     private static final int MAX_HEDGES_REFUSED = 4;
 
@@ -273,7 +275,8 @@
         return !wasAsked(leaf)
                 && !leaf.isEjected(nowNanos)
                 && !leaf.isOverloaded(nowNanos)
-                && !leaf.isStalled(nowNanos);
+                && !leaf.isStalled(nowNanos)
+                && leaf.refusalRate(nowNanos) < MOST_REFUSALS_FOR_HEDGE;
     }
 
     private void retry(long nowNanos, List<RoutedAction> actions) {
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StagePlanner.java
@@ -0,0 +1,140 @@
+package org.bramblerack.request.routed;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafPool;
+
+/**
+ * Decides which shards of a query other hosts ask on behalf of this one.
+ *
+ * <p>Shards are left to the hosts that hold the connections to their best leafs or, in a fleet that is small enough for
+ * every host to connect to every leaf, those whose best leafs are in another region to hosts there. Shards that are in
+ * no stage are asked from here. Not safe for use by several threads.
+ */
+public final class StagePlanner {
+    /** Fewer shards than this are asked from here: one call costs no more than one message to another host. */
+    private static final int LEAST_SHARDS = 2;
+    /** A region is as good as the best if it has this part of the best one's shards. */
+    private static final double GOOD_COVER = 0.8;
+
+    private final Ways ways;
+    private final RandomGenerator random;
+
+    /** Creates a planner. */
+    public StagePlanner(Ways ways, RandomGenerator random) {
+        this.ways = ways;
+        this.random = random;
+    }
+
+    /** What is known of the ways to leafs and to other hosts. */
+    public interface Ways {
+        /** Returns the host that holds the connections to a leaf, if that is another host and can be asked. */
+        Optional<String> holderOf(Leaf leaf);
+
+        /** Returns the region of a leaf. */
+        String regionOf(Leaf leaf);
+
+        /** Returns the host of a region that can be asked and has the least under way for this one. */
+        Optional<String> leastBusyIn(String region);
+
+        /**
+         * Returns how long a host may be silent before it counts as lost.
+         *
+         * @param hedgeDelayNanos after which it asks second leafs, and says so
+         */
+        long silenceNanos(String host, long hedgeDelayNanos);
+    }
+
+    /**
+     * Divides the shards of a query.
+     *
+     * @param pools the leafs of each shard, in the order of the shards
+     * @param expectedNanos how long a call usually takes
+     * @param hedgeDelayNanos after which a host asks second leafs, and says so
+     */
+    public ImmutableList<StageAttempt> plan(
+            ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos, long nowNanos) {
+        Map<String, List<Integer>> shardsByRegion = new HashMap<>();
+        Map<String, ImmutableList.Builder<Integer>> shardsByHolder = new LinkedHashMap<>();
+        List<Integer> far = farShards(pools, expectedNanos, nowNanos, shardsByRegion, shardsByHolder);
+        ImmutableList.Builder<StageAttempt> stages = ImmutableList.builder();
+        shardsByHolder.forEach((holder, shards) -> stages.add(stage(holder, shards.build(), hedgeDelayNanos)));
+        while (far.size() >= LEAST_SHARDS) {
+            Optional<String> region = bestRegion(shardsByRegion);
+            Optional<String> host = region.flatMap(ways::leastBusyIn);
+            if (region.isEmpty() || host.isEmpty()) {
+                break;
+            }
+            List<Integer> taken = shardsByRegion.remove(region.get());
+            if (taken == null || taken.size() < LEAST_SHARDS) {
+                break;
+            }
+            far.removeAll(taken);
+            shardsByRegion.values().forEach(shards -> shards.removeAll(taken));
+            stages.add(stage(host.get(), ImmutableList.copyOf(taken), hedgeDelayNanos));
+        }
+        return stages.build();
+    }
+
+    private StageAttempt stage(String host, ImmutableList<Integer> shards, long hedgeDelayNanos) {
+        return new StageAttempt(host, shards, ways.silenceNanos(host, hedgeDelayNanos));
+    }
+
+    private List<Integer> farShards(
+            ImmutableList<LeafPool> pools,
+            long expectedNanos,
+            long nowNanos,
+            Map<String, List<Integer>> shardsByRegion,
+            Map<String, ImmutableList.Builder<Integer>> shardsByHolder) {
+        List<Integer> far = new ArrayList<>();
+        for (int shard = 0; shard < pools.size(); shard++) {
+            LeafPool pool = pools.get(shard);
+            Optional<Leaf> best = pool.choose(leaf -> true, expectedNanos, random, nowNanos);
+            Optional<String> holder = best.flatMap(ways::holderOf);
+            if (holder.isPresent()) {
+                shardsByHolder
+                        .computeIfAbsent(holder.get(), unused -> ImmutableList.builder())
+                        .add(shard);
+                continue;
+            }
+            if (best.isEmpty() || best.get().distance() != Distance.OTHER_REGION) {
+                continue;
+            }
+            far.add(shard);
+            noteRegions(pool, shard, nowNanos, shardsByRegion);
+        }
+        return far;
+    }
+
+    /** Notes the regions in which a shard has a leaf that can be asked. */
+    private void noteRegions(LeafPool pool, int shard, long nowNanos, Map<String, List<Integer>> shardsByRegion) {
+        for (Leaf leaf : pool.all()) {
+            if (leaf.acceptsWork() && leaf.distance() == Distance.OTHER_REGION && !leaf.isEjected(nowNanos)) {
+                List<Integer> shards = shardsByRegion.computeIfAbsent(ways.regionOf(leaf), unused -> new ArrayList<>());
+                if (!shards.contains(shard)) {
+                    shards.add(shard);
+                }
+            }
+        }
+    }
+
+    /** Returns a region with about as many of the shards as any; which one is drawn, to spread the load. */
+    private Optional<String> bestRegion(Map<String, List<Integer>> shardsByRegion) {
+        int most = shardsByRegion.values().stream().mapToInt(List::size).max().orElse(0);
+        List<String> good = shardsByRegion.entrySet().stream()
+                .filter(entry -> entry.getValue().size() >= GOOD_COVER * most)
+                .map(Map.Entry::getKey)
+                .filter(region -> ways.leastBusyIn(region).isPresent())
+                .sorted()
+                .toList();
+        return good.isEmpty() ? Optional.empty() : Optional.of(good.get(random.nextInt(good.size())));
+    }
+}
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
@@ -103,6 +103,65 @@
         assertThat(choose(21 * MILLI)).isEqualTo(other);
     }
 
+    @Test
+    void whatOtherHostsHaveUnderWayCountsUntilItIsOld() {
+        Leaf told = leaf("told", Distance.SAME_ZONE);
+        Leaf other = leaf("other", Distance.SAME_ZONE);
+        for (int call = 0; call < 10; call++) {
+            told.end(told.begin(EXPECTED, 0), LeafOutcome.SUCCEEDED, LeafLoad.parse("2,6,2"), EXPECTED);
+        }
+        Leaf.Call own = other.begin(EXPECTED, 0);
+        assertThat(other.isUnderWay(own)).isTrue();
+        assertThat(choose(EXPECTED)).isEqualTo(other);
+        assertThat(told.costNanos(EXPECTED, EXPECTED)).isGreaterThan(2.0 * EXPECTED);
+        long muchLater = EXPECTED + Duration.ofSeconds(10).toNanos();
+        assertThat(told.costNanos(EXPECTED, muchLater)).isLessThan(1.2 * EXPECTED);
+    }
+
+    @Test
+    void aLeafThatRefusesItsCallsIsAvoidedOnceTheBudgetIsSpent() {
+        Leaf refusing = leaf("refusing", Distance.SAME_ZONE);
+        Leaf busy = leaf("busy", Distance.SAME_ZONE);
+        for (int call = 0; call < 30; call++) {
+            LeafOutcome outcome = call % 5 < 3 ? LeafOutcome.REFUSED_BUSY : LeafOutcome.SUCCEEDED;
+            refusing.end(refusing.begin(EXPECTED, 0), outcome, Optional.empty(), EXPECTED);
+        }
+        for (int call = 0; call < 4; call++) {
+            busy.begin(EXPECTED, 2 * EXPECTED);
+        }
+        long now = 6 * EXPECTED;
+        assertThat(refusing.refusalRate(now)).isWithin(0.25).of(0.6);
+        assertThat(choose(now)).isEqualTo(refusing);
+        while (pool.budget().tryWithdraw()) {
+            // Until nothing is left to send a refused call again with.
+        }
+        assertThat(choose(now)).isEqualTo(busy);
+    }
+
+    @Test
+    void refusalsAreNoPartOfTheChoiceIfThePolicySaysSo() {
+        LeafPool plain = new LeafPool("s", RetryBudget.create(0, 0), new RoutingPolicy(false));
+        Leaf refusing = new Leaf("refusing", "s", "10.0.0.1:1", Distance.SAME_ZONE, 2, Duration.ZERO, 0);
+        Leaf sound = new Leaf("sound", "s", "10.0.0.1:2", Distance.SAME_REGION, 2, Duration.ZERO, 0);
+        plain.add(refusing);
+        plain.add(sound);
+        for (int call = 0; call < 30; call++) {
+            refusing.end(refusing.begin(EXPECTED, 0), LeafOutcome.REFUSED_BUSY, Optional.empty(), 0);
+        }
+        assertThat(plain.choose(leaf -> true, EXPECTED, new SplittableRandom(1), EXPECTED * 5))
+                .isEqualTo(Optional.of(refusing));
+    }
+
+    @Test
+    void refusalsThatWereSeenLongAgoFade() {
+        Leaf refusing = leaf("refusing", Distance.SAME_ZONE);
+        for (int call = 0; call < 30; call++) {
+            refusing.end(refusing.begin(EXPECTED, 0), LeafOutcome.REFUSED_BUSY, Optional.empty(), 0);
+        }
+        assertThat(refusing.refusalRate(0)).isGreaterThan(0.9);
+        assertThat(refusing.refusalRate(Duration.ofMinutes(2).toNanos())).isLessThan(0.05);
+    }
+
     @Test
     void aLoadThatIsNotThreeNumbersSaysNothing() {
         assertThat(LeafLoad.parse("1,2,3")).isEqualTo(Optional.of(new LeafLoad(1, 2, 3)));
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -103,6 +103,39 @@
         assertThat(world.givenUp).containsExactly(world.asked.get(3));
     }
 
+    @Test
+    void aQueryThatCannotBeEnoughAnyMoreEndsAtOnceAndStopsItsCalls() {
+        ScatterQuery query = query(4, 2, 0, 0.75);
+        world.carryOut(query.start(0), 0);
+        answer(query, world.asked.get(0), "sig0", MILLI);
+        fail(query, world.asked.get(1), LeafOutcome.FAILED, 2 * MILLI);
+        assertThat(world.answers()).isEqualTo(0);
+        fail(query, world.asked.get(2), LeafOutcome.FAILED, 3 * MILLI);
+        assertThat(world.refused).containsExactly(RefusalReason.TOO_FEW_SHARDS);
+        assertThat(world.givenUp).containsExactly(world.asked.get(3));
+        assertThat(query.isOver()).isTrue();
+    }
+
+    @Test
+    void noHedgeAtALeafThatMostlyRefuses() {
+        ScatterQuery query = query(1, 2, 10, 1);
+        world.carryOut(query.start(0), 0);
+        for (Leaf leaf : world.pools.values().iterator().next().all()) {
+            if (leaf != world.asked.get(0).leaf()) {
+                for (int call = 0; call < 20; call++) {
+                    leaf.end(
+                            leaf.begin(RoutedWorld.EXPECTED_NANOS, 0),
+                            LeafOutcome.REFUSED_BUSY,
+                            Optional.empty(),
+                            -RoutedWorld.GOAL_NANOS);
+                }
+            }
+        }
+        world.carryOut(query.wake(RoutedWorld.HEDGE_NANOS), RoutedWorld.HEDGE_NANOS);
+        assertThat(world.asked).hasSize(1);
+        assertThat(world.counts).contains(AttemptCounter.HEDGE_DENIED_NO_LEAF);
+    }
+
     @Test
     void noHedgeWithoutBudget() {
         ScatterQuery query = query(1, 2, 0, 1);
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagePlannerTest.java
@@ -0,0 +1,102 @@
+package org.bramblerack.request.routed;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.bramblerack.process.RetryBudget;
+import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafPool;
+import org.junit.jupiter.api.Test;
+
+final class StagePlannerTest {
+    private static final long EXPECTED = Duration.ofMillis(20).toNanos();
+    private static final long HEDGE = Duration.ofMillis(40).toNanos();
+
+    private final Map<String, String> hostsByRegion = new HashMap<>();
+    private final Map<String, String> holders = new HashMap<>();
+    private final StagePlanner planner = new StagePlanner(new KnownWays(), new SplittableRandom(1));
+
+    @Test
+    void shardsWithANearLeafAreAskedFromHere() {
+        hostsByRegion.put("west", "west-host");
+        assertThat(plan(near(0), near(1), near(2))).isEmpty();
+    }
+
+    @Test
+    void shardsFarAwayGoToOneHostOfTheRegionThatHasTheMost() {
+        hostsByRegion.put("west", "west-host");
+        hostsByRegion.put("east", "east-host");
+        ImmutableList<StageAttempt> stages = plan(far(0, "west"), far(1, "west"), far(2, "west"), near(3));
+        assertThat(stages).hasSize(1);
+        assertThat(stages.get(0).host()).isEqualTo("west-host");
+        assertThat(stages.get(0).shards()).containsExactly(0, 1, 2);
+    }
+
+    @Test
+    void oneShardAloneIsAskedFromHere() {
+        hostsByRegion.put("west", "west-host");
+        assertThat(plan(far(0, "west"), near(1))).isEmpty();
+    }
+
+    @Test
+    void withoutAHostToAskEveryShardIsAskedFromHere() {
+        assertThat(plan(far(0, "west"), far(1, "west"))).isEmpty();
+    }
+
+    @Test
+    void shardsOfAHolderGoToItHoweverFew() {
+        holders.put("shard-1", "holder");
+        ImmutableList<StageAttempt> stages = plan(near(0), near(1));
+        assertThat(stages).hasSize(1);
+        assertThat(stages.get(0).host()).isEqualTo("holder");
+        assertThat(stages.get(0).shards()).containsExactly(1);
+    }
+
+    private ImmutableList<StageAttempt> plan(LeafPool... pools) {
+        return planner.plan(ImmutableList.copyOf(pools), EXPECTED, HEDGE, 0);
+    }
+
+    private static LeafPool near(int shard) {
+        return pool(shard, "here", Distance.SAME_ZONE);
+    }
+
+    private static LeafPool far(int shard, String region) {
+        return pool(shard, region, Distance.OTHER_REGION);
+    }
+
+    /** A pool with one leaf, whose address names its region. */
+    private static LeafPool pool(int shard, String region, Distance distance) {
+        String name = "shard-" + shard;
+        LeafPool pool = new LeafPool(name, RetryBudget.create(10, 10));
+        pool.add(new Leaf(name, name, region, distance, 2, Duration.ZERO, 0));
+        return pool;
+    }
+
+    private final class KnownWays implements StagePlanner.Ways {
+        @Override
+        public Optional<String> holderOf(Leaf leaf) {
+            return Optional.ofNullable(holders.get(leaf.id()));
+        }
+
+        @Override
+        public String regionOf(Leaf leaf) {
+            return leaf.address();
+        }
+
+        @Override
+        public Optional<String> leastBusyIn(String region) {
+            return Optional.ofNullable(hostsByRegion.get(region));
+        }
+
+        @Override
+        public long silenceNanos(String host, long hedgeDelayNanos) {
+            return 2 * hedgeDelayNanos;
+        }
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -23,6 +23,7 @@
 import org.bramblerack.process.RetryBudget;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.request.routed.HedgeTiming;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RoutingConfiguration;
 import org.bramblerack.wire.HostRecord;
@@ -36,11 +37,6 @@
  * from the moment at which the change arrives. Owned by the event loop.
  */
 public final class FleetView {
-    /** The share of the goal that a call is taken to need before any was seen. */
-    private static final int GOAL_PARTS = 4;
-    /** The quantile of a route's calls after which one is late. */
-    private static final double LATE_QUANTILE_PERCENT = 93;
-
     /** A host that restarted may have spent its share just before. */
     private static final int FIRST_BUDGET_PERCENT = 30;
 
@@ -49,8 +45,6 @@
     /** Hosts make connections at different moments within this time, so that no leaf gets all at once. */
     private static final Duration WARM_WITHIN = Duration.ofMillis(1_500);
 
-    private static final Duration EXPECTED_WITHOUT_GOAL = Duration.ofMillis(100);
-
     private static final EventLog EVENTS = EventLog.of(FleetView.class);
     /** How many leafs a line names at the most. */
     private static final int MOST_NAMED = 12;
@@ -176,10 +170,7 @@
 
     /** Returns what is known of how long the calls of a route take. */
     public LatencyTracker latency(Route route) {
-        return latencies.computeIfAbsent(route.name(), unused -> {
-            Duration goal = route.goal().isZero() ? EXPECTED_WITHOUT_GOAL : route.goal();
-            return new LatencyTracker(LATE_QUANTILE_PERCENT, goal.dividedBy(GOAL_PARTS));
-        });
+        return latencies.computeIfAbsent(route.name(), unused -> HedgeTiming.newLatency(route.goal()));
     }
 
     /**
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -8,6 +8,7 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.request.routed.ForwardedRequest;
+import org.bramblerack.request.routed.HedgeTiming;
 import org.bramblerack.request.routed.RequestBounds;
 import org.bramblerack.request.routed.ScatterQuery;
 import org.bramblerack.request.routed.StageAttempt;
@@ -18,14 +19,6 @@
 
 /** Creates the runs of requests from what this host knows at the moment. Owned by the event loop. */
 final class QueryRuns {
-    /**
-     * A hedge is not sent before this part of the goal has passed, to spare leafs and bytes between regions; and not
-     * after {@link #LATEST_HEDGE}, so that the second answer still comes in time.
-     */
-    private static final double EARLIEST_HEDGE = 0.33;
-
-    private static final double LATEST_HEDGE = 0.5;
-
     private final FleetView view;
     private final StageLinks links;
     private final PeerNetwork network;
@@ -56,14 +49,7 @@
 
     /** Returns after how long an attempt of the route is hedged. */
     long hedgeDelayNanos(Route route) {
-        long lateNanos = view.latency(route).lateNanos();
-        long goalNanos = route.goal().toNanos();
-        if (goalNanos == 0) {
-            return lateNanos;
-        }
-        long earliestNanos = (long) (EARLIEST_HEDGE * goalNanos);
-        long latestNanos = (long) (LATEST_HEDGE * goalNanos);
-        return Math.min(latestNanos, Math.max(earliestNanos, lateNanos));
+        return HedgeTiming.delayNanos(view.latency(route), route.goal());
     }
 
     /** Creates a run that may leave shards far away to other hosts. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -4,10 +4,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,10 +16,10 @@
 import org.bramblerack.daemon.peer.PeerFailure;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.request.routed.StageAttempt;
+import org.bramblerack.request.routed.StagePlanner;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.Ping;
@@ -29,12 +27,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Chooses the hosts that ask shards far away on behalf of this one, and knows the ways to them.
+ * Knows the ways to the hosts that ask shards on behalf of this one.
  *
  * <p>Links to such hosts are probed, so that a dead one is known soon and its round trip can be counted on. A link that
  * failed is left alone for a while. Owned by the event loop.
  */
-final class StageLinks {
+final class StageLinks implements StagePlanner.Ways {
     private static final EventLog EVENTS = EventLog.of(StageLinks.class);
     private static final Duration PROBE_EVERY = Duration.ofMillis(700);
     /** A round trip between regions, which opening a link takes, and some room for a slow start. */
@@ -49,18 +47,14 @@
     private static final long SILENCE_SLACK_NANOS = Duration.ofMillis(30).toNanos();
     /** The round trip of the call and its reply, and half of one for a link that is slower than it was. */
     private static final double SILENT_ROUND_TRIPS = 1.5;
-    /** Fewer shards than this are asked from here: one call costs no more than one message to another host. */
-    private static final int LEAST_SHARDS = 2;
 
     private static final double SMOOTHING = 0.3;
-    /** A region is as good as the best if it has this part of the best one's shards. */
-    private static final double GOOD_COVER = 0.8;
-
     private final FleetView view;
     private final PeerNetwork network;
     private final MonotonicClock clock;
     private final EventLoop loop;
     private final RandomGenerator random;
+    private final StagePlanner planner;
     private final Map<String, Link> links = new HashMap<>();
     private long lastCall;
     private boolean probesSoon;
@@ -72,6 +66,7 @@
         this.clock = clock;
         this.loop = loop;
         this.random = random;
+        this.planner = new StagePlanner(this, random);
     }
 
     void start() {
@@ -100,93 +95,31 @@
         }
     }
 
-    /**
-     * Divides shards among the hosts that hold the connections to their best leafs or, in a fleet that is small enough
-     * for every host to connect to every leaf, those whose best leafs are in another region among hosts there. Shards
-     * that are not in the result are asked from here.
-     *
-     * @param expectedNanos how long a call usually takes
-     * @param hedgeDelayNanos after which a host asks second leafs, and says so
-     */
+    /** Divides the shards of a query between this host and others; see {@link StagePlanner#plan}. */
     ImmutableList<StageAttempt> plan(ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos) {
-        Map<String, List<Integer>> shardsByRegion = new HashMap<>();
-        Map<Link, ImmutableList.Builder<Integer>> shardsByHolder = new LinkedHashMap<>();
-        List<Integer> far = farShards(pools, expectedNanos, shardsByRegion, shardsByHolder);
-        ImmutableList.Builder<StageAttempt> stages = ImmutableList.builder();
-        shardsByHolder.forEach((holder, shards) ->
-                stages.add(new StageAttempt(holder.host, shards.build(), holder.silenceNanos(hedgeDelayNanos))));
-        while (far.size() >= LEAST_SHARDS) {
-            Optional<Link> link = bestRegion(shardsByRegion).flatMap(region -> leastBusy(hostsIn(region), region));
-            if (link.isEmpty()) {
-                break;
-            }
-            List<Integer> taken = shardsByRegion.remove(link.get().region);
-            if (taken == null || taken.size() < LEAST_SHARDS) {
-                break;
-            }
-            far.removeAll(taken);
-            shardsByRegion.values().forEach(shards -> shards.removeAll(taken));
-            stages.add(new StageAttempt(
-                    link.get().host, ImmutableList.copyOf(taken), link.get().silenceNanos(hedgeDelayNanos)));
-        }
-        return stages.build();
+        return planner.plan(pools, expectedNanos, hedgeDelayNanos, clock.nowNanos());
     }
 
-    private List<Integer> farShards(
-            ImmutableList<LeafPool> pools,
-            long expectedNanos,
-            Map<String, List<Integer>> shardsByRegion,
-            Map<Link, ImmutableList.Builder<Integer>> shardsByHolder) {
-        long nowNanos = clock.nowNanos();
-        List<Integer> far = new ArrayList<>();
-        for (int shard = 0; shard < pools.size(); shard++) {
-            LeafPool pool = pools.get(shard);
-            Optional<Leaf> best = pool.choose(leaf -> true, expectedNanos, random, nowNanos);
-            Optional<Link> holder = best.flatMap(leaf -> firstUsable(view.holdersOf(leaf)));
-            if (holder.isPresent()) {
-                shardsByHolder
-                        .computeIfAbsent(holder.get(), unused -> ImmutableList.builder())
-                        .add(shard);
-                continue;
-            }
-            if (best.isEmpty() || best.get().distance() != Distance.OTHER_REGION) {
-                continue;
-            }
-            far.add(shard);
-            for (Leaf leaf : pool.all()) {
-                if (leaf.acceptsWork() && leaf.distance() == Distance.OTHER_REGION && !leaf.isEjected(nowNanos)) {
-                    List<Integer> shards = shardsByRegion.computeIfAbsent(regionOf(leaf), unused -> new ArrayList<>());
-                    if (!shards.contains(shard)) {
-                        shards.add(shard);
-                    }
-                }
-            }
-        }
-        return far;
-    }
-
-    /** Returns a region with about as many of the shards as any; which one is drawn, to spread the load. */
-    private Optional<String> bestRegion(Map<String, List<Integer>> shardsByRegion) {
-        int most = shardsByRegion.values().stream().mapToInt(List::size).max().orElse(0);
-        List<String> good = shardsByRegion.entrySet().stream()
-                .filter(entry -> entry.getValue().size() >= GOOD_COVER * most)
-                .map(Map.Entry::getKey)
-                .filter(this::hasUsableHost)
-                .toList();
-        return good.isEmpty() ? Optional.empty() : Optional.of(good.get(random.nextInt(good.size())));
+    @Override
+    public Optional<String> holderOf(Leaf leaf) {
+        return firstUsable(view.holdersOf(leaf)).map(Link::host);
     }
 
-    private boolean hasUsableHost(String region) {
-        return leastBusy(hostsIn(region), region).isPresent();
-    }
-
-    private String regionOf(Leaf leaf) {
+    @Override
+    public String regionOf(Leaf leaf) {
         return view.leafRecord(leaf.id())
                 .map(record -> view.place().regionOf(record.getZone()))
                 .orElse("");
     }
 
-    private Optional<Link> leastBusy(ImmutableList<String> hosts, String region) {
+    @Override
+    public long silenceNanos(String host, long hedgeDelayNanos) {
+        return link(host).silenceNanos(hedgeDelayNanos);
+    }
+
+    @Override
+    public Optional<String> leastBusyIn(String region) {
+        ImmutableList<String> hosts = hostsIn(region);
         if (hosts.isEmpty()) {
             return Optional.empty();
         }
@@ -195,12 +128,11 @@
         int start = random.nextInt(hosts.size());
         for (int offset = 0; offset < hosts.size(); offset++) {
             Link link = link(hosts.get((start + offset) % hosts.size()));
-            link.region = region;
             if (link.isUsable(nowNanos) && (least == null || link.inFlight < least.inFlight)) {
                 least = link;
             }
         }
-        return Optional.ofNullable(least);
+        return Optional.ofNullable(least).map(Link::host);
     }
 
     private ImmutableList<String> hostsIn(String region) {
@@ -280,7 +212,6 @@
         private final String host;
         private long roundTripNanos = FIRST_ROUND_TRIP_NANOS;
         private long suspectUntilNanos = Long.MIN_VALUE / 2;
-        private String region = "";
         private boolean confirmed;
         private int inFlight;
 
