Leave a host's own lag out of its evidence of leafs; make mechanisms switchable

Change: a task that should run each 20 ms tells how far the event loop is behind. A call's time, a stall and the silence of another host leave that out, and nothing is hedged while the host is behind by half of the hedge delay. Each mechanism of routing can be switched off by a setting that is checked (mechanismsOff), for the ablation.

--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/HostLag.java
@@ -0,0 +1,53 @@
+package org.bramblerack.process.leaf;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+
+/**
+ * How far this host is behind with what has arrived, seen from how late its own regular task runs.
+ *
+ * <p>An answer may have been here for that long before it is read. Evidence of leafs leaves that time out, so that a
+ * host that is slow itself, as just after a start, does not take its leafs for slow. Not safe for use by several
+ * threads: the event loop of the entry role owns it.
+ */
+public final class HostLag {
+    private final long periodNanos;
+    private boolean begun;
+    private long lastRunNanos;
+    private long lastLateNanos;
+
+    private HostLag(long periodNanos) {
+        this.periodNanos = periodNanos;
+    }
+
+    /**
+     * Creates a lag that is zero until the regular task has run.
+     *
+     * @param period how often the task is meant to run
+     */
+    public static HostLag create(Duration period) {
+        checkArgument(!period.isZero() && !period.isNegative(), "a period of %s", period);
+        return new HostLag(period.toNanos());
+    }
+
+    /** Returns the lag of a host that is never behind. */
+    public static HostLag none() {
+        return new HostLag(Long.MAX_VALUE);
+    }
+
+    /** Notes that the regular task runs. */
+    public void taskRuns(long nowNanos) {
+        lastLateNanos = begun ? Math.max(0, nowNanos - lastRunNanos - periodNanos) : 0;
+        lastRunNanos = nowNanos;
+        begun = true;
+    }
+
+    /** Returns how long what is read now may have waited here. */
+    public long nanos(long nowNanos) {
+        if (!begun) {
+            return 0;
+        }
+        return Math.max(lastLateNanos, nowNanos - lastRunNanos - periodNanos);
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -62,6 +62,7 @@
     private final String address;
     private final Distance distance;
     private final long warmAtNanos;
+    private final RoutingContext context;
     private final List<Call> calls = new ArrayList<>(4);
     private int slots;
     private boolean acceptsWork = true;
@@ -79,18 +80,37 @@
     private long ejectedUntilNanos;
 
     /**
-     * Creates a leaf of which nothing but its registration is known.
+     * Creates a leaf of which nothing but its registration is known, for a host with a plain context.
      *
      * @param coldFor how much longer it is slow from its start
      */
     public Leaf(
             String id, String service, String address, Distance distance, int slots, Duration coldFor, long nowNanos) {
+        this(id, service, address, distance, slots, coldFor, RoutingContext.plain(), nowNanos);
+    }
+
+    /**
+     * Creates a leaf of which nothing but its registration is known.
+     *
+     * @param coldFor how much longer it is slow from its start
+     * @param context what the routing decisions of this host share
+     */
+    public Leaf(
+            String id,
+            String service,
+            String address,
+            Distance distance,
+            int slots,
+            Duration coldFor,
+            RoutingContext context,
+            long nowNanos) {
         this.id = id;
         this.service = service;
         this.address = address;
         this.distance = distance;
         this.slots = Math.max(1, slots);
         this.warmAtNanos = nowNanos + coldFor.toNanos();
+        this.context = context;
         this.busyUntilNanos = nowNanos;
         this.ejectedUntilNanos = nowNanos;
         this.stalledUntilNanos = nowNanos;
@@ -185,7 +205,7 @@
         if (!calls.remove(call)) {
             return;
         }
-        double ratio = (double) (nowNanos - call.sentNanos) / Math.max(1, call.expectedNanos);
+        double ratio = ratio(call, nowNanos);
         if (ratio < STALLED_AFTER) {
             return;
         }
@@ -202,16 +222,22 @@
 
     /** Returns true while repeated failures keep it from getting work. */
     public boolean isEjected(long nowNanos) {
-        return consecutiveFailures >= FAILURES_TO_EJECT && nowNanos - ejectedUntilNanos < 0;
+        return context.uses(Mechanism.EJECTION)
+                && consecutiveFailures >= FAILURES_TO_EJECT
+                && nowNanos - ejectedUntilNanos < 0;
     }
 
     /** Returns true if a call is long overdue, so that the leaf probably pauses. */
     public boolean isStalled(long nowNanos) {
+        if (!context.uses(Mechanism.STALLS)) {
+            return false;
+        }
         if (nowNanos - stalledUntilNanos < 0) {
             return true;
         }
+        long readNanos = nowNanos - context.lagNanos(nowNanos);
         for (Call call : calls) {
-            if (nowNanos - call.sentNanos > STALLED_AFTER * call.expectedNanos + 2 * distance.handicapNanos()) {
+            if (readNanos - call.sentNanos > STALLED_AFTER * call.expectedNanos + 2 * distance.handicapNanos()) {
                 return true;
             }
         }
@@ -224,6 +250,11 @@
         return Math.max(calls.size(), told) >= 2 * slots || nowNanos - busyUntilNanos < 0;
     }
 
+    /** Returns true if one more call would begin at once, as far as this host knows. */
+    public boolean hasRoom(long nowNanos) {
+        return acceptsWork && !isEjected(nowNanos) && !isStalled(nowNanos) && occupancy(nowNanos) + 1 <= slots;
+    }
+
     /**
      * Returns the time to expect of one more call, in nanoseconds, with handicaps for the way, stalls and failures.
      *
@@ -232,7 +263,7 @@
     public double costNanos(long expectedNanos, long nowNanos) {
         double occupancy = occupancy(nowNanos);
         double ahead = Math.max(0, occupancy + 1 - slots);
-        double work = expectedNanos * slowness.at(nowNanos);
+        double work = context.uses(Mechanism.SLOWNESS) ? expectedNanos * slowness.at(nowNanos) : expectedNanos;
         if (nowNanos - warmAtNanos < 0) {
             work *= COLD_FACTOR;
         }
@@ -252,7 +283,8 @@
 
     /** Returns how many calls the next one is expected to meet at the leaf: those of this host and of others. */
     private double occupancy(long nowNanos) {
-        return calls.size() + OTHERS_SHARE * callsOfOthers.at(nowNanos);
+        double others = context.uses(Mechanism.LOAD_OF_OTHERS) ? callsOfOthers.at(nowNanos) : 0;
+        return calls.size() + OTHERS_SHARE * others;
     }
 
     private void succeeded(Call call, long nowNanos) {
@@ -261,7 +293,13 @@
         ejectionNanos = 0;
         stalledUntilNanos = nowNanos;
         failureRate -= FAILURE_SMOOTHING * failureRate;
-        observe((double) (nowNanos - call.sentNanos) / Math.max(1, call.expectedNanos), nowNanos);
+        observe(ratio(call, nowNanos), nowNanos);
+    }
+
+    /** Returns how many times as long as usual a call has taken, without the time for which this host was behind. */
+    private double ratio(Call call, long nowNanos) {
+        long tookNanos = Math.max(0, nowNanos - context.lagNanos(nowNanos) - call.sentNanos);
+        return (double) tookNanos / Math.max(1, call.expectedNanos);
     }
 
     private void observe(double ratio, long nowNanos) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
@@ -28,19 +28,19 @@
 
     private final String service;
     private final RetryBudget budget;
-    private final RoutingPolicy policy;
+    private final RoutingContext context;
     private final Map<String, Leaf> leaves = new LinkedHashMap<>();
 
     /** Creates an empty pool. */
     public LeafPool(String service, RetryBudget budget) {
-        this(service, budget, RoutingPolicy.DEFAULT);
+        this(service, budget, RoutingContext.plain());
     }
 
-    /** Creates an empty pool whose leafs are chosen by a policy of its own. */
-    public LeafPool(String service, RetryBudget budget, RoutingPolicy policy) {
+    /** Creates an empty pool of a host with the given context. */
+    public LeafPool(String service, RetryBudget budget, RoutingContext context) {
         this.service = service;
         this.budget = budget;
-        this.policy = policy;
+        this.context = context;
     }
 
     /** Returns the name of the service. */
@@ -87,6 +87,11 @@
         return false;
     }
 
+    /** Returns true if one of the leafs would begin one more call at once. */
+    public boolean hasRoom(long nowNanos) {
+        return leaves.values().stream().anyMatch(leaf -> leaf.hasRoom(nowNanos));
+    }
+
     /**
      * Chooses the leaf of the least expected time among those that take work and pass the filter. Ejected leafs are
      * chosen only if there is no other.
@@ -122,7 +127,7 @@
      * leaf that refuses gets as many first attempts as the budget can send again.
      */
     private double refusalNanos() {
-        if (!policy.learnsRefusals()) {
+        if (!context.uses(Mechanism.REFUSAL_PRICE)) {
             return 0;
         }
         double spent = 1 - budget.fill();
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
@@ -0,0 +1,23 @@
+package org.bramblerack.process.leaf;
+
+/** What takes part in choosing leafs and spending extra attempts; each can be switched off to measure its worth. */
+public enum Mechanism {
+    /** A leaf's share of refused calls is remembered and priced by the budget that is left. */
+    REFUSAL_PRICE,
+    /** What other hosts have under way at a leaf is estimated from the load that it tells. */
+    LOAD_OF_OTHERS,
+    /** A leaf that took longer than usual of late is expected to go on so. */
+    SLOWNESS,
+    /** A leaf with a call that is long overdue is taken to pause. */
+    STALLS,
+    /** A leaf that failed several times in a row is the last choice for a while. */
+    EJECTION,
+    /** A late attempt is hedged at another leaf. */
+    HEDGES,
+    /** A query that cannot reach its least share of shards any more ends at once. */
+    EARLY_END,
+    /** A host that is behind with what has arrived does not take its leafs for slow. */
+    HOST_LAG,
+    /** Shards whose best leafs are in another region are left to a host there. */
+    STAGES
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/RoutingPolicy.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/RoutingPolicy.java
@@ -1,13 +1,63 @@
 package org.bramblerack.process.leaf;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.EnumSet;
+import java.util.Locale;
+import java.util.Set;
+import org.bramblerack.process.document.Fields;
+
 /**
- * Which mechanisms take part when leafs are chosen and extra attempts are spent.
+ * Which mechanisms take part in routing.
  *
- * <p>Each can be switched off by itself, so that its worth can be measured. Immutable and safe for use by many threads.
+ * <p>Immutable and safe for use by many threads.
  *
- * @param learnsRefusals whether a leaf's share of refused calls is remembered and priced by what a refusal costs
+ * @param off those that are switched off
  */
-public record RoutingPolicy(boolean learnsRefusals) {
+public record RoutingPolicy(ImmutableSet<Mechanism> off) {
     /** Every mechanism takes part. */
-    public static final RoutingPolicy DEFAULT = new RoutingPolicy(true);
+    public static final RoutingPolicy DEFAULT = new RoutingPolicy(ImmutableSet.of());
+
+    private static final String FIELD = "mechanismsOff";
+
+    /** Returns a policy without some mechanisms. */
+    public static RoutingPolicy without(Mechanism... off) {
+        return new RoutingPolicy(Sets.immutableEnumSet(ImmutableList.copyOf(off)));
+    }
+
+    /** Reads the optional list of mechanisms that are off, as {@code "mechanismsOff": ["hedges"]}. */
+    public static RoutingPolicy read(Fields fields) {
+        Set<Mechanism> off = EnumSet.noneOf(Mechanism.class);
+        for (String text : fields.texts(FIELD, Mechanism.values().length)) {
+            boolean known = false;
+            for (Mechanism mechanism : Mechanism.values()) {
+                if (spell(mechanism).equals(text)) {
+                    off.add(mechanism);
+                    known = true;
+                }
+            }
+            if (!known) {
+                fields.fault(FIELD, "\"" + text + "\" is no mechanism", "write some of: " + choices());
+            }
+        }
+        return new RoutingPolicy(Sets.immutableEnumSet(off));
+    }
+
+    /** Returns true if a mechanism takes part. */
+    public boolean uses(Mechanism mechanism) {
+        return !off.contains(mechanism);
+    }
+
+    private static String choices() {
+        StringBuilder choices = new StringBuilder();
+        for (Mechanism mechanism : Mechanism.values()) {
+            choices.append(choices.length() == 0 ? "" : ", ").append(spell(mechanism));
+        }
+        return choices.toString();
+    }
+
+    private static String spell(Mechanism mechanism) {
+        return mechanism.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
@@ -12,6 +12,8 @@
     HEDGE_DENIED_NO_LEAF,
     /** So many shards are late that a hedge would only add to the load. */
     HEDGE_DENIED_SLOW_SERVICE,
+    /** This host was behind with what had arrived, so that the answer may have been here already. */
+    HEDGE_DENIED_HOST_LAG,
     /** The budget did not allow a hedge. */
     HEDGE_DENIED_BUDGET,
     /** No leaf was left for a retry. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -30,7 +30,7 @@
      * @param repeatable true if it may run more than once
      */
     public ForwardedRequest(LeafPool pool, boolean repeatable, RequestBounds bounds, RandomGenerator random) {
-        this.request = new ShardRequest(pool, bounds, repeatable, random);
+        this.request = new ShardRequest(pool, bounds, repeatable, repeatable, random);
         this.bounds = bounds;
     }
 
@@ -81,7 +81,7 @@
             return actions;
         }
         wakeArmed = false;
-        request.wake(true, nowNanos, actions);
+        request.wake(Optional.empty(), nowNanos, actions);
         decide(nowNanos, actions);
         return actions;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,8 @@
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.Mechanism;
+import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.version.routing.RouteTarget;
 
 /**
@@ -34,12 +37,19 @@
 
     private static final int SLOW_SERVICE_DIVISOR = 3;
 
+    /** A host that is behind by more than this part of the hedge delay cannot tell a late answer from an unread one. */
+    private static final int LAG_DIVISOR = 2;
+
+    /** How soon a host that was behind looks again whether another is silent. */
+    private static final long LEAST_WAIT_NANOS = Duration.ofMillis(5).toNanos();
+
     private final RouteTarget.Scatter target;
     private final RequestBounds bounds;
     private final ShardRequest[] shards;
     private final ImmutableList<StageAttempt> stages;
     private final GatheredParts parts;
     private final Delivery delivery;
+    private final RoutingContext context;
     private boolean over;
     private long startedNanos;
     private long armedWakeNanos;
@@ -56,11 +66,23 @@
         IN_PIECES
     }
 
+    /** Creates a query of a host with a plain context; nothing is asked before {@link #start}. */
+    public ScatterQuery(
+            RouteTarget.Scatter target,
+            ImmutableList<LeafPool> pools,
+            ImmutableList<StageAttempt> stages,
+            RequestBounds bounds,
+            Delivery delivery,
+            RandomGenerator random) {
+        this(target, pools, stages, bounds, delivery, RoutingContext.plain(), random);
+    }
+
     /**
      * Creates a query; nothing is asked before {@link #start}.
      *
      * @param pools the leafs of each shard, in the order of the shards
      * @param stages the shards that are left to other hosts, each to one at most
+     * @param context what the routing decisions of this host share
      */
     public ScatterQuery(
             RouteTarget.Scatter target,
@@ -68,15 +90,17 @@
             ImmutableList<StageAttempt> stages,
             RequestBounds bounds,
             Delivery delivery,
+            RoutingContext context,
             RandomGenerator random) {
         this.target = target;
         this.stages = stages;
         this.bounds = bounds;
         this.delivery = delivery;
+        this.context = context;
         this.parts = new GatheredParts(target.topRecords(), pools.size());
         this.shards = new ShardRequest[pools.size()];
         for (int shard = 0; shard < shards.length; shard++) {
-            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, random);
+            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, context.uses(Mechanism.HEDGES), random);
         }
     }
 
@@ -193,21 +217,18 @@
         }
         wakeArmed = false;
         closeAtGoal(nowNanos, actions);
+        long lagNanos = context.lagNanos(nowNanos);
         for (StageAttempt stage : stages) {
-            if (stage.isAwaited() && nowNanos - startedNanos - stage.silenceNanos() >= 0) {
+            if (stage.isAwaited() && nowNanos - lagNanos - startedNanos - stage.silenceNanos() >= 0) {
                 stage.abandon();
                 actions.add(new RoutedAction.Count(AttemptCounter.STAGE_SILENT));
                 actions.add(new RoutedAction.SuspectStage(stage));
                 stage.shards().forEach(shard -> shards[shard].backUp(nowNanos, actions));
             }
         }
-        int late = 0;
-        for (ShardRequest shard : shards) {
-            late += shard.isHedgeDue(nowNanos) ? 1 : 0;
-        }
-        boolean mayHedge = late <= Math.max(LEAST_LATE_TO_SUSPECT, shards.length / SLOW_SERVICE_DIVISOR);
+        Optional<AttemptCounter> denial = hedgeDenial(lagNanos, nowNanos);
         for (ShardRequest shard : shards) {
-            shard.wake(mayHedge, nowNanos, actions);
+            shard.wake(denial, nowNanos, actions);
         }
         decide(nowNanos, actions);
         return actions;
@@ -260,6 +281,19 @@
         return text.toString();
     }
 
+    /** Returns why no late shard should be hedged now, if there is a reason that holds for all of them. */
+    private Optional<AttemptCounter> hedgeDenial(long lagNanos, long nowNanos) {
+        if (lagNanos > bounds.hedgeDelayNanos() / LAG_DIVISOR) {
+            return Optional.of(AttemptCounter.HEDGE_DENIED_HOST_LAG);
+        }
+        int late = 0;
+        for (ShardRequest shard : shards) {
+            late += shard.isHedgeDue(nowNanos) ? 1 : 0;
+        }
+        boolean slowService = late > Math.max(LEAST_LATE_TO_SUSPECT, shards.length / SLOW_SERVICE_DIVISOR);
+        return slowService ? Optional.of(AttemptCounter.HEDGE_DENIED_SLOW_SERVICE) : Optional.empty();
+    }
+
     private void decide(long nowNanos, List<RoutedAction> actions) {
         boolean nothingToWaitFor = waitingCount() == 0 || !canBeEnough();
         boolean deadlineCome = nowNanos - bounds.deadlineNanos() >= 0;
@@ -346,7 +380,8 @@
 
     /** Returns false once so many shards are lost that there will be no answer, whatever the others bring. */
     private boolean canBeEnough() {
-        return parts.count() + waitingCount() >= target.leastShare() * shards.length;
+        return !context.uses(Mechanism.EARLY_END)
+                || parts.count() + waitingCount() >= target.leastShare() * shards.length;
     }
 
     private int waitingCount() {
@@ -383,7 +418,7 @@
             }
         }
         for (StageAttempt stage : stages) {
-            long silentNanos = startedNanos + stage.silenceNanos();
+            long silentNanos = Math.max(startedNanos + stage.silenceNanos(), nowNanos + LEAST_WAIT_NANOS);
             if (stage.isAwaited() && silentNanos - next < 0) {
                 next = silentNanos;
             }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -34,6 +34,7 @@
     private final LeafPool pool;
     private final RequestBounds bounds;
     private final boolean repeatable;
+    private final boolean hedged;
     private final RandomGenerator random;
     private final List<Attempt> attempts = new ArrayList<>(2);
     private int spentElsewhere;
@@ -45,11 +46,17 @@
     private long retryAtNanos;
     private boolean retryDue;
 
-    /** Creates a request that is not yet sent. */
-    ShardRequest(LeafPool pool, RequestBounds bounds, boolean repeatable, RandomGenerator random) {
+    /**
+     * Creates a request that is not yet sent.
+     *
+     * @param repeatable whether it may run more than once
+     * @param hedged whether a second leaf is asked if the first is late; only if it is repeatable
+     */
+    ShardRequest(LeafPool pool, RequestBounds bounds, boolean repeatable, boolean hedged, RandomGenerator random) {
         this.pool = pool;
         this.bounds = bounds;
         this.repeatable = repeatable;
+        this.hedged = repeatable && hedged;
         this.random = random;
     }
 
@@ -168,19 +175,19 @@
     /**
      * Makes a hedge or a retry that is due.
      *
-     * @param mayHedge false if so many shards are late that hedges would only add to the load
+     * @param denial why no hedge should be made, if there is a reason that holds for the whole query
      */
-    void wake(boolean mayHedge, long nowNanos, List<RoutedAction> actions) {
+    void wake(Optional<AttemptCounter> denial, long nowNanos, List<RoutedAction> actions) {
         if (finished) {
             return;
         }
         if (retryDue && nowNanos - retryAtNanos >= 0) {
             retryDue = false;
             retryAnywhere(nowNanos, actions);
-        } else if (isHedgeDue(nowNanos) && mayHedge) {
+        } else if (isHedgeDue(nowNanos) && denial.isEmpty()) {
             hedge(nowNanos, actions);
         } else if (isHedgeDue(nowNanos)) {
-            refuseHedge(AttemptCounter.HEDGE_DENIED_SLOW_SERVICE, nowNanos, actions);
+            refuseHedge(denial.get(), nowNanos, actions);
         }
     }
 
@@ -192,7 +199,7 @@
         if (retryDue) {
             return Optional.of(retryAtNanos);
         }
-        boolean mayHedge = repeatable && hedgesRefused < MAX_HEDGES_REFUSED && attempts.size() == 1;
+        boolean mayHedge = hedged && hedgesRefused < MAX_HEDGES_REFUSED && attempts.size() == 1;
         return mayHedge ? Optional.of(hedgeDueNanos()) : Optional.empty();
     }
 
@@ -238,7 +245,7 @@
     boolean isHedgeDue(long nowNanos) {
         return !finished
                 && !closed
-                && repeatable
+                && hedged
                 && hedgesRefused < MAX_HEDGES_REFUSED
                 && attempts.size() == 1
                 && !attempts.get(0).isFinished()
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
@@ -140,7 +140,8 @@
 
     @Test
     void refusalsAreNoPartOfTheChoiceIfThePolicySaysSo() {
-        LeafPool plain = new LeafPool("s", RetryBudget.create(0, 0), new RoutingPolicy(false));
+        RoutingContext context = new RoutingContext(RoutingPolicy.without(Mechanism.REFUSAL_PRICE), HostLag.none());
+        LeafPool plain = new LeafPool("s", RetryBudget.create(0, 0), context);
         Leaf refusing = new Leaf("refusing", "s", "10.0.0.1:1", Distance.SAME_ZONE, 2, Duration.ZERO, 0);
         Leaf sound = new Leaf("sound", "s", "10.0.0.1:2", Distance.SAME_REGION, 2, Duration.ZERO, 0);
         plain.add(refusing);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -63,7 +63,14 @@
         EventLoop loop = group.next();
         PeerTraffic traffic = new PeerTraffic();
         this.view = new FleetView(
-                settings.peerAddress().toString(), settings.place(), settings.budget(), names, group, clock, random);
+                settings.peerAddress().toString(),
+                settings.place(),
+                settings.budget(),
+                settings.routing(),
+                names,
+                group,
+                clock,
+                random);
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
         this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self);
         this.gateway = new Gateway(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
+import org.bramblerack.process.leaf.RoutingPolicy;
 
 /**
  * The settings of the entry role.
@@ -17,6 +18,7 @@
  * @param peerAddress where other hosts reach it
  * @param seeds the peer addresses of control hosts that are known beforehand
  * @param budget what all hosts may spend on extra attempts at a service
+ * @param routing which mechanisms take part in routing
  * @param stopLimit how long a planned stop may take
  */
 public record EntrySettings(
@@ -26,6 +28,7 @@
         HostAndPort peerAddress,
         ImmutableList<String> seeds,
         FleetBudget budget,
+        RoutingPolicy routing,
         Duration stopLimit) {
     /** Refuses settings without a control host to ask. */
     public EntrySettings {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -21,10 +21,15 @@
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.RetryBudget;
+import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.Mechanism;
+import org.bramblerack.process.leaf.RoutingContext;
+import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.request.routed.HedgeTiming;
 import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.version.routing.RoutingConfiguration;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
@@ -45,6 +50,9 @@
     /** Hosts make connections at different moments within this time, so that no leaf gets all at once. */
     private static final Duration WARM_WITHIN = Duration.ofMillis(1_500);
 
+    /** How often this host looks how far it is behind: several times in the shortest goal that was seen. */
+    static final Duration LAG_PERIOD = Duration.ofMillis(20);
+
     private static final EventLog EVENTS = EventLog.of(FleetView.class);
     /** How many leafs a line names at the most. */
     private static final int MOST_NAMED = 12;
@@ -56,6 +64,7 @@
     private final EventLoopGroup group;
     private final MonotonicClock clock;
     private final RandomGenerator random;
+    private final RoutingContext routing;
     private final Map<String, LeafPool> pools = new HashMap<>();
     private final Map<Leaf, LeafConnections> connections = new HashMap<>();
     private final Map<String, HostRecord> hosts = new LinkedHashMap<>();
@@ -76,11 +85,13 @@
             String self,
             Place place,
             FleetBudget budget,
+            RoutingPolicy policy,
             CallHeaders names,
             EventLoopGroup group,
             MonotonicClock clock,
             RandomGenerator random) {
         this.place = place;
+        this.routing = new RoutingContext(policy, HostLag.create(LAG_PERIOD));
         this.access = new LeafAccess(self, place);
         this.budget = budget;
         this.names = names;
@@ -99,6 +110,11 @@
         return configuration;
     }
 
+    /** Returns what the routing decisions of this host share. */
+    RoutingContext routing() {
+        return routing;
+    }
+
     /** Returns where this host is. */
     public Place place() {
         return place;
@@ -157,6 +173,19 @@
         return access().isAnyHeld();
     }
 
+    /** Returns the share of a query's shards at which a call would begin at once. */
+    double shareWithRoom(RouteTarget.Scatter target, long nowNanos) {
+        long count = target.shards().stream()
+                .filter(shard -> pool(shard).hasRoom(nowNanos))
+                .count();
+        return (double) count / target.shards().size();
+    }
+
+    /** Returns true if shards may be left to other hosts; those that are reached through holders always are. */
+    boolean usesStages() {
+        return usesHolders() || routing.uses(Mechanism.STAGES);
+    }
+
     /** Returns the record of a leaf. */
     public Optional<LeafRecord> leafRecord(String id) {
         return Optional.ofNullable(leafRecords.get(id));
@@ -274,6 +303,7 @@
                     place.distanceTo(record.getZone()),
                     record.getSlots(),
                     Duration.ofMillis(record.getColdMillis()),
+                    routing,
                     clock.nowNanos());
             pool.add(leaf);
             known = Optional.of(leaf);
@@ -334,7 +364,7 @@
     private LeafPool newPool(String service) {
         RetryBudget own = RetryBudget.create(budget.ownPercent(), reserveOf(service));
         own.reduceTo(FIRST_BUDGET_PERCENT);
-        return new LeafPool(service, own);
+        return new LeafPool(service, own, routing);
     }
 
     private int reserveOf(String service) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -43,6 +43,7 @@
     private final BooleanSupplier tablesKnown;
     private final CallHeaders names;
     private final GatewayMetrics metrics;
+    private final MonotonicClock clock;
     private final EventLoop loop;
     private final RandomGenerator random;
     private final DecisionLog log;
@@ -70,6 +71,7 @@
         this.tablesKnown = tablesKnown;
         this.names = names;
         this.metrics = metrics;
+        this.clock = clock;
         this.loop = loop;
         this.random = random;
         this.stages = new StageLinks(view, network, clock, loop, random);
@@ -82,6 +84,12 @@
     /** Begins to probe the links to other hosts. */
     public void start() {
         stages.start();
+        long periodNanos = FleetView.LAG_PERIOD.toNanos();
+        loop.scheduleWithFixedDelay(
+                () -> view.routing().hostLag().taskRuns(clock.nowNanos()),
+                periodNanos,
+                periodNanos,
+                TimeUnit.NANOSECONDS);
         loop.scheduleWithFixedDelay(
                 () -> EVENTS.info("counters")
                         .with("counters", metrics.summary())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -56,10 +56,12 @@
     ScatterRun scatter(RoutedCall call, RouteTarget.Scatter target, StageCaller caller, AnswerSink sink) {
         ImmutableList<LeafPool> pools = pools(target);
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
-        ImmutableList<StageAttempt> stages = links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos());
+        ImmutableList<StageAttempt> stages = view.usesStages()
+                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos())
+                : ImmutableList.of();
         return run(
                 call,
-                new ScatterQuery(target, pools, stages, bounds, ScatterQuery.Delivery.AT_ONCE, random),
+                new ScatterQuery(target, pools, stages, bounds, ScatterQuery.Delivery.AT_ONCE, view.routing(), random),
                 caller,
                 sink);
     }
@@ -69,7 +71,13 @@
             RoutedCall call, RouteTarget.Scatter target, long hedgeDelayNanos, StageCaller caller, AnswerSink sink) {
         RequestBounds bounds = bounds(call, hedgeDelayNanos);
         ScatterQuery query = new ScatterQuery(
-                target, pools(target), ImmutableList.of(), bounds, ScatterQuery.Delivery.IN_PIECES, random);
+                target,
+                pools(target),
+                ImmutableList.of(),
+                bounds,
+                ScatterQuery.Delivery.IN_PIECES,
+                view.routing(),
+                random);
         return run(call, query, caller, sink);
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -32,6 +32,7 @@
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.RequestLimits;
@@ -96,7 +97,14 @@
     public void run() throws InterruptedException {
         long beganNanos = clock.nowNanos();
         FleetView view = new FleetView(
-                "warm-up", place(), new FleetBudget(10, 10), names, group, clock, new SplittableRandom(1));
+                "warm-up",
+                place(),
+                new FleetBudget(10, 10),
+                RoutingPolicy.DEFAULT,
+                names,
+                group,
+                clock,
+                new SplittableRandom(1));
         PeerTraffic traffic = new PeerTraffic();
         PeerNetwork network = PeerNetwork.byAddress("warm-up", group, LinkPolicy.OPEN, traffic);
         Gateway gateway = new Gateway(
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.RequestLimits;
@@ -51,6 +52,7 @@
                     "127.0.0.1:1",
                     new Place("z", "r", ImmutableMap.of("z", "r")),
                     new FleetBudget(20, 50),
+                    RoutingPolicy.DEFAULT,
                     NAMES,
                     group,
                     MonotonicClock.system(),
