Let queries that will be late in any case start when the leafs have room

Cause: after a spell in which nobody was served, callers come back all at once.

Change: a try says how long its caller goes on waiting. The longest wait seen of late on the route (at first its time-out) less that is what the caller has used; beyond the goal, the query is held back until most of its shards have a leaf that would begin at once, nearest limit first, and starts two goals before its deadline in any case. It is never refused for this, so callers whose waits differ by nature only change places.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
@@ -18,6 +18,8 @@
     EARLY_END,
     /** A host that is behind with what has arrived does not take its leafs for slow. */
     HOST_LAG,
+    /** A query whose answer will be late in any case starts when the leafs have room for it. */
+    LATE_STARTS,
     /** Shards whose best leafs are in another region are left to a host there. */
     STAGES
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -18,6 +18,8 @@
 import org.bramblerack.daemon.peer.PeerHandler;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.Mechanism;
+import org.bramblerack.request.routed.CallerWaits;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
@@ -39,6 +41,11 @@
     /** The final answer is on its way this long before the caller stops waiting. */
     private static final long DEADLINE_WAY_NANOS = Duration.ofMillis(15).toNanos();
 
+    /**
+     * A query that was held back starts at the latest when this many goals are left, in which it is mostly answered.
+     */
+    private static final int LATE_START_GOALS = 2;
+
     private final FleetView view;
     private final BooleanSupplier tablesKnown;
     private final CallHeaders names;
@@ -49,6 +56,8 @@
     private final DecisionLog log;
     private final SealLead sealLead = new SealLead();
     private final QueryRuns runs;
+    private final LateQueries lateQueries;
+    private final CallerWaits waits = new CallerWaits();
     private final StageLinks stages;
     private final StageServer stageServer;
     private final Map<String, SplitCursor> splits = new HashMap<>();
@@ -78,6 +87,7 @@
         view.onHostsChanged(stages::hostsChanged);
         this.log = new DecisionLog(clock, view);
         this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random, log);
+        this.lateQueries = new LateQueries(view, clock, loop);
         this.stageServer = new StageServer(view, runs, names, clock);
     }
 
@@ -159,8 +169,7 @@
             StageCaller stageCaller = runs.stageCaller(stageCall(exchange, route.get()), times);
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
             run.onSealedAtGoal(writtenNanos -> sealLead.sealed(times.goalNanos(), writtenNanos));
-            exchange.onCallerGone(run::callerGone);
-            run.start();
+            begin(exchange, call, target, run);
         } else {
             ForwardRun run = runs.forward(call, serviceOf(route.get()), caller);
             exchange.onCallerGone(run::callerGone);
@@ -168,6 +177,25 @@
         }
     }
 
+    /** Starts a query, or holds it back if its answer will be late in any case and others need the leafs. */
+    private void begin(HttpExchange exchange, RoutedCall call, RouteTarget.Scatter target, ScatterRun run) {
+        long arrivedNanos = call.arrivedNanos();
+        long usedNanos = waits.usedNanos(
+                call.route().name(),
+                callerWaitNanos(exchange),
+                call.route().timeout().toNanos(),
+                arrivedNanos);
+        long goalNanos = call.route().goal().toNanos();
+        boolean late = goalNanos > 0 && usedNanos > goalNanos && view.routing().uses(Mechanism.LATE_STARTS);
+        if (!late) {
+            exchange.onCallerGone(run::callerGone);
+            run.start();
+            return;
+        }
+        long startByNanos = Math.max(arrivedNanos, call.times().deadlineNanos() - LATE_START_GOALS * goalNanos);
+        exchange.onCallerGone(lateQueries.startWhenRoom(run, target, startByNanos));
+    }
+
     private void refusedUnrouted(HttpExchange exchange, String outcome) {
         metrics.refusedUnrouted(outcome);
         log.refusedUnrouted(
