Add an experiment tool: the routing decisions against a model of what they serve

The same seed gives the same run; policies are compared on the same arrivals; promises are checked in every run, and a test breaks each of them.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/Main.java
@@ -26,6 +26,7 @@
             new QueryCommand(),
             new StandInCommand(),
             new BenchCommand(),
+            new ExperimentCommand(),
             new DemoPrepareCommand(),
             new DemoRunCommand());
 
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Comparison.java
@@ -0,0 +1,89 @@
+package org.bramblerack.cli.experiment;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+
+/**
+ * All runs of an experiment and what they say of its policies.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param summaries by policy and kind of query
+ * @param costs by policy
+ * @param creditBySecond by policy, what the queries of each second earned on average
+ */
+record Comparison(
+        ImmutableList<Summary> summaries,
+        ImmutableList<Summary.Cost> costs,
+        ImmutableList<ImmutableList<Double>> creditBySecond) {
+    /**
+     * Runs an experiment.
+     *
+     * @param jobs how many runs go on at a time
+     * @param progress is told of each policy that is done
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    static Comparison run(Experiment experiment, int jobs, Consumer<String> progress) throws InterruptedException {
+        ExecutorService workers = Executors.newFixedThreadPool(jobs);
+        try {
+            ImmutableList.Builder<Summary> summaries = ImmutableList.builder();
+            ImmutableList.Builder<Summary.Cost> costs = ImmutableList.builder();
+            ImmutableList.Builder<ImmutableList<Double>> seconds = ImmutableList.builder();
+            Optional<List<Run.Result>> first = Optional.empty();
+            for (Experiment.Policy policy : experiment.policies()) {
+                List<Run.Result> results = runs(experiment, policy, workers);
+                List<Run.Result> compared = first.orElse(results);
+                first = Optional.of(compared);
+                experiment.loads().forEach(load -> summaries.add(Summary.of(policy.name(), load, results, compared)));
+                costs.add(Summary.Cost.of(policy.name(), results));
+                seconds.add(creditBySecond(results));
+                progress.accept(policy.name() + ": " + results.size() + " runs are done");
+            }
+            return new Comparison(summaries.build(), costs.build(), seconds.build());
+        } finally {
+            workers.shutdownNow();
+        }
+    }
+
+    /** Returns true if everything that must hold held in every run. */
+    boolean holds() {
+        return costs.stream().allMatch(cost -> cost.violations().isEmpty());
+    }
+
+    private static List<Run.Result> runs(Experiment experiment, Experiment.Policy policy, ExecutorService workers)
+            throws InterruptedException {
+        ImmutableList.Builder<Future<Run.Result>> pending = ImmutableList.builder();
+        for (int seed = 0; seed < experiment.seeds(); seed++) {
+            int number = seed;
+            pending.add(workers.submit(() -> Run.of(experiment, policy.routing(), number)));
+        }
+        ImmutableList.Builder<Run.Result> results = ImmutableList.builder();
+        for (Future<Run.Result> run : pending.build()) {
+            try {
+                results.add(run.get());
+            } catch (ExecutionException failed) {
+                throw new IllegalStateException("a run of policy " + policy.name() + " failed", failed.getCause());
+            }
+        }
+        return results.build();
+    }
+
+    private static ImmutableList<Double> creditBySecond(List<Run.Result> results) {
+        ImmutableList.Builder<Double> seconds = ImmutableList.builder();
+        int count = results.get(0).tally().seconds();
+        for (int second = 0; second < count; second++) {
+            int number = second;
+            seconds.add(results.stream()
+                    .mapToDouble(result -> result.tally().creditIn(number))
+                    .average()
+                    .orElse(0));
+        }
+        return seconds.build();
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -0,0 +1,196 @@
+package org.bramblerack.cli.experiment;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.bramblerack.process.LatencyTracker;
+import org.bramblerack.process.RetryBudget;
+import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.HostLag;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.RoutingContext;
+import org.bramblerack.process.leaf.RoutingPolicy;
+import org.bramblerack.request.routed.HedgeTiming;
+import org.bramblerack.request.routed.StageAttempt;
+import org.bramblerack.request.routed.StagePlanner;
+
+/**
+ * An entry host: what it knows of the leafs and of other hosts, by the product's own classes. Its own work takes no
+ * time. Not safe for use by several threads.
+ */
+final class ModelHost implements StagePlanner.Ways {
+    /** The part of a leaf's connections that hosts share out, as in the product. */
+    private static final double SHARED_OUT = 0.85;
+    /** What a host and a link may take beyond the usual before silence means that something is wrong. */
+    private static final long SILENCE_SLACK_NANOS = 30_000_000L;
+
+    private final String name;
+    private final Fleet.Zone zone;
+    private final Fleet fleet;
+    private final SimulatedTime time;
+    private final RandomGenerator random;
+    private final ImmutableList<LeafPool> pools;
+    private final Map<Leaf, ModelConnections> connections = new HashMap<>();
+    private final Map<Leaf, ModelLeaf> leafs = new HashMap<>();
+    private final Map<String, LatencyTracker> latencies = new HashMap<>();
+    private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
+    private final Map<String, Integer> stagesUnderWay = new HashMap<>();
+    private final StagePlanner planner;
+
+    ModelHost(
+            String name,
+            Fleet.Zone zone,
+            Fleet fleet,
+            List<List<ModelLeaf>> shards,
+            RoutingPolicy policy,
+            SimulatedTime time,
+            RandomGenerator random) {
+        this.name = name;
+        this.zone = zone;
+        this.fleet = fleet;
+        this.time = time;
+        this.random = random;
+        this.planner = new StagePlanner(this, random);
+        ImmutableList.Builder<LeafPool> built = ImmutableList.builder();
+        for (int shard = 0; shard < shards.size(); shard++) {
+            built.add(newPool(shard, shards.get(shard), policy));
+        }
+        this.pools = built.build();
+    }
+
+    private LeafPool newPool(int shard, List<ModelLeaf> replicas, RoutingPolicy policy) {
+        int hostCount = fleet.hostCount();
+        RetryBudget budget =
+                RetryBudget.create(fleet.budget().ownPercent(), fleet.budget().slackOf(hostCount));
+        RoutingContext context = new RoutingContext(policy, HostLag.none());
+        LeafPool pool = new LeafPool("shard-" + shard, budget, context);
+        int share = Math.max(1, (int) (fleet.connections() * SHARED_OUT / hostCount));
+        for (ModelLeaf replica : replicas) {
+            Fleet.Zone other = fleet.zone(replica.zone());
+            Leaf leaf = new Leaf(
+                    replica.id(),
+                    pool.service(),
+                    "127.0.0.1:1",
+                    Distance.between(zone.name(), zone.region(), other.name(), other.region()),
+                    fleet.slots(),
+                    Duration.ZERO,
+                    context,
+                    time.nowNanos());
+            pool.add(leaf);
+            leafs.put(leaf, replica);
+            long wayNanos = fleet.wayNanos(zone.name(), replica.zone());
+            connections.put(leaf, new ModelConnections(replica, wayNanos, share, time));
+        }
+        return pool;
+    }
+
+    /** Makes the hosts known to one another. */
+    static void introduce(List<ModelHost> all) {
+        for (ModelHost host : all) {
+            all.stream().filter(other -> other != host).forEach(other -> host.hosts.put(other.name, other));
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    Fleet.Zone zone() {
+        return zone;
+    }
+
+    ImmutableList<LeafPool> pools() {
+        return pools;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    ModelConnections connectionsTo(Leaf leaf) {
+        ModelConnections known = connections.get(leaf);
+        if (known == null) {
+            throw new IllegalStateException("no connections to " + leaf.id());
+        }
+        return known;
+    }
+
+    long connectionsMade() {
+        return connections.values().stream().mapToLong(ModelConnections::made).sum();
+    }
+
+    LatencyTracker latency(Load load) {
+        return latencies.computeIfAbsent(load.name(), unused -> HedgeTiming.newLatency(load.goal()));
+    }
+
+    ImmutableList<StageAttempt> plan(long expectedNanos, long hedgeDelayNanos) {
+        return planner.plan(pools, expectedNanos, hedgeDelayNanos, time.nowNanos());
+    }
+
+    ModelHost host(String other) {
+        ModelHost known = hosts.get(other);
+        if (known == null) {
+            throw new IllegalStateException("no host " + other);
+        }
+        return known;
+    }
+
+    long wayNanosTo(ModelHost other) {
+        return fleet.wayNanos(zone.name(), other.zone.name());
+    }
+
+    void stageBegins(String host) {
+        stagesUnderWay.merge(host, 1, Integer::sum);
+    }
+
+    void stageEnds(String host) {
+        stagesUnderWay.merge(host, -1, Integer::sum);
+    }
+
+    @Override
+    public Optional<String> holderOf(Leaf leaf) {
+        return Optional.empty();
+    }
+
+    @Override
+    public String regionOf(Leaf leaf) {
+        ModelLeaf known = leafs.get(leaf);
+        return known == null ? "" : fleet.zone(known.zone()).region();
+    }
+
+    @Override
+    public Optional<String> leastBusyIn(String region) {
+        List<ModelHost> candidates = new ArrayList<>();
+        hosts.values().stream()
+                .filter(host -> host.zone.region().equals(region))
+                .forEach(candidates::add);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        int start = random.nextInt(candidates.size());
+        ModelHost least = null;
+        for (int offset = 0; offset < candidates.size(); offset++) {
+            ModelHost candidate = candidates.get((start + offset) % candidates.size());
+            if (least == null || underWay(candidate) < underWay(least)) {
+                least = candidate;
+            }
+        }
+        return Optional.ofNullable(least).map(ModelHost::name);
+    }
+
+    private int underWay(ModelHost host) {
+        return stagesUnderWay.getOrDefault(host.name, 0);
+    }
+
+    @Override
+    public long silenceNanos(String host, long hedgeDelayNanos) {
+        return hedgeDelayNanos + 3 * wayNanosTo(host(host)) + SILENCE_SLACK_NANOS;
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/SimulatedTime.java
@@ -0,0 +1,49 @@
+package org.bramblerack.cli.experiment;
+
+import java.util.PriorityQueue;
+import org.bramblerack.process.MonotonicClock;
+
+/**
+ * The time of one run: events happen in the order of their times, those of one time in the order in which they were
+ * scheduled.
+ *
+ * <p>Invariant: time never goes back. Not safe for use by several threads; each run has its own.
+ */
+final class SimulatedTime implements MonotonicClock {
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long nowNanos;
+    private long scheduled;
+
+    @Override
+    public long nowNanos() {
+        return nowNanos;
+    }
+
+    /** Schedules a task; one whose time has passed runs next. */
+    void at(long atNanos, Runnable task) {
+        events.add(new Event(Math.max(nowNanos, atNanos), scheduled++, task));
+    }
+
+    /** Schedules a task for a while from now. */
+    void after(long delayNanos, Runnable task) {
+        at(nowNanos + delayNanos, task);
+    }
+
+    /** Runs what happens until a time. */
+    void runUntil(long endNanos) {
+        while (!events.isEmpty() && events.peek().atNanos <= endNanos) {
+            Event event = events.remove();
+            nowNanos = event.atNanos;
+            event.task.run();
+        }
+        nowNanos = endNanos;
+    }
+
+    private record Event(long atNanos, long number, Runnable task) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Summary.java
@@ -0,0 +1,150 @@
+package org.bramblerack.cli.experiment;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import org.HdrHistogram.Histogram;
+import org.bramblerack.request.routed.Attempt;
+import org.bramblerack.request.routed.AttemptCounter;
+
+/**
+ * What came of the runs of one policy for one kind of query.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param policy the policy's name
+ * @param kind the kind's name
+ * @param credit what the queries earned on average, from 0 to 1
+ * @param creditGain the credit less that of the first policy on the same seeds
+ * @param gainMargin half the width of the 95% interval of that gain
+ * @param inGoal the share answered within the goal
+ * @param late the share answered later
+ * @param refused the share refused that has not run
+ * @param failed the share that failed otherwise
+ * @param coverage the mean share of shards in the answers
+ * @param p50Millis the median time of an answer
+ * @param p99Millis the 99th percentile
+ * @param p999Millis the 99.9th percentile
+ */
+record Summary(
+        String policy,
+        String kind,
+        double credit,
+        double creditGain,
+        double gainMargin,
+        double inGoal,
+        double late,
+        double refused,
+        double failed,
+        double coverage,
+        double p50Millis,
+        double p99Millis,
+        double p999Millis) {
+    private static final double MICROS_PER_MILLI = 1_000;
+    /** Two standard errors hold 95% where there are some tens of runs, and somewhat less where there are few. */
+    private static final double STANDARD_ERRORS = 2;
+
+    /** Sums up the runs of a policy, compared with those of the first. */
+    static Summary of(String policy, Load load, List<Run.Result> results, List<Run.Result> first) {
+        Histogram latencyMicros = new Histogram(Tally.Kind.HIGHEST_MICROS, 3);
+        results.forEach(result -> latencyMicros.add(result.tally().kind(load).latencyMicros()));
+        double[] gains = new double[results.size()];
+        for (int seed = 0; seed < gains.length; seed++) {
+            gains[seed] = credit(results.get(seed), load) - credit(first.get(seed), load);
+        }
+        return new Summary(
+                policy,
+                load.name(),
+                mean(results, result -> credit(result, load)),
+                mean(gains),
+                STANDARD_ERRORS * standardError(gains),
+                share(results, load, Tally.Kind::inGoal),
+                share(results, load, Tally.Kind::late),
+                share(results, load, Tally.Kind::refused),
+                share(results, load, Tally.Kind::failed),
+                mean(results, result -> result.tally().kind(load).coverage()),
+                latencyMicros.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                latencyMicros.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                latencyMicros.getValueAtPercentile(99.9) / MICROS_PER_MILLI);
+    }
+
+    private static double credit(Run.Result result, Load load) {
+        return result.tally().kind(load).credit();
+    }
+
+    private static double share(List<Run.Result> results, Load load, ToDoubleFunction<Tally.Kind> part) {
+        double parts = results.stream()
+                .mapToDouble(result -> part.applyAsDouble(result.tally().kind(load)))
+                .sum();
+        double all = results.stream()
+                .mapToDouble(result -> result.tally().kind(load).asked())
+                .sum();
+        return all == 0 ? 0 : parts / all;
+    }
+
+    private static double mean(List<Run.Result> results, ToDoubleFunction<Run.Result> value) {
+        return results.stream().mapToDouble(value).average().orElse(0);
+    }
+
+    private static double mean(double[] values) {
+        double sum = 0;
+        for (double value : values) {
+            sum += value;
+        }
+        return values.length == 0 ? 0 : sum / values.length;
+    }
+
+    private static double standardError(double[] values) {
+        if (values.length < 2) {
+            return 0;
+        }
+        double mean = mean(values);
+        double squares = 0;
+        for (double value : values) {
+            squares += (value - mean) * (value - mean);
+        }
+        return Math.sqrt(squares / (values.length - 1) / values.length);
+    }
+
+    /**
+     * What the fleet of one policy spent in all runs.
+     *
+     * @param extraShare leaf calls beyond the first of each shard, for each first one
+     * @param refusedShare calls that leafs refused, for each first one
+     * @param connections connections made after the start, for each first call
+     * @param retriesDenied retries that the budget did not allow, for each first call
+     * @param violations what did not hold; empty if all did
+     */
+    record Cost(
+            String policy,
+            double extraShare,
+            double refusedShare,
+            double connections,
+            double retriesDenied,
+            ImmutableList<String> violations) {
+        /** Adds up the runs of a policy. */
+        static Cost of(String policy, List<Run.Result> results) {
+            double first = sum(results, tally -> tally.counter(AttemptCounter.FIRST));
+            double extra =
+                    sum(results, tally -> tally.asked(Attempt.Purpose.HEDGE) + tally.asked(Attempt.Purpose.RETRY));
+            ImmutableList.Builder<String> violations = ImmutableList.builder();
+            for (int seed = 0; seed < results.size(); seed++) {
+                int number = seed;
+                results.get(seed).violations().forEach(text -> violations.add("seed " + number + ": " + text));
+            }
+            return new Cost(
+                    policy,
+                    extra / Math.max(1, first),
+                    sum(results, Tally::leafRefusals) / Math.max(1, first),
+                    sum(results, Tally::connectionsMade) / Math.max(1, first),
+                    sum(results, tally -> tally.counter(AttemptCounter.RETRY_DENIED_BUDGET)) / Math.max(1, first),
+                    violations.build());
+        }
+
+        private static double sum(List<Run.Result> results, ToDoubleFunction<Tally> value) {
+            return results.stream()
+                    .mapToDouble(result -> value.applyAsDouble(result.tally()))
+                    .sum();
+        }
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Tally.java
@@ -0,0 +1,150 @@
+package org.bramblerack.cli.experiment;
+
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.bramblerack.request.routed.Attempt;
+import org.bramblerack.request.routed.AttemptCounter;
+
+/** What came of one run. Not safe for use by several threads. */
+final class Tally {
+    private final Map<String, Kind> kinds = new LinkedHashMap<>();
+    private final EnumMap<AttemptCounter, Long> counters = new EnumMap<>(AttemptCounter.class);
+    private final EnumMap<Attempt.Purpose, Long> asked = new EnumMap<>(Attempt.Purpose.class);
+    private final double[] creditBySecond;
+    private final int[] askedBySecond;
+    private long leafRefusals;
+    private long connectionsMade;
+
+    Tally(int seconds) {
+        creditBySecond = new double[seconds + 1];
+        askedBySecond = new int[seconds + 1];
+    }
+
+    /** How the queries of one kind ended. */
+    static final class Kind {
+        static final long HIGHEST_MICROS = 60_000_000L;
+        private final Histogram latencyMicros = new Histogram(HIGHEST_MICROS, 3);
+        private long asked;
+        private long inGoal;
+        private long late;
+        private long refused;
+        private long failed;
+        private double credit;
+        private double coverage;
+
+        long asked() {
+            return asked;
+        }
+
+        long inGoal() {
+            return inGoal;
+        }
+
+        long late() {
+            return late;
+        }
+
+        long refused() {
+            return refused;
+        }
+
+        long failed() {
+            return failed;
+        }
+
+        /** Returns the mean of what the queries earned, from 0 to 1. */
+        double credit() {
+            return asked == 0 ? 0 : credit / asked;
+        }
+
+        /** Returns the mean share of shards in the answers. */
+        double coverage() {
+            return inGoal + late == 0 ? 0 : coverage / (inGoal + late);
+        }
+
+        Histogram latencyMicros() {
+            return latencyMicros;
+        }
+    }
+
+    Kind kind(Load load) {
+        return kinds.computeIfAbsent(load.name(), unused -> new Kind());
+    }
+
+    Map<String, Kind> kinds() {
+        return kinds;
+    }
+
+    void asked(Load load, long atNanos) {
+        kind(load).asked++;
+        askedBySecond[second(atNanos)]++;
+    }
+
+    void answered(Load load, long firstNanos, long atNanos, double coverage) {
+        Kind kind = kind(load);
+        long tookNanos = atNanos - firstNanos;
+        kind.latencyMicros.recordValue(tookNanos / 1_000);
+        boolean inGoal = tookNanos <= load.goal().toNanos();
+        double credit = coverage * coverage * (inGoal ? 1 : load.lateWorth());
+        kind.inGoal += inGoal ? 1 : 0;
+        kind.late += inGoal ? 0 : 1;
+        kind.credit += credit;
+        kind.coverage += coverage;
+        creditBySecond[second(firstNanos)] += credit;
+    }
+
+    void refused(Load load) {
+        kind(load).refused++;
+    }
+
+    void failed(Load load) {
+        kind(load).failed++;
+    }
+
+    void count(AttemptCounter counter) {
+        counters.merge(counter, 1L, Long::sum);
+    }
+
+    void countAttempt(Attempt.Purpose purpose) {
+        asked.merge(purpose, 1L, Long::sum);
+    }
+
+    void leafRefused() {
+        leafRefusals++;
+    }
+
+    void connectionsMade(long count) {
+        connectionsMade += count;
+    }
+
+    long connectionsMade() {
+        return connectionsMade;
+    }
+
+    long leafRefusals() {
+        return leafRefusals;
+    }
+
+    long counter(AttemptCounter counter) {
+        return counters.getOrDefault(counter, 0L);
+    }
+
+    long asked(Attempt.Purpose purpose) {
+        return asked.getOrDefault(purpose, 0L);
+    }
+
+    /** Returns what the queries that came in a second earned on average; 1 if none came. */
+    double creditIn(int second) {
+        return askedBySecond[second] == 0 ? 1 : creditBySecond[second] / askedBySecond[second];
+    }
+
+    int seconds() {
+        return creditBySecond.length;
+    }
+
+    private int second(long atNanos) {
+        return (int) Math.min(creditBySecond.length - 1, atNanos / 1_000_000_000L);
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ChecksTest.java
@@ -0,0 +1,59 @@
+package org.bramblerack.cli.experiment;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Each promise that runs are checked for is broken once here, and the checks must say so. */
+final class ChecksTest {
+    private static final Arrival ARRIVAL = new Arrival(7, SmallExperiment.LOAD, 0, 1, 0);
+
+    private final Checks checks = new Checks(SmallExperiment.FLEET);
+
+    @Test
+    void aRequestThatRunsOnTooManyLeafsIsFound() {
+        for (int leaf = 0; leaf < 3; leaf++) {
+            checks.arrived(ARRIVAL, 2, leaf);
+        }
+        assertThat(checks.finish(ImmutableList.of())).containsExactly("request 7/shard-2 may run on 3 leafs");
+    }
+
+    @Test
+    void aLeafThatDidNotRunItDoesNotCount() {
+        checks.arrived(ARRIVAL, 2, 0);
+        checks.notRun(ARRIVAL, "shard-2");
+        checks.arrived(ARRIVAL, 2, 1);
+        checks.arrived(ARRIVAL, 2, 2);
+        assertThat(checks.finish(ImmutableList.of())).isEmpty();
+    }
+
+    @Test
+    void aRequestThatEndsTwiceIsFound() {
+        checks.ended(ARRIVAL);
+        checks.ended(ARRIVAL);
+        assertThat(checks.finish(ImmutableList.of())).containsExactly("request 7 ended twice");
+    }
+
+    @Test
+    void aFleetThatSpendsMoreThanItsBudgetIsFound() {
+        int slack = SmallExperiment.FLEET.budget().slack();
+        for (int number = 0; number < slack + 20; number++) {
+            Arrival arrival = new Arrival(number, SmallExperiment.LOAD, 0, 1, 0);
+            checks.arrived(arrival, 0, number);
+            checks.arrived(arrival, 0, number);
+        }
+        assertThat(checks.finish(ImmutableList.of())).hasSize(1);
+    }
+
+    @Test
+    void aLeafWithTooManyConnectionsIsFound() {
+        ModelLeaf leaf =
+                new ModelLeaf("leaf", 0, "west", SmallExperiment.FLEET, new SimulatedTime(), new SplittableRandom(1));
+        for (int connection = 0; connection <= SmallExperiment.FLEET.connections(); connection++) {
+            leaf.connected();
+        }
+        assertThat(checks.finish(ImmutableList.of(leaf))).containsExactly("leaf leaf had 27 connections");
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ModelLeafTest.java
@@ -0,0 +1,94 @@
+package org.bramblerack.cli.experiment;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.bramblerack.process.leaf.LeafLoad;
+import org.junit.jupiter.api.Test;
+
+final class ModelLeafTest {
+    private static final long WORK = Duration.ofMillis(10).toNanos();
+
+    private final SimulatedTime time = new SimulatedTime();
+    private final ModelLeaf leaf =
+            new ModelLeaf("leaf", 0, "west", SmallExperiment.FLEET, time, new SplittableRandom(4));
+    private final List<Long> doneNanos = new ArrayList<>();
+    private int refused;
+
+    @Test
+    void asManyCallsRunAsThereAreSlots() {
+        for (int call = 0; call < 3; call++) {
+            call();
+        }
+        time.runUntil(5 * WORK);
+        assertThat(doneNanos).containsExactly(WORK, WORK, 2 * WORK).inOrder();
+    }
+
+    @Test
+    void callsBeyondTheQueueAreRefusedAtOnce() {
+        int most = SmallExperiment.FLEET.slots() + SmallExperiment.FLEET.queue();
+        for (int call = 0; call < most + 2; call++) {
+            call();
+        }
+        assertThat(refused).isEqualTo(2);
+    }
+
+    @Test
+    void aDroppedCallMakesRoom() {
+        ModelLeaf.Job first = call();
+        call();
+        call();
+        leaf.drop(first);
+        time.runUntil(5 * WORK);
+        assertThat(doneNanos).containsExactly(WORK, WORK);
+    }
+
+    @Test
+    void aSlowLeafTakesLongerAndADarkOneNeverAnswers() {
+        Trouble slow = new Trouble(Trouble.Kind.SLOW, Duration.ZERO, Duration.ZERO, 1, 3);
+        leaf.begin(slow);
+        call();
+        time.runUntil(4 * WORK);
+        assertThat(doneNanos).containsExactly(3 * WORK);
+        leaf.end(slow);
+        leaf.begin(new Trouble(Trouble.Kind.DARK, Duration.ZERO, Duration.ZERO, 1, 1));
+        call();
+        time.runUntil(100 * WORK);
+        assertThat(doneNanos).hasSize(1);
+    }
+
+    @Test
+    void callsThatRunWhenALeafPausesGoOnAfterIt() {
+        long pauseNanos = SmallExperiment.FLEET.pause().toNanos();
+        long everyNanos = SmallExperiment.FLEET.pauseEvery().toNanos();
+        long longest = 0;
+        for (long at = 0; at < 2 * everyNanos; at += 2 * WORK) {
+            time.runUntil(at);
+            int before = doneNanos.size();
+            long sent = time.nowNanos();
+            call();
+            time.runUntil(sent + 2 * pauseNanos);
+            assertThat(doneNanos).hasSize(before + 1);
+            longest = Math.max(longest, doneNanos.get(before) - sent);
+            at = time.nowNanos();
+        }
+        assertThat(longest).isAtMost(pauseNanos + WORK);
+    }
+
+    private ModelLeaf.Job call() {
+        return leaf.call(WORK, new ModelLeaf.Taker() {
+            @Override
+            public void done(LeafLoad load) {
+                doneNanos.add(time.nowNanos());
+            }
+
+            @Override
+            public void refused(LeafLoad load) {
+                refused++;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/SmallExperiment.java
@@ -0,0 +1,48 @@
+package org.bramblerack.cli.experiment;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import org.bramblerack.daemon.gateway.FleetBudget;
+import org.bramblerack.process.leaf.Mechanism;
+import org.bramblerack.process.leaf.RoutingPolicy;
+
+/** An experiment that runs in well under a second. */
+final class SmallExperiment {
+    static final Load LOAD = new Load("query", 40, millis(20), 0.3, 0, 1, millis(200), millis(2_000), 0.75, 0.1, 2, 1);
+
+    static final Fleet FLEET = new Fleet(
+            ImmutableList.of(new Fleet.Zone("west", "west", 2), new Fleet.Zone("east", "east", 2)),
+            6,
+            ImmutableList.of("west", "east"),
+            2,
+            12,
+            26,
+            millis(6),
+            millis(250),
+            millis(6_000),
+            millis(0.1),
+            millis(0.5),
+            millis(8),
+            millis(1),
+            millis(10),
+            new FleetBudget(20, 50),
+            millis(10_000));
+
+    private SmallExperiment() {}
+
+    static Experiment with(Trouble... troubles) {
+        return new Experiment(
+                FLEET,
+                ImmutableList.of(LOAD),
+                ImmutableList.copyOf(troubles),
+                ImmutableList.of(
+                        new Experiment.Policy("all", RoutingPolicy.DEFAULT),
+                        new Experiment.Policy("without", RoutingPolicy.without(Mechanism.REFUSAL_PRICE))),
+                Duration.ofSeconds(8),
+                4);
+    }
+
+    static Duration millis(double count) {
+        return Duration.ofNanos((long) (count * 1e6));
+    }
+}
