--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -15,6 +15,7 @@
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.Mechanism;
 import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.request.routed.HedgeTiming;
@@ -42,6 +43,7 @@
     private final Map<String, LatencyTracker> latencies = new HashMap<>();
     private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
     private final Map<String, Integer> stagesUnderWay = new HashMap<>();
+    private final RoutingContext context;
     private final StagePlanner planner;
 
     ModelHost(
@@ -57,19 +59,19 @@
         this.fleet = fleet;
         this.time = time;
         this.random = random;
+        this.context = new RoutingContext(policy, HostLag.none());
         this.planner = new StagePlanner(this, random);
         ImmutableList.Builder<LeafPool> built = ImmutableList.builder();
         for (int shard = 0; shard < shards.size(); shard++) {
-            built.add(newPool(shard, shards.get(shard), policy));
+            built.add(newPool(shard, shards.get(shard)));
         }
         this.pools = built.build();
     }
 
-    private LeafPool newPool(int shard, List<ModelLeaf> replicas, RoutingPolicy policy) {
+    private LeafPool newPool(int shard, List<ModelLeaf> replicas) {
         int hostCount = fleet.hostCount();
         RetryBudget budget =
                 RetryBudget.create(fleet.budget().ownPercent(), fleet.budget().slackOf(hostCount));
-        RoutingContext context = new RoutingContext(policy, HostLag.none());
         LeafPool pool = new LeafPool("shard-" + shard, budget, context);
         int share = Math.max(1, (int) (fleet.connections() * SHARED_OUT / hostCount));
         for (ModelLeaf replica : replicas) {
@@ -110,6 +112,10 @@
         return pools;
     }
 
+    RoutingContext context() {
+        return context;
+    }
+
     RandomGenerator random() {
         return random;
     }
@@ -131,7 +137,9 @@
     }
 
     ImmutableList<StageAttempt> plan(long expectedNanos, long hedgeDelayNanos) {
-        return planner.plan(pools, expectedNanos, hedgeDelayNanos, time.nowNanos());
+        return context.uses(Mechanism.STAGES)
+                ? planner.plan(pools, expectedNanos, hedgeDelayNanos, time.nowNanos())
+                : ImmutableList.of();
     }
 
     ModelHost host(String other) {
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
@@ -86,6 +86,7 @@
                 planned,
                 bounds,
                 inPieces ? ScatterQuery.Delivery.IN_PIECES : ScatterQuery.Delivery.AT_ONCE,
+                host.context(),
                 host.random());
     }
 
--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/RunTest.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/RunTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.bramblerack.process.leaf.Mechanism;
 import org.bramblerack.process.leaf.RoutingPolicy;
+import org.bramblerack.request.routed.AttemptCounter;
 import org.junit.jupiter.api.Test;
 
 final class RunTest {
@@ -51,6 +52,19 @@
         assertThat(priced).isLessThan(unpriced);
     }
 
+    @Test
+    void aMechanismThatIsOffTakesNoPart() {
+        Trouble slow = new Trouble(Trouble.Kind.SLOW, Duration.ofSeconds(1), Duration.ofSeconds(6), 0.4, 8);
+        Experiment experiment = SmallExperiment.with(slow);
+        Tally with = Run.of(experiment, RoutingPolicy.DEFAULT, 6).tally();
+        Tally without = Run.of(experiment, RoutingPolicy.without(Mechanism.HEDGES, Mechanism.STAGES), 6)
+                .tally();
+        assertThat(with.counter(AttemptCounter.HEDGE)).isGreaterThan(0L);
+        assertThat(with.counter(AttemptCounter.STAGE)).isGreaterThan(0L);
+        assertThat(without.counter(AttemptCounter.HEDGE)).isEqualTo(0);
+        assertThat(without.counter(AttemptCounter.STAGE)).isEqualTo(0);
+    }
+
     @Test
     void darkAndFlappingLeafsBreakNoPromise() {
         Trouble dark = new Trouble(Trouble.Kind.DARK, Duration.ofSeconds(1), Duration.ofSeconds(3), 0.3, 1);
