Learn within a few tries how long the callers of a route wait

Cause, found by reading: for its first ten seconds a host took a route's time-out for the wait of a first try. Where operators set time-outs far beyond what callers wait, every query of a host that has just started counted as late and was held back until there was room, just when there is least.

Change: sixteen tries of a route are enough to go by the longest wait that was seen.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/CallerWaits.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/CallerWaits.java
@@ -14,6 +14,11 @@
  */
 public final class CallerWaits {
     private static final long WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
+    /**
+     * So many tries tell more than the time-out, which may be far longer than anyone waits: even after an outage, one
+     * in some of them is a first one.
+     */
+    private static final int ENOUGH_TRIES = 16;
 
     private final Map<String, Longest> longestByRoute = new HashMap<>();
 
@@ -32,7 +37,7 @@
     /** The longest wait of the present window and of the one before. */
     private static final class Longest {
         private boolean begun;
-        private boolean windowFull;
+        private int tries;
         private long windowStartNanos;
         private long inWindowNanos;
         private long beforeNanos;
@@ -42,17 +47,17 @@
                 begun = true;
                 windowStartNanos = nowNanos;
             } else if (nowNanos - windowStartNanos >= WINDOW_NANOS) {
-                windowFull = true;
                 windowStartNanos = nowNanos;
                 beforeNanos = inWindowNanos;
                 inWindowNanos = 0;
             }
+            tries = Math.min(ENOUGH_TRIES, tries + 1);
             inWindowNanos = Math.max(inWindowNanos, waitNanos);
         }
 
-        /** Until a window is full, the first tries may all still be those of callers who have waited. */
+        /** The first few tries may all be those of callers who have waited. */
         long nanos(long timeoutNanos) {
-            return windowFull ? Math.max(inWindowNanos, beforeNanos) : timeoutNanos;
+            return tries >= ENOUGH_TRIES ? Math.max(inWindowNanos, beforeNanos) : timeoutNanos;
         }
     }
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/CallerWaitsTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/CallerWaitsTest.java
@@ -23,27 +23,32 @@
     }
 
     @Test
-    void whereCallersNeverWaitAsLongAsTheTimeOutTheLongestThatWasSeenCounts() {
-        used(SECOND, 0);
-        used(SECOND, 11 * SECOND);
-        assertThat(used(SECOND, 12 * SECOND)).isEqualTo(0);
-        assertThat(used(SECOND / 2, 13 * SECOND)).isEqualTo(SECOND / 2);
+    void whereCallersNeverWaitAsLongAsTheTimeOutTheLongestThatWasSeenCountsSoon() {
+        for (int call = 0; call < 15; call++) {
+            assertThat(used(SECOND, call)).isEqualTo(2 * SECOND);
+        }
+        assertThat(used(SECOND, 15)).isEqualTo(0);
+        assertThat(used(SECOND / 2, 16)).isEqualTo(SECOND / 2);
     }
 
     @Test
     void theLongestWaitIsForgottenAfterTwoWindows() {
         used(2 * SECOND, 0);
-        used(SECOND, 11 * SECOND);
+        for (int call = 0; call < 15; call++) {
+            used(SECOND, 1);
+        }
+        assertThat(used(SECOND, 2)).isEqualTo(SECOND);
         assertThat(used(SECOND, 12 * SECOND)).isEqualTo(SECOND);
-        used(SECOND, 22 * SECOND);
-        assertThat(used(SECOND, 23 * SECOND)).isEqualTo(0);
+        assertThat(used(SECOND, 24 * SECOND)).isEqualTo(0);
     }
 
     @Test
     void routesAreKeptApart() {
-        used(2 * SECOND, 0);
-        used(SECOND, 11 * SECOND);
-        assertThat(waits.usedNanos("other", TIMEOUT, TIMEOUT, 12 * SECOND)).isEqualTo(0);
+        for (int call = 0; call < 20; call++) {
+            used(SECOND, call);
+        }
+        assertThat(waits.usedNanos("other", TIMEOUT, TIMEOUT, 20)).isEqualTo(0);
+        assertThat(waits.usedNanos("other", SECOND, TIMEOUT, 21)).isEqualTo(2 * SECOND);
     }
 
     private long used(long waitNanos, long nowNanos) {
