--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReport.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReport.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
 import java.awt.image.BufferedImage;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -12,6 +13,9 @@
 import java.nio.file.Path;
 import java.util.Base64;
 import java.util.Locale;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import javax.imageio.ImageIO;
 import org.jfree.chart.ChartFactory;
 import org.jfree.chart.JFreeChart;
@@ -25,11 +29,26 @@
     private static final int PLOT_WIDTH_PIXELS = 900;
     private static final int PLOT_HEIGHT_PIXELS = 360;
     private static final int MOST_VIOLATIONS_SHOWN = 20;
-    private static final String COLUMNS = "policy,kind,credit,creditGain,gainMargin,inGoal,late,refused,failed,"
-            + "coverage,p50Millis,p99Millis,p999Millis";
+    private static final ImmutableList<Column> COLUMNS = ImmutableList.of(
+            new Column("policy", Summary::policy),
+            new Column("kind", Summary::kind),
+            share("credit", Summary::credit),
+            share("creditGain", Summary::creditGain),
+            share("gainMargin", Summary::gainMargin),
+            share("inGoal", Summary::inGoal),
+            share("late", Summary::late),
+            share("refused", Summary::refused),
+            share("failed", Summary::failed),
+            share("coverage", Summary::coverage),
+            millis("p50Millis", Summary::p50Millis),
+            millis("p99Millis", Summary::p99Millis),
+            millis("p999Millis", Summary::p999Millis));
 
     private ExperimentReport() {}
 
+    /** One figure of a summary, as text. */
+    private record Column(String name, Function<Summary, String> text) {}
+
     /** Prints the comparison for a reader. */
     static void print(Comparison comparison, PrintStream out) {
         out.printf(
@@ -86,28 +105,27 @@
     }
 
     private static String csv(Comparison comparison) {
-        StringBuilder text = new StringBuilder(COLUMNS).append('\n');
+        StringBuilder text = new StringBuilder();
+        text.append(joined(",", Column::name)).append('\n');
         for (Summary summary : comparison.summaries()) {
-            text.append(String.format(
-                    Locale.ROOT,
-                    "%s,%s,%.5f,%.5f,%.5f,%.5f,%.5f,%.5f,%.5f,%.5f,%.2f,%.2f,%.2f%n",
-                    quoted(summary.policy()),
-                    quoted(summary.kind()),
-                    summary.credit(),
-                    summary.creditGain(),
-                    summary.gainMargin(),
-                    summary.inGoal(),
-                    summary.late(),
-                    summary.refused(),
-                    summary.failed(),
-                    summary.coverage(),
-                    summary.p50Millis(),
-                    summary.p99Millis(),
-                    summary.p999Millis()));
+            text.append(joined(",", column -> quoted(column.text().apply(summary))))
+                    .append('\n');
         }
         return text.toString();
     }
 
+    private static String joined(String separator, Function<Column, String> part) {
+        return COLUMNS.stream().map(part).collect(Collectors.joining(separator));
+    }
+
+    private static Column share(String name, ToDoubleFunction<Summary> value) {
+        return new Column(name, summary -> String.format(Locale.ROOT, "%.5f", value.applyAsDouble(summary)));
+    }
+
+    private static Column millis(String name, ToDoubleFunction<Summary> value) {
+        return new Column(name, summary -> String.format(Locale.ROOT, "%.1f", value.applyAsDouble(summary)));
+    }
+
     private static String quoted(String text) {
         return '"' + text.replace("\"", "\"\"") + '"';
     }
@@ -149,26 +167,10 @@
                 .append("<h1>Experiment</h1>");
         page.append(image(creditOverTime(comparison), "What the queries of each second earned, by policy"));
         page.append(image(creditByPolicy(comparison), "What the queries earned, by policy and kind"));
-        page.append("<table><tr><th>policy<th>kind<th>credit<th>gain<th>±<th>in goal<th>late<th>refused<th>failed")
-                .append("<th>coverage<th>p50 ms<th>p99 ms<th>p99.9 ms</tr>");
+        page.append("<table><tr>").append(joined("", column -> "<th>" + column.name()));
         for (Summary summary : comparison.summaries()) {
-            page.append(String.format(
-                    Locale.ROOT,
-                    "<tr><td>%s<td>%s<td>%.4f<td>%+.4f<td>%.4f<td>%.4f<td>%.4f<td>%.4f<td>%.4f<td>%.4f<td>%.1f"
-                            + "<td>%.1f<td>%.1f</tr>",
-                    escaped(summary.policy()),
-                    escaped(summary.kind()),
-                    summary.credit(),
-                    summary.creditGain(),
-                    summary.gainMargin(),
-                    summary.inGoal(),
-                    summary.late(),
-                    summary.refused(),
-                    summary.failed(),
-                    summary.coverage(),
-                    summary.p50Millis(),
-                    summary.p99Millis(),
-                    summary.p999Millis()));
+            page.append("<tr>")
+                    .append(joined("", column -> "<td>" + escaped(column.text().apply(summary))));
         }
         page.append("</table><p>")
                 .append(comparison.holds() ? "Everything that must hold held in every run." : "Something did not hold.")
