Do not suspect a host for a reply that it was told not to send

A query that delivers at its goal tells the hosts whose part is still missing to give up, which they do in silence; the request to them ran into its deadline, and the host was left alone for two seconds. Meanwhile its shards were asked one by one across regions, or by fewer hosts, so that slow leafs made healthy hosts unused just when they were needed.

Ruled out: silence during the wait for the first word (one stage of 234), lag of the hosts, links.

Change: a stage that was given up is owed no reply, and its end says nothing of its host.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -77,7 +77,7 @@
         underWay.put(stage, sent);
         StageCall.Builder message = call.toBuilder()
                 .addAllShards(stage.shards())
-                .setCall(sent.number())
+                .setCall(sent.number)
                 .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(
                         times.goalNanos() - nowNanos - link.roundTripNanos() - GOAL_SLACK_NANOS))
                 .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(
@@ -92,7 +92,9 @@
                 .subscribe()
                 .with(reply -> take(stage, link, reply.getStageResult(), taker), failure -> {
                     end(stage, link, false);
-                    link.suspect(clock.nowNanos());
+                    if (!sent.givenUp) {
+                        link.suspect(clock.nowNanos());
+                    }
                     boolean notSent = failure instanceof PeerFailure peer && peer.kind() == PeerFailure.Kind.NOT_SENT;
                     taker.failed(stage, notSent);
                 });
@@ -103,11 +105,12 @@
         links.link(stage.host()).suspect(clock.nowNanos());
     }
 
-    /** Tells a host that nobody waits for its reply any more. */
+    /** Tells a host that nobody waits for its reply any more, so that it owes none. */
     void giveUp(StageAttempt stage) {
         Sent sent = underWay.get(stage);
         if (sent != null) {
-            links.cancel(sent.link(), sent.number());
+            sent.givenUp = true;
+            links.cancel(sent.link, sent.number);
         }
     }
 
@@ -141,5 +144,14 @@
     }
 
     /** A call that was sent and not answered yet. */
-    private record Sent(StageLinks.Link link, long number) {}
+    private static final class Sent {
+        private final StageLinks.Link link;
+        private final long number;
+        private boolean givenUp;
+
+        Sent(StageLinks.Link link, long number) {
+            this.link = link;
+            this.number = number;
+        }
+    }
 }
