--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReader.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReader.java
@@ -96,7 +96,7 @@
                 fields.decimal("spread", 0, 10, 0.35),
                 fields.decimal("tailShare", 0, 1, 0),
                 fields.decimal("tailFactor", 1, 1_000, 1),
-                millis(fields, "goalMs"),
+                millis(fields, "latencyGoalMs"),
                 millis(fields, "deadlineMs"),
                 fields.decimal("leastShare", 0, 1),
                 fields.decimal("lateWorth", 0, 1, 0),
