Read the change once more: one copy of timings and shares, a counter for what is held back

Cause, by reading the whole diff. The model repeated the daemon's figures for connections and for other hosts (0.85, 8 ms, 30 ms, 1.5 round trips), so that a change of one would have left the other behind. A query that was held back left no trace in the counters, and its caller's malformed deadline was counted twice. A page said that the model is some thousand times faster, which no run had shown.

Ruled out as a change of behaviour: no figure and no decision is another, but that all hosts found silent in one look are suspected before any of their shards is asked again.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.bramblerack.connection.ConnectionShare;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.RetryBudget;
 import org.bramblerack.process.leaf.Distance;
@@ -21,17 +22,13 @@
 import org.bramblerack.request.routed.HedgeTiming;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StagePlanner;
+import org.bramblerack.request.routed.StageTiming;
 
 /**
  * An entry host: what it knows of the leafs and of other hosts, by the product's own classes. Its own work takes no
  * time. Not safe for use by several threads.
  */
 final class ModelHost implements StagePlanner.Ways {
-    /** The part of a leaf's connections that hosts share out, as in the product. */
-    private static final double SHARED_OUT = 0.85;
-    /** What a host and a link may take beyond the usual before silence means that something is wrong. */
-    private static final long SILENCE_SLACK_NANOS = 30_000_000L;
-
     private final String name;
     private final Fleet.Zone zone;
     private final Fleet fleet;
@@ -73,7 +70,7 @@
         RetryBudget budget =
                 RetryBudget.create(fleet.budget().ownPercent(), fleet.budget().slackOf(hostCount));
         LeafPool pool = new LeafPool("shard-" + shard, budget, context);
-        int share = Math.max(1, (int) (fleet.connections() * SHARED_OUT / hostCount));
+        int share = Math.max(1, ConnectionShare.of(fleet.connections(), hostCount));
         for (ModelLeaf replica : replicas) {
             Fleet.Zone other = fleet.zone(replica.zone());
             Leaf leaf = new Leaf(
@@ -199,6 +196,6 @@
 
     @Override
     public long silenceNanos(String host, long hedgeDelayNanos) {
-        return hedgeDelayNanos + 3 * wayNanosTo(host(host)) + SILENCE_SLACK_NANOS;
+        return StageTiming.silenceNanos(hedgeDelayNanos, 2 * wayNanosTo(host(host)));
     }
 }
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
@@ -22,14 +22,12 @@
 import org.bramblerack.request.routed.ScatterQuery;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StageReply;
+import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.version.routing.RouteTarget;
 import org.jspecify.annotations.Nullable;
 
 /** Carries out the decisions of one query at one host, as the daemon does. Not safe for use by several threads. */
 final class ModelQuery {
-    /** A reply for another host is on its way this long before it must be, as in the product. */
-    private static final long STAGE_SLACK_NANOS = 8_000_000L;
-
     private static final ByteString NO_RECORDS = ByteString.EMPTY;
 
     private final Run run;
@@ -200,9 +198,10 @@
     private void askStage(StageAttempt stage) {
         ModelHost other = host.host(stage.host());
         long wayNanos = host.wayNanosTo(other);
+        long nowNanos = run.time().nowNanos();
         host.stageBegins(stage.host());
         RequestBounds theirs = new RequestBounds(
-                bounds.goalNanos() - wayNanos - STAGE_SLACK_NANOS,
+                nowNanos + wayNanos + StageTiming.goalNanos(bounds.goalNanos() - nowNanos, 2 * wayNanos),
                 bounds.deadlineNanos() - wayNanos,
                 bounds.hedgeDelayNanos(),
                 other.latency(arrival.load()).medianNanos(),
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/package-info.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/package-info.java
@@ -1,6 +1,6 @@
 /**
  * Experiments: the product's own routing decisions against a model of the leafs, callers, hosts and links that they
- * serve, thousands of times faster than real processes.
+ * serve, much faster than real processes.
  */
 @NullMarked
 package org.bramblerack.cli.experiment;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -40,13 +39,10 @@
     /** A host that is behind by more than this part of the hedge delay cannot tell a late answer from an unread one. */
     private static final int LAG_DIVISOR = 2;
 
-    /** How soon a host that was behind looks again whether another is silent. */
-    private static final long LEAST_WAIT_NANOS = Duration.ofMillis(5).toNanos();
-
     private final RouteTarget.Scatter target;
     private final RequestBounds bounds;
     private final ShardRequest[] shards;
-    private final ImmutableList<StageAttempt> stages;
+    private final QueryStages stages;
     private final GatheredParts parts;
     private final Delivery delivery;
     private final RoutingContext context;
@@ -66,17 +62,6 @@
         IN_PIECES
     }
 
-    /** Creates a query of a host with a plain context; nothing is asked before {@link #start}. */
-    public ScatterQuery(
-            RouteTarget.Scatter target,
-            ImmutableList<LeafPool> pools,
-            ImmutableList<StageAttempt> stages,
-            RequestBounds bounds,
-            Delivery delivery,
-            RandomGenerator random) {
-        this(target, pools, stages, bounds, delivery, RoutingContext.plain(), random);
-    }
-
     /**
      * Creates a query; nothing is asked before {@link #start}.
      *
@@ -93,7 +78,7 @@
             RoutingContext context,
             RandomGenerator random) {
         this.target = target;
-        this.stages = stages;
+        this.stages = new QueryStages(stages);
         this.bounds = bounds;
         this.delivery = delivery;
         this.context = context;
@@ -108,11 +93,10 @@
     public List<RoutedAction> start(long nowNanos) {
         List<RoutedAction> actions = new ArrayList<>(2 * shards.length + 1);
         startedNanos = nowNanos;
-        for (StageAttempt stage : stages) {
+        for (StageAttempt stage : stages.all()) {
             stage.shards().forEach(shard -> shards[shard].delegate());
-            actions.add(new RoutedAction.Count(AttemptCounter.STAGE));
-            actions.add(new RoutedAction.AskStage(stage));
         }
+        stages.ask(actions);
         for (ShardRequest shard : shards) {
             if (!shard.isDelegated()) {
                 shard.start(nowNanos, actions);
@@ -218,13 +202,8 @@
         wakeArmed = false;
         closeAtGoal(nowNanos, actions);
         long lagNanos = context.lagNanos(nowNanos);
-        for (StageAttempt stage : stages) {
-            if (stage.isAwaited() && nowNanos - lagNanos - startedNanos - stage.silenceNanos() >= 0) {
-                stage.abandon();
-                actions.add(new RoutedAction.Count(AttemptCounter.STAGE_SILENT));
-                actions.add(new RoutedAction.SuspectStage(stage));
-                stage.shards().forEach(shard -> shards[shard].backUp(nowNanos, actions));
-            }
+        for (StageAttempt stage : stages.abandonSilent(nowNanos - lagNanos - startedNanos, actions)) {
+            stage.shards().forEach(shard -> shards[shard].backUp(nowNanos, actions));
         }
         Optional<AttemptCounter> denial = hedgeDenial(lagNanos, nowNanos);
         for (ShardRequest shard : shards) {
@@ -241,7 +220,7 @@
         for (ShardRequest shard : shards) {
             shard.abandon();
         }
-        giveUpStages(actions);
+        stages.giveUp(actions);
         return actions;
     }
 
@@ -275,10 +254,7 @@
                 text.append(text.length() == 0 ? "" : "; ").append(shards[shard].describe(nowNanos));
             }
         }
-        for (StageAttempt stage : stages) {
-            text.append("; ").append(stage.describe());
-        }
-        return text.toString();
+        return text.append(stages.describe()).toString();
     }
 
     /** Returns why no late shard should be hedged now, if there is a reason that holds for all of them. */
@@ -397,15 +373,7 @@
         for (ShardRequest shard : shards) {
             shard.finish(actions);
         }
-        giveUpStages(actions);
-    }
-
-    private void giveUpStages(List<RoutedAction> actions) {
-        for (StageAttempt stage : stages) {
-            if (!stage.isOver()) {
-                actions.add(new RoutedAction.GiveUpStage(stage));
-            }
-        }
+        stages.giveUp(actions);
     }
 
     private void armWake(long nowNanos, List<RoutedAction> actions) {
@@ -417,11 +385,9 @@
                 next = wake.get();
             }
         }
-        for (StageAttempt stage : stages) {
-            long silentNanos = Math.max(startedNanos + stage.silenceNanos(), nowNanos + LEAST_WAIT_NANOS);
-            if (stage.isAwaited() && silentNanos - next < 0) {
-                next = silentNanos;
-            }
+        Optional<Long> silence = stages.nextSilenceNanos(startedNanos, nowNanos);
+        if (silence.isPresent() && silence.get() - next < 0) {
+            next = silence.get();
         }
         if (!wakeArmed || next - armedWakeNanos < 0) {
             wakeArmed = true;
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageTiming.java
@@ -0,0 +1,33 @@
+package org.bramblerack.request.routed;
+
+import java.time.Duration;
+
+/** The times that a query allows the hosts to which it leaves shards. Stateless and safe for use by many threads. */
+public final class StageTiming {
+    /** The reply is on its way this long before it must be, since a late one loses all its shards at once. */
+    private static final long GOAL_SLACK_NANOS = Duration.ofMillis(8).toNanos();
+    /** What a host and the link may take beyond the usual before silence means that something is wrong. */
+    private static final long SILENCE_SLACK_NANOS = Duration.ofMillis(30).toNanos();
+    /** The round trip of the call and its reply, and half of one for a link that is slower than it was. */
+    private static final double SILENT_ROUND_TRIPS = 1.5;
+
+    private StageTiming() {}
+
+    /**
+     * Returns how much of the time until the goal another host has.
+     *
+     * @param leftNanos the time until the goal here
+     */
+    public static long goalNanos(long leftNanos, long roundTripNanos) {
+        return leftNanos - roundTripNanos - GOAL_SLACK_NANOS;
+    }
+
+    /**
+     * Returns how long a host may be silent before it counts as lost.
+     *
+     * @param hedgeDelayNanos after which it asks second leafs, and says so
+     */
+    public static long silenceNanos(long hedgeDelayNanos, long roundTripNanos) {
+        return hedgeDelayNanos + (long) (SILENT_ROUND_TRIPS * roundTripNanos) + SILENCE_SLACK_NANOS;
+    }
+}
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -12,6 +12,7 @@
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.version.routing.RouteTarget;
 import org.junit.jupiter.api.Test;
 
@@ -320,6 +321,7 @@
                 ImmutableList.of(),
                 RoutedWorld.bounds(2),
                 ScatterQuery.Delivery.AT_ONCE,
+                RoutingContext.plain(),
                 RoutedWorld.random());
     }
 
@@ -354,6 +356,7 @@
                 ImmutableList.of(),
                 RoutedWorld.bounds(1),
                 ScatterQuery.Delivery.IN_PIECES,
+                RoutingContext.plain(),
                 RoutedWorld.random());
         world.carryOut(query.start(0), 0);
         answer(query, world.asked.get(0), "sig0", MILLI);
@@ -379,6 +382,7 @@
                 ImmutableList.of(),
                 RoutedWorld.bounds(2),
                 ScatterQuery.Delivery.IN_PIECES,
+                RoutingContext.plain(),
                 RoutedWorld.random());
         world.carryOut(query.start(0), 0);
         long late = RoutedWorld.GOAL_NANOS + MILLI;
@@ -433,6 +437,7 @@
                 ImmutableList.of(stage),
                 RoutedWorld.bounds(2),
                 ScatterQuery.Delivery.AT_ONCE,
+                RoutingContext.plain(),
                 RoutedWorld.random());
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -182,7 +182,7 @@
         long arrivedNanos = call.arrivedNanos();
         long usedNanos = waits.usedNanos(
                 call.route().name(),
-                callerWaitNanos(exchange),
+                call.times().leafDeadlineNanos() - arrivedNanos,
                 call.route().timeout().toNanos(),
                 arrivedNanos);
         long goalNanos = call.route().goal().toNanos();
@@ -193,6 +193,7 @@
             return;
         }
         long startByNanos = Math.max(arrivedNanos, call.times().deadlineNanos() - LATE_START_GOALS * goalNanos);
+        metrics.heldBack();
         exchange.onCallerGone(lateQueries.startWhenRoom(run, target, startByNanos));
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -25,6 +25,7 @@
     private final Histogram answerMicros;
     private final Counter whole;
     private final Counter partial;
+    private final Counter heldBack;
     private final Counter stagesAnswered;
     private final Counter stagesFailed;
 
@@ -35,6 +36,7 @@
         this.answerMicros = registry.histogram("gateway_answer_micros");
         this.whole = registry.counter("gateway_answers_whole");
         this.partial = registry.counter("gateway_answers_partial");
+        this.heldBack = registry.counter("gateway_queries_held_back");
         this.stagesAnswered = registry.counter("gateway_stages_answered");
         this.stagesFailed = registry.counter("gateway_stages_failed");
         for (AttemptCounter counter : AttemptCounter.values()) {
@@ -63,6 +65,11 @@
         registry.counter("gateway_refused_" + outcome.toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Notes a query that will be late in any case and waits until the leafs have room. */
+    void heldBack() {
+        heldBack.inc();
+    }
+
     void asked(Attempt.Purpose purpose, Distance distance) {
         registry.counter("gateway_asked_" + lower(purpose) + "_" + lower(distance))
                 .inc();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.bramblerack.connection.ConnectionShare;
 import org.bramblerack.connection.ZoneHolders;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.Route;
@@ -23,13 +24,11 @@
  * {@value #LEAST_DIRECT_CONNECTIONS}, each connects itself; in a larger fleet the hosts of the leaf's availability zone
  * share the connections out, and {@link ZoneHolders} says which of them asks.
  *
- * <p>Invariant: the shares of all hosts that agree on the tables are never more than {@link #SHARED_OUT} of what a leaf
- * takes, but that a host outside the zone may open one as a last resort. Owned by the event loop.
+ * <p>Invariant: the shares of all hosts that agree on the tables are never more than the part that
+ * {@link ConnectionShare} gives out of what a leaf takes, but that a host outside the zone may open one as a last
+ * resort. Owned by the event loop.
  */
 final class LeafAccess {
-    /** The part of a leaf's connections that the hosts share out; the rest is for those of hosts that have left. */
-    private static final double SHARED_OUT = 0.85;
-
     /** One connection carries one request at a time: with a single one, a hedge of another query would have to wait. */
     private static final int LEAST_DIRECT_CONNECTIONS = 2;
 
@@ -166,7 +165,7 @@
     private int evenShare(String service, int hostCount) {
         LeafService known = configuration.services().get(service);
         int most = known == null ? 1 : known.maxConnections();
-        return (int) (most * SHARED_OUT / Math.max(1, hostCount));
+        return ConnectionShare.of(most, hostCount);
     }
 
     private ZoneHolders holdersIn(String zone) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -12,6 +12,7 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StageReply;
+import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageProgress;
@@ -19,9 +20,6 @@
 
 /** Has other hosts ask shards of one query. Owned by the event loop. */
 final class StageCaller {
-    /** The reply is on its way this long before it must be, since a late one loses all its shards at once. */
-    private static final long GOAL_SLACK_NANOS = Duration.ofMillis(8).toNanos();
-
     private final StageCall call;
     private final RequestTimes times;
     private final StageLinks links;
@@ -79,7 +77,7 @@
                 .addAllShards(stage.shards())
                 .setCall(sent.number)
                 .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(
-                        times.goalNanos() - nowNanos - link.roundTripNanos() - GOAL_SLACK_NANOS))
+                        StageTiming.goalNanos(times.goalNanos() - nowNanos, link.roundTripNanos())))
                 .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(
                         times.leafDeadlineNanos() - nowNanos - link.roundTripNanos() / 2));
         Duration wait = Duration.ofNanos(Math.max(1, times.deadlineNanos() - nowNanos));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -20,6 +20,7 @@
 import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StagePlanner;
+import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.Ping;
@@ -43,11 +44,6 @@
     /** What a round trip between regions is taken to need before it was measured. */
     private static final long FIRST_ROUND_TRIP_NANOS = Duration.ofMillis(25).toNanos();
 
-    /** What a host and the link may take beyond the usual before silence means that something is wrong. */
-    private static final long SILENCE_SLACK_NANOS = Duration.ofMillis(30).toNanos();
-    /** The round trip of the call and its reply, and half of one for a link that is slower than it was. */
-    private static final double SILENT_ROUND_TRIPS = 1.5;
-
     private static final double SMOOTHING = 0.3;
     private final FleetView view;
     private final PeerNetwork network;
@@ -114,7 +110,7 @@
 
     @Override
     public long silenceNanos(String host, long hedgeDelayNanos) {
-        return link(host).silenceNanos(hedgeDelayNanos);
+        return StageTiming.silenceNanos(hedgeDelayNanos, link(host).roundTripNanos);
     }
 
     @Override
@@ -231,11 +227,6 @@
             return roundTripNanos;
         }
 
-        /** Returns how long the host may be silent before it counts as lost. */
-        long silenceNanos(long hedgeDelayNanos) {
-            return hedgeDelayNanos + (long) (SILENT_ROUND_TRIPS * roundTripNanos) + SILENCE_SLACK_NANOS;
-        }
-
         void begin() {
             inFlight++;
         }
