Try links at their first use; count bytes between hosts by kind of message

Cause: after a start of the whole fleet no link is known to answer, so each query went round every holder and opened connections of its own host to every leaf, on processors that had just started. And nobody could say which messages are the bytes between regions. Ruled out: probing sooner (the probes wait for the same cold processor).

Change: a link that was never used counts as usable, and a request waits up to 0.5 s for its connection; one that is refused is not sent, at once. Counters by kind of message, those that leave the region apart.

Tests: PeerConnectionTest, of which the first new one fails without the change (the request is not sent).

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -74,10 +74,11 @@
                     .setCall(number)
                     .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(remainingNanos - holder.roundTripNanos() / 2));
             holder.begin();
-            network.request(
+            network.requestWhenConnected(
                             holder.host(),
                             Envelope.newBuilder().setStageCall(message),
-                            Duration.ofNanos(remainingNanos))
+                            Duration.ofNanos(remainingNanos),
+                            progress -> {})
                     .subscribe()
                     .with(reply -> take(reply.getStageResult()), this::fail);
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -82,7 +82,7 @@
                         times.leafDeadlineNanos() - nowNanos - link.roundTripNanos() / 2));
         Duration wait = Duration.ofNanos(Math.max(1, times.deadlineNanos() - nowNanos));
         link.begin();
-        network.request(
+        network.requestWhenConnected(
                         stage.host(),
                         Envelope.newBuilder().setStageCall(message),
                         wait,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -138,12 +138,16 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the way to the first of some hosts that can be asked now. */
+    /**
+     * Returns the way to the first of some hosts that can be asked now. One that was never asked is tried: after a
+     * start of the whole fleet no host is known to answer, and to go round the holders would take connections to every
+     * leaf from every host.
+     */
     Optional<Link> firstUsable(List<String> hosts) {
         long nowNanos = clock.nowNanos();
         return hosts.stream()
                 .map(this::link)
-                .filter(link -> link.isUsable(nowNanos))
+                .filter(link -> link.mayBeTried(nowNanos))
                 .findFirst();
     }
 
@@ -208,6 +212,9 @@
         private final String host;
         private long roundTripNanos = FIRST_ROUND_TRIP_NANOS;
         private long suspectUntilNanos = Long.MIN_VALUE / 2;
+        /** False until something was heard of it, good or bad. */
+        private boolean tried;
+
         private boolean confirmed;
         private int inFlight;
 
@@ -223,6 +230,10 @@
             return confirmed && nowNanos - suspectUntilNanos >= 0;
         }
 
+        boolean mayBeTried(long nowNanos) {
+            return !tried || isUsable(nowNanos);
+        }
+
         long roundTripNanos() {
             return roundTripNanos;
         }
@@ -240,6 +251,7 @@
                 EVENTS.info("host_suspected").with("host", host).write();
             }
             suspectUntilNanos = nowNanos + SUSPECT_NANOS;
+            tried = true;
             confirmed = false;
         }
 
@@ -250,6 +262,7 @@
                         .with("tookMicros", TimeUnit.NANOSECONDS.toMicros(tookNanos))
                         .write();
             }
+            tried = true;
             confirmed = true;
             roundTripNanos += (long) (SMOOTHING * (tookNanos - roundTripNanos));
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -12,6 +12,8 @@
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -44,6 +46,11 @@
     /** Two probes and a round trip between regions without a sign of life. */
     private static final long SILENCE_NANOS = Duration.ofMillis(1_300).toNanos();
 
+    /** Long enough to connect to another region even on a host that has just started and is busy. */
+    private static final Duration CONNECTION_WAIT = Duration.ofMillis(500);
+    /** Requests beyond these are not sent while a connection is made. */
+    private static final int MOST_AWAITING = 256;
+
     private static final long RECONNECT_NANOS = Duration.ofMillis(200).toNanos();
 
     private final String self;
@@ -55,6 +62,7 @@
     private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
     private volatile @Nullable Channel channel;
     private volatile Optional<Long> unansweredSinceNanos = Optional.empty();
+    private final List<Awaiting> awaiting = new ArrayList<>();
     private boolean connecting;
     private boolean closed;
     private long lastAttemptNanos = System.nanoTime() - RECONNECT_NANOS;
@@ -77,24 +85,68 @@
 
     /** Sends a message that asks for a reply. The request is made when the result is subscribed to. */
     Uni<Envelope> request(Envelope.Builder message, Duration timeout, Consumer<Envelope> progress) {
+        return Uni.createFrom().emitter(emitter -> requestOn(openChannel(), message, timeout, progress, emitter));
+    }
+
+    /**
+     * Sends a message that asks for a reply; if there is no connection, it waits a moment for one that is being made.
+     */
+    Uni<Envelope> requestWhenConnected(Envelope.Builder message, Duration timeout, Consumer<Envelope> progress) {
         return Uni.createFrom().emitter(emitter -> {
             Channel open = openChannel();
-            if (open == null || !open.isWritable() || links.isCut(remote.name())) {
-                emitter.fail(new PeerFailure(PeerFailure.Kind.NOT_SENT, "no connection to " + remote.name()));
-                return;
+            Consumer<Channel> send = channel -> requestOn(channel, message, timeout, progress, emitter);
+            if (open != null || !awaitConnection(send)) {
+                requestOn(open, message, timeout, progress, emitter);
             }
-            long correlation = nextCorrelation.getAndIncrement();
-            Pending waiting = new Pending(emitter, open, progress);
-            pending.put(correlation, waiting);
-            open.eventLoop()
-                    .schedule(
-                            () -> fail(correlation, PeerFailure.Kind.SENT, "no reply in " + timeout),
-                            timeout.toNanos(),
-                            TimeUnit.NANOSECONDS);
-            write(open, message.setSender(self).setCorrelationId(correlation).build());
         });
     }
 
+    /** Has a task run once there is a connection, or with none if there is none soon; false if none is being made. */
+    private boolean awaitConnection(Consumer<@Nullable Channel> task) {
+        Awaiting waiting = new Awaiting(task);
+        synchronized (this) {
+            if (!connecting || awaiting.size() >= MOST_AWAITING) {
+                return false;
+            }
+            awaiting.add(waiting);
+        }
+        group.next()
+                .schedule(
+                        () -> {
+                            boolean stillWaits;
+                            synchronized (this) {
+                                stillWaits = awaiting.remove(waiting);
+                            }
+                            if (stillWaits) {
+                                task.accept(null);
+                            }
+                        },
+                        CONNECTION_WAIT.toNanos(),
+                        TimeUnit.NANOSECONDS);
+        return true;
+    }
+
+    private void requestOn(
+            @Nullable Channel open,
+            Envelope.Builder message,
+            Duration timeout,
+            Consumer<Envelope> progress,
+            UniEmitter<? super Envelope> emitter) {
+        if (open == null || !open.isWritable() || links.isCut(remote.name())) {
+            emitter.fail(new PeerFailure(PeerFailure.Kind.NOT_SENT, "no connection to " + remote.name()));
+            return;
+        }
+        long correlation = nextCorrelation.getAndIncrement();
+        Pending waiting = new Pending(emitter, open, progress);
+        pending.put(correlation, waiting);
+        open.eventLoop()
+                .schedule(
+                        () -> fail(correlation, PeerFailure.Kind.SENT, "no reply in " + timeout),
+                        timeout.toNanos(),
+                        TimeUnit.NANOSECONDS);
+        write(open, message.setSender(self).setCorrelationId(correlation).build());
+    }
+
     void close() {
         synchronized (this) {
             closed = true;
@@ -107,7 +159,7 @@
 
     private void write(Channel open, Envelope message) {
         awaitSignOfLife();
-        traffic.sent(message);
+        traffic.sent(remote.name(), message);
         Duration delay = links.delay(remote.name());
         if (delay.isZero()) {
             open.writeAndFlush(message);
@@ -147,8 +199,11 @@
 
     private void connected(ChannelFuture future) {
         boolean keep;
+        List<Awaiting> waited;
         synchronized (this) {
             connecting = false;
+            waited = List.copyOf(awaiting);
+            awaiting.clear();
             keep = future.isSuccess() && !closed;
             if (keep) {
                 unansweredSinceNanos = Optional.empty();
@@ -161,6 +216,7 @@
         if (!keep && future.isSuccess()) {
             future.channel().close();
         }
+        waited.forEach(each -> each.task().accept(keep ? future.channel() : null));
     }
 
     /**
@@ -200,6 +256,19 @@
         }
     }
 
+    /** A task that waits for a connection; compared by identity, since each is removed by itself. */
+    private static final class Awaiting {
+        private final Consumer<@Nullable Channel> task;
+
+        Awaiting(Consumer<@Nullable Channel> task) {
+            this.task = task;
+        }
+
+        Consumer<@Nullable Channel> task() {
+            return task;
+        }
+    }
+
     private record Pending(UniEmitter<? super Envelope> emitter, Channel channel, Consumer<Envelope> progress) {}
 
     /** Completes the requests of one connection. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerNetwork.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerNetwork.java
@@ -62,6 +62,12 @@
         return new PeerNetwork(self, true, group, links, traffic);
     }
 
+    /** Returns the address that a host's name is or begins with. */
+    public static String addressOf(String host) {
+        int tag = host.indexOf(TAG);
+        return tag < 0 ? host : host.substring(0, tag);
+    }
+
     /** Returns the names of the other hosts, as far as they are known. */
     public ImmutableList<String> others() {
         return ImmutableList.copyOf(connections.keySet());
@@ -90,11 +96,26 @@
     public Uni<Envelope> request(String host, Envelope.Builder message, Duration timeout, Consumer<Envelope> progress) {
         Optional<PeerConnection> connection = find(host);
         if (connection.isEmpty()) {
-            return Uni.createFrom().failure(new PeerFailure(PeerFailure.Kind.NOT_SENT, host + " is not a known host"));
+            return notKnown(host);
         }
         return connection.get().request(message, timeout, progress);
     }
 
+    /**
+     * Sends a message that asks for a reply, after a moment if the connection is just being made.
+     *
+     * @param progress takes what the other host says of its progress before the reply
+     * @return the reply, or a {@link PeerFailure}
+     */
+    public Uni<Envelope> requestWhenConnected(
+            String host, Envelope.Builder message, Duration timeout, Consumer<Envelope> progress) {
+        Optional<PeerConnection> connection = find(host);
+        if (connection.isEmpty()) {
+            return notKnown(host);
+        }
+        return connection.get().requestWhenConnected(message, timeout, progress);
+    }
+
     /** Closes the connection to a host that is gone; it is made again if it is needed after all. */
     public void forget(String host) {
         if (findsByAddress) {
@@ -107,6 +128,10 @@
         connections.values().forEach(PeerConnection::close);
     }
 
+    private static Uni<Envelope> notKnown(String host) {
+        return Uni.createFrom().failure(new PeerFailure(PeerFailure.Kind.NOT_SENT, host + " is not a known host"));
+    }
+
     private Optional<PeerConnection> find(String host) {
         PeerConnection known = connections.get(host);
         if (known != null || !findsByAddress || host.equals(self) || host.isEmpty()) {
@@ -116,8 +141,7 @@
     }
 
     private PeerConnection create(String host) {
-        int tag = host.indexOf(TAG);
-        HostAndPort address = HostAndPort.fromString(tag < 0 ? host : host.substring(0, tag));
+        HostAndPort address = HostAndPort.fromString(addressOf(host));
         return new PeerConnection(self, new HostEntry(host, "", address, false), group, links, traffic);
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerServer.java
@@ -91,7 +91,7 @@
                 if (!links.isCut(message.getSender())) {
                     Envelope built =
                             reply.setReply(true).setCorrelationId(correlation).build();
-                    traffic.sent(built);
+                    traffic.sent(message.getSender(), built);
                     channel.writeAndFlush(built);
                 }
             });
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerTraffic.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerTraffic.java
@@ -1,12 +1,20 @@
 package org.bramblerack.daemon.peer;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Predicate;
 import org.bramblerack.wire.Envelope;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Counts what this host sends to other hosts, apart for leaf calls and for control.
+ * Counts what this host sends to other hosts: apart for leaf calls and for control, and by kind of message.
  *
- * <p>Safe for use by many threads.
+ * <p>Bytes that leave the region are counted apart, since they are the dearest. Safe for use by many threads if the
+ * predicate that it was given is.
  */
 public final class PeerTraffic {
     private static final int FRAME_BYTES = 4;
@@ -16,8 +24,40 @@
     private final LongAdder controlBytes = new LongAdder();
     private final LongAdder controlMessages = new LongAdder();
 
-    void sent(Envelope message) {
+    private final Predicate<String> leavesRegion;
+    private final Map<Envelope.BodyCase, Counter> bytesByKind = new EnumMap<>(Envelope.BodyCase.class);
+    private final Map<Envelope.BodyCase, Counter> farBytesByKind = new EnumMap<>(Envelope.BodyCase.class);
+
+    /** Creates counts that are shown nowhere by kind. */
+    public PeerTraffic() {
+        this(new MetricRegistry(), host -> false);
+    }
+
+    /**
+     * Creates counts that are kept in a registry as well, a counter for each kind of message.
+     *
+     * @param leavesRegion true of the name of a host in another region
+     */
+    public PeerTraffic(MetricRegistry metrics, Predicate<String> leavesRegion) {
+        this.leavesRegion = leavesRegion;
+        for (Envelope.BodyCase kind : Envelope.BodyCase.values()) {
+            String name = kind.name().toLowerCase(Locale.ROOT);
+            bytesByKind.put(kind, metrics.counter("peer_bytes_" + name));
+            farBytesByKind.put(kind, metrics.counter("peer_far_bytes_" + name));
+        }
+    }
+
+    /**
+     * Counts a message.
+     *
+     * @param host the name of the host that it is sent to
+     */
+    void sent(String host, Envelope message) {
         long bytes = (long) message.getSerializedSize() + FRAME_BYTES;
+        add(bytesByKind.get(message.getBodyCase()), bytes);
+        if (leavesRegion.test(host)) {
+            add(farBytesByKind.get(message.getBodyCase()), bytes);
+        }
         if (message.hasLeafCall() || message.hasLeafResult() || message.hasLeafCancel()) {
             leafBytes.add(bytes);
             leafMessages.increment();
@@ -27,6 +67,12 @@
         }
     }
 
+    private static void add(@Nullable Counter counter, long bytes) {
+        if (counter != null) {
+            counter.inc(bytes);
+        }
+    }
+
     /** Returns the bytes sent for leaf calls. */
     public long leafBytes() {
         return leafBytes.sum();
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.peer;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
@@ -10,6 +11,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bramblerack.wire.Envelope;
@@ -94,6 +96,40 @@
         server.stop();
     }
 
+    /** After a start of every host each link is opened by the first request that needs it. */
+    @Test
+    void aRequestMayWaitForItsConnection() throws Exception {
+        HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        PeerServer server = new PeerServer(
+                address,
+                (message, reply) ->
+                        reply.accept(Envelope.newBuilder().setStageResult(StageResult.getDefaultInstance())),
+                group,
+                LinkPolicy.OPEN,
+                new PeerTraffic());
+        server.start();
+        assertThat(call(address.toString()).hasStageResult()).isTrue();
+        server.stop();
+    }
+
+    @Test
+    void aRequestToAHostThatIsGoneIsNotSentAndSaysSoAtOnce() throws Exception {
+        String nobody = "127.0.0.1:" + freePort();
+        CompletionException failure = assertThrows(CompletionException.class, () -> call(nobody));
+        assertThat(failure).hasCauseThat().isInstanceOf(PeerFailure.class);
+        assertThat(failure).hasCauseThat().hasMessageThat().contains("no connection");
+    }
+
+    private Envelope call(String host) {
+        return network.requestWhenConnected(
+                        host,
+                        Envelope.newBuilder().setStageCall(StageCall.getDefaultInstance()),
+                        Duration.ofSeconds(2),
+                        progress -> {})
+                .await()
+                .atMost(Duration.ofSeconds(3));
+    }
+
     @Test
     void whatFollowsTheTagIsNotPartOfTheAddress() throws Exception {
         AtomicInteger accepted = new AtomicInteger();
