--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Checks.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Checks.java
@@ -53,7 +53,7 @@
 
     /** Checks the budget of every shard in every window, and connections. */
     List<String> finish(List<ModelLeaf> leafs) {
-        long windowNanos = fleet.budgetWindow().toNanos();
+        long windowNanos = fleet.budget().window().toNanos();
         extras.forEach((shard, times) -> checkBudget(shard, times, windowNanos));
         for (ModelLeaf leaf : leafs) {
             if (leaf.mostConnections() > fleet.connections()) {
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -10,8 +10,9 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.bramblerack.connection.ConnectionShare;
+import org.bramblerack.daemon.gateway.FleetBudget;
 import org.bramblerack.process.LatencyTracker;
-import org.bramblerack.process.RetryBudget;
+import org.bramblerack.process.WindowedBudget;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.Leaf;
@@ -29,6 +30,9 @@
  * time. Not safe for use by several threads.
  */
 final class ModelHost implements StagePlanner.Ways {
+    /** Before any window that a run can see: the budget of a first window is not what is modelled. */
+    private static final long LONG_AGO_NANOS = -Duration.ofHours(1).toNanos();
+
     private final String name;
     private final Fleet.Zone zone;
     private final Fleet fleet;
@@ -43,8 +47,14 @@
     private final RoutingContext context;
     private final StagePlanner planner;
 
+    /**
+     * Creates a host that has been up for long.
+     *
+     * @param position its place among the hosts of the fleet, from 0 up
+     */
     ModelHost(
             String name,
+            int position,
             Fleet.Zone zone,
             Fleet fleet,
             List<List<ModelLeaf>> shards,
@@ -60,15 +70,15 @@
         this.planner = new StagePlanner(this, random);
         ImmutableList.Builder<LeafPool> built = ImmutableList.builder();
         for (int shard = 0; shard < shards.size(); shard++) {
-            built.add(newPool(shard, shards.get(shard)));
+            built.add(newPool(shard, position, shards.get(shard)));
         }
         this.pools = built.build();
     }
 
-    private LeafPool newPool(int shard, List<ModelLeaf> replicas) {
+    private LeafPool newPool(int shard, int position, List<ModelLeaf> replicas) {
         int hostCount = fleet.hostCount();
-        RetryBudget budget =
-                RetryBudget.create(fleet.budget().ownPercent(), fleet.budget().slackOf(hostCount));
+        WindowedBudget budget = fleet.budget().newShare(LONG_AGO_NANOS);
+        fleet.budget().shareOut(budget, FleetBudget.Turn.of(position, hostCount, "shard-" + shard));
         LeafPool pool = new LeafPool("shard-" + shard, budget, context);
         int share = Math.max(1, ConnectionShare.of(fleet.connections(), hostCount));
         for (ModelLeaf replica : replicas) {
--- a/bramblerack-core/src/main/java/org/bramblerack/connection/ZoneHolders.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/connection/ZoneHolders.java
@@ -7,9 +7,11 @@
 import com.google.common.collect.ImmutableSortedSet;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -84,12 +86,27 @@
         return hosts.build();
     }
 
-    /** Orders hosts by a rendezvous hash, so that a host that leaves changes nothing about the order of the others. */
+    /**
+     * Orders hosts by a rendezvous hash, so that a host that leaves changes nothing about the order of the others.
+     *
+     * <p>Each weight is worked out once: a comparator that hashes would do so for every comparison.
+     */
     private static ImmutableList<String> ranked(String key, Collection<String> hosts) {
-        return hosts.stream()
-                .sorted(Comparator.comparingLong((String host) -> weight(key, host))
-                        .thenComparing(Comparator.naturalOrder()))
-                .collect(ImmutableList.toImmutableList());
+        List<WeighedHost> weighed = new ArrayList<>(hosts.size());
+        for (String host : hosts) {
+            weighed.add(new WeighedHost(host, weight(key, host)));
+        }
+        weighed.sort(WeighedHost.ORDER);
+        ImmutableList.Builder<String> order = ImmutableList.builderWithExpectedSize(weighed.size());
+        for (WeighedHost each : weighed) {
+            order.add(each.host());
+        }
+        return order.build();
+    }
+
+    private record WeighedHost(String host, long weight) {
+        private static final Comparator<WeighedHost> ORDER =
+                Comparator.comparingLong(WeighedHost::weight).thenComparing(WeighedHost::host);
     }
 
     private static long weight(String key, String host) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/RetryBudget.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/RetryBudget.java
@@ -14,7 +14,7 @@
     private static final int SCALE = 100;
 
     private final int extraLoadPercent;
-    private long capacity;
+    private final long capacity;
     private long level;
 
     private RetryBudget(int extraLoadPercent, int reserve) {
@@ -35,42 +35,11 @@
         return new RetryBudget(extraLoadPercent, extraLoadPercent == 0 ? 0 : reserve);
     }
 
-    /** Leaves a part of the saved up budget only, as is right for a host that may have spent it before a restart. */
-    public synchronized void reduceTo(int percent) {
-        level = Math.min(level, capacity * percent / SCALE);
-    }
-
-    /** Changes what may be saved up; what was saved beyond it is lost. */
-    public synchronized void setReserve(int reserve) {
-        checkArgument(reserve >= 0, "reserve %s is negative", reserve);
-        capacity = extraLoadPercent == 0 ? 0 : (long) reserve * SCALE;
-        level = Math.min(level, capacity);
-    }
-
     /** Adds the allowance that first attempts bring. */
     public synchronized void deposit(int firstAttempts) {
         level = Math.min(capacity, level + (long) firstAttempts * extraLoadPercent);
     }
 
-    /**
-     * Takes one extra attempt out of the budget if a part of it is left afterwards, for those that need it more.
-     *
-     * @param reservedPercent the part of what may be saved up that must be left, in whole attempts
-     */
-    public synchronized boolean tryWithdrawAbove(int reservedPercent) {
-        long reserved = capacity * reservedPercent / SCALE / SCALE * SCALE;
-        if (level - SCALE < reserved) {
-            return false;
-        }
-        level -= SCALE;
-        return true;
-    }
-
-    /** Returns which part of what may be saved up is left, from 0 to 1. */
-    public synchronized double fill() {
-        return capacity == 0 ? 0 : (double) level / capacity;
-    }
-
     /** Takes one extra attempt out of the budget; returns false if it is spent. */
     public synchronized boolean tryWithdraw() {
         if (level < SCALE) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
@@ -47,6 +47,7 @@
             case REPORT_LEAF -> tables.report(command.getReportLeaf());
             case REPORT_HOST -> tables.report(command.getReportHost());
             case FORGET_MEMBERS -> tables.forget(command.getForgetMembers());
+            case SET_SHARD_ACCESS -> tables.set(command.getSetShardAccess());
             case BODY_NOT_SET ->
                 CommandResult.newBuilder().setKind(CommandResult.Kind.INVALID).build();
         };
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import org.bramblerack.process.RetryBudget;
+import org.bramblerack.process.WindowedBudget;
 
 /**
  * The leafs of one service and this host's share of the service's budget of extra attempts.
@@ -27,17 +27,17 @@
             Duration.ofMillis(1_500).toNanos();
 
     private final String service;
-    private final RetryBudget budget;
+    private final WindowedBudget budget;
     private final RoutingContext context;
     private final Map<String, Leaf> leaves = new LinkedHashMap<>();
 
     /** Creates an empty pool. */
-    public LeafPool(String service, RetryBudget budget) {
+    public LeafPool(String service, WindowedBudget budget) {
         this(service, budget, RoutingContext.plain());
     }
 
     /** Creates an empty pool of a host with the given context. */
-    public LeafPool(String service, RetryBudget budget, RoutingContext context) {
+    public LeafPool(String service, WindowedBudget budget, RoutingContext context) {
         this.service = service;
         this.budget = budget;
         this.context = context;
@@ -49,7 +49,7 @@
     }
 
     /** Returns the budget that retries and hedges to this service share. */
-    public RetryBudget budget() {
+    public WindowedBudget budget() {
         return budget;
     }
 
@@ -97,7 +97,7 @@
      * chosen only if there is no other.
      */
     public Optional<Leaf> choose(Predicate<Leaf> filter, long expectedNanos, RandomGenerator random, long nowNanos) {
-        double refusalNanos = refusalNanos();
+        double refusalNanos = refusalNanos(nowNanos);
         Leaf best = null;
         double bestCost = Double.MAX_VALUE;
         boolean bestEjected = true;
@@ -126,11 +126,11 @@
      * Returns what one refusal costs in time: the less of the budget for extra attempts is left, the more, so that a
      * leaf that refuses gets as many first attempts as the budget can send again.
      */
-    private double refusalNanos() {
+    private double refusalNanos(long nowNanos) {
         if (!context.uses(Mechanism.REFUSAL_PRICE)) {
             return 0;
         }
-        double spent = 1 - budget.fill();
+        double spent = 1 - budget.fill(nowNanos);
         return REFUSAL_NANOS + spent * spent * REFUSAL_WITHOUT_BUDGET_NANOS;
     }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
@@ -14,6 +14,7 @@
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.MemberTables;
 import org.bramblerack.wire.PutConfiguration;
+import org.bramblerack.wire.SetShardAccess;
 import org.bramblerack.wire.TableDelta;
 
 /**
@@ -35,6 +36,7 @@
     private ByteString configuration = ByteString.EMPTY;
     private long configurationRevision;
     private long forgottenRevision;
+    private boolean throughHolders;
 
     /** Takes a whole configuration if its version is above the one held. */
     public CommandResult put(PutConfiguration change) {
@@ -100,6 +102,21 @@
         return result(CommandResult.Kind.ACCEPTED);
     }
 
+    /** Changes how hosts reach the leafs of shards. */
+    public CommandResult set(SetShardAccess change) {
+        if (change.getThroughHolders() == throughHolders) {
+            return result(CommandResult.Kind.SUPERSEDED);
+        }
+        revision++;
+        throughHolders = change.getThroughHolders();
+        return result(CommandResult.Kind.ACCEPTED);
+    }
+
+    /** Returns true if only a few hosts connect to a leaf of a shard, and the others ask through them. */
+    public boolean throughHolders() {
+        return throughHolders;
+    }
+
     /** Returns true if the report of a leaf says anything new. */
     public boolean wouldChange(LeafRecord report) {
         LeafRecord known = leaves.get(report.getId());
@@ -158,7 +175,8 @@
         TableDelta.Builder delta = TableDelta.newBuilder()
                 .setRevision(revision)
                 .setWhole(whole)
-                .setConfigurationVersion(configurationVersion);
+                .setConfigurationVersion(configurationVersion)
+                .setThroughHolders(throughHolders);
         if (configurationRevision > since) {
             delta.setConfiguration(configuration);
         }
@@ -185,6 +203,7 @@
                 .setConfiguration(configuration)
                 .setConfigurationRevision(configurationRevision)
                 .setForgottenRevision(forgottenRevision)
+                .setThroughHolders(throughHolders)
                 .addAllLeaves(leaves.values())
                 .addAllHosts(hosts.values())
                 .build();
@@ -199,6 +218,7 @@
         configuration = snapshot.getConfiguration();
         configurationRevision = snapshot.getConfigurationRevision();
         forgottenRevision = snapshot.getForgottenRevision();
+        throughHolders = snapshot.getThroughHolders();
         snapshot.getLeavesList().forEach(leaf -> leaves.put(leaf.getId(), leaf));
         snapshot.getHostsList().forEach(host -> hosts.put(host.getName(), host));
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/MemberWatch.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/MemberWatch.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.bramblerack.wire.ForgetMembers;
 import org.bramblerack.wire.HeardMembers;
 import org.bramblerack.wire.HostRecord;
@@ -22,6 +23,7 @@
 
     private final Map<String, Long> leavesHeardNanos = new HashMap<>();
     private final Map<String, Long> hostsHeardNanos = new HashMap<>();
+    private final Map<String, Integer> queriesAMinuteByHost = new HashMap<>();
     private HeardMembers.Builder sinceReport = HeardMembers.newBuilder();
 
     /** Notes that a leaf reported to this host. */
@@ -30,16 +32,44 @@
         sinceReport.addLeafIds(id);
     }
 
-    /** Notes that a host asked this host for changes. */
-    public void heardHost(String name, long nowNanos) {
-        hostsHeardNanos.put(name, nowNanos);
-        sinceReport.addHostNames(name);
+    /**
+     * Notes that a host asked this host for changes.
+     *
+     * @param queriesAMinute the queries over shards that it takes from callers
+     */
+    public void heardHost(String name, int queriesAMinute, long nowNanos) {
+        noteHost(name, queriesAMinute, nowNanos);
+        sinceReport.addHostNames(name).addQueriesAMinute(queriesAMinute);
     }
 
     /** Takes what another control host has heard of. */
     public void merge(HeardMembers report, long nowNanos) {
         report.getLeafIdsList().forEach(id -> leavesHeardNanos.put(id, nowNanos));
-        report.getHostNamesList().forEach(name -> hostsHeardNanos.put(name, nowNanos));
+        boolean rated = report.getQueriesAMinuteCount() == report.getHostNamesCount();
+        for (int position = 0; position < report.getHostNamesCount(); position++) {
+            noteHost(report.getHostNames(position), rated ? report.getQueriesAMinute(position) : 0, nowNanos);
+        }
+    }
+
+    /**
+     * Returns the queries a minute that the entry hosts take together; empty as long as some have not told theirs, as
+     * just after this host began to lead.
+     */
+    public OptionalInt queriesAMinute(AgreedTables tables) {
+        int sum = 0;
+        for (HostRecord host : tables.presentHosts()) {
+            Integer told = queriesAMinuteByHost.get(host.getName());
+            if (host.getEntry() && told == null) {
+                return OptionalInt.empty();
+            }
+            sum += host.getEntry() && told != null ? told : 0;
+        }
+        return OptionalInt.of(sum);
+    }
+
+    private void noteHost(String name, int queriesAMinute, long nowNanos) {
+        hostsHeardNanos.put(name, nowNanos);
+        queriesAMinuteByHost.put(name, queriesAMinute);
     }
 
     /** Returns what was heard of since the last call, for the leader. */
@@ -53,6 +83,7 @@
     public void restart(AgreedTables tables, long nowNanos) {
         leavesHeardNanos.clear();
         hostsHeardNanos.clear();
+        queriesAMinuteByHost.clear();
         tables.presentLeaves().forEach(leaf -> leavesHeardNanos.put(leaf.getId(), nowNanos));
         tables.presentHosts().forEach(host -> hostsHeardNanos.put(host.getName(), nowNanos));
     }
@@ -72,6 +103,7 @@
             if (nowNanos - heardNanos > HOST_SILENCE.toNanos()) {
                 silent.addHosts(host);
                 hostsHeardNanos.remove(host.getName());
+                queriesAMinuteByHost.remove(host.getName());
             }
         }
         return silent.build();
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -77,7 +77,7 @@
      */
     void backUp(long nowNanos, List<RoutedAction> actions) {
         boolean allowed = spentElsewhere < bounds.maxAttempts();
-        if (!delegated || finished || !allowed || !pool.budget().tryWithdraw()) {
+        if (!delegated || finished || !allowed || !pool.budget().tryWithdraw(nowNanos)) {
             return;
         }
         Optional<Leaf> leaf = pool.choose(candidate -> true, bounds.expectedNanos(), random, nowNanos);
@@ -117,11 +117,11 @@
             giveUp(AttemptCounter.RETRY_DENIED_NO_LEAF, actions);
             return;
         }
-        if (spentElsewhere > 0 && !pool.budget().tryWithdraw()) {
+        if (spentElsewhere > 0 && !pool.budget().tryWithdraw(nowNanos)) {
             giveUp(AttemptCounter.RETRY_DENIED_BUDGET, actions);
             return;
         }
-        pool.budget().deposit(1);
+        pool.budget().firstAttempt(nowNanos);
         actions.add(new RoutedAction.Count(AttemptCounter.FIRST));
         ask(leaf.get(), Attempt.Purpose.FIRST, nowNanos, actions);
     }
@@ -269,7 +269,7 @@
                 : pool.choose(leaf -> isGoodForHedge(leaf, nowNanos), bounds.expectedNanos(), random, nowNanos);
         if (other.isEmpty()) {
             refuseHedge(AttemptCounter.HEDGE_DENIED_NO_LEAF, nowNanos, actions);
-        } else if (!pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT)) {
+        } else if (!pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos)) {
             refuseHedge(AttemptCounter.HEDGE_DENIED_BUDGET, nowNanos, actions);
         } else {
             actions.add(new RoutedAction.Count(AttemptCounter.HEDGE));
@@ -315,7 +315,7 @@
     }
 
     private void spendOnRetry(Leaf leaf, long nowNanos, List<RoutedAction> actions) {
-        if (!pool.budget().tryWithdraw()) {
+        if (!pool.budget().tryWithdraw(nowNanos)) {
             giveUp(AttemptCounter.RETRY_DENIED_BUDGET, actions);
             return;
         }
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/EventRateTest.java
@@ -0,0 +1,29 @@
+package org.bramblerack.process;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+final class EventRateTest {
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    @Test
+    void aSteadyRateIsTold() {
+        EventRate rate = new EventRate(7 * SECOND);
+        for (int second = 7; second < 30; second++) {
+            rate.happened(second * SECOND);
+            rate.happened(second * SECOND + SECOND / 2);
+        }
+        assertThat(rate.aMinute(29 * SECOND + SECOND / 2)).isEqualTo(120);
+    }
+
+    @Test
+    void whatWasLongAgoIsForgotten() {
+        EventRate rate = new EventRate(0);
+        rate.happened(SECOND);
+        assertThat(rate.aMinute(2 * SECOND)).isGreaterThan(0);
+        assertThat(rate.aMinute(7 * SECOND)).isEqualTo(0);
+        assertThat(rate.aMinute(700 * SECOND)).isEqualTo(0);
+    }
+}
--- a/bramblerack-core/src/test/java/org/bramblerack/process/members/AgreedTablesTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/members/AgreedTablesTest.java
@@ -11,6 +11,7 @@
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.PutConfiguration;
+import org.bramblerack.wire.SetShardAccess;
 import org.bramblerack.wire.TableDelta;
 import org.junit.jupiter.api.Test;
 
@@ -108,12 +109,24 @@
         tables.report(leaf("l", LeafRecord.Phase.READY, 1));
         tables.report(leaf("m", LeafRecord.Phase.GONE, 1));
         tables.report(host("h", 1));
+        tables.set(SetShardAccess.newBuilder().setThroughHolders(true).build());
         AgreedTables restored = new AgreedTables();
         restored.restore(tables.toSnapshot());
         assertThat(restored.toSnapshot()).isEqualTo(tables.toSnapshot());
         assertThat(restored.wouldChange(leaf("m", LeafRecord.Phase.READY, 5))).isFalse();
     }
 
+    @Test
+    void aChangeOfTheWayToShardsReachesHostsThatFollow() {
+        long before = tables.revision();
+        tables.set(SetShardAccess.newBuilder().setThroughHolders(true).build());
+        assertThat(tables.revision()).isGreaterThan(before);
+        assertThat(tables.changesSince(before).getThroughHolders()).isTrue();
+        long changed = tables.revision();
+        tables.set(SetShardAccess.newBuilder().setThroughHolders(true).build());
+        assertThat(tables.revision()).isEqualTo(changed);
+    }
+
     private void change(SplittableRandom random, int step) {
         switch (random.nextInt(4)) {
             case 0 -> put(step, "document " + step);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -13,6 +13,7 @@
 import org.bramblerack.daemon.control.DiskFault;
 import org.bramblerack.daemon.control.FileLogStore;
 import org.bramblerack.daemon.control.VoterIdentity;
+import org.bramblerack.daemon.event.CounterSummary;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
@@ -34,8 +35,10 @@
     private static final EventLog EVENTS = EventLog.of(ControlProcess.class);
     private static final long SHARE_HEARD_MILLIS = 1_000;
     private static final long JOIN_MILLIS = 300;
+    private static final long SUMMARY_MILLIS = 10_000;
 
     private final ControlSettings settings;
+    private final MetricRegistry metrics;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final VoterIdentity identity;
     private final PeerNetwork network;
@@ -62,10 +65,11 @@
             long incarnation)
             throws DiskFault {
         this.settings = settings;
+        this.metrics = metrics;
         this.seeds = settings.seeds();
         this.incarnation = incarnation;
         this.identity = VoterIdentity.loadOrStore(settings.dataFolder(), freshIdentity(settings, random));
-        PeerTraffic traffic = new PeerTraffic();
+        PeerTraffic traffic = new PeerTraffic(metrics, this::isElsewhere);
         this.network = PeerNetwork.byAddress(identity.name(), group, LinkPolicy.OPEN, traffic);
         this.store = new FileLogStore(settings.dataFolder());
         this.node = new ControlNode(
@@ -99,6 +103,7 @@
                 .scheduleWithFixedDelay(
                         this::everySecond, SHARE_HEARD_MILLIS, SHARE_HEARD_MILLIS, TimeUnit.MILLISECONDS);
         group.next().scheduleWithFixedDelay(this::joinIfAlone, JOIN_MILLIS, JOIN_MILLIS, TimeUnit.MILLISECONDS);
+        group.next().scheduleWithFixedDelay(this::logCounters, SUMMARY_MILLIS, SUMMARY_MILLIS, TimeUnit.MILLISECONDS);
         EVENTS.info("started")
                 .with("host", settings.name())
                 .with("voter", identity.name())
@@ -175,6 +180,14 @@
         fleet.shareHeard(self());
     }
 
+    private void logCounters() {
+        EVENTS.info("counters").with("counters", CounterSummary.of(metrics)).write();
+    }
+
+    private boolean isElsewhere(String host) {
+        return fleet != null && fleet.isElsewhere(PeerNetwork.addressOf(host));
+    }
+
     private HostRecord self() {
         return HostRecord.newBuilder()
                 .setName(settings.name())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -2,18 +2,22 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import io.smallrye.mutiny.Uni;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.ProposalResult;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.members.AgreedTables;
 import org.bramblerack.process.members.MemberWatch;
+import org.bramblerack.process.members.ShardAccessPolicy;
 import org.bramblerack.wire.Command;
 import org.bramblerack.wire.ControlRead;
 import org.bramblerack.wire.Envelope;
@@ -22,6 +26,7 @@
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.PutConfiguration;
+import org.bramblerack.wire.SetShardAccess;
 import org.bramblerack.wire.TableDelta;
 import org.bramblerack.wire.TablePull;
 
@@ -47,7 +52,9 @@
     private final PeerNetwork network;
     private final MetricRegistry metrics;
     private final MemberWatch watch = new MemberWatch();
+    private final ShardAccessPolicy shardAccess = new ShardAccessPolicy();
     private volatile ImmutableList<String> knownControlHosts = ImmutableList.of();
+    private volatile ImmutableSet<String> hostsElsewhere = ImmutableSet.of();
     private boolean wasLeader;
 
     /** Creates the service; nothing happens before it is called. */
@@ -123,7 +130,7 @@
         HostRecord host = pull.getSelf();
         return node.withTables((tables, inTouch, nowNanos) -> {
                     synchronized (watch) {
-                        watch.heardHost(host.getName(), nowNanos);
+                        watch.heardHost(host.getName(), pull.getQueriesAMinute(), nowNanos);
                     }
                     return inTouch && tables.wouldChange(host);
                 })
@@ -160,11 +167,15 @@
     public void shareHeard(HostRecord own) {
         node.withTables((tables, inTouch, nowNanos) -> {
                     synchronized (watch) {
-                        watch.heardHost(own.getName(), nowNanos);
+                        watch.heardHost(own.getName(), 0, nowNanos);
                         knownControlHosts = tables.presentHosts().stream()
                                 .filter(host -> !host.getControlAddress().isEmpty())
                                 .map(HostRecord::getPeerAddress)
                                 .collect(ImmutableList.toImmutableList());
+                        hostsElsewhere = tables.presentHosts().stream()
+                                .filter(host -> !host.getRegion().equals(own.getRegion()))
+                                .map(HostRecord::getPeerAddress)
+                                .collect(ImmutableSet.toImmutableSet());
                         if (inTouch && tables.wouldChange(own)) {
                             announce(own);
                         }
@@ -178,6 +189,7 @@
                             node.leader().ifPresent(leader -> send(leader, report));
                             return ForgetMembers.getDefaultInstance();
                         }
+                        reviewShardAccess(tables, nowNanos);
                         return watch.silent(tables, nowNanos);
                     }
                 })
@@ -185,6 +197,33 @@
                 .with(this::forget, failure -> LOGGER.log(Logger.Level.DEBUG, "the control role has stopped"));
     }
 
+    /** As the leader, has the way to the leafs of shards changed if the rate of queries asks for it. */
+    private void reviewShardAccess(AgreedTables tables, long nowNanos) {
+        int entryHosts = (int)
+                tables.presentHosts().stream().filter(HostRecord::getEntry).count();
+        OptionalInt queriesAMinute = watch.queriesAMinute(tables);
+        shardAccess
+                .decide(tables.throughHolders(), entryHosts, queriesAMinute, nowNanos)
+                .ifPresent(throughHolders -> {
+                    EVENTS.info("shard_access_changes")
+                            .with("throughHolders", throughHolders)
+                            .with("queriesAMinute", queriesAMinute.orElse(0))
+                            .with("entryHosts", entryHosts)
+                            .write();
+                    propose(
+                                    Command.newBuilder()
+                                            .setSetShardAccess(
+                                                    SetShardAccess.newBuilder().setThroughHolders(throughHolders))
+                                            .build(),
+                                    REPORT_WAIT)
+                            .subscribe()
+                            .with(
+                                    outcome -> {},
+                                    failure -> LOGGER.log(
+                                            Logger.Level.WARNING, "a change of the way to shards failed", failure));
+                });
+    }
+
     /** Returns the leaf as the tables of this host have it. */
     public Uni<Optional<LeafRecord>> findLeaf(String id) {
         return node.withTables((tables, inTouch, nowNanos) -> tables.leaf(id));
@@ -212,6 +251,11 @@
         return knownControlHosts;
     }
 
+    /** Returns true if the host at a peer address was in another region, as of the last second. */
+    public boolean isElsewhere(String peerAddress) {
+        return hostsElsewhere.contains(peerAddress);
+    }
+
     private void send(String leader, HeardMembers report) {
         if (report.getLeafIdsCount() + report.getHostNamesCount() > 0) {
             network.send(leader, Envelope.newBuilder().setHeardMembers(report));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -61,7 +61,6 @@
         this.clock = clock;
         this.incarnation = incarnation;
         EventLoop loop = group.next();
-        PeerTraffic traffic = new PeerTraffic();
         this.view = new FleetView(
                 settings.peerAddress().toString(),
                 settings.place(),
@@ -71,6 +70,7 @@
                 group,
                 clock,
                 random);
+        PeerTraffic traffic = new PeerTraffic(metrics, view::isInOtherRegion);
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
         this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self);
         this.gateway = new Gateway(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
@@ -2,15 +2,23 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.time.Duration;
+import org.bramblerack.process.WindowedBudget;
+
 /**
  * What all hosts together may spend on extra attempts at one service within any window.
  *
- * <p>Immutable and safe for use by many threads.
+ * <p>The hosts share the slack out by the agreed tables: an even part each, and what is left over one attempt each to
+ * as many hosts as it reaches, by turns that differ from service to service. Each spends its part anew in every window.
+ *
+ * <p>Invariant: the parts of hosts that agree on the tables add up to less than the slack. Immutable and safe for use
+ * by many threads.
  *
  * @param extraPercent extra attempts for 100 requests
  * @param slack extra attempts beyond those, for all hosts together
+ * @param window the time for which both hold
  */
-public record FleetBudget(int extraPercent, int slack) {
+public record FleetBudget(int extraPercent, int slack, Duration window) {
     /**
      * The part of the budget that the hosts share out. The rest covers hosts that restart within the window, which
      * begin with a part of their share, and the moments in which hosts differ about how many they are.
@@ -20,37 +28,86 @@
     /** The part of the ratio that a host spends: the fleet counts requests in windows that a host cannot see. */
     private static final double OWN_RATIO = 0.9;
 
+    /** The part of its share that a host has in the first window after its start: it may have spent it just before. */
+    private static final double FIRST_SHARE = 0.3;
+
+    /** The part of a held shard's slack that may go to the hosts that do not hold it. */
+    private static final double BESIDE_HOLDERS = 0.5;
+
     /** Refuses a negative budget. */
     public FleetBudget {
         checkArgument(extraPercent >= 0, "extra attempts of %s percent", extraPercent);
         checkArgument(slack >= 0, "a slack of %s", slack);
+        checkArgument(window.toMillis() > 0, "a window of %s", window);
     }
 
-    /** Returns the part of the slack that is one host's. */
-    public int slackOf(int hosts) {
-        return (int) Math.floor(slack * SHARED_OUT / Math.max(1, hosts));
+    /** Returns a budget of one host, without any slack yet. */
+    public WindowedBudget newShare(long startedNanos) {
+        return WindowedBudget.create(ownPercent(), window, startedNanos);
+    }
+
+    /** Gives a host its part of the slack of a service that it connects to itself. */
+    public void shareOut(WindowedBudget budget, Turn turn) {
+        budget.setReserve(turn.partOf(sharedOut()), turn.partOf(sharedOut() * FIRST_SHARE));
     }
 
     /**
-     * Returns the part of the slack of a shard that is one host's if others hold the connections to its leafs: one
-     * attempt, for when a holder fails, as long as that leaves half of the slack to the holders.
+     * Gives a host its part of the slack of a shard whose connections others hold: one attempt, for when a holder
+     * fails, as far as half of the slack reaches.
      */
-    public int slackBesideHolders(int hosts) {
-        return 2 * hosts <= slack * SHARED_OUT ? 1 : 0;
+    public void shareOutBesideHolders(WindowedBudget budget, Turn turn) {
+        double beside = besideHolders(turn.hosts());
+        budget.setReserve(turn.partOf(beside), turn.partOf(beside * FIRST_SHARE));
     }
 
     /**
-     * Returns the part of the slack of a shard that is its holder's in one availability zone.
+     * Gives the holder of a shard in one availability zone its part of the slack.
      *
      * @param zones in how many zones the shard has a holder
      */
-    public int slackOfHolder(int hosts, int zones) {
-        double left = slack * SHARED_OUT - (double) hosts * slackBesideHolders(hosts);
-        return (int) Math.floor(left / Math.max(1, zones));
+    public void shareOutToHolder(WindowedBudget budget, int hosts, int zones) {
+        double part = (sharedOut() - besideHolders(hosts)) / Math.max(1, zones);
+        budget.setReserve((int) part, (int) (part * FIRST_SHARE));
     }
 
     /** Returns the extra attempts that a host may make for 100 of its own requests. */
     public int ownPercent() {
         return (int) Math.floor(extraPercent * OWN_RATIO);
     }
+
+    private double sharedOut() {
+        return slack * SHARED_OUT;
+    }
+
+    private double besideHolders(int hosts) {
+        return Math.min(hosts, Math.floor(sharedOut() * BESIDE_HOLDERS));
+    }
+
+    /**
+     * Whose turn a host is among those that share something out for one service.
+     *
+     * @param place from 0 up, different for each host
+     * @param hosts how many share
+     */
+    public record Turn(int place, int hosts) {
+        /** Refuses a place that does not exist. */
+        public Turn {
+            checkArgument(place >= 0 && place < hosts, "place %s of %s", place, hosts);
+        }
+
+        /**
+         * Returns the turn of a host at one service.
+         *
+         * @param position the host's position among the agreed hosts, the same on every host
+         */
+        public static Turn of(int position, int hosts, String service) {
+            return new Turn(Math.floorMod(position + service.hashCode(), hosts), hosts);
+        }
+
+        /** Returns how much of a total is this host's; the parts of all hosts add up to its whole attempts. */
+        int partOf(double total) {
+            int whole = (int) Math.floor(total);
+            return whole / hosts + (place < whole % hosts ? 1 : 0);
+        }
+    }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -12,15 +12,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafConnections;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.EventRate;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.RetryBudget;
+import org.bramblerack.process.WindowedBudget;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
@@ -42,9 +45,6 @@
  * from the moment at which the change arrives. Owned by the event loop.
  */
 public final class FleetView {
-    /** A host that restarted may have spent its share just before. */
-    private static final int FIRST_BUDGET_PERCENT = 30;
-
     /** The first table may name a part of a fleet that is just starting: this long until connections are made ahead. */
     private static final Duration WARM_AFTER = Duration.ofMillis(400);
     /** Hosts make connections at different moments within this time, so that no leaf gets all at once. */
@@ -58,6 +58,7 @@
     private static final int MOST_NAMED = 12;
 
     private final Place place;
+    private final long startedNanos;
     private final LeafAccess access;
     private final FleetBudget budget;
     private final CallHeaders names;
@@ -68,10 +69,13 @@
     private final Map<String, LeafPool> pools = new HashMap<>();
     private final Map<Leaf, LeafConnections> connections = new HashMap<>();
     private final Map<String, HostRecord> hosts = new LinkedHashMap<>();
+    private final Map<String, String> regionsByAddress = new ConcurrentHashMap<>();
     private final Map<String, LeafRecord> leafRecords = new HashMap<>();
     private final Map<String, LatencyTracker> latencies = new HashMap<>();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private long revision;
+    private final EventRate queries;
+    private boolean throughHolders;
     private boolean connectionsReviewed = true;
     private boolean accessStale;
     private Runnable onHostsChanged = () -> {};
@@ -91,6 +95,8 @@
             MonotonicClock clock,
             RandomGenerator random) {
         this.place = place;
+        this.startedNanos = clock.nowNanos();
+        this.queries = new EventRate(startedNanos);
         this.routing = new RoutingContext(policy, HostLag.create(LAG_PERIOD));
         this.access = new LeafAccess(self, place);
         this.budget = budget;
@@ -146,6 +152,22 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Notes a query over shards of a caller. */
+    void queryCame() {
+        queries.happened(clock.nowNanos());
+    }
+
+    /** Returns how many queries over shards callers send here in a minute. */
+    int queriesAMinute() {
+        return queries.aMinute(clock.nowNanos());
+    }
+
+    /** Returns true if a host with the given name or peer address is known to be in another region. */
+    boolean isInOtherRegion(String host) {
+        String region = regionsByAddress.get(PeerNetwork.addressOf(host));
+        return region != null && !region.equals(place.region());
+    }
+
     /** Returns the leafs of a service; a service without any has an empty pool. */
     public LeafPool pool(String service) {
         return pools.computeIfAbsent(service, this::newPool);
@@ -216,7 +238,9 @@
         int leavesBefore = leafRecords.size();
         boolean hostsChanged = applyHosts(delta);
         boolean leavesChanged = applyLeaves(delta);
-        if (hostsChanged || leavesChanged || newer.isPresent()) {
+        boolean waysChanged = throughHolders != delta.getThroughHolders();
+        throughHolders = delta.getThroughHolders();
+        if (hostsChanged || leavesChanged || waysChanged || newer.isPresent()) {
             accessStale = true;
             if (hostsChanged) {
                 onHostsChanged.run();
@@ -229,6 +253,7 @@
                     .with("entryHostsBefore", hostsBefore)
                     .with("leafs", leafRecords.size())
                     .with("leafsBefore", leavesBefore)
+                    .with("throughHolders", throughHolders)
                     .with("leaving", leaving(delta))
                     .write();
         }
@@ -240,8 +265,8 @@
     private LeafAccess access() {
         if (accessStale) {
             accessStale = false;
-            access.update(entryHosts(), leafRecords.values(), configuration);
-            pools.values().forEach(pool -> pool.budget().setReserve(reserveOf(pool.service())));
+            access.update(entryHosts(), leafRecords.values(), configuration, throughHolders);
+            pools.values().forEach(pool -> shareOut(pool.service(), pool.budget()));
         }
         return access;
     }
@@ -265,6 +290,7 @@
                 hosts.remove(host.getName());
             } else {
                 hosts.put(host.getName(), host);
+                regionsByAddress.put(host.getPeerAddress(), host.getRegion());
             }
         }
         return !before.equals(entryHosts());
@@ -362,19 +388,21 @@
     }
 
     private LeafPool newPool(String service) {
-        RetryBudget own = RetryBudget.create(budget.ownPercent(), reserveOf(service));
-        own.reduceTo(FIRST_BUDGET_PERCENT);
+        WindowedBudget own = budget.newShare(startedNanos);
+        shareOut(service, own);
         return new LeafPool(service, own, routing);
     }
 
-    private int reserveOf(String service) {
-        int hostCount = entryHosts().size();
+    /** Gives this host its part of the fleet's budget for a service, by the agreed tables. */
+    private void shareOut(String service, WindowedBudget own) {
+        FleetBudget.Turn turn = access().turnAt(service);
         if (!access().isHeld(service)) {
-            return budget.slackOf(hostCount);
+            budget.shareOut(own, turn);
+        } else if (access().isHolderOf(service)) {
+            budget.shareOutToHolder(own, turn.hosts(), access().zonesOf(service));
+        } else {
+            budget.shareOutBesideHolders(own, turn);
         }
-        return access().isHolderOf(service)
-                ? budget.slackOfHolder(hostCount, access().zonesOf(service))
-                : budget.slackBesideHolders(hostCount);
     }
 
     private int connectionShare(Leaf leaf) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -166,6 +166,7 @@
         RoutedCall call =
                 new RoutedCall(route.get(), view.configuration().version(), request, exchange.receivedNanos(), times);
         if (route.get().target() instanceof RouteTarget.Scatter target) {
+            view.queryCame();
             StageCaller stageCaller = runs.stageCaller(stageCall(exchange, route.get()), times);
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
             run.onSealedAtGoal(writtenNanos -> sealLead.sealed(times.goalNanos(), writtenNanos));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.event.CounterSummary;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -101,16 +102,7 @@
 
     /** Returns every counter that is not zero, for a log line. */
     String summary() {
-        StringBuilder text = new StringBuilder();
-        registry.getCounters().forEach((name, counter) -> {
-            if (counter.getCount() != 0) {
-                text.append(text.length() == 0 ? "" : " ")
-                        .append(name)
-                        .append('=')
-                        .append(counter.getCount());
-            }
-        });
-        return text.toString();
+        return CounterSummary.of(registry);
     }
 
     private static void increment(@Nullable Counter counter) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -16,13 +16,15 @@
 import org.bramblerack.version.routing.RoutingConfiguration;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
+import org.jspecify.annotations.Nullable;
 
 /**
  * How this host reaches each leaf: by connections of its own, or through the host that holds the connections to it.
  *
  * <p>A shard's leafs take a bounded number of connections from all hosts together. While every host can have at least
- * {@value #LEAST_DIRECT_CONNECTIONS}, each connects itself; in a larger fleet the hosts of the leaf's availability zone
- * share the connections out, and {@link ZoneHolders} says which of them asks.
+ * {@value #LEAST_DIRECT_CONNECTIONS} and uses them often, each connects itself; in a larger fleet, or one in which a
+ * host calls a leaf seldom, the hosts of the leaf's availability zone share the connections out, and
+ * {@link ZoneHolders} says which of them asks.
  *
  * <p>Invariant: the shares of all hosts that agree on the tables are never more than the part that
  * {@link ConnectionShare} gives out of what a leaf takes, but that a host outside the zone may open one as a last
@@ -31,13 +33,26 @@
 final class LeafAccess {
     /** One connection carries one request at a time: with a single one, a hedge of another query would have to wait. */
     private static final int LEAST_DIRECT_CONNECTIONS = 2;
+    /**
+     * More connections than a holder of a shard can use: leafs work on a few calls at a time. While a small fleet
+     * changes from holders to connections of each host, the leaf has to take both.
+     */
+    private static final int MOST_HELD_CONNECTIONS = 8;
+    /** The number of the shards that no route names yet. */
+    private static final int INDEX_TO_COME = 0;
 
     private final String self;
     private final Place place;
     private final Map<String, ImmutableList<String>> hostsByZone = new HashMap<>();
-    private final Map<String, ImmutableSortedSet<String>> shardsByZone = new HashMap<>();
-    private final Map<String, ZoneHolders> holdersByZone = new HashMap<>();
-    private final Set<String> shards = new HashSet<>();
+    private final Map<ZoneIndex, ImmutableSortedSet<String>> shardsByZone = new HashMap<>();
+    /** Kept from one update to the next, since most changes of the tables move no shard. */
+    private final Map<ZoneIndex, HeldZone> holdersByZone = new HashMap<>();
+
+    /** The number of the index that each shard belongs to. */
+    private final Map<String, Integer> indexOfShard = new HashMap<>();
+
+    private long update;
+    private boolean throughHolders;
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private ImmutableList<String> hosts = ImmutableList.of();
 
@@ -51,16 +66,22 @@
         this.place = place;
     }
 
-    /** Takes over the agreed tables. */
+    /**
+     * Takes over the agreed tables.
+     *
+     * @param newThroughHolders true if shards are reached through holders however few the hosts are
+     */
     void update(
-            Collection<HostRecord> entryHosts, Collection<LeafRecord> leaves, RoutingConfiguration newConfiguration) {
+            Collection<HostRecord> entryHosts,
+            Collection<LeafRecord> leaves,
+            RoutingConfiguration newConfiguration,
+            boolean newThroughHolders) {
+        update++;
+        throughHolders = newThroughHolders;
         configuration = newConfiguration;
-        hosts = entryHosts.stream().map(HostRecord::getPeerAddress).collect(ImmutableList.toImmutableList());
-        holdersByZone.clear();
-        shards.clear();
-        leaves.forEach(leaf -> shards.add(leaf.getService()));
-        configuration.routes().forEach(this::addShards);
-        configuration.routes().forEach(this::removeSingles);
+        hosts = entryHosts.stream().map(HostRecord::getPeerAddress).sorted().collect(ImmutableList.toImmutableList());
+        indexOfShard.clear();
+        nameShards(leaves);
         hostsByZone.clear();
         Map<String, ImmutableList.Builder<String>> zoneHosts = new HashMap<>();
         for (HostRecord host : entryHosts) {
@@ -70,25 +91,38 @@
         }
         zoneHosts.forEach((zone, addresses) -> hostsByZone.put(zone, addresses.build()));
         shardsByZone.clear();
-        Map<String, ImmutableSortedSet.Builder<String>> zoneShards = new HashMap<>();
+        Map<ZoneIndex, ImmutableSortedSet.Builder<String>> zoneShards = new HashMap<>();
         for (LeafRecord leaf : leaves) {
-            if (shards.contains(leaf.getService())) {
+            Integer index = indexOfShard.get(leaf.getService());
+            if (index != null) {
                 zoneShards
-                        .computeIfAbsent(leaf.getZone(), unused -> ImmutableSortedSet.naturalOrder())
+                        .computeIfAbsent(
+                                new ZoneIndex(leaf.getZone(), index), unused -> ImmutableSortedSet.naturalOrder())
                         .add(leaf.getService());
             }
         }
         zoneShards.forEach((zone, services) -> shardsByZone.put(zone, services.build()));
+        holdersByZone.keySet().retainAll(shardsByZone.keySet());
+    }
+
+    /** Returns which turn this host has when something is shared out among the entry hosts for one service. */
+    FleetBudget.Turn turnAt(String service) {
+        int position = hosts.indexOf(self);
+        // A host that the tables do not name yet comes after all that they do name.
+        return position >= 0
+                ? FleetBudget.Turn.of(position, hosts.size(), service)
+                : new FleetBudget.Turn(hosts.size(), hosts.size() + 1);
     }
 
     /** Returns true if hosts reach the leafs of a service through holders. */
     boolean isHeld(String service) {
-        return shards.contains(service) && evenShare(service, hosts.size()) < LEAST_DIRECT_CONNECTIONS;
+        return indexOfShard.containsKey(service)
+                && (throughHolders || evenShare(service, hosts.size()) < LEAST_DIRECT_CONNECTIONS);
     }
 
     /** Returns true if any shard is held, so that links to holders are needed. */
     boolean isAnyHeld() {
-        return shards.stream().anyMatch(this::isHeld);
+        return indexOfShard.keySet().stream().anyMatch(this::isHeld);
     }
 
     /**
@@ -100,7 +134,7 @@
         if (!isHeld(service)) {
             return ImmutableList.of();
         }
-        ImmutableList<String> holders = holdersIn(zone).of(service);
+        ImmutableList<String> holders = holdersIn(zone, service).of(service);
         return !holders.isEmpty() && holders.get(0).equals(self) ? ImmutableList.of() : holders;
     }
 
@@ -111,12 +145,12 @@
 
     /** Returns true if this host may be asked to stand in for the holder of a leaf, or is the holder. */
     boolean isNamedFor(String service, String zone) {
-        return !isHeld(service) || holdersIn(zone).of(service).contains(self);
+        return !isHeld(service) || holdersIn(zone, service).of(service).contains(self);
     }
 
     /** Returns true if this host is the holder of a shard in its own availability zone. */
     boolean isHolderOf(String service) {
-        ImmutableList<String> holders = holdersIn(place.zone()).of(service);
+        ImmutableList<String> holders = holdersIn(place.zone(), service).of(service);
         return !holders.isEmpty() && holders.get(0).equals(self);
     }
 
@@ -130,9 +164,9 @@
     /** Returns the hosts that hold any shard in any zone or stand in for one that does, but this one. */
     ImmutableSet<String> holders() {
         ImmutableSet.Builder<String> all = ImmutableSet.builder();
-        shardsByZone.forEach((zone, services) -> services.forEach(service -> {
+        shardsByZone.forEach((key, services) -> services.forEach(service -> {
             if (isHeld(service)) {
-                holdersIn(zone).of(service).stream()
+                holdersIn(key.zone(), service).of(service).stream()
                         .filter(host -> !host.equals(self))
                         .forEach(all::add);
             }
@@ -146,19 +180,34 @@
             return Math.max(1, evenShare(service, hosts.size()));
         }
         ImmutableList<String> candidates = candidatesIn(zone);
-        return candidates.contains(self) ? Math.max(1, evenShare(service, candidates.size())) : 1;
+        int even = Math.min(MOST_HELD_CONNECTIONS, evenShare(service, candidates.size()));
+        return candidates.contains(self) ? Math.max(1, even) : 1;
     }
 
-    /** A service that no route asks for single answers is taken for a shard: the next version may name it as one. */
-    private void removeSingles(Route route) {
-        if (!(route.target() instanceof RouteTarget.Scatter)) {
-            shards.removeAll(route.target().services());
+    /**
+     * Notes which services are shards, and of which index.
+     *
+     * <p>Each index has holders of its own, so that another one that is being built beside it moves none of them. A
+     * service that no route names is taken for a shard of an index to come. One that a route asks for single answers is
+     * none, unless a query asks it as a shard as well.
+     */
+    private void nameShards(Collection<LeafRecord> leaves) {
+        Set<String> singles = new HashSet<>();
+        int lastIndex = INDEX_TO_COME;
+        for (Route route : configuration.routes()) {
+            if (route.target() instanceof RouteTarget.Scatter scatter) {
+                lastIndex++;
+                for (String shard : scatter.shards()) {
+                    indexOfShard.putIfAbsent(shard, lastIndex);
+                }
+            } else {
+                singles.addAll(route.target().services());
+            }
         }
-    }
-
-    private void addShards(Route route) {
-        if (route.target() instanceof RouteTarget.Scatter scatter) {
-            shards.addAll(scatter.shards());
+        for (LeafRecord leaf : leaves) {
+            if (!singles.contains(leaf.getService())) {
+                indexOfShard.putIfAbsent(leaf.getService(), INDEX_TO_COME);
+            }
         }
     }
 
@@ -168,11 +217,40 @@
         return ConnectionShare.of(most, hostCount);
     }
 
-    private ZoneHolders holdersIn(String zone) {
-        return holdersByZone.computeIfAbsent(
-                zone,
-                unused -> ZoneHolders.compute(
-                        candidatesIn(zone), shardsByZone.getOrDefault(zone, ImmutableSortedSet.of())));
+    /** Returns the holders of a zone for the index that a shard belongs to. */
+    private ZoneHolders holdersIn(String zone, String shard) {
+        ZoneIndex key = new ZoneIndex(zone, indexOfShard.getOrDefault(shard, INDEX_TO_COME));
+        HeldZone known = holdersByZone.get(key);
+        if (known == null || known.update() != update) {
+            known = heldZone(key, known);
+            holdersByZone.put(key, known);
+        }
+        return known.holders();
+    }
+
+    /** Works the holders of a zone out, unless they are still those that were worked out before. */
+    private HeldZone heldZone(ZoneIndex key, @Nullable HeldZone before) {
+        ImmutableList<String> candidates = candidatesIn(key.zone());
+        ImmutableSortedSet<String> services = shardsByZone.getOrDefault(key, ImmutableSortedSet.of());
+        ZoneHolders holders = before != null && before.followsFrom(candidates, services)
+                ? before.holders()
+                : ZoneHolders.compute(candidates, services);
+        return new HeldZone(update, candidates, services, holders);
+    }
+
+    /** The shards of one index that have leafs in a zone; indices are numbered as the routes name them. */
+    private record ZoneIndex(String zone, int index) {}
+
+    /**
+     * The holders of a zone and what they follow from.
+     *
+     * @param update the number of the update of the tables at which they were last compared
+     */
+    private record HeldZone(
+            long update, ImmutableList<String> candidates, ImmutableSortedSet<String> services, ZoneHolders holders) {
+        boolean followsFrom(ImmutableList<String> otherCandidates, ImmutableSortedSet<String> otherServices) {
+            return candidates.equals(otherCandidates) && services.equals(otherServices);
+        }
     }
 
     /** The hosts of the zone; if it has none left, those of its region; if that has none, all. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -89,8 +89,10 @@
         if (stopped) {
             return;
         }
-        TablePull.Builder pull =
-                TablePull.newBuilder().setKnownRevision(view.revision()).setSelf(self.get());
+        TablePull.Builder pull = TablePull.newBuilder()
+                .setKnownRevision(view.revision())
+                .setSelf(self.get())
+                .setQueriesAMinute(view.queriesAMinute());
         String asked = source;
         network.request(asked, Envelope.newBuilder().setTablePull(pull), REPLY_WAIT)
                 .subscribe()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -99,7 +99,7 @@
         FleetView view = new FleetView(
                 "warm-up",
                 place(),
-                new FleetBudget(10, 10),
+                new FleetBudget(10, 10, ROUTE_TIME),
                 RoutingPolicy.DEFAULT,
                 names,
                 group,
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/Command.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/Command.java
@@ -60,6 +60,7 @@
     REPORT_LEAF(5),
     REPORT_HOST(6),
     FORGET_MEMBERS(7),
+    SET_SHARD_ACCESS(8),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -84,6 +85,7 @@
         case 5: return REPORT_LEAF;
         case 6: return REPORT_HOST;
         case 7: return FORGET_MEMBERS;
+        case 8: return SET_SHARD_ACCESS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -316,6 +318,37 @@
     return org.bramblerack.wire.ForgetMembers.getDefaultInstance();
   }
 
+  public static final int SET_SHARD_ACCESS_FIELD_NUMBER = 8;
+  /**
+   * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+   * @return Whether the setShardAccess field is set.
+   */
+  @java.lang.Override
+  public boolean hasSetShardAccess() {
+    return bodyCase_ == 8;
+  }
+  /**
+   * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+   * @return The setShardAccess.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.SetShardAccess getSetShardAccess() {
+    if (bodyCase_ == 8) {
+       return (org.bramblerack.wire.SetShardAccess) body_;
+    }
+    return org.bramblerack.wire.SetShardAccess.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.SetShardAccessOrBuilder getSetShardAccessOrBuilder() {
+    if (bodyCase_ == 8) {
+       return (org.bramblerack.wire.SetShardAccess) body_;
+    }
+    return org.bramblerack.wire.SetShardAccess.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -351,6 +384,9 @@
     if (bodyCase_ == 7) {
       output.writeMessage(7, (org.bramblerack.wire.ForgetMembers) body_);
     }
+    if (bodyCase_ == 8) {
+      output.writeMessage(8, (org.bramblerack.wire.SetShardAccess) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -388,6 +424,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, (org.bramblerack.wire.ForgetMembers) body_);
     }
+    if (bodyCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (org.bramblerack.wire.SetShardAccess) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -433,6 +473,10 @@
         if (!getForgetMembers()
             .equals(other.getForgetMembers())) return false;
         break;
+      case 8:
+        if (!getSetShardAccess()
+            .equals(other.getSetShardAccess())) return false;
+        break;
       case 0:
       default:
     }
@@ -476,6 +520,10 @@
         hash = (37 * hash) + FORGET_MEMBERS_FIELD_NUMBER;
         hash = (53 * hash) + getForgetMembers().hashCode();
         break;
+      case 8:
+        hash = (37 * hash) + SET_SHARD_ACCESS_FIELD_NUMBER;
+        hash = (53 * hash) + getSetShardAccess().hashCode();
+        break;
       case 0:
       default:
     }
@@ -635,6 +683,9 @@
       if (forgetMembersBuilder_ != null) {
         forgetMembersBuilder_.clear();
       }
+      if (setShardAccessBuilder_ != null) {
+        setShardAccessBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -704,6 +755,10 @@
           forgetMembersBuilder_ != null) {
         result.body_ = forgetMembersBuilder_.build();
       }
+      if (bodyCase_ == 8 &&
+          setShardAccessBuilder_ != null) {
+        result.body_ = setShardAccessBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -747,6 +802,10 @@
           mergeForgetMembers(other.getForgetMembers());
           break;
         }
+        case SET_SHARD_ACCESS: {
+          mergeSetShardAccess(other.getSetShardAccess());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -826,6 +885,13 @@
               bodyCase_ = 7;
               break;
             } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetSetShardAccessFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 8;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1852,6 +1918,148 @@
       return forgetMembersBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.SetShardAccess, org.bramblerack.wire.SetShardAccess.Builder, org.bramblerack.wire.SetShardAccessOrBuilder> setShardAccessBuilder_;
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     * @return Whether the setShardAccess field is set.
+     */
+    @java.lang.Override
+    public boolean hasSetShardAccess() {
+      return bodyCase_ == 8;
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     * @return The setShardAccess.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.SetShardAccess getSetShardAccess() {
+      if (setShardAccessBuilder_ == null) {
+        if (bodyCase_ == 8) {
+          return (org.bramblerack.wire.SetShardAccess) body_;
+        }
+        return org.bramblerack.wire.SetShardAccess.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 8) {
+          return setShardAccessBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.SetShardAccess.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     */
+    public Builder setSetShardAccess(org.bramblerack.wire.SetShardAccess value) {
+      if (setShardAccessBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        setShardAccessBuilder_.setMessage(value);
+      }
+      bodyCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     */
+    public Builder setSetShardAccess(
+        org.bramblerack.wire.SetShardAccess.Builder builderForValue) {
+      if (setShardAccessBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        setShardAccessBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     */
+    public Builder mergeSetShardAccess(org.bramblerack.wire.SetShardAccess value) {
+      if (setShardAccessBuilder_ == null) {
+        if (bodyCase_ == 8 &&
+            body_ != org.bramblerack.wire.SetShardAccess.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.SetShardAccess.newBuilder((org.bramblerack.wire.SetShardAccess) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 8) {
+          setShardAccessBuilder_.mergeFrom(value);
+        } else {
+          setShardAccessBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     */
+    public Builder clearSetShardAccess() {
+      if (setShardAccessBuilder_ == null) {
+        if (bodyCase_ == 8) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 8) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        setShardAccessBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     */
+    public org.bramblerack.wire.SetShardAccess.Builder getSetShardAccessBuilder() {
+      return internalGetSetShardAccessFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.SetShardAccessOrBuilder getSetShardAccessOrBuilder() {
+      if ((bodyCase_ == 8) && (setShardAccessBuilder_ != null)) {
+        return setShardAccessBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 8) {
+          return (org.bramblerack.wire.SetShardAccess) body_;
+        }
+        return org.bramblerack.wire.SetShardAccess.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.SetShardAccess, org.bramblerack.wire.SetShardAccess.Builder, org.bramblerack.wire.SetShardAccessOrBuilder> 
+        internalGetSetShardAccessFieldBuilder() {
+      if (setShardAccessBuilder_ == null) {
+        if (!(bodyCase_ == 8)) {
+          body_ = org.bramblerack.wire.SetShardAccess.getDefaultInstance();
+        }
+        setShardAccessBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.SetShardAccess, org.bramblerack.wire.SetShardAccess.Builder, org.bramblerack.wire.SetShardAccessOrBuilder>(
+                (org.bramblerack.wire.SetShardAccess) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 8;
+      onChanged();
+      return setShardAccessBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.Command)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandOrBuilder.java
@@ -115,5 +115,20 @@
    */
   org.bramblerack.wire.ForgetMembersOrBuilder getForgetMembersOrBuilder();
 
+  /**
+   * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+   * @return Whether the setShardAccess field is set.
+   */
+  boolean hasSetShardAccess();
+  /**
+   * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+   * @return The setShardAccess.
+   */
+  org.bramblerack.wire.SetShardAccess getSetShardAccess();
+  /**
+   * <code>.bramblerack.SetShardAccess set_shard_access = 8;</code>
+   */
+  org.bramblerack.wire.SetShardAccessOrBuilder getSetShardAccessOrBuilder();
+
   org.bramblerack.wire.Command.BodyCase getBodyCase();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/HeardMembers.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/HeardMembers.java
@@ -36,6 +36,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     hostNames_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    queriesAMinute_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -125,6 +126,48 @@
     return hostNames_.getByteString(index);
   }
 
+  public static final int QUERIES_A_MINUTE_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList queriesAMinute_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * What each of these hosts said of its queries, in the same order.
+   * </pre>
+   *
+   * <code>repeated int32 queries_a_minute = 3;</code>
+   * @return A list containing the queriesAMinute.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getQueriesAMinuteList() {
+    return queriesAMinute_;
+  }
+  /**
+   * <pre>
+   * What each of these hosts said of its queries, in the same order.
+   * </pre>
+   *
+   * <code>repeated int32 queries_a_minute = 3;</code>
+   * @return The count of queriesAMinute.
+   */
+  public int getQueriesAMinuteCount() {
+    return queriesAMinute_.size();
+  }
+  /**
+   * <pre>
+   * What each of these hosts said of its queries, in the same order.
+   * </pre>
+   *
+   * <code>repeated int32 queries_a_minute = 3;</code>
+   * @param index The index of the element to return.
+   * @return The queriesAMinute at the given index.
+   */
+  public int getQueriesAMinute(int index) {
+    return queriesAMinute_.getInt(index);
+  }
+  private int queriesAMinuteMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -139,12 +182,20 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     for (int i = 0; i < leafIds_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, leafIds_.getRaw(i));
     }
     for (int i = 0; i < hostNames_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, hostNames_.getRaw(i));
     }
+    if (getQueriesAMinuteList().size() > 0) {
+      output.writeUInt32NoTag(26);
+      output.writeUInt32NoTag(queriesAMinuteMemoizedSerializedSize);
+    }
+    for (int i = 0; i < queriesAMinute_.size(); i++) {
+      output.writeInt32NoTag(queriesAMinute_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -170,6 +221,20 @@
       size += dataSize;
       size += 1 * getHostNamesList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < queriesAMinute_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeInt32SizeNoTag(queriesAMinute_.getInt(i));
+      }
+      size += dataSize;
+      if (!getQueriesAMinuteList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      queriesAMinuteMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -189,6 +254,8 @@
         .equals(other.getLeafIdsList())) return false;
     if (!getHostNamesList()
         .equals(other.getHostNamesList())) return false;
+    if (!getQueriesAMinuteList()
+        .equals(other.getQueriesAMinuteList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -208,6 +275,10 @@
       hash = (37 * hash) + HOST_NAMES_FIELD_NUMBER;
       hash = (53 * hash) + getHostNamesList().hashCode();
     }
+    if (getQueriesAMinuteCount() > 0) {
+      hash = (37 * hash) + QUERIES_A_MINUTE_FIELD_NUMBER;
+      hash = (53 * hash) + getQueriesAMinuteList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -347,6 +418,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       hostNames_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      queriesAMinute_ = emptyIntList();
       return this;
     }
 
@@ -388,6 +460,10 @@
         hostNames_.makeImmutable();
         result.hostNames_ = hostNames_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        queriesAMinute_.makeImmutable();
+        result.queriesAMinute_ = queriesAMinute_;
+      }
     }
 
     @java.lang.Override
@@ -422,6 +498,17 @@
         }
         onChanged();
       }
+      if (!other.queriesAMinute_.isEmpty()) {
+        if (queriesAMinute_.isEmpty()) {
+          queriesAMinute_ = other.queriesAMinute_;
+          queriesAMinute_.makeImmutable();
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureQueriesAMinuteIsMutable();
+          queriesAMinute_.addAll(other.queriesAMinute_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -460,6 +547,22 @@
               hostNames_.add(s);
               break;
             } // case 18
+            case 24: {
+              int v = input.readInt32();
+              ensureQueriesAMinuteIsMutable();
+              queriesAMinute_.addInt(v);
+              break;
+            } // case 24
+            case 26: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureQueriesAMinuteIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                queriesAMinute_.addInt(input.readInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -699,6 +802,118 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.IntList queriesAMinute_ = emptyIntList();
+    private void ensureQueriesAMinuteIsMutable() {
+      if (!queriesAMinute_.isModifiable()) {
+        queriesAMinute_ = makeMutableCopy(queriesAMinute_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * What each of these hosts said of its queries, in the same order.
+     * </pre>
+     *
+     * <code>repeated int32 queries_a_minute = 3;</code>
+     * @return A list containing the queriesAMinute.
+     */
+    public java.util.List<java.lang.Integer>
+        getQueriesAMinuteList() {
+      queriesAMinute_.makeImmutable();
+      return queriesAMinute_;
+    }
+    /**
+     * <pre>
+     * What each of these hosts said of its queries, in the same order.
+     * </pre>
+     *
+     * <code>repeated int32 queries_a_minute = 3;</code>
+     * @return The count of queriesAMinute.
+     */
+    public int getQueriesAMinuteCount() {
+      return queriesAMinute_.size();
+    }
+    /**
+     * <pre>
+     * What each of these hosts said of its queries, in the same order.
+     * </pre>
+     *
+     * <code>repeated int32 queries_a_minute = 3;</code>
+     * @param index The index of the element to return.
+     * @return The queriesAMinute at the given index.
+     */
+    public int getQueriesAMinute(int index) {
+      return queriesAMinute_.getInt(index);
+    }
+    /**
+     * <pre>
+     * What each of these hosts said of its queries, in the same order.
+     * </pre>
+     *
+     * <code>repeated int32 queries_a_minute = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The queriesAMinute to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQueriesAMinute(
+        int index, int value) {
+
+      ensureQueriesAMinuteIsMutable();
+      queriesAMinute_.setInt(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What each of these hosts said of its queries, in the same order.
+     * </pre>
+     *
+     * <code>repeated int32 queries_a_minute = 3;</code>
+     * @param value The queriesAMinute to add.
+     * @return This builder for chaining.
+     */
+    public Builder addQueriesAMinute(int value) {
+
+      ensureQueriesAMinuteIsMutable();
+      queriesAMinute_.addInt(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What each of these hosts said of its queries, in the same order.
+     * </pre>
+     *
+     * <code>repeated int32 queries_a_minute = 3;</code>
+     * @param values The queriesAMinute to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllQueriesAMinute(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureQueriesAMinuteIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, queriesAMinute_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What each of these hosts said of its queries, in the same order.
+     * </pre>
+     *
+     * <code>repeated int32 queries_a_minute = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQueriesAMinute() {
+      queriesAMinute_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.HeardMembers)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/HeardMembersOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/HeardMembersOrBuilder.java
@@ -59,4 +59,33 @@
    */
   com.google.protobuf.ByteString
       getHostNamesBytes(int index);
+
+  /**
+   * <pre>
+   * What each of these hosts said of its queries, in the same order.
+   * </pre>
+   *
+   * <code>repeated int32 queries_a_minute = 3;</code>
+   * @return A list containing the queriesAMinute.
+   */
+  java.util.List<java.lang.Integer> getQueriesAMinuteList();
+  /**
+   * <pre>
+   * What each of these hosts said of its queries, in the same order.
+   * </pre>
+   *
+   * <code>repeated int32 queries_a_minute = 3;</code>
+   * @return The count of queriesAMinute.
+   */
+  int getQueriesAMinuteCount();
+  /**
+   * <pre>
+   * What each of these hosts said of its queries, in the same order.
+   * </pre>
+   *
+   * <code>repeated int32 queries_a_minute = 3;</code>
+   * @param index The index of the element to return.
+   * @return The queriesAMinute at the given index.
+   */
+  int getQueriesAMinute(int index);
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/MemberTables.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/MemberTables.java
@@ -187,6 +187,17 @@
     return forgottenRevision_;
   }
 
+  public static final int THROUGH_HOLDERS_FIELD_NUMBER = 8;
+  private boolean throughHolders_ = false;
+  /**
+   * <code>bool through_holders = 8;</code>
+   * @return The throughHolders.
+   */
+  @java.lang.Override
+  public boolean getThroughHolders() {
+    return throughHolders_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -222,6 +233,9 @@
     if (forgottenRevision_ != 0L) {
       output.writeInt64(7, forgottenRevision_);
     }
+    if (throughHolders_ != false) {
+      output.writeBool(8, throughHolders_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -259,6 +273,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, forgottenRevision_);
     }
+    if (throughHolders_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, throughHolders_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -288,6 +306,8 @@
         .equals(other.getHostsList())) return false;
     if (getForgottenRevision()
         != other.getForgottenRevision()) return false;
+    if (getThroughHolders()
+        != other.getThroughHolders()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -321,6 +341,9 @@
     hash = (37 * hash) + FORGOTTEN_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getForgottenRevision());
+    hash = (37 * hash) + THROUGH_HOLDERS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getThroughHolders());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -475,6 +498,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000020);
       forgottenRevision_ = 0L;
+      throughHolders_ = false;
       return this;
     }
 
@@ -545,6 +569,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.forgottenRevision_ = forgottenRevision_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.throughHolders_ = throughHolders_;
+      }
     }
 
     @java.lang.Override
@@ -626,6 +653,9 @@
       if (other.getForgottenRevision() != 0L) {
         setForgottenRevision(other.getForgottenRevision());
       }
+      if (other.getThroughHolders() != false) {
+        setThroughHolders(other.getThroughHolders());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -703,6 +733,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              throughHolders_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1360,6 +1395,38 @@
       return this;
     }
 
+    private boolean throughHolders_ ;
+    /**
+     * <code>bool through_holders = 8;</code>
+     * @return The throughHolders.
+     */
+    @java.lang.Override
+    public boolean getThroughHolders() {
+      return throughHolders_;
+    }
+    /**
+     * <code>bool through_holders = 8;</code>
+     * @param value The throughHolders to set.
+     * @return This builder for chaining.
+     */
+    public Builder setThroughHolders(boolean value) {
+
+      throughHolders_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool through_holders = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearThroughHolders() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      throughHolders_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.MemberTables)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/MemberTablesOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/MemberTablesOrBuilder.java
@@ -87,4 +87,10 @@
    * @return The forgottenRevision.
    */
   long getForgottenRevision();
+
+  /**
+   * <code>bool through_holders = 8;</code>
+   * @return The throughHolders.
+   */
+  boolean getThroughHolders();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDelta.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDelta.java
@@ -195,6 +195,17 @@
     return hosts_.get(index);
   }
 
+  public static final int THROUGH_HOLDERS_FIELD_NUMBER = 8;
+  private boolean throughHolders_ = false;
+  /**
+   * <code>bool through_holders = 8;</code>
+   * @return The throughHolders.
+   */
+  @java.lang.Override
+  public boolean getThroughHolders() {
+    return throughHolders_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -230,6 +241,9 @@
     for (int i = 0; i < hosts_.size(); i++) {
       output.writeMessage(7, hosts_.get(i));
     }
+    if (throughHolders_ != false) {
+      output.writeBool(8, throughHolders_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -267,6 +281,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, hosts_.get(i));
     }
+    if (throughHolders_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, throughHolders_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -296,6 +314,8 @@
         .equals(other.getLeavesList())) return false;
     if (!getHostsList()
         .equals(other.getHostsList())) return false;
+    if (getThroughHolders()
+        != other.getThroughHolders()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -329,6 +349,9 @@
       hash = (37 * hash) + HOSTS_FIELD_NUMBER;
       hash = (53 * hash) + getHostsList().hashCode();
     }
+    hash = (37 * hash) + THROUGH_HOLDERS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getThroughHolders());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -479,6 +502,7 @@
         hostsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
+      throughHolders_ = false;
       return this;
     }
 
@@ -549,6 +573,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.configuration_ = configuration_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.throughHolders_ = throughHolders_;
+      }
     }
 
     @java.lang.Override
@@ -630,6 +657,9 @@
           }
         }
       }
+      if (other.getThroughHolders() != false) {
+        setThroughHolders(other.getThroughHolders());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -707,6 +737,11 @@
               }
               break;
             } // case 58
+            case 64: {
+              throughHolders_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1400,6 +1435,38 @@
       return hostsBuilder_;
     }
 
+    private boolean throughHolders_ ;
+    /**
+     * <code>bool through_holders = 8;</code>
+     * @return The throughHolders.
+     */
+    @java.lang.Override
+    public boolean getThroughHolders() {
+      return throughHolders_;
+    }
+    /**
+     * <code>bool through_holders = 8;</code>
+     * @param value The throughHolders to set.
+     * @return This builder for chaining.
+     */
+    public Builder setThroughHolders(boolean value) {
+
+      throughHolders_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool through_holders = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearThroughHolders() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      throughHolders_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.TableDelta)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDeltaOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDeltaOrBuilder.java
@@ -99,4 +99,10 @@
    */
   org.bramblerack.wire.HostRecordOrBuilder getHostsOrBuilder(
       int index);
+
+  /**
+   * <code>bool through_holders = 8;</code>
+   * @return The throughHolders.
+   */
+  boolean getThroughHolders();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/TablePull.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/TablePull.java
@@ -85,6 +85,21 @@
     return self_ == null ? org.bramblerack.wire.HostRecord.getDefaultInstance() : self_;
   }
 
+  public static final int QUERIES_A_MINUTE_FIELD_NUMBER = 3;
+  private int queriesAMinute_ = 0;
+  /**
+   * <pre>
+   * The queries over shards that the host took from callers of late.
+   * </pre>
+   *
+   * <code>int32 queries_a_minute = 3;</code>
+   * @return The queriesAMinute.
+   */
+  @java.lang.Override
+  public int getQueriesAMinute() {
+    return queriesAMinute_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -105,6 +120,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(2, getSelf());
     }
+    if (queriesAMinute_ != 0) {
+      output.writeInt32(3, queriesAMinute_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -122,6 +140,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, getSelf());
     }
+    if (queriesAMinute_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(3, queriesAMinute_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -144,6 +166,8 @@
       if (!getSelf()
           .equals(other.getSelf())) return false;
     }
+    if (getQueriesAMinute()
+        != other.getQueriesAMinute()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -162,6 +186,8 @@
       hash = (37 * hash) + SELF_FIELD_NUMBER;
       hash = (53 * hash) + getSelf().hashCode();
     }
+    hash = (37 * hash) + QUERIES_A_MINUTE_FIELD_NUMBER;
+    hash = (53 * hash) + getQueriesAMinute();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -309,6 +335,7 @@
         selfBuilder_.dispose();
         selfBuilder_ = null;
       }
+      queriesAMinute_ = 0;
       return this;
     }
 
@@ -352,6 +379,9 @@
             : selfBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.queriesAMinute_ = queriesAMinute_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -373,6 +403,9 @@
       if (other.hasSelf()) {
         mergeSelf(other.getSelf());
       }
+      if (other.getQueriesAMinute() != 0) {
+        setQueriesAMinute(other.getQueriesAMinute());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -411,6 +444,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              queriesAMinute_ = input.readInt32();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -581,6 +619,50 @@
       return selfBuilder_;
     }
 
+    private int queriesAMinute_ ;
+    /**
+     * <pre>
+     * The queries over shards that the host took from callers of late.
+     * </pre>
+     *
+     * <code>int32 queries_a_minute = 3;</code>
+     * @return The queriesAMinute.
+     */
+    @java.lang.Override
+    public int getQueriesAMinute() {
+      return queriesAMinute_;
+    }
+    /**
+     * <pre>
+     * The queries over shards that the host took from callers of late.
+     * </pre>
+     *
+     * <code>int32 queries_a_minute = 3;</code>
+     * @param value The queriesAMinute to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQueriesAMinute(int value) {
+
+      queriesAMinute_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The queries over shards that the host took from callers of late.
+     * </pre>
+     *
+     * <code>int32 queries_a_minute = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQueriesAMinute() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      queriesAMinute_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.TablePull)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/TablePullOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/TablePullOrBuilder.java
@@ -30,4 +30,14 @@
    * <code>.bramblerack.HostRecord self = 2;</code>
    */
   org.bramblerack.wire.HostRecordOrBuilder getSelfOrBuilder();
+
+  /**
+   * <pre>
+   * The queries over shards that the host took from callers of late.
+   * </pre>
+   *
+   * <code>int32 queries_a_minute = 3;</code>
+   * @return The queriesAMinute.
+   */
+  int getQueriesAMinute();
 }
