--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
@@ -1,6 +1,7 @@
 package org.bramblerack.request.routed;
 
 import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
 
 /**
  * One sending of a request to a leaf. Guarded by the request that it belongs to; compared by identity.
@@ -24,6 +25,8 @@
         UNDER_WAY,
         /** It brought the answer, or one that came too late. */
         ANSWERED,
+        /** Nothing was sent to the leaf. */
+        NOT_SENT,
         /** The leaf certainly did not run it. */
         REFUSED,
         /** It failed and may have run. */
@@ -69,13 +72,25 @@
     }
 
     boolean isNotRun() {
-        return state == State.REFUSED;
+        return state == State.REFUSED || state == State.NOT_SENT;
+    }
+
+    boolean isNotSent() {
+        return state == State.NOT_SENT;
     }
 
     State state() {
         return state;
     }
 
+    void fail(LeafOutcome outcome) {
+        if (!outcome.isSent()) {
+            finish(State.NOT_SENT);
+        } else {
+            finish(outcome.isNotRun() ? State.REFUSED : State.FAILED);
+        }
+    }
+
     void finish(State end) {
         state = end;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/GatheredParts.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/GatheredParts.java
@@ -67,10 +67,14 @@
         newRecords.addAll(reply.records());
     }
 
-    /** Returns the parts that came since the last call, merged. */
-    MergedAnswer takeNew() {
+    /**
+     * Returns the parts that came since the last call, merged.
+     *
+     * @param notSent the numbers of the shards that no leaf was sent the query for
+     */
+    MergedAnswer takeNew(ImmutableList<Integer> notSent) {
         MergedAnswer answer = new MergedAnswer(
-                newShards.build(), newSignatures.build(), shardCount - shards.size(), newRecords.toBytes());
+                newShards.build(), newSignatures.build(), shardCount - shards.size(), notSent, newRecords.toBytes());
         newShards = ImmutableList.builder();
         newSignatures = ImmutableList.builder();
         newRecords = new TopRecords(topRecords);
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -156,6 +156,9 @@
         }
         stage.finish();
         take(stage, reply);
+        reply.notSent().stream()
+                .filter(shard -> stage.shards().contains(shard))
+                .forEach(shard -> shards[shard].takeBack(true, nowNanos, actions));
         boolean inTime = nowNanos + bounds.expectedNanos() - bounds.goalNanos() < 0;
         if (inTime || !isEnough()) {
             takeBack(stage, false, nowNanos, actions);
@@ -276,8 +279,9 @@
         boolean goalCome = nowNanos - bounds.goalNanos() >= 0;
         boolean finished = nothingToWaitFor || deadlineCome;
         if (isEnough() && (finished || (goalCome && delivery == Delivery.AT_ONCE))) {
+            ImmutableList<Integer> notSent = notSent();
             end(actions);
-            actions.add(new RoutedAction.DeliverMerged(parts.takeNew()));
+            actions.add(new RoutedAction.DeliverMerged(parts.takeNew(notSent)));
             return;
         }
         if (finished) {
@@ -287,7 +291,7 @@
             return;
         }
         if (goalCome && delivery == Delivery.IN_PIECES && parts.hasNew()) {
-            actions.add(new RoutedAction.DeliverPiece(parts.takeNew()));
+            actions.add(new RoutedAction.DeliverPiece(parts.takeNew(ImmutableList.of())));
         }
         armWake(nowNanos, actions);
     }
@@ -360,6 +364,16 @@
                 || parts.count() + waitingCount() >= target.leastShare() * shards.length;
     }
 
+    private ImmutableList<Integer> notSent() {
+        ImmutableList.Builder<Integer> numbers = ImmutableList.builder();
+        for (int shard = 0; shard < shards.length; shard++) {
+            if (!shards[shard].wasSent()) {
+                numbers.add(shard);
+            }
+        }
+        return numbers.build();
+    }
+
     private int waitingCount() {
         int waiting = 0;
         for (ShardRequest shard : shards) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -14,8 +14,9 @@
  * The attempts of one request at one service: which leaf is asked, when another is, and when there is no hope left.
  *
  * <p>Invariants: at most {@code maxAttempts} leafs may have the request at work; attempts that certainly did not run do
- * not count toward that, but every attempt after the first is paid for from the pool's budget. A request that must not
- * run twice is sent again only if no earlier attempt can have run. Not safe for use by several threads.
+ * not count toward that, but every one after the first that a leaf can have seen is paid for from the pool's budget. A
+ * request that must not run twice is sent again only if no earlier attempt can have run. Not safe for use by several
+ * threads.
  */
 final class ShardRequest {
     /** Attempts that leafs refused without running them, beyond those that the route allows. */
@@ -76,7 +77,7 @@
      * waiting for the other host.
      */
     void backUp(long nowNanos, List<RoutedAction> actions) {
-        boolean allowed = spentElsewhere < bounds.maxAttempts();
+        boolean allowed = !closed && spentElsewhere < bounds.maxAttempts();
         if (!delegated || finished || !allowed || !pool.budget().tryWithdraw(nowNanos)) {
             return;
         }
@@ -98,6 +99,10 @@
         }
         delegated = false;
         spentElsewhere = notRun ? 0 : spentElsewhere;
+        if (closed) {
+            giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+            return;
+        }
         start(nowNanos, actions);
     }
 
@@ -156,7 +161,7 @@
     /** Makes no attempt from now on; those under way are waited for. */
     void close(List<RoutedAction> actions) {
         closed = true;
-        if (!finished && !hasAttemptInFlight()) {
+        if (!finished && !delegated && !hasAttemptInFlight()) {
             giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
         }
     }
@@ -166,7 +171,7 @@
         if (attempt.isFinished()) {
             return;
         }
-        attempt.finish(outcome.isNotRun() ? Attempt.State.REFUSED : Attempt.State.FAILED);
+        attempt.fail(outcome);
         if (!finished && !hasAttemptInFlight()) {
             retry(nowNanos, actions);
         }
@@ -217,9 +222,14 @@
         return spentElsewhere > 0 || !attempts.isEmpty();
     }
 
+    /** Returns true if a leaf may have seen the request. */
+    boolean wasSent() {
+        return spentElsewhere > 0 || !attempts.stream().allMatch(Attempt::isNotSent);
+    }
+
     /** Returns true if more than one leaf was asked. */
     boolean wasAskedTwice() {
-        return attempts.size() > 1;
+        return spentElsewhere + attempts.size() > 1;
     }
 
     /** Returns in words what was tried and how it stands, for a log line. */
@@ -314,8 +324,9 @@
         }
     }
 
+    /** Makes another attempt; it is paid for unless no leaf has seen an earlier one, so that it is the first there. */
     private void spendOnRetry(Leaf leaf, long nowNanos, List<RoutedAction> actions) {
-        if (!pool.budget().tryWithdraw(nowNanos)) {
+        if (wasSent() && !pool.budget().tryWithdraw(nowNanos)) {
             giveUp(AttemptCounter.RETRY_DENIED_BUDGET, actions);
             return;
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -167,7 +167,8 @@
                 new RoutedCall(route.get(), view.configuration().version(), request, exchange.receivedNanos(), times);
         if (route.get().target() instanceof RouteTarget.Scatter target) {
             view.queryCame();
-            StageCaller stageCaller = runs.stageCaller(stageCall(exchange, route.get()), times);
+            StageCaller stageCaller =
+                    runs.stageCaller(stageCall(exchange, route.get(), target), target.shards(), times);
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
             run.onSealedAtGoal(writtenNanos -> sealLead.sealed(times.goalNanos(), writtenNanos));
             begin(exchange, call, target, run);
@@ -207,13 +208,15 @@
                 outcome);
     }
 
-    private StageCall stageCall(HttpExchange exchange, Route route) {
+    private StageCall stageCall(HttpExchange exchange, Route route, RouteTarget.Scatter target) {
         StageCall.Builder call = StageCall.newBuilder()
                 .setConfigurationVersion(view.configuration().version())
                 .setRoute(route.name())
                 .setHedgeDelayMicros(TimeUnit.NANOSECONDS.toMicros(runs.hedgeDelayNanos(route)))
                 .setMethod(exchange.method())
                 .setUri(exchange.uri())
+                .setTopRecords(target.topRecords())
+                .setMaxAttempts(route.maxAttempts())
                 .setBody(ByteString.copyFrom(exchange.body()));
         exchange.headers().forEach(header -> {
             if (!LeafRequest.isOfOneConnection(header.getKey())) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -37,7 +37,8 @@
     Runnable ask(StageCall call, LeafRequest request, Consumer<Envelope.Builder> reply) {
         Optional<Leaf> leaf = view.leaf(call.getLeaf()).filter(Leaf::acceptsWork);
         if (leaf.isEmpty()) {
-            reply.accept(ended(LeafOutcome.REFUSED_GONE));
+            // This host may be behind: that it does not know a leaf says nothing of the leaf.
+            reply.accept(ended(LeafOutcome.NO_CONNECTION));
             return () -> {};
         }
         long nowNanos = clock.nowNanos();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -45,11 +45,11 @@
 
     @Override
     public LeafConnections.Ticket send(Leaf leaf, LeafRequest request, long deadlineNanos, LeafExchange taker) {
-        Optional<StageLinks.Link> holder = links.firstUsable(view.holdersOf(leaf));
+        Optional<StageLinks.Link> holder = links.firstUsable(view.holdersOf(leaf), leaf.id());
         if (holder.isEmpty()) {
             return view.connectionsTo(leaf).send(request, deadlineNanos, taker);
         }
-        HeldCall call = new HeldCall(holder.get(), taker);
+        HeldCall call = new HeldCall(holder.get(), leaf.id(), taker);
         call.send(leaf, deadlineNanos);
         return call;
     }
@@ -57,12 +57,14 @@
     /** One call through one holder. */
     private final class HeldCall implements LeafConnections.Ticket {
         private final StageLinks.Link holder;
+        private final String leafId;
         private final LeafExchange taker;
         private final long number = links.nextCall();
         private boolean over;
 
-        HeldCall(StageLinks.Link holder, LeafExchange taker) {
+        HeldCall(StageLinks.Link holder, String leafId, LeafExchange taker) {
             this.holder = holder;
+            this.leafId = leafId;
             this.taker = taker;
         }
 
@@ -108,7 +110,11 @@
                         Optional.of(result.getSignatures(0)),
                         Optional.empty()));
             } else {
-                taker.failed(outcomeOf(result));
+                LeafOutcome outcome = outcomeOf(result);
+                if (!outcome.isSent()) {
+                    holder.cannotReach(leafId, clock.nowNanos());
+                }
+                taker.failed(outcome);
             }
         }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -66,24 +66,34 @@
                 sink);
     }
 
-    /** Creates a run that asks every shard from here, on behalf of another host that says when to hedge. */
+    /**
+     * Creates a run on behalf of another host that says when to hedge. Where shards are held, those whose best leafs
+     * are held elsewhere are left to their holders in turn, in one call each, unless the call was passed on before.
+     */
     ScatterRun scatterHere(
-            RoutedCall call, RouteTarget.Scatter target, long hedgeDelayNanos, StageCaller caller, AnswerSink sink) {
+            RoutedCall call,
+            RouteTarget.Scatter target,
+            long hedgeDelayNanos,
+            boolean mayPassOn,
+            StageCaller caller,
+            AnswerSink sink) {
         RequestBounds bounds = bounds(call, hedgeDelayNanos);
+        ImmutableList<LeafPool> pools = pools(target);
+        ImmutableList<StageAttempt> stages = mayPassOn && view.usesHolders()
+                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos())
+                : ImmutableList.of();
         ScatterQuery query = new ScatterQuery(
-                target,
-                pools(target),
-                ImmutableList.of(),
-                bounds,
-                ScatterQuery.Delivery.IN_PIECES,
-                view.routing(),
-                random);
+                target, pools, stages, bounds, ScatterQuery.Delivery.IN_PIECES, view.routing(), random);
         return run(call, query, caller, sink);
     }
 
-    /** Creates what has other hosts ask the shards of one query. */
-    StageCaller stageCaller(StageCall call, RequestTimes times) {
-        return new StageCaller(call, times, links, network, clock, metrics);
+    /**
+     * Creates what has other hosts ask the shards of one query.
+     *
+     * @param shardServices the services that are the shards, in their order
+     */
+    StageCaller stageCaller(StageCall call, ImmutableList<String> shardServices, RequestTimes times) {
+        return new StageCaller(call, shardServices, times, links, network, clock, metrics);
     }
 
     private ScatterRun run(RoutedCall call, ScatterQuery query, StageCaller caller, AnswerSink sink) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Lists;
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.HashMap;
@@ -21,6 +22,7 @@
 /** Has other hosts ask shards of one query. Owned by the event loop. */
 final class StageCaller {
     private final StageCall call;
+    private final ImmutableList<String> shardServices;
     private final RequestTimes times;
     private final StageLinks links;
     private final PeerNetwork network;
@@ -32,15 +34,18 @@
      * Creates a caller.
      *
      * @param call what all hosts are told of the query; shards and times are added for each
+     * @param shardServices the services that are the shards of the query, in their order
      */
     StageCaller(
             StageCall call,
+            ImmutableList<String> shardServices,
             RequestTimes times,
             StageLinks links,
             PeerNetwork network,
             MonotonicClock clock,
             GatewayMetrics metrics) {
         this.call = call;
+        this.shardServices = shardServices;
         this.times = times;
         this.links = links;
         this.network = network;
@@ -75,6 +80,7 @@
         underWay.put(stage, sent);
         StageCall.Builder message = call.toBuilder()
                 .addAllShards(stage.shards())
+                .addAllServices(Lists.transform(stage.shards(), shardServices::get))
                 .setCall(sent.number)
                 .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(
                         StageTiming.goalNanos(times.goalNanos() - nowNanos, link.roundTripNanos())))
@@ -116,7 +122,9 @@
         taker.progressed(stage, progress.getAskedTwiceList());
         boolean matches = progress.getShardsCount() == progress.getSignaturesCount();
         if (progress.getShardsCount() > 0 && matches) {
-            taker.brought(stage, parts(progress.getShardsList(), progress.getSignaturesList(), progress.getRecords()));
+            taker.brought(
+                    stage,
+                    parts(progress.getShardsList(), progress.getSignaturesList(), List.of(), progress.getRecords()));
         }
     }
 
@@ -125,14 +133,22 @@
                 && result.getShardsCount() == result.getSignaturesCount();
         end(stage, link, answered);
         if (answered) {
-            taker.answered(stage, parts(result.getShardsList(), result.getSignaturesList(), result.getRecords()));
+            taker.answered(
+                    stage,
+                    parts(
+                            result.getShardsList(),
+                            result.getSignaturesList(),
+                            result.getNotSentList(),
+                            result.getRecords()));
         } else {
             taker.failed(stage, result.getStatus() == StageResult.Status.NOT_RUN);
         }
     }
 
-    private static StageReply parts(List<Integer> shards, List<String> signatures, ByteString records) {
-        return new StageReply(ImmutableList.copyOf(shards), ImmutableList.copyOf(signatures), records);
+    private static StageReply parts(
+            List<Integer> shards, List<String> signatures, List<Integer> notSent, ByteString records) {
+        return new StageReply(
+                ImmutableList.copyOf(shards), ImmutableList.copyOf(signatures), ImmutableList.copyOf(notSent), records);
     }
 
     private void end(StageAttempt stage, StageLinks.Link link, boolean answered) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -98,7 +98,7 @@
 
     @Override
     public Optional<String> holderOf(Leaf leaf) {
-        return firstUsable(view.holdersOf(leaf)).map(Link::host);
+        return firstUsable(view.holdersOf(leaf), leaf.id()).map(Link::host);
     }
 
     @Override
@@ -143,11 +143,11 @@
      * start of the whole fleet no host is known to answer, and to go round the holders would take connections to every
      * leaf from every host.
      */
-    Optional<Link> firstUsable(List<String> hosts) {
+    Optional<Link> firstUsable(List<String> hosts, String leafId) {
         long nowNanos = clock.nowNanos();
         return hosts.stream()
                 .map(this::link)
-                .filter(link -> link.mayBeTried(nowNanos))
+                .filter(link -> link.mayBeTried(nowNanos) && link.mayReach(leafId, nowNanos))
                 .findFirst();
     }
 
@@ -216,6 +216,7 @@
         private boolean tried;
 
         private boolean confirmed;
+        private final Map<String, Long> unreachableUntilNanos = new HashMap<>();
         private int inFlight;
 
         private Link(String host) {
@@ -230,6 +231,17 @@
             return confirmed && nowNanos - suspectUntilNanos >= 0;
         }
 
+        /** Notes that the host has no connection to a leaf, or does not know it (yet). */
+        void cannotReach(String leafId, long nowNanos) {
+            unreachableUntilNanos.values().removeIf(untilNanos -> nowNanos - untilNanos >= 0);
+            unreachableUntilNanos.put(leafId, nowNanos + SUSPECT_NANOS);
+        }
+
+        boolean mayReach(String leafId, long nowNanos) {
+            Long untilNanos = unreachableUntilNanos.get(leafId);
+            return untilNanos == null || nowNanos - untilNanos >= 0;
+        }
+
         boolean mayBeTried(long nowNanos) {
             return !tried || isUsable(nowNanos);
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -1,11 +1,12 @@
 package org.bramblerack.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.AbstractMap;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -14,6 +15,7 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
+import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
@@ -25,8 +27,8 @@
 /**
  * Runs scattered queries near the leafs on behalf of other hosts.
  *
- * <p>A query of another version of the configuration than the one in force here is not run, since its shards may be
- * others. Owned by the event loop.
+ * <p>Which shards a query has is said by the host that took it from its caller, whichever version of the configuration
+ * is in force here: while a version spreads, or hosts are cut off from control, hosts differ. Owned by the event loop.
  */
 final class StageServer {
     private final FleetView view;
@@ -84,16 +86,11 @@
             LeafRequest request,
             Consumer<Envelope.Builder> reply,
             Consumer<Envelope.Builder> lastReply) {
-        Optional<Route> route = view.configuration().version() == call.getConfigurationVersion() && !refusesWork
-                ? view.configuration().routeNamed(call.getRoute())
-                : Optional.empty();
-        if (route.isEmpty()
-                || !(route.get().target() instanceof RouteTarget.Scatter target)
-                || !areShardsOf(target, call.getShardsList())) {
+        if (refusesWork || !namesShards(call)) {
             reply.accept(Envelope.newBuilder()
                     .setStageResult(StageResult.newBuilder()
                             .setStatus(StageResult.Status.NOT_RUN)
-                            .setReason("this configuration is not in force here")));
+                            .setReason(refusesWork ? "this host is stopping" : "the call names no shards")));
             return;
         }
         long nowNanos = clock.nowNanos();
@@ -101,11 +98,15 @@
                 nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()),
                 nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()),
                 nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()));
+        // However little is in is sent back, since only the host that asked knows the rest.
+        RouteTarget.Scatter target =
+                new RouteTarget.Scatter(ImmutableList.copyOf(call.getServicesList()), call.getTopRecords(), 0);
         ScatterRun run = runs.scatterHere(
-                new RoutedCall(route.get(), call.getConfigurationVersion(), request, nowNanos, times),
-                part(target, call.getShardsList()),
+                new RoutedCall(route(call, target), call.getConfigurationVersion(), request, nowNanos, times),
+                target,
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
-                runs.stageCaller(call, times),
+                !call.getPassedOn(),
+                runs.stageCaller(passedOn(call), target.shards(), times),
                 new Replier(reply, lastReply, call.getShardsList(), sender));
         run.onStillAtWork(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
@@ -116,20 +117,39 @@
         }
     }
 
-    private static boolean areShardsOf(RouteTarget.Scatter target, List<Integer> shards) {
-        return !shards.isEmpty()
-                && shards.stream()
-                        .allMatch(shard -> shard >= 0 && shard < target.shards().size());
+    /** Returns what hosts are told that are asked in turn; shards and times are added for each. */
+    private static StageCall passedOn(StageCall call) {
+        return call.toBuilder().clearShards().clearServices().setPassedOn(true).build();
+    }
+
+    private static boolean namesShards(StageCall call) {
+        List<String> services = call.getServicesList();
+        return !services.isEmpty()
+                && services.size() == call.getShardsCount()
+                && new HashSet<>(services).size() == services.size()
+                && call.getTopRecords() >= 0
+                && call.getMaxAttempts() >= 1;
     }
 
     /**
-     * Returns the part of a query that is asked here: however little is in is sent back, since only the host that asked
-     * knows the rest.
+     * Returns the route of a call as it is here, or as the call describes it if it is not known here (any more).
+     *
+     * <p>Evidence of how long calls take is kept by its name.
      */
-    private static RouteTarget.Scatter part(RouteTarget.Scatter whole, List<Integer> shards) {
-        ImmutableList<String> services =
-                shards.stream().map(shard -> whole.shards().get(shard)).collect(ImmutableList.toImmutableList());
-        return new RouteTarget.Scatter(services, whole.topRecords(), 0);
+    private Route route(StageCall call, RouteTarget.Scatter target) {
+        return view.configuration()
+                .routeNamed(call.getRoute())
+                .filter(known -> known.maxAttempts() == call.getMaxAttempts())
+                .orElseGet(() -> new Route(
+                        call.getRoute(),
+                        "",
+                        "/",
+                        RequestKind.IDEMPOTENT,
+                        Duration.ofNanos(Math.max(1, TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()))),
+                        Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()))),
+                        0,
+                        call.getMaxAttempts(),
+                        target));
     }
 
     /** Turns the numbers of shards of a part into those of the whole. */
@@ -169,6 +189,7 @@
                             .setStatus(StageResult.Status.ANSWERED)
                             .addAllSignatures(answer.signatures())
                             .addAllShards(translate(answer.shards(), shards))
+                            .addAllNotSent(translate(answer.notSent(), shards))
                             .setRecords(answer.records())));
         }
 
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -0,0 +1,198 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.FullHttpResponse;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.http.HttpExchange;
+import org.bramblerack.daemon.http.HttpListener;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.process.leaf.RoutingPolicy;
+import org.bramblerack.version.routing.LeafService;
+import org.bramblerack.version.routing.RequestKind;
+import org.bramblerack.version.routing.RequestLimits;
+import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.LeafRecord;
+import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageResult;
+import org.bramblerack.wire.TableDelta;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A host asks shards on behalf of others that have another version of the configuration in force: while a version
+ * spreads, and while hosts are cut off from control, as 40 of 100 are in a recorded load.
+ */
+final class StageServerTest {
+    private static final CallHeaders NAMES = new CallHeaders(
+            "request-id",
+            "deadline-ms",
+            "leaf",
+            "leaf-id",
+            "signature",
+            "load",
+            "not-run",
+            "retry",
+            "parts",
+            "missing");
+    private static final int VERSION_HERE = 5;
+    private static final long MICROS_A_SECOND = Duration.ofSeconds(1).toNanos() / 1_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final MonotonicClock clock = MonotonicClock.system();
+    private HttpListener leaf;
+    private Gateway gateway;
+
+    @BeforeEach
+    void start() throws Exception {
+        HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        leaf = new HttpListener(address, group, StageServerTest::answerAsLeaf, () -> RequestLimits.DEFAULT, clock);
+        leaf.start();
+        Place place = new Place("z", "r", ImmutableMap.of("z", "r"));
+        FleetView view = new FleetView(
+                "127.0.0.1:1",
+                place,
+                new FleetBudget(20, 50, Duration.ofSeconds(10)),
+                RoutingPolicy.DEFAULT,
+                NAMES,
+                group,
+                clock,
+                new SplittableRandom(1));
+        gateway = new Gateway(
+                view,
+                () -> true,
+                PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
+                NAMES,
+                new GatewayMetrics(new MetricRegistry(), clock),
+                clock,
+                group.next(),
+                new SplittableRandom(1));
+        group.submit(() -> view.apply(tables(address), Optional.of(configuration())))
+                .get();
+    }
+
+    @AfterEach
+    void stop() {
+        leaf.stopNow();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aQueryOfAnotherVersionIsAskedAtTheShardsThatItNames() throws Exception {
+        for (int version : new int[] {VERSION_HERE - 1, VERSION_HERE, VERSION_HERE + 1}) {
+            StageResult result = call(query().setConfigurationVersion(version));
+            assertThat(result.getStatus()).isEqualTo(StageResult.Status.ANSWERED);
+            assertThat(result.getShardsList()).containsExactly(7);
+            assertThat(result.getSignaturesCount()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aRouteThatIsNotKnownHereIsServedAsTheCallDescribesIt() throws Exception {
+        StageResult result = call(query().setRoute("of-a-version-to-come"));
+        assertThat(result.getStatus()).isEqualTo(StageResult.Status.ANSWERED);
+    }
+
+    @Test
+    void aCallThatNamesNoShardsIsNotRun() throws Exception {
+        StageResult result = call(query().clearServices());
+        assertThat(result.getStatus()).isEqualTo(StageResult.Status.NOT_RUN);
+    }
+
+    /** A host that is behind must not talk others out of a leaf that has just come. */
+    @Test
+    void aLeafThatIsNotKnownHereIsNotSaidToBeGone() throws Exception {
+        StageResult result = call(query().clearServices().clearShards().setLeaf("i-new"));
+        assertThat(result.getLeafOutcome()).isEqualTo(LeafOutcome.NO_CONNECTION.name());
+        assertThat(result.getStatus()).isEqualTo(StageResult.Status.NOT_RUN);
+    }
+
+    private StageResult call(StageCall.Builder call) throws Exception {
+        CompletableFuture<StageResult> result = new CompletableFuture<>();
+        Envelope message = Envelope.newBuilder()
+                .setSender("127.0.0.1:2")
+                .setStageCall(call)
+                .build();
+        group.execute(() -> gateway.handle(message, reply -> {
+            if (reply.hasStageResult()) {
+                result.complete(reply.getStageResult());
+            }
+        }));
+        return result.get(5, TimeUnit.SECONDS);
+    }
+
+    private static StageCall.Builder query() {
+        return StageCall.newBuilder()
+                .setConfigurationVersion(VERSION_HERE)
+                .setRoute("all")
+                .setMethod("GET")
+                .setUri("/all/x")
+                .addHeaderNames("request-id")
+                .addHeaderValues("r-1")
+                .addShards(7)
+                .addServices("s")
+                .setTopRecords(5)
+                .setMaxAttempts(2)
+                .setHedgeDelayMicros(MICROS_A_SECOND)
+                .setGoalMicros(2 * MICROS_A_SECOND)
+                .setDeadlineMicros(3 * MICROS_A_SECOND);
+    }
+
+    private static void answerAsLeaf(HttpExchange exchange) {
+        FullHttpResponse response = HttpExchange.response(200, Unpooled.wrappedBuffer(new byte[16]));
+        response.headers().set("request-id", "r-1").set("signature", "stamp");
+        exchange.respond(response);
+    }
+
+    private static TableDelta tables(HostAndPort leafAddress) {
+        return TableDelta.newBuilder()
+                .setRevision(1)
+                .setWhole(true)
+                .addLeaves(LeafRecord.newBuilder()
+                        .setId("i-1")
+                        .setService("s")
+                        .setAddress(leafAddress.toString())
+                        .setZone("z")
+                        .setSlots(2)
+                        .setPhase(LeafRecord.Phase.READY))
+                .build();
+    }
+
+    private static RoutingConfiguration configuration() {
+        Duration time = Duration.ofSeconds(1);
+        RouteTarget.Scatter target = new RouteTarget.Scatter(ImmutableList.of("s"), 5, 0.5);
+        Route route = new Route("all", "h", "/all/", RequestKind.IDEMPOTENT, time, time, 0, 2, target);
+        return RoutingConfiguration.create(
+                VERSION_HERE,
+                ImmutableList.of(route),
+                ImmutableMap.of("s", new LeafService("s", "/health", 26)),
+                RequestLimits.DEFAULT);
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+}
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
@@ -43,6 +43,8 @@
     shards_ = emptyIntList();
     leaf_ = "";
     body_ = com.google.protobuf.ByteString.EMPTY;
+    services_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -451,6 +453,108 @@
     return body_;
   }
 
+  public static final int SERVICES_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList services_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @return A list containing the services.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getServicesList() {
+    return services_;
+  }
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @return The count of services.
+   */
+  public int getServicesCount() {
+    return services_.size();
+  }
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @param index The index of the element to return.
+   * @return The services at the given index.
+   */
+  public java.lang.String getServices(int index) {
+    return services_.get(index);
+  }
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the services at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getServicesBytes(int index) {
+    return services_.getByteString(index);
+  }
+
+  public static final int TOP_RECORDS_FIELD_NUMBER = 16;
+  private int topRecords_ = 0;
+  /**
+   * <pre>
+   * How many of the greatest records to send back.
+   * </pre>
+   *
+   * <code>int32 top_records = 16;</code>
+   * @return The topRecords.
+   */
+  @java.lang.Override
+  public int getTopRecords() {
+    return topRecords_;
+  }
+
+  public static final int MAX_ATTEMPTS_FIELD_NUMBER = 17;
+  private int maxAttempts_ = 0;
+  /**
+   * <pre>
+   * How many leafs of a shard may be asked.
+   * </pre>
+   *
+   * <code>int32 max_attempts = 17;</code>
+   * @return The maxAttempts.
+   */
+  @java.lang.Override
+  public int getMaxAttempts() {
+    return maxAttempts_;
+  }
+
+  public static final int PASSED_ON_FIELD_NUMBER = 18;
+  private boolean passedOn_ = false;
+  /**
+   * <pre>
+   * True if the sender asks on behalf of another host itself: the call is not passed on once more.
+   * </pre>
+   *
+   * <code>bool passed_on = 18;</code>
+   * @return The passedOn.
+   */
+  @java.lang.Override
+  public boolean getPassedOn() {
+    return passedOn_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -512,6 +616,18 @@
     if (!body_.isEmpty()) {
       output.writeBytes(14, body_);
     }
+    for (int i = 0; i < services_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 15, services_.getRaw(i));
+    }
+    if (topRecords_ != 0) {
+      output.writeInt32(16, topRecords_);
+    }
+    if (maxAttempts_ != 0) {
+      output.writeInt32(17, maxAttempts_);
+    }
+    if (passedOn_ != false) {
+      output.writeBool(18, passedOn_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -590,6 +706,26 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(14, body_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < services_.size(); i++) {
+        dataSize += computeStringSizeNoTag(services_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getServicesList().size();
+    }
+    if (topRecords_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(16, topRecords_);
+    }
+    if (maxAttempts_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(17, maxAttempts_);
+    }
+    if (passedOn_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(18, passedOn_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -633,6 +769,14 @@
         != other.getCall()) return false;
     if (!getBody()
         .equals(other.getBody())) return false;
+    if (!getServicesList()
+        .equals(other.getServicesList())) return false;
+    if (getTopRecords()
+        != other.getTopRecords()) return false;
+    if (getMaxAttempts()
+        != other.getMaxAttempts()) return false;
+    if (getPassedOn()
+        != other.getPassedOn()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -683,6 +827,17 @@
         getCall());
     hash = (37 * hash) + BODY_FIELD_NUMBER;
     hash = (53 * hash) + getBody().hashCode();
+    if (getServicesCount() > 0) {
+      hash = (37 * hash) + SERVICES_FIELD_NUMBER;
+      hash = (53 * hash) + getServicesList().hashCode();
+    }
+    hash = (37 * hash) + TOP_RECORDS_FIELD_NUMBER;
+    hash = (53 * hash) + getTopRecords();
+    hash = (37 * hash) + MAX_ATTEMPTS_FIELD_NUMBER;
+    hash = (53 * hash) + getMaxAttempts();
+    hash = (37 * hash) + PASSED_ON_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getPassedOn());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -834,6 +989,11 @@
       leaf_ = "";
       call_ = 0L;
       body_ = com.google.protobuf.ByteString.EMPTY;
+      services_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      topRecords_ = 0;
+      maxAttempts_ = 0;
+      passedOn_ = false;
       return this;
     }
 
@@ -912,6 +1072,19 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.body_ = body_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        services_.makeImmutable();
+        result.services_ = services_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.topRecords_ = topRecords_;
+      }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.maxAttempts_ = maxAttempts_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.passedOn_ = passedOn_;
+      }
     }
 
     @java.lang.Override
@@ -1000,6 +1173,25 @@
       if (!other.getBody().isEmpty()) {
         setBody(other.getBody());
       }
+      if (!other.services_.isEmpty()) {
+        if (services_.isEmpty()) {
+          services_ = other.services_;
+          bitField0_ |= 0x00004000;
+        } else {
+          ensureServicesIsMutable();
+          services_.addAll(other.services_);
+        }
+        onChanged();
+      }
+      if (other.getTopRecords() != 0) {
+        setTopRecords(other.getTopRecords());
+      }
+      if (other.getMaxAttempts() != 0) {
+        setMaxAttempts(other.getMaxAttempts());
+      }
+      if (other.getPassedOn() != false) {
+        setPassedOn(other.getPassedOn());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1109,6 +1301,27 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 114
+            case 122: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureServicesIsMutable();
+              services_.add(s);
+              break;
+            } // case 122
+            case 128: {
+              topRecords_ = input.readInt32();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
+            case 136: {
+              maxAttempts_ = input.readInt32();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
+            case 144: {
+              passedOn_ = input.readBool();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 144
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2056,6 +2269,294 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList services_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureServicesIsMutable() {
+      if (!services_.isModifiable()) {
+        services_ = new com.google.protobuf.LazyStringArrayList(services_);
+      }
+      bitField0_ |= 0x00004000;
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @return A list containing the services.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getServicesList() {
+      services_.makeImmutable();
+      return services_;
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @return The count of services.
+     */
+    public int getServicesCount() {
+      return services_.size();
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @param index The index of the element to return.
+     * @return The services at the given index.
+     */
+    public java.lang.String getServices(int index) {
+      return services_.get(index);
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the services at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getServicesBytes(int index) {
+      return services_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @param index The index to set the value at.
+     * @param value The services to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServices(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureServicesIsMutable();
+      services_.set(index, value);
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @param value The services to add.
+     * @return This builder for chaining.
+     */
+    public Builder addServices(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureServicesIsMutable();
+      services_.add(value);
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @param values The services to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllServices(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureServicesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, services_);
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServices() {
+      services_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00004000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+     * version is in force, and the asking host's holds for its query.
+     * </pre>
+     *
+     * <code>repeated string services = 15;</code>
+     * @param value The bytes of the services to add.
+     * @return This builder for chaining.
+     */
+    public Builder addServicesBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureServicesIsMutable();
+      services_.add(value);
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+
+    private int topRecords_ ;
+    /**
+     * <pre>
+     * How many of the greatest records to send back.
+     * </pre>
+     *
+     * <code>int32 top_records = 16;</code>
+     * @return The topRecords.
+     */
+    @java.lang.Override
+    public int getTopRecords() {
+      return topRecords_;
+    }
+    /**
+     * <pre>
+     * How many of the greatest records to send back.
+     * </pre>
+     *
+     * <code>int32 top_records = 16;</code>
+     * @param value The topRecords to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTopRecords(int value) {
+
+      topRecords_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How many of the greatest records to send back.
+     * </pre>
+     *
+     * <code>int32 top_records = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTopRecords() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      topRecords_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int maxAttempts_ ;
+    /**
+     * <pre>
+     * How many leafs of a shard may be asked.
+     * </pre>
+     *
+     * <code>int32 max_attempts = 17;</code>
+     * @return The maxAttempts.
+     */
+    @java.lang.Override
+    public int getMaxAttempts() {
+      return maxAttempts_;
+    }
+    /**
+     * <pre>
+     * How many leafs of a shard may be asked.
+     * </pre>
+     *
+     * <code>int32 max_attempts = 17;</code>
+     * @param value The maxAttempts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMaxAttempts(int value) {
+
+      maxAttempts_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How many leafs of a shard may be asked.
+     * </pre>
+     *
+     * <code>int32 max_attempts = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMaxAttempts() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      maxAttempts_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private boolean passedOn_ ;
+    /**
+     * <pre>
+     * True if the sender asks on behalf of another host itself: the call is not passed on once more.
+     * </pre>
+     *
+     * <code>bool passed_on = 18;</code>
+     * @return The passedOn.
+     */
+    @java.lang.Override
+    public boolean getPassedOn() {
+      return passedOn_;
+    }
+    /**
+     * <pre>
+     * True if the sender asks on behalf of another host itself: the call is not passed on once more.
+     * </pre>
+     *
+     * <code>bool passed_on = 18;</code>
+     * @param value The passedOn to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPassedOn(boolean value) {
+
+      passedOn_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the sender asks on behalf of another host itself: the call is not passed on once more.
+     * </pre>
+     *
+     * <code>bool passed_on = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPassedOn() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      passedOn_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageCall)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
@@ -200,4 +200,79 @@
    * @return The body.
    */
   com.google.protobuf.ByteString getBody();
+
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @return A list containing the services.
+   */
+  java.util.List<java.lang.String>
+      getServicesList();
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @return The count of services.
+   */
+  int getServicesCount();
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @param index The index of the element to return.
+   * @return The services at the given index.
+   */
+  java.lang.String getServices(int index);
+  /**
+   * <pre>
+   * The services that are the shards to ask, in the order of their numbers: hosts differ for a moment about which
+   * version is in force, and the asking host's holds for its query.
+   * </pre>
+   *
+   * <code>repeated string services = 15;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the services at the given index.
+   */
+  com.google.protobuf.ByteString
+      getServicesBytes(int index);
+
+  /**
+   * <pre>
+   * How many of the greatest records to send back.
+   * </pre>
+   *
+   * <code>int32 top_records = 16;</code>
+   * @return The topRecords.
+   */
+  int getTopRecords();
+
+  /**
+   * <pre>
+   * How many leafs of a shard may be asked.
+   * </pre>
+   *
+   * <code>int32 max_attempts = 17;</code>
+   * @return The maxAttempts.
+   */
+  int getMaxAttempts();
+
+  /**
+   * <pre>
+   * True if the sender asks on behalf of another host itself: the call is not passed on once more.
+   * </pre>
+   *
+   * <code>bool passed_on = 18;</code>
+   * @return The passedOn.
+   */
+  boolean getPassedOn();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResult.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResult.java
@@ -35,6 +35,7 @@
     records_ = com.google.protobuf.ByteString.EMPTY;
     reason_ = "";
     leafOutcome_ = "";
+    notSent_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -387,6 +388,48 @@
     }
   }
 
+  public static final int NOT_SENT_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList notSent_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * The numbers of the shards that no leaf was sent the query for.
+   * </pre>
+   *
+   * <code>repeated int32 not_sent = 7;</code>
+   * @return A list containing the notSent.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getNotSentList() {
+    return notSent_;
+  }
+  /**
+   * <pre>
+   * The numbers of the shards that no leaf was sent the query for.
+   * </pre>
+   *
+   * <code>repeated int32 not_sent = 7;</code>
+   * @return The count of notSent.
+   */
+  public int getNotSentCount() {
+    return notSent_.size();
+  }
+  /**
+   * <pre>
+   * The numbers of the shards that no leaf was sent the query for.
+   * </pre>
+   *
+   * <code>repeated int32 not_sent = 7;</code>
+   * @param index The index of the element to return.
+   * @return The notSent at the given index.
+   */
+  public int getNotSent(int index) {
+    return notSent_.getInt(index);
+  }
+  private int notSentMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -424,6 +467,13 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leafOutcome_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, leafOutcome_);
     }
+    if (getNotSentList().size() > 0) {
+      output.writeUInt32NoTag(58);
+      output.writeUInt32NoTag(notSentMemoizedSerializedSize);
+    }
+    for (int i = 0; i < notSent_.size(); i++) {
+      output.writeInt32NoTag(notSent_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -469,6 +519,20 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leafOutcome_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, leafOutcome_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < notSent_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeInt32SizeNoTag(notSent_.getInt(i));
+      }
+      size += dataSize;
+      if (!getNotSentList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      notSentMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -495,6 +559,8 @@
         .equals(other.getReason())) return false;
     if (!getLeafOutcome()
         .equals(other.getLeafOutcome())) return false;
+    if (!getNotSentList()
+        .equals(other.getNotSentList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -522,6 +588,10 @@
     hash = (53 * hash) + getReason().hashCode();
     hash = (37 * hash) + LEAF_OUTCOME_FIELD_NUMBER;
     hash = (53 * hash) + getLeafOutcome().hashCode();
+    if (getNotSentCount() > 0) {
+      hash = (37 * hash) + NOT_SENT_FIELD_NUMBER;
+      hash = (53 * hash) + getNotSentList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -660,6 +730,7 @@
       records_ = com.google.protobuf.ByteString.EMPTY;
       reason_ = "";
       leafOutcome_ = "";
+      notSent_ = emptyIntList();
       return this;
     }
 
@@ -713,6 +784,10 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.leafOutcome_ = leafOutcome_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        notSent_.makeImmutable();
+        result.notSent_ = notSent_;
+      }
     }
 
     @java.lang.Override
@@ -764,6 +839,17 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (!other.notSent_.isEmpty()) {
+        if (notSent_.isEmpty()) {
+          notSent_ = other.notSent_;
+          notSent_.makeImmutable();
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureNotSentIsMutable();
+          notSent_.addAll(other.notSent_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -832,6 +918,22 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              int v = input.readInt32();
+              ensureNotSentIsMutable();
+              notSent_.addInt(v);
+              break;
+            } // case 56
+            case 58: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureNotSentIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                notSent_.addInt(input.readInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1319,6 +1421,118 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.IntList notSent_ = emptyIntList();
+    private void ensureNotSentIsMutable() {
+      if (!notSent_.isModifiable()) {
+        notSent_ = makeMutableCopy(notSent_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that no leaf was sent the query for.
+     * </pre>
+     *
+     * <code>repeated int32 not_sent = 7;</code>
+     * @return A list containing the notSent.
+     */
+    public java.util.List<java.lang.Integer>
+        getNotSentList() {
+      notSent_.makeImmutable();
+      return notSent_;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that no leaf was sent the query for.
+     * </pre>
+     *
+     * <code>repeated int32 not_sent = 7;</code>
+     * @return The count of notSent.
+     */
+    public int getNotSentCount() {
+      return notSent_.size();
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that no leaf was sent the query for.
+     * </pre>
+     *
+     * <code>repeated int32 not_sent = 7;</code>
+     * @param index The index of the element to return.
+     * @return The notSent at the given index.
+     */
+    public int getNotSent(int index) {
+      return notSent_.getInt(index);
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that no leaf was sent the query for.
+     * </pre>
+     *
+     * <code>repeated int32 not_sent = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The notSent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNotSent(
+        int index, int value) {
+
+      ensureNotSentIsMutable();
+      notSent_.setInt(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that no leaf was sent the query for.
+     * </pre>
+     *
+     * <code>repeated int32 not_sent = 7;</code>
+     * @param value The notSent to add.
+     * @return This builder for chaining.
+     */
+    public Builder addNotSent(int value) {
+
+      ensureNotSentIsMutable();
+      notSent_.addInt(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that no leaf was sent the query for.
+     * </pre>
+     *
+     * <code>repeated int32 not_sent = 7;</code>
+     * @param values The notSent to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllNotSent(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureNotSentIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, notSent_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The numbers of the shards that no leaf was sent the query for.
+     * </pre>
+     *
+     * <code>repeated int32 not_sent = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNotSent() {
+      notSent_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageResult)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResultOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResultOrBuilder.java
@@ -112,4 +112,33 @@
    */
   com.google.protobuf.ByteString
       getLeafOutcomeBytes();
+
+  /**
+   * <pre>
+   * The numbers of the shards that no leaf was sent the query for.
+   * </pre>
+   *
+   * <code>repeated int32 not_sent = 7;</code>
+   * @return A list containing the notSent.
+   */
+  java.util.List<java.lang.Integer> getNotSentList();
+  /**
+   * <pre>
+   * The numbers of the shards that no leaf was sent the query for.
+   * </pre>
+   *
+   * <code>repeated int32 not_sent = 7;</code>
+   * @return The count of notSent.
+   */
+  int getNotSentCount();
+  /**
+   * <pre>
+   * The numbers of the shards that no leaf was sent the query for.
+   * </pre>
+   *
+   * <code>repeated int32 not_sent = 7;</code>
+   * @param index The index of the element to return.
+   * @return The notSent at the given index.
+   */
+  int getNotSent(int index);
 }
