--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -17,8 +17,13 @@
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
-    /** When to come back if no leaf takes work: a registration or a restart takes about this long to be known. */
+    /** When to come back if no leaf takes work: a registration takes about this long to be known. */
     private static final String RETRY_SOON_SECONDS = "0.3";
+    /**
+     * When to come back to a fleet whose hosts have just started: a host knows its tables about a second after its
+     * start, and a caller that comes back sooner is only refused again.
+     */
+    private static final String RETRY_STARTED_SECONDS = "0.9";
     /** When to come back after leafs were full or late: a few times the work of one request. */
     private static final String RETRY_BUSY_SECONDS = "0.1";
 
@@ -69,7 +74,7 @@
 
     /** Tells the caller that the request was not looked at and when to come back. */
     void notReady() {
-        refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "this host does not know its configuration yet; come back soon");
+        refuse(UNAVAILABLE, RETRY_STARTED_SECONDS, "this host does not know its configuration yet; come back soon");
     }
 
     private void refuse(int status, String retryAfterSeconds, String text) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -72,7 +72,7 @@
                 random);
         PeerTraffic traffic = new PeerTraffic(metrics, view::isInOtherRegion);
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
-        this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self);
+        this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self, random);
         this.gateway = new Gateway(
                 view,
                 follower::isSynchronized,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.fleet.Compression;
 import org.bramblerack.daemon.peer.PeerNetwork;
@@ -48,6 +49,7 @@
      *
      * @param seeds the peer addresses of the control hosts that are known beforehand, at least one
      * @param self tells what the tables should say of this host
+     * @param random draws the control host that is asked first: a fleet that starts together would ask the same one
      */
     public TableFollower(
             FleetView view,
@@ -55,14 +57,15 @@
             PeerNetwork network,
             EventLoop loop,
             ImmutableList<String> seeds,
-            Supplier<HostRecord> self) {
+            Supplier<HostRecord> self,
+            RandomGenerator random) {
         this.view = view;
         this.codec = codec;
         this.network = network;
         this.loop = loop;
         this.seeds = seeds;
         this.self = self;
-        this.source = seeds.get(0);
+        this.source = seeds.get(random.nextInt(seeds.size()));
     }
 
     /** Begins to follow. */
