Tell at once that a call for shards was passed on

A host that passes shards on to a third one has nothing of its own to wake for, so the host that asked it took its silence for a failure and asked a leaf itself, while the third host hedged.

Ruled out: the hedges of the third host alone (both of the two leafs from one host, 0.11 s apart, are as they should be).

Change: a host that passes shards on says so at once, and hands on what the third host tells.

Test: StageServerTest.whoAskedIsToldAtOnceThatACallWasPassedOn; without the change it fails (run).

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryStages.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryStages.java
@@ -20,6 +20,11 @@
         return stages;
     }
 
+    /** Returns true if the query waits for a host that it has not given up. */
+    boolean areAwaited() {
+        return stages.stream().anyMatch(stage -> !stage.isOver() && !stage.isAbandoned());
+    }
+
     /** Has every host asked. */
     void ask(List<RoutedAction> actions) {
         for (StageAttempt stage : stages) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -232,6 +232,11 @@
         return over;
     }
 
+    /** Returns true while shards of it are left to other hosts. */
+    public boolean waitsForOthers() {
+        return !over && stages.areAwaited();
+    }
+
     /** Returns the numbers of the shards at which more than one leaf was asked. */
     public ImmutableList<Integer> askedTwice() {
         ImmutableList.Builder<Integer> numbers = ImmutableList.builder();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -63,6 +63,11 @@
 
     void start() {
         carryOut(query.start(clock.nowNanos()));
+        if (query.waitsForOthers()) {
+            // The host that asked would take the longer silence of a call that was passed on for a failure, and make
+            // an attempt that the last host makes as well.
+            onStillAtWork.run();
+        }
     }
 
     private void wake() {
@@ -108,6 +113,9 @@
         @Override
         public void progressed(StageAttempt stage, List<Integer> askedTwice) {
             query.stageProgress(stage, askedTwice);
+            if (!query.isOver()) {
+                onStillAtWork.run();
+            }
         }
 
         @Override
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -32,6 +32,7 @@
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.version.routing.RoutingConfiguration;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageResult;
@@ -62,6 +63,7 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final MonotonicClock clock = MonotonicClock.system();
     private HttpListener leaf;
+    private FleetView view;
     private Gateway gateway;
 
     @BeforeEach
@@ -69,8 +71,8 @@
         HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
         leaf = new HttpListener(address, group, StageServerTest::answerAsLeaf, () -> RequestLimits.DEFAULT, clock);
         leaf.start();
-        Place place = new Place("z", "r", ImmutableMap.of("z", "r"));
-        FleetView view = new FleetView(
+        Place place = new Place("z", "r", ImmutableMap.of("z", "r", "z2", "r"));
+        view = new FleetView(
                 "127.0.0.1:1",
                 place,
                 new FleetBudget(20, 50, Duration.ofSeconds(10)),
@@ -128,6 +130,49 @@
         assertThat(result.getStatus()).isEqualTo(StageResult.Status.NOT_RUN);
     }
 
+    /**
+     * Otherwise it takes this host's silence for a failure and asks a third leaf: seven requests did so on a recorded
+     * day, where two are allowed.
+     */
+    @Test
+    void whoAskedIsToldAtOnceThatACallWasPassedOn() throws Exception {
+        HostRecord other = HostRecord.newBuilder()
+                .setName("other")
+                .setPeerAddress("127.0.0.1:" + freePort())
+                .setZone("z2")
+                .setRegion("r")
+                .setEntry(true)
+                .setPhase(HostRecord.Phase.READY)
+                .build();
+        LeafRecord there = LeafRecord.newBuilder()
+                .setId("i-2")
+                .setService("s2")
+                .setAddress("127.0.0.1:1")
+                .setZone("z2")
+                .setSlots(2)
+                .setPhase(LeafRecord.Phase.READY)
+                .build();
+        TableDelta delta = TableDelta.newBuilder()
+                .setRevision(2)
+                .addHosts(other)
+                .addLeaves(there)
+                .setThroughHolders(true)
+                .build();
+        group.submit(() -> view.apply(delta, Optional.empty())).get();
+        CompletableFuture<Envelope.Builder> first = new CompletableFuture<>();
+        Envelope message = Envelope.newBuilder()
+                .setSender("127.0.0.1:2")
+                .setStageCall(query().clearServices().addServices("s2"))
+                .build();
+        boolean toldAtOnce = group.submit(() -> {
+                    gateway.handle(message, first::complete);
+                    return first.isDone();
+                })
+                .get();
+        assertThat(toldAtOnce).isTrue();
+        assertThat(first.get().hasStageProgress()).isTrue();
+    }
+
     private StageResult call(StageCall.Builder call) throws Exception {
         CompletableFuture<StageResult> result = new CompletableFuture<>();
         Envelope message = Envelope.newBuilder()
