Begin a call for shards after what has arrived was read; take a silent host's call back; send what opens a link

The word that nobody waits lay right behind the call. And a voter's first request for votes was lost with the link that it opened: asked at 35.92 s, asked again at 36.20 s, leader at 36.23 s.

Change: a call for shards begins as a task of its own, after the reads of that moment; a query that asks all shards of a silent host itself takes the call back; a message waits a moment for the link that it opens.

Ruled out: the clock of the call (hosts' clocks differ, and after a start there is no earlier call to compare with).

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -207,6 +207,11 @@
         long lagNanos = context.lagNanos(nowNanos);
         for (StageAttempt stage : stages.abandonSilent(nowNanos - lagNanos - startedNanos, actions)) {
             stage.shards().forEach(shard -> shards[shard].backUp(nowNanos, actions));
+            if (stage.shards().stream().noneMatch(shard -> shards[shard].isAwaitedElsewhere())) {
+                // A host that begins late would ask second and third leafs of shards that are asked here by now.
+                stage.finish();
+                actions.add(new RoutedAction.GiveUpStage(stage));
+            }
         }
         Optional<AttemptCounter> denial = hedgeDenial(lagNanos, nowNanos);
         for (ShardRequest shard : shards) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -111,6 +111,11 @@
         return delegated;
     }
 
+    /** Returns true while the answer is to come from another host. */
+    boolean isAwaitedElsewhere() {
+        return delegated && !finished;
+    }
+
     /** Makes the first attempt; ends without hope if there is no leaf to make it at. */
     void start(long nowNanos, List<RoutedAction> actions) {
         if (spentElsewhere >= bounds.maxAttempts()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -88,7 +88,7 @@
         this.log = new DecisionLog(clock, view);
         this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
-        this.stageServer = new StageServer(view, runs, names, clock);
+        this.stageServer = new StageServer(view, runs, names, clock, loop);
     }
 
     /** Begins to probe the links to other hosts. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.AbstractMap;
 import java.util.ArrayList;
@@ -35,15 +36,17 @@
     private final QueryRuns runs;
     private final CallHeaders names;
     private final MonotonicClock clock;
+    private final EventLoop loop;
     private final HeldLeafCalls leafCalls;
     private final StageCalls calls = new StageCalls();
     private boolean refusesWork;
 
-    StageServer(FleetView view, QueryRuns runs, CallHeaders names, MonotonicClock clock) {
+    StageServer(FleetView view, QueryRuns runs, CallHeaders names, MonotonicClock clock, EventLoop loop) {
         this.view = view;
         this.runs = runs;
         this.names = names;
         this.clock = clock;
+        this.loop = loop;
         this.leafCalls = new HeldLeafCalls(view, clock);
     }
 
@@ -57,7 +60,12 @@
         calls.cancel(sender, cancel.getCall());
     }
 
-    /** Runs a query, or asks the one leaf that is named, and replies. */
+    /**
+     * Runs a query, or asks the one leaf that is named, and replies.
+     *
+     * <p>A query begins once everything that has arrived was read: on a host that is behind, as just after a start, the
+     * word that nobody waits for it any more is often among that.
+     */
     void handle(String sender, StageCall call, Consumer<Envelope.Builder> reply) {
         Consumer<Envelope.Builder> lastReply = message -> {
             calls.end(sender, call.getCall());
@@ -66,7 +74,14 @@
         LeafRequest request = LeafRequest.create(
                 call.getMethod(), call.getUri(), headers(call), call.getBody().toByteArray(), names);
         if (call.getLeaf().isEmpty()) {
-            runQuery(sender, call, request, reply, lastReply);
+            AtomicBoolean cancelled = new AtomicBoolean();
+            calls.begin(sender, call.getCall(), () -> cancelled.set(true));
+            loop.execute(() -> {
+                if (!cancelled.get()) {
+                    calls.end(sender, call.getCall());
+                    runQuery(sender, call, request, reply, lastReply);
+                }
+            });
         } else {
             AtomicBoolean over = new AtomicBoolean();
             Runnable giveUp = leafCalls.ask(call, request, message -> {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -75,9 +75,18 @@
         this.traffic = traffic;
     }
 
-    /** Sends a message that asks for no reply; it may be lost. */
+    /**
+     * Sends a message that asks for no reply; it may be lost. If there is no connection, it waits a moment for one that
+     * is being made: otherwise the first request for a vote after a start would always be lost.
+     */
     void send(Envelope.Builder message) {
         Channel open = openChannel();
+        if (open != null || !awaitConnection(channel -> sendOn(channel, message))) {
+            sendOn(open, message);
+        }
+    }
+
+    private void sendOn(@Nullable Channel open, Envelope.Builder message) {
         if (open != null && open.isWritable() && !links.isCut(remote.name())) {
             write(open, message.setSender(self).build());
         }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bramblerack.wire.Envelope;
@@ -112,6 +113,18 @@
         server.stop();
     }
 
+    @Test
+    void theMessageThatOpensAConnectionArrives() throws Exception {
+        HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        CountDownLatch arrived = new CountDownLatch(1);
+        PeerServer server = new PeerServer(
+                address, (message, reply) -> arrived.countDown(), group, LinkPolicy.OPEN, new PeerTraffic());
+        server.start();
+        network.send(address.toString(), Envelope.newBuilder().setRaft(RaftMessage.getDefaultInstance()));
+        assertThat(arrived.await(5, TimeUnit.SECONDS)).isTrue();
+        server.stop();
+    }
+
     @Test
     void aRequestToAHostThatIsGoneIsNotSentAndSaysSoAtOnce() throws Exception {
         String nobody = "127.0.0.1:" + freePort();
