Count a call's time from when it came; ask another region through one holder; stay with one's own leaf

And of 30 calls between hosts a query some 18 were passed on by holders whose own leaf had a short queue.

Change: times count from when the call may have arrived, by the lag of the host; one that waited for longer than the hedge delay is not run. Another leaf than one's own costs a holder 40 ms more. The holders of another region are asked through one of them, which passes the shards of the others on.

Tests: StageServerTest (two new), LeafTest, StagePlannerTest.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -145,7 +145,7 @@
 
     ImmutableList<StageAttempt> plan(long expectedNanos, long hedgeDelayNanos) {
         return context.uses(Mechanism.STAGES)
-                ? planner.plan(pools, expectedNanos, hedgeDelayNanos, time.nowNanos())
+                ? planner.plan(pools, expectedNanos, hedgeDelayNanos, StagePlanner.Relays.USED, time.nowNanos())
                 : ImmutableList.of();
     }
 
@@ -174,6 +174,11 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<String> otherRegionOf(String host) {
+        return Optional.of(host(host).zone.region()).filter(region -> !region.equals(zone.region()));
+    }
+
     @Override
     public String regionOf(Leaf leaf) {
         ModelLeaf known = leafs.get(leaf);
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
@@ -26,10 +26,18 @@
     private static final double REFUSAL_WITHOUT_BUDGET_NANOS =
             Duration.ofMillis(1_500).toNanos();
 
+    /**
+     * What it costs beyond the way to ask another leaf than the one whose connections this host holds: the call has
+     * come here for that leaf, and goes through a third host. As much as the way to another region, so that a queue of
+     * a call or two is no reason for it, and a leaf that pauses, refuses or is slow is.
+     */
+    private static final double PASS_ON_NANOS = Duration.ofMillis(40).toNanos();
+
     private final String service;
     private final WindowedBudget budget;
     private final RoutingContext context;
     private final Map<String, Leaf> leaves = new LinkedHashMap<>();
+    private boolean heldHere;
 
     /** Creates an empty pool. */
     public LeafPool(String service, WindowedBudget budget) {
@@ -77,6 +85,14 @@
         return ImmutableList.copyOf(leaves.values());
     }
 
+    /**
+     * States whether this host holds the connections to the leaf of its availability zone: other hosts then send it the
+     * calls for that leaf.
+     */
+    public void setHeldHere(boolean held) {
+        heldHere = held;
+    }
+
     /** Returns true if a leaf at most at the given distance takes work and is not ejected. */
     public boolean hasUsableWithin(Distance farthest, long nowNanos) {
         for (Leaf leaf : leaves.values()) {
@@ -108,6 +124,7 @@
             }
             boolean ejected = leaf.isEjected(nowNanos);
             double cost = leaf.costNanos(expectedNanos, nowNanos) + leaf.refusalRate(nowNanos) * refusalNanos;
+            cost += heldHere && leaf.distance() != Distance.SAME_ZONE ? PASS_ON_NANOS : 0;
             boolean better = ejected != bestEjected ? !ejected : cost < bestCost;
             if (best == null || better) {
                 best = leaf;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/StagePlanner.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StagePlanner.java
@@ -34,8 +34,19 @@
         this.random = random;
     }
 
+    /** Whether the holders of another region are asked through one of them. */
+    public enum Relays {
+        /** One of them is asked for all; its merged reply crosses the border once. */
+        USED,
+        /** Each is asked by itself, as by a host that was asked itself. */
+        NOT_USED
+    }
+
     /** What is known of the ways to leafs and to other hosts. */
     public interface Ways {
+        /** Returns the region of a host if it is another one than this host's. */
+        Optional<String> otherRegionOf(String host);
+
         /** Returns the host that holds the connections to a leaf, if that is another host and can be asked. */
         Optional<String> holderOf(Leaf leaf);
 
@@ -59,14 +70,16 @@
      * @param pools the leafs of each shard, in the order of the shards
      * @param expectedNanos how long a call usually takes
      * @param hedgeDelayNanos after which a host asks second leafs, and says so
+     * @param relays whether the holders of another region are asked through one of them
      */
     public ImmutableList<StageAttempt> plan(
-            ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos, long nowNanos) {
+            ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos, Relays relays, long nowNanos) {
         Map<String, List<Integer>> shardsByRegion = new HashMap<>();
-        Map<String, ImmutableList.Builder<Integer>> shardsByHolder = new LinkedHashMap<>();
+        Map<String, List<Integer>> shardsByHolder = new LinkedHashMap<>();
         List<Integer> far = farShards(pools, expectedNanos, nowNanos, shardsByRegion, shardsByHolder);
         ImmutableList.Builder<StageAttempt> stages = ImmutableList.builder();
-        shardsByHolder.forEach((holder, shards) -> stages.add(stage(holder, shards.build(), hedgeDelayNanos)));
+        byWay(shardsByHolder, relays)
+                .forEach((host, shards) -> stages.add(stage(host, ImmutableList.copyOf(shards), hedgeDelayNanos)));
         while (far.size() >= LEAST_SHARDS) {
             Optional<String> region = bestRegion(shardsByRegion);
             Optional<String> host = region.flatMap(ways::leastBusyIn);
@@ -84,6 +97,31 @@
         return stages.build();
     }
 
+    /** Joins the shards of the holders of each other region under one of them, drawn to spread the load. */
+    private Map<String, List<Integer>> byWay(Map<String, List<Integer>> shardsByHolder, Relays relays) {
+        if (relays == Relays.NOT_USED) {
+            return shardsByHolder;
+        }
+        Map<String, List<Integer>> shardsByWay = new LinkedHashMap<>();
+        Map<String, List<String>> farHolders = new LinkedHashMap<>();
+        shardsByHolder.forEach((holder, shards) -> {
+            Optional<String> region = ways.otherRegionOf(holder);
+            if (region.isPresent()) {
+                farHolders
+                        .computeIfAbsent(region.get(), unused -> new ArrayList<>())
+                        .add(holder);
+            } else {
+                shardsByWay.put(holder, shards);
+            }
+        });
+        for (List<String> holders : farHolders.values()) {
+            List<Integer> joined = new ArrayList<>();
+            holders.forEach(holder -> joined.addAll(shardsByHolder.getOrDefault(holder, List.of())));
+            shardsByWay.put(holders.get(random.nextInt(holders.size())), joined);
+        }
+        return shardsByWay;
+    }
+
     private StageAttempt stage(String host, ImmutableList<Integer> shards, long hedgeDelayNanos) {
         return new StageAttempt(host, shards, ways.silenceNanos(host, hedgeDelayNanos));
     }
@@ -93,7 +131,7 @@
             long expectedNanos,
             long nowNanos,
             Map<String, List<Integer>> shardsByRegion,
-            Map<String, ImmutableList.Builder<Integer>> shardsByHolder) {
+            Map<String, List<Integer>> shardsByHolder) {
         List<Integer> far = new ArrayList<>();
         for (int shard = 0; shard < pools.size(); shard++) {
             LeafPool pool = pools.get(shard);
@@ -101,7 +139,7 @@
             Optional<String> holder = best.flatMap(ways::holderOf);
             if (holder.isPresent()) {
                 shardsByHolder
-                        .computeIfAbsent(holder.get(), unused -> ImmutableList.builder())
+                        .computeIfAbsent(holder.get(), unused -> new ArrayList<>())
                         .add(shard);
                 continue;
             }
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
@@ -182,6 +182,30 @@
                 .orElseThrow();
     }
 
+    /** A call that has come to the holder of a leaf is not sent on to a third host for a short queue. */
+    @Test
+    void aHolderLeavesItsOwnLeafOnlyIfThatIsBad() {
+        LeafPool held = new LeafPool("s", shareOf(10, 10));
+        Leaf own = new Leaf("own", "s", "10.0.0.1:1", Distance.SAME_ZONE, 2, Duration.ZERO, 0);
+        Leaf other = new Leaf("other", "s", "10.0.0.1:2", Distance.SAME_REGION, 2, Duration.ZERO, 0);
+        held.add(own);
+        held.add(other);
+        for (int call = 0; call < 4; call++) {
+            own.begin(EXPECTED, 0);
+        }
+        assertThat(chooseFrom(held, 1)).isEqualTo(other);
+        held.setHeldHere(true);
+        assertThat(chooseFrom(held, 1)).isEqualTo(own);
+        long overdue = 20 * EXPECTED;
+        assertThat(own.isStalled(overdue)).isTrue();
+        assertThat(chooseFrom(held, overdue)).isEqualTo(other);
+    }
+
+    private static Leaf chooseFrom(LeafPool pool, long nowNanos) {
+        return pool.choose(leaf -> true, EXPECTED, new SplittableRandom(1), nowNanos)
+                .orElseThrow();
+    }
+
     private static WindowedBudget shareOf(int extraPercent, int reserve) {
         Duration window = Duration.ofSeconds(10);
         return WindowedBudget.create(extraPercent, window, -2 * window.toNanos())
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagePlannerTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagePlannerTest.java
@@ -19,6 +19,7 @@
 
     private final Map<String, String> hostsByRegion = new HashMap<>();
     private final Map<String, String> holders = new HashMap<>();
+    private final Map<String, String> regionsOfHosts = new HashMap<>();
     private final StagePlanner planner = new StagePlanner(new KnownWays(), new SplittableRandom(1));
 
     @Test
@@ -57,8 +58,35 @@
         assertThat(stages.get(0).shards()).containsExactly(1);
     }
 
+    /**
+     * 60 of 90 shards are in two other regions, a dozen at a holder: one merged reply a region in place of four each.
+     */
+    @Test
+    void theHoldersOfAnotherRegionAreAskedThroughOneOfThem() {
+        holders.put("shard-0", "near-holder");
+        holders.put("shard-1", "west-1");
+        holders.put("shard-2", "west-2");
+        holders.put("shard-3", "west-1");
+        holders.put("shard-4", "east-1");
+        regionsOfHosts.put("west-1", "west");
+        regionsOfHosts.put("west-2", "west");
+        regionsOfHosts.put("east-1", "east");
+        LeafPool[] pools = {near(0), far(1, "west"), far(2, "west"), far(3, "west"), far(4, "east")};
+        ImmutableList<StageAttempt> stages = plan(pools);
+        assertThat(stages).hasSize(3);
+        assertThat(stages.get(0).host()).isEqualTo("near-holder");
+        assertThat(stages.get(1).host()).startsWith("west-");
+        assertThat(stages.get(1).shards()).containsExactly(1, 2, 3);
+        assertThat(stages.get(2).host()).isEqualTo("east-1");
+        assertThat(plan(StagePlanner.Relays.NOT_USED, pools)).hasSize(4);
+    }
+
     private ImmutableList<StageAttempt> plan(LeafPool... pools) {
-        return planner.plan(ImmutableList.copyOf(pools), EXPECTED, HEDGE, 0);
+        return plan(StagePlanner.Relays.USED, pools);
+    }
+
+    private ImmutableList<StageAttempt> plan(StagePlanner.Relays relays, LeafPool... pools) {
+        return planner.plan(ImmutableList.copyOf(pools), EXPECTED, HEDGE, relays, 0);
     }
 
     private static LeafPool near(int shard) {
@@ -78,6 +106,11 @@
     }
 
     private final class KnownWays implements StagePlanner.Ways {
+        @Override
+        public Optional<String> otherRegionOf(String host) {
+            return Optional.ofNullable(regionsOfHosts.get(host));
+        }
+
         @Override
         public Optional<String> holderOf(Leaf leaf) {
             return Optional.ofNullable(holders.get(leaf.id()));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -164,8 +164,13 @@
 
     /** Returns true if a host with the given name or peer address is known to be in another region. */
     boolean isInOtherRegion(String host) {
-        String region = regionsByAddress.get(PeerNetwork.addressOf(host));
-        return region != null && !region.equals(place.region());
+        return otherRegionOf(host).isPresent();
+    }
+
+    /** Returns the region of a host with the given name or peer address if it is known to be another one. */
+    Optional<String> otherRegionOf(String host) {
+        return Optional.ofNullable(regionsByAddress.get(PeerNetwork.addressOf(host)))
+                .filter(region -> !region.equals(place.region()));
     }
 
     /** Returns the leafs of a service; a service without any has an empty pool. */
@@ -266,7 +271,7 @@
         if (accessStale) {
             accessStale = false;
             access.update(entryHosts(), leafRecords.values(), configuration, throughHolders);
-            pools.values().forEach(pool -> shareOut(pool.service(), pool.budget()));
+            pools.values().forEach(this::takeOver);
         }
         return access;
     }
@@ -389,8 +394,15 @@
 
     private LeafPool newPool(String service) {
         WindowedBudget own = budget.newShare(startedNanos);
-        shareOut(service, own);
-        return new LeafPool(service, own, routing);
+        LeafPool pool = new LeafPool(service, own, routing);
+        takeOver(pool);
+        return pool;
+    }
+
+    /** Tells the leafs of a service what the agreed tables say of this host's part in asking them. */
+    private void takeOver(LeafPool pool) {
+        shareOut(pool.service(), pool.budget());
+        pool.setHeldHere(access().isHeld(pool.service()) && access().isHolderOf(pool.service()));
     }
 
     /** Gives this host its part of the fleet's budget for a service, by the agreed tables. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -32,9 +32,10 @@
     /**
      * Sends a call to the leaf that it names and replies with what comes of it.
      *
+     * @param arrivedNanos when the call arrived here; its time counts from then
      * @return what to call to give it up
      */
-    Runnable ask(StageCall call, LeafRequest request, Consumer<Envelope.Builder> reply) {
+    Runnable ask(StageCall call, long arrivedNanos, LeafRequest request, Consumer<Envelope.Builder> reply) {
         Optional<Leaf> leaf = view.leaf(call.getLeaf()).filter(Leaf::acceptsWork);
         if (leaf.isEmpty()) {
             // This host may be behind: that it does not know a leaf says nothing of the leaf.
@@ -42,12 +43,16 @@
             return () -> {};
         }
         long nowNanos = clock.nowNanos();
+        long deadlineNanos = arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros());
+        if (nowNanos - deadlineNanos >= 0) {
+            reply.accept(ended(LeafOutcome.NO_CONNECTION));
+            return () -> {};
+        }
         long expectedNanos = view.configuration()
                 .routeNamed(call.getRoute())
                 .map(route -> view.latency(route).medianNanos())
                 .orElse(TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()));
         Exchange exchange = new Exchange(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), reply);
-        long deadlineNanos = nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros());
         exchange.ticket = Optional.of(view.connectionsTo(leaf.get()).send(request, deadlineNanos, exchange));
         return exchange::giveUp;
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -12,6 +12,7 @@
 import org.bramblerack.request.routed.RequestBounds;
 import org.bramblerack.request.routed.ScatterQuery;
 import org.bramblerack.request.routed.StageAttempt;
+import org.bramblerack.request.routed.StagePlanner;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
@@ -57,7 +58,7 @@
         ImmutableList<LeafPool> pools = pools(target);
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
         ImmutableList<StageAttempt> stages = view.usesStages()
-                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos())
+                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos(), StagePlanner.Relays.USED)
                 : ImmutableList.of();
         return run(
                 call,
@@ -80,7 +81,7 @@
         RequestBounds bounds = bounds(call, hedgeDelayNanos);
         ImmutableList<LeafPool> pools = pools(target);
         ImmutableList<StageAttempt> stages = mayPassOn && view.usesHolders()
-                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos())
+                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos(), StagePlanner.Relays.NOT_USED)
                 : ImmutableList.of();
         ScatterQuery query = new ScatterQuery(
                 target, pools, stages, bounds, ScatterQuery.Delivery.IN_PIECES, view.routing(), random);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -92,8 +92,9 @@
     }
 
     /** Divides the shards of a query between this host and others; see {@link StagePlanner#plan}. */
-    ImmutableList<StageAttempt> plan(ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos) {
-        return planner.plan(pools, expectedNanos, hedgeDelayNanos, clock.nowNanos());
+    ImmutableList<StageAttempt> plan(
+            ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos, StagePlanner.Relays relays) {
+        return planner.plan(pools, expectedNanos, hedgeDelayNanos, relays, clock.nowNanos());
     }
 
     @Override
@@ -101,6 +102,11 @@
         return firstUsable(view.holdersOf(leaf), leaf.id()).map(Link::host);
     }
 
+    @Override
+    public Optional<String> otherRegionOf(String host) {
+        return view.otherRegionOf(host);
+    }
+
     @Override
     public String regionOf(Leaf leaf) {
         return view.leafRecord(leaf.id())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -73,18 +74,19 @@
         };
         LeafRequest request = LeafRequest.create(
                 call.getMethod(), call.getUri(), headers(call), call.getBody().toByteArray(), names);
+        long arrivedNanos = arrivedNanos();
         if (call.getLeaf().isEmpty()) {
             AtomicBoolean cancelled = new AtomicBoolean();
             calls.begin(sender, call.getCall(), () -> cancelled.set(true));
             loop.execute(() -> {
                 if (!cancelled.get()) {
                     calls.end(sender, call.getCall());
-                    runQuery(sender, call, request, reply, lastReply);
+                    runQuery(sender, call, arrivedNanos, request, reply, lastReply);
                 }
             });
         } else {
             AtomicBoolean over = new AtomicBoolean();
-            Runnable giveUp = leafCalls.ask(call, request, message -> {
+            Runnable giveUp = leafCalls.ask(call, arrivedNanos, request, message -> {
                 over.set(true);
                 lastReply.accept(message);
             });
@@ -98,26 +100,27 @@
     private void runQuery(
             String sender,
             StageCall call,
+            long arrivedNanos,
             LeafRequest request,
             Consumer<Envelope.Builder> reply,
             Consumer<Envelope.Builder> lastReply) {
-        if (refusesWork || !namesShards(call)) {
+        Optional<String> refusal = refusal(call, arrivedNanos);
+        if (refusal.isPresent()) {
             reply.accept(Envelope.newBuilder()
                     .setStageResult(StageResult.newBuilder()
                             .setStatus(StageResult.Status.NOT_RUN)
-                            .setReason(refusesWork ? "this host is stopping" : "the call names no shards")));
+                            .setReason(refusal.get())));
             return;
         }
-        long nowNanos = clock.nowNanos();
         RequestTimes times = new RequestTimes(
-                nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()),
-                nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()),
-                nowNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()));
+                arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()),
+                arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()),
+                arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()));
         // However little is in is sent back, since only the host that asked knows the rest.
         RouteTarget.Scatter target =
                 new RouteTarget.Scatter(ImmutableList.copyOf(call.getServicesList()), call.getTopRecords(), 0);
         ScatterRun run = runs.scatterHere(
-                new RoutedCall(route(call, target), call.getConfigurationVersion(), request, nowNanos, times),
+                new RoutedCall(route(call, target), call.getConfigurationVersion(), request, arrivedNanos, times),
                 target,
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
                 !call.getPassedOn(),
@@ -132,6 +135,31 @@
         }
     }
 
+    /**
+     * Returns when what is read now may have arrived: on a host that is behind, some time ago. The times of a call
+     * count from then, so that no leaf is given more time than the caller has left.
+     */
+    private long arrivedNanos() {
+        long nowNanos = clock.nowNanos();
+        return nowNanos - view.routing().hostLag().nanos(nowNanos);
+    }
+
+    /**
+     * Returns why a call is not run, if it is not. One that waited here for longer than the host that asked waits for a
+     * first word is asked elsewhere by now; begun all the same, it would take one leaf more than the route allows.
+     */
+    private Optional<String> refusal(StageCall call, long arrivedNanos) {
+        if (refusesWork) {
+            return Optional.of("this host is stopping");
+        }
+        if (!namesShards(call)) {
+            return Optional.of("the call names no shards");
+        }
+        long waitedNanos = clock.nowNanos() - arrivedNanos;
+        boolean givenUp = waitedNanos >= TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros());
+        return givenUp ? Optional.of("this host is behind") : Optional.empty();
+    }
+
     /** Returns what hosts are told that are asked in turn; shards and times are added for each. */
     private static StageCall passedOn(StageCall call) {
         return call.toBuilder().clearShards().clearServices().setPassedOn(true).build();
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpListener;
 import org.bramblerack.daemon.leaf.CallHeaders;
@@ -24,6 +25,7 @@
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
@@ -60,12 +62,14 @@
             "parts",
             "missing");
     private static final int VERSION_HERE = 5;
+    private static final long NANOS_A_MICRO = 1_000;
     private static final long MICROS_A_SECOND = Duration.ofSeconds(1).toNanos() / 1_000;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final MonotonicClock clock = MonotonicClock.system();
     private HttpListener leaf;
     private final AtomicInteger leafRequests = new AtomicInteger();
+    private final AtomicLong leafMillis = new AtomicLong();
     private FleetView view;
     private Gateway gateway;
 
@@ -193,6 +197,38 @@
         assertThat(leafRequests.get()).isEqualTo(1);
     }
 
+    /**
+     * On a recorded day hosts were up to half a second behind: calls reached leafs after their callers had their
+     * answer, with time that had long passed, and as a third attempt.
+     */
+    @Test
+    void aCallThatWaitedHereForLongIsNotRun() throws Exception {
+        behind(query().getHedgeDelayMicros() * NANOS_A_MICRO);
+        assertThat(call(query()).getStatus()).isEqualTo(StageResult.Status.NOT_RUN);
+        assertThat(call(query().setLeaf("i-1").setDeadlineMicros(1)).getStatus())
+                .isEqualTo(StageResult.Status.NOT_RUN);
+        assertThat(leafRequests.get()).isEqualTo(0);
+    }
+
+    @Test
+    void theTimeThatACallWaitedHereIsTakenFromWhatItsLeafsAreGiven() throws Exception {
+        long waitedMillis = 400;
+        behind(TimeUnit.MILLISECONDS.toNanos(waitedMillis));
+        call(query());
+        long leftMillis = TimeUnit.MICROSECONDS.toMillis(query().getDeadlineMicros());
+        assertThat(leafMillis.get()).isGreaterThan(0);
+        assertThat(leafMillis.get()).isAtMost(leftMillis - waitedMillis);
+    }
+
+    /** Makes the host's regular task late, as it is on a processor that has too much to do. */
+    private void behind(long lateNanos) throws Exception {
+        group.submit(() -> {
+                    HostLag lag = view.routing().hostLag();
+                    lag.taskRuns(clock.nowNanos() - lateNanos - FleetView.LAG_PERIOD.toNanos());
+                })
+                .get();
+    }
+
     private StageResult call(StageCall.Builder call) throws Exception {
         CompletableFuture<StageResult> result = new CompletableFuture<>();
         Envelope message = Envelope.newBuilder()
@@ -226,6 +262,7 @@
 
     private void answerAsLeaf(HttpExchange exchange) {
         leafRequests.incrementAndGet();
+        leafMillis.set(Long.parseLong(exchange.headers().get("deadline-ms", "0")));
         FullHttpResponse response = HttpExchange.response(200, Unpooled.wrappedBuffer(new byte[16]));
         response.headers().set("request-id", "r-1").set("signature", "stamp");
         exchange.respond(response);
