Make one attempt less for a call that waited

Change: a call that waited for longer than the host that asked allows for the way (30 ms) has one attempt less.

Test: StageServerTest.aCallThatWaitedHereForAMomentMakesOneAttemptLess.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageTiming.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageTiming.java
@@ -7,7 +7,7 @@
     /** The reply is on its way this long before it must be, since a late one loses all its shards at once. */
     private static final long GOAL_SLACK_NANOS = Duration.ofMillis(8).toNanos();
     /** What a host and the link may take beyond the usual before silence means that something is wrong. */
-    private static final long SILENCE_SLACK_NANOS = Duration.ofMillis(30).toNanos();
+    public static final long SILENCE_SLACK_NANOS = Duration.ofMillis(30).toNanos();
     /** The round trip of the call and its reply, and half of one for a link that is slower than it was. */
     private static final double SILENT_ROUND_TRIPS = 1.5;
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -17,6 +17,7 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
+import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
@@ -120,7 +121,12 @@
         RouteTarget.Scatter target =
                 new RouteTarget.Scatter(ImmutableList.copyOf(call.getServicesList()), call.getTopRecords(), 0);
         ScatterRun run = runs.scatterHere(
-                new RoutedCall(route(call, target), call.getConfigurationVersion(), request, arrivedNanos, times),
+                new RoutedCall(
+                        route(call, target, maxAttempts(call, arrivedNanos)),
+                        call.getConfigurationVersion(),
+                        request,
+                        arrivedNanos,
+                        times),
                 target,
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
                 !call.getPassedOn(),
@@ -160,6 +166,15 @@
         return givenUp ? Optional.of("this host is behind") : Optional.empty();
     }
 
+    /**
+     * Returns how many leafs of a shard may be asked here. The host that asked makes an attempt of its own if it waits
+     * for the first word longer than it allows for the way: then a call that waited here has one left.
+     */
+    private int maxAttempts(StageCall call, long arrivedNanos) {
+        boolean waited = clock.nowNanos() - arrivedNanos > StageTiming.SILENCE_SLACK_NANOS;
+        return waited ? Math.max(1, call.getMaxAttempts() - 1) : call.getMaxAttempts();
+    }
+
     /** Returns what hosts are told that are asked in turn; shards and times are added for each. */
     private static StageCall passedOn(StageCall call) {
         return call.toBuilder().clearShards().clearServices().setPassedOn(true).build();
@@ -179,10 +194,10 @@
      *
      * <p>Evidence of how long calls take is kept by its name.
      */
-    private Route route(StageCall call, RouteTarget.Scatter target) {
+    private Route route(StageCall call, RouteTarget.Scatter target, int maxAttempts) {
         return view.configuration()
                 .routeNamed(call.getRoute())
-                .filter(known -> known.maxAttempts() == call.getMaxAttempts())
+                .filter(known -> known.maxAttempts() == maxAttempts)
                 .orElseGet(() -> new Route(
                         call.getRoute(),
                         "",
@@ -191,7 +206,7 @@
                         Duration.ofNanos(Math.max(1, TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()))),
                         Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()))),
                         0,
-                        call.getMaxAttempts(),
+                        maxAttempts,
                         target));
     }
 
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -16,6 +16,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.bramblerack.daemon.http.HttpExchange;
@@ -28,6 +29,7 @@
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.RoutingPolicy;
+import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.RequestLimits;
@@ -69,6 +71,7 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private HttpListener leaf;
     private final AtomicInteger leafRequests = new AtomicInteger();
+    private final AtomicBoolean failing = new AtomicBoolean();
     private final AtomicLong leafMillis = new AtomicLong();
     private FleetView view;
     private Gateway gateway;
@@ -220,6 +223,17 @@
         assertThat(leafMillis.get()).isAtMost(leftMillis - waitedMillis);
     }
 
+    /** The host that asked may have asked a leaf itself by then, so that two here would be three. */
+    @Test
+    void aCallThatWaitedHereForAMomentMakesOneAttemptLess() throws Exception {
+        failing.set(true);
+        call(query());
+        assertThat(leafRequests.getAndSet(0)).isEqualTo(2);
+        behind(StageTiming.SILENCE_SLACK_NANOS + TimeUnit.MILLISECONDS.toNanos(20));
+        call(query());
+        assertThat(leafRequests.get()).isEqualTo(1);
+    }
+
     /** Makes the host's regular task late, as it is on a processor that has too much to do. */
     private void behind(long lateNanos) throws Exception {
         group.submit(() -> {
@@ -263,7 +277,8 @@
     private void answerAsLeaf(HttpExchange exchange) {
         leafRequests.incrementAndGet();
         leafMillis.set(Long.parseLong(exchange.headers().get("deadline-ms", "0")));
-        FullHttpResponse response = HttpExchange.response(200, Unpooled.wrappedBuffer(new byte[16]));
+        int status = failing.get() ? 500 : 200;
+        FullHttpResponse response = HttpExchange.response(status, Unpooled.wrappedBuffer(new byte[16]));
         response.headers().set("request-id", "r-1").set("signature", "stamp");
         exchange.respond(response);
     }
@@ -272,13 +287,19 @@
         return TableDelta.newBuilder()
                 .setRevision(1)
                 .setWhole(true)
-                .addLeaves(LeafRecord.newBuilder()
-                        .setId("i-1")
-                        .setService("s")
-                        .setAddress(leafAddress.toString())
-                        .setZone("z")
-                        .setSlots(2)
-                        .setPhase(LeafRecord.Phase.READY))
+                .addLeaves(leafRecord("i-1", leafAddress))
+                .addLeaves(leafRecord("i-3", leafAddress))
+                .build();
+    }
+
+    private static LeafRecord leafRecord(String id, HostAndPort address) {
+        return LeafRecord.newBuilder()
+                .setId(id)
+                .setService("s")
+                .setAddress(address.toString())
+                .setZone("z")
+                .setSlots(2)
+                .setPhase(LeafRecord.Phase.READY)
                 .build();
     }
 
