Hand the attempts that are left on with a call

Cause: read again: a holder that had one attempt less handed the whole number on. Change: the number that it has itself.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -117,20 +117,17 @@
                 arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()),
                 arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()),
                 arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()));
+        int maxAttempts = maxAttempts(call, arrivedNanos);
         // However little is in is sent back, since only the host that asked knows the rest.
         RouteTarget.Scatter target =
                 new RouteTarget.Scatter(ImmutableList.copyOf(call.getServicesList()), call.getTopRecords(), 0);
         ScatterRun run = runs.scatterHere(
                 new RoutedCall(
-                        route(call, target, maxAttempts(call, arrivedNanos)),
-                        call.getConfigurationVersion(),
-                        request,
-                        arrivedNanos,
-                        times),
+                        route(call, target, maxAttempts), call.getConfigurationVersion(), request, arrivedNanos, times),
                 target,
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
                 !call.getPassedOn(),
-                runs.stageCaller(passedOn(call), target.shards(), times),
+                runs.stageCaller(passedOn(call, maxAttempts), target.shards(), times),
                 new Replier(reply, lastReply, call.getShardsList(), sender));
         run.onStillAtWork(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
@@ -176,8 +173,13 @@
     }
 
     /** Returns what hosts are told that are asked in turn; shards and times are added for each. */
-    private static StageCall passedOn(StageCall call) {
-        return call.toBuilder().clearShards().clearServices().setPassedOn(true).build();
+    private static StageCall passedOn(StageCall call, int maxAttempts) {
+        return call.toBuilder()
+                .clearShards()
+                .clearServices()
+                .setMaxAttempts(maxAttempts)
+                .setPassedOn(true)
+                .build();
     }
 
     private static boolean namesShards(StageCall call) {
