Refuse what a stopping host cannot finish instead of cutting it off

Ruled out: a longer limit (the platform ends the process at its own), and closing the listener earlier (callers come on connections that they have; they learn from an answer that closes the connection).

Change: in the last 1.5 s before the limit what comes is refused with 503 and a Retry-After of 0.05 s; it has not run. What is under way goes on.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -24,6 +24,8 @@
      * start, and a caller that comes back sooner is only refused again.
      */
     private static final String RETRY_STARTED_SECONDS = "0.9";
+    /** When to try another host: at once, since every answer of this one ends its connection. */
+    private static final String RETRY_ELSEWHERE_SECONDS = "0.05";
     /** When to come back after leafs were full or late: a few times the work of one request. */
     private static final String RETRY_BUSY_SECONDS = "0.1";
 
@@ -77,6 +79,11 @@
         refuse(UNAVAILABLE, RETRY_STARTED_SECONDS, "this host does not know its configuration yet; come back soon");
     }
 
+    /** Tells the caller that the request was not looked at, and to try another host. */
+    void stopping() {
+        refuse(UNAVAILABLE, RETRY_ELSEWHERE_SECONDS, "this host is stopping; another one takes the request");
+    }
+
     private void refuse(int status, String retryAfterSeconds, String text) {
         FullHttpResponse response =
                 HttpExchange.response(status, Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -29,6 +29,11 @@
      * twice and a table has told the other hosts.
      */
     private static final Duration STILL_TAKES_REQUESTS = Duration.ofMillis(3_200);
+    /**
+     * How long before it ends a stopping host refuses what comes: the work of the longest single requests of the users'
+     * sites is just under a second, and half a second is for the ways and a busy leaf.
+     */
+    private static final Duration FINISHES_WITHIN = Duration.ofMillis(1_500);
 
     private final EntrySettings settings;
     private final MonotonicClock clock;
@@ -135,8 +140,8 @@
     }
 
     /**
-     * Stops: is no longer ready, goes on serving until callers have had time to notice, finishes what is under way, and
-     * ends within the limit of the settings.
+     * Stops: is no longer ready, goes on serving until callers have had time to notice, finishes what is under way,
+     * refuses what it could not finish, and ends within the limit of the settings.
      *
      * @throws InterruptedException if the thread is interrupted meanwhile
      */
@@ -151,7 +156,11 @@
         }
         callers.closeIdle();
         long limitNanos = settings.stopLimit().toNanos();
+        long refusesAfterNanos = limitNanos - FINISHES_WITHIN.toNanos();
         while (sinceNanos(beganNanos) < limitNanos && !(callers.isIdle() && callers.connectionCount() == 0)) {
+            if (sinceNanos(beganNanos) >= refusesAfterNanos) {
+                gateway.refuseCallers();
+            }
             callers.closeIdle();
             Thread.sleep(LOOK_EVERY.toMillis());
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -61,6 +61,7 @@
     private final StageLinks stages;
     private final StageServer stageServer;
     private final Map<String, SplitCursor> splits = new HashMap<>();
+    private boolean refusesCallers;
 
     /**
      * Creates a gateway; it takes requests from then on.
@@ -120,6 +121,11 @@
         loop.execute(stageServer::refuseWork);
     }
 
+    /** Refuses the requests of callers from now on, since they would not be finished; those under way are. */
+    public void refuseCallers() {
+        loop.execute(() -> refusesCallers = true);
+    }
+
     /** Stops probing. */
     public void stop() {
         loop.execute(stages::stop);
@@ -143,6 +149,11 @@
     @Override
     public void handle(HttpExchange exchange) {
         CallerAnswers caller = new CallerAnswers(exchange, names, metrics);
+        if (refusesCallers) {
+            caller.stopping();
+            refusedUnrouted(exchange, "STOPPING");
+            return;
+        }
         if (!tablesKnown.getAsBoolean() || view.configuration().version() == 0) {
             caller.notReady();
             refusedUnrouted(exchange, "NOT_READY");
