Make a message that tells how much time is left when it is sent

Cause: a call to another host that waits for a connection being made was written before it waited, so that it told the other host of time that the caller did not have any more (up to the moment that a connection takes).

Ruled out: mending the times at the receiver (it cannot know what it waited).

Change: what waits is the making of the message. The class that wrapped what waits is gone: a list of tasks does.

Measured: the new test failed before (the message was made at once) and passes.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -50,7 +50,7 @@
             return view.connectionsTo(leaf).send(request, deadlineNanos, taker);
         }
         HeldCall call = new HeldCall(holder.get(), leaf.id(), taker);
-        call.send(leaf, deadlineNanos);
+        call.send(deadlineNanos);
         return call;
     }
 
@@ -68,23 +68,27 @@
             this.taker = taker;
         }
 
-        void send(Leaf leaf, long deadlineNanos) {
+        void send(long deadlineNanos) {
             long remainingNanos = Math.max(1, deadlineNanos - clock.nowNanos());
-            StageCall.Builder message = query.toBuilder()
-                    .clearShards()
-                    .setLeaf(leaf.id())
-                    .setCall(number)
-                    .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(remainingNanos - holder.roundTripNanos() / 2));
             holder.begin();
             network.requestWhenConnected(
                             holder.host(),
-                            Envelope.newBuilder().setStageCall(message),
+                            () -> Envelope.newBuilder().setStageCall(message(deadlineNanos)),
                             Duration.ofNanos(remainingNanos),
                             progress -> {})
                     .subscribe()
                     .with(reply -> take(reply.getStageResult()), this::fail);
         }
 
+        private StageCall.Builder message(long deadlineNanos) {
+            long remainingNanos = deadlineNanos - clock.nowNanos() - holder.roundTripNanos() / 2;
+            return query.toBuilder()
+                    .clearShards()
+                    .setLeaf(leafId)
+                    .setCall(number)
+                    .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(remainingNanos));
+        }
+
         @Override
         public boolean giveUp() {
             if (!over) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -74,23 +74,14 @@
     }
 
     void call(StageAttempt stage, Taker taker) {
-        long nowNanos = clock.nowNanos();
         StageLinks.Link link = links.link(stage.host());
         Sent sent = new Sent(link, links.nextCall());
         underWay.put(stage, sent);
-        StageCall.Builder message = call.toBuilder()
-                .addAllShards(stage.shards())
-                .addAllServices(Lists.transform(stage.shards(), shardServices::get))
-                .setCall(sent.number)
-                .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(
-                        StageTiming.goalNanos(times.goalNanos() - nowNanos, link.roundTripNanos())))
-                .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(
-                        times.leafDeadlineNanos() - nowNanos - link.roundTripNanos() / 2));
-        Duration wait = Duration.ofNanos(Math.max(1, times.deadlineNanos() - nowNanos));
+        Duration wait = Duration.ofNanos(Math.max(1, times.deadlineNanos() - clock.nowNanos()));
         link.begin();
         network.requestWhenConnected(
                         stage.host(),
-                        Envelope.newBuilder().setStageCall(message),
+                        () -> Envelope.newBuilder().setStageCall(message(stage, sent)),
                         wait,
                         progress -> progressed(stage, progress.getStageProgress(), taker))
                 .subscribe()
@@ -104,6 +95,19 @@
                 });
     }
 
+    private StageCall.Builder message(StageAttempt stage, Sent sent) {
+        long nowNanos = clock.nowNanos();
+        long roundTripNanos = sent.link.roundTripNanos();
+        long goalNanos = StageTiming.goalNanos(times.goalNanos() - nowNanos, roundTripNanos);
+        long deadlineNanos = times.leafDeadlineNanos() - nowNanos - roundTripNanos / 2;
+        return call.toBuilder()
+                .addAllShards(stage.shards())
+                .addAllServices(Lists.transform(stage.shards(), shardServices::get))
+                .setCall(sent.number)
+                .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(goalNanos))
+                .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(deadlineNanos));
+    }
+
     /** Leaves a host alone for a while that is silent for too long; its reply still counts if it comes. */
     void suspect(StageAttempt stage) {
         links.link(stage.host()).suspect(clock.nowNanos());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.settings.HostEntry;
 import org.bramblerack.wire.Envelope;
@@ -62,7 +63,9 @@
     private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
     private volatile @Nullable Channel channel;
     private volatile Optional<Long> unansweredSinceNanos = Optional.empty();
-    private final List<Awaiting> awaiting = new ArrayList<>();
+    /** What waits for a connection that is being made; each is an object of its own, so that it can be taken out. */
+    private final List<Consumer<@Nullable Channel>> awaiting = new ArrayList<>();
+
     private boolean connecting;
     private boolean closed;
     private long lastAttemptNanos = System.nanoTime() - RECONNECT_NANOS;
@@ -99,32 +102,34 @@
 
     /**
      * Sends a message that asks for a reply; if there is no connection, it waits a moment for one that is being made.
+     *
+     * @param message makes the message when it is sent, so that the times in it are those of then
      */
-    Uni<Envelope> requestWhenConnected(Envelope.Builder message, Duration timeout, Consumer<Envelope> progress) {
+    Uni<Envelope> requestWhenConnected(
+            Supplier<Envelope.Builder> message, Duration timeout, Consumer<Envelope> progress) {
         return Uni.createFrom().emitter(emitter -> {
             Channel open = openChannel();
-            Consumer<Channel> send = channel -> requestOn(channel, message, timeout, progress, emitter);
+            Consumer<@Nullable Channel> send = channel -> requestOn(channel, message.get(), timeout, progress, emitter);
             if (open != null || !awaitConnection(send)) {
-                requestOn(open, message, timeout, progress, emitter);
+                send.accept(open);
             }
         });
     }
 
     /** Has a task run once there is a connection, or with none if there is none soon; false if none is being made. */
     private boolean awaitConnection(Consumer<@Nullable Channel> task) {
-        Awaiting waiting = new Awaiting(task);
         synchronized (this) {
             if (!connecting || awaiting.size() >= MOST_AWAITING) {
                 return false;
             }
-            awaiting.add(waiting);
+            awaiting.add(task);
         }
         group.next()
                 .schedule(
                         () -> {
                             boolean stillWaits;
                             synchronized (this) {
-                                stillWaits = awaiting.remove(waiting);
+                                stillWaits = awaiting.remove(task);
                             }
                             if (stillWaits) {
                                 task.accept(null);
@@ -208,7 +213,7 @@
 
     private void connected(ChannelFuture future) {
         boolean keep;
-        List<Awaiting> waited;
+        List<Consumer<@Nullable Channel>> waited;
         synchronized (this) {
             connecting = false;
             waited = List.copyOf(awaiting);
@@ -225,7 +230,7 @@
         if (!keep && future.isSuccess()) {
             future.channel().close();
         }
-        waited.forEach(each -> each.task().accept(keep ? future.channel() : null));
+        waited.forEach(task -> task.accept(keep ? future.channel() : null));
     }
 
     /**
@@ -265,19 +270,6 @@
         }
     }
 
-    /** A task that waits for a connection; compared by identity, since each is removed by itself. */
-    private static final class Awaiting {
-        private final Consumer<@Nullable Channel> task;
-
-        Awaiting(Consumer<@Nullable Channel> task) {
-            this.task = task;
-        }
-
-        Consumer<@Nullable Channel> task() {
-            return task;
-        }
-    }
-
     private record Pending(UniEmitter<? super Envelope> emitter, Channel channel, Consumer<Envelope> progress) {}
 
     /** Completes the requests of one connection. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerNetwork.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerNetwork.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.bramblerack.daemon.settings.HostEntry;
 import org.bramblerack.wire.Envelope;
 
@@ -104,11 +105,12 @@
     /**
      * Sends a message that asks for a reply, after a moment if the connection is just being made.
      *
+     * @param message makes the message when it is sent, so that the times in it are those of then
      * @param progress takes what the other host says of its progress before the reply
      * @return the reply, or a {@link PeerFailure}
      */
     public Uni<Envelope> requestWhenConnected(
-            String host, Envelope.Builder message, Duration timeout, Consumer<Envelope> progress) {
+            String host, Supplier<Envelope.Builder> message, Duration timeout, Consumer<Envelope> progress) {
         Optional<PeerConnection> connection = find(host);
         if (connection.isEmpty()) {
             return notKnown(host);
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerConnectionTest.java
@@ -113,6 +113,32 @@
         server.stop();
     }
 
+    /** A message that tells how much time is left must not grow old while its connection is made. */
+    @Test
+    void aMessageThatWaitsForItsConnectionIsMadeWhenItIsSent() throws Exception {
+        HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        PeerServer server = new PeerServer(address, (message, reply) -> {}, group, LinkPolicy.OPEN, new PeerTraffic());
+        server.start();
+        CountDownLatch made = new CountDownLatch(1);
+        boolean madeAhead = group.submit(() -> {
+                    network.requestWhenConnected(
+                                    address.toString(),
+                                    () -> {
+                                        made.countDown();
+                                        return Envelope.newBuilder().setStageCall(StageCall.getDefaultInstance());
+                                    },
+                                    Duration.ofSeconds(2),
+                                    progress -> {})
+                            .subscribe()
+                            .with(reply -> {}, failure -> {});
+                    return made.getCount() == 0;
+                })
+                .get();
+        assertThat(madeAhead).isFalse();
+        assertThat(made.await(5, TimeUnit.SECONDS)).isTrue();
+        server.stop();
+    }
+
     @Test
     void theMessageThatOpensAConnectionArrives() throws Exception {
         HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
@@ -136,7 +162,7 @@
     private Envelope call(String host) {
         return network.requestWhenConnected(
                         host,
-                        Envelope.newBuilder().setStageCall(StageCall.getDefaultInstance()),
+                        () -> Envelope.newBuilder().setStageCall(StageCall.getDefaultInstance()),
                         Duration.ofSeconds(2),
                         progress -> {})
                 .await()
