--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/HostLag.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/HostLag.java
@@ -43,6 +43,11 @@
         begun = true;
     }
 
+    /** Returns when what is read now may have arrived: on a host that is behind, some time ago. */
+    public long arrivedNanos(long nowNanos) {
+        return nowNanos - nanos(nowNanos);
+    }
+
     /** Returns how long what is read now may have waited here. */
     public long nanos(long nowNanos) {
         if (!begun) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
@@ -6,6 +6,8 @@
     NO_LEAF(true),
     /** Every leaf that was asked said that it did not run it. */
     ALL_BUSY(true),
+    /** Its time was up before any leaf was asked. */
+    EXPIRED(true),
     /** Too few shards answered. */
     TOO_FEW_SHARDS(false),
     /** The time was up while a leaf may have been at work on it. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -69,6 +69,7 @@
         switch (reason) {
             case NO_LEAF -> refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf takes this request now; come back soon");
             case ALL_BUSY -> refuse(UNAVAILABLE, RETRY_BUSY_SECONDS, "every leaf is full; come back soon");
+            case EXPIRED -> refuse(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
             case TIME_UP -> refuse(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
             default -> refuse(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -195,6 +195,11 @@
         return access().holders();
     }
 
+    /** Returns true if the leafs of a service are reached through holders. */
+    boolean isHeld(String service) {
+        return access().isHeld(service);
+    }
+
     /** Returns true if shards are reached through holders, since the hosts are too many to connect to every leaf. */
     boolean usesHolders() {
         return access().isAnyHeld();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Mechanism;
 import org.bramblerack.request.routed.CallerWaits;
+import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
@@ -87,7 +88,7 @@
         this.stages = new StageLinks(view, network, clock, loop, random);
         view.onHostsChanged(stages::hostsChanged);
         this.log = new DecisionLog(clock, view);
-        this.runs = new QueryRuns(view, stages, network, metrics, clock, loop, random, log);
+        this.runs = new QueryRuns(view, stages, network, names, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
         this.stageServer = new StageServer(view, runs, names, clock, loop);
     }
@@ -174,17 +175,22 @@
         LeafRequest request =
                 LeafRequest.create(exchange.method(), exchange.uri(), exchange.headers(), exchange.body(), names);
         RequestTimes times = times(exchange, route.get());
+        if (times.deadlineNanos() - clock.nowNanos() <= 0) {
+            caller.refuse(RefusalReason.EXPIRED);
+            refusedUnrouted(exchange, RefusalReason.EXPIRED.name());
+            return;
+        }
         RoutedCall call =
                 new RoutedCall(route.get(), view.configuration().version(), request, exchange.receivedNanos(), times);
         if (route.get().target() instanceof RouteTarget.Scatter target) {
             view.queryCame();
             StageCaller stageCaller =
-                    runs.stageCaller(stageCall(exchange, route.get(), target), target.shards(), times);
+                    runs.stageCaller(queryCall(exchange, route.get(), target), target.shards(), times);
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
             run.onSealedAtGoal(writtenNanos -> sealLead.sealed(times.goalNanos(), writtenNanos));
             begin(exchange, call, target, run);
         } else {
-            ForwardRun run = runs.forward(call, serviceOf(route.get()), caller);
+            ForwardRun run = runs.forward(call, serviceOf(route.get()), () -> stageCall(exchange, route.get()), caller);
             exchange.onCallerGone(run::callerGone);
             run.start();
         }
@@ -219,15 +225,22 @@
                 outcome);
     }
 
-    private StageCall stageCall(HttpExchange exchange, Route route, RouteTarget.Scatter target) {
+    /** Returns what other hosts are told of a query. */
+    private StageCall queryCall(HttpExchange exchange, Route route, RouteTarget.Scatter target) {
+        return stageCall(exchange, route).toBuilder()
+                .setTopRecords(target.topRecords())
+                .setMaxAttempts(route.maxAttempts())
+                .build();
+    }
+
+    /** Returns what other hosts are told of a request. */
+    private StageCall stageCall(HttpExchange exchange, Route route) {
         StageCall.Builder call = StageCall.newBuilder()
                 .setConfigurationVersion(view.configuration().version())
                 .setRoute(route.name())
                 .setHedgeDelayMicros(TimeUnit.NANOSECONDS.toMicros(runs.hedgeDelayNanos(route)))
                 .setMethod(exchange.method())
                 .setUri(exchange.uri())
-                .setTopRecords(target.topRecords())
-                .setMaxAttempts(route.maxAttempts())
                 .setBody(ByteString.copyFrom(exchange.body()));
         exchange.headers().forEach(header -> {
             if (!LeafRequest.isOfOneConnection(header.getKey())) {
@@ -237,14 +250,16 @@
         return call.build();
     }
 
+    /** Returns the times of a request; what it may have waited here before it was read is no longer the caller's. */
     private RequestTimes times(HttpExchange exchange, Route route) {
-        long arrivedNanos = exchange.receivedNanos();
+        long receivedNanos = exchange.receivedNanos();
+        long arrivedNanos = view.routing().hostLag().arrivedNanos(receivedNanos);
         long timeoutNanos = route.timeout().toNanos();
         long callerNanos = callerWaitNanos(exchange);
         long finalNanos = Math.min(timeoutNanos, Math.max(callerNanos / 2, callerNanos - DEADLINE_WAY_NANOS));
         long goalNanos = route.goal().isZero() ? finalNanos : route.goal().toNanos() - sealLead.nanos();
         return new RequestTimes(
-                arrivedNanos + Math.max(0, goalNanos),
+                receivedNanos + Math.max(0, goalNanos),
                 arrivedNanos + finalNanos,
                 arrivedNanos + Math.min(callerNanos, timeoutNanos));
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -52,7 +52,8 @@
                 .routeNamed(call.getRoute())
                 .map(route -> view.latency(route).medianNanos())
                 .orElse(TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()));
-        Exchange exchange = new Exchange(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), reply);
+        Exchange exchange =
+                new Exchange(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), call.getWholeAnswer(), reply);
         exchange.ticket = Optional.of(view.connectionsTo(leaf.get()).send(request, deadlineNanos, exchange));
         return exchange::giveUp;
     }
@@ -64,22 +65,41 @@
                         .setLeafOutcome(outcome.name()));
     }
 
+    private static StageResult.Builder whole(LeafAnswer answer) {
+        StageResult.Builder result = StageResult.newBuilder()
+                .setStatus(answer.outcome().isNotRun() ? StageResult.Status.NOT_RUN : StageResult.Status.ANSWERED)
+                .setStatusCode(answer.status())
+                .setRecords(answer.body());
+        answer.headers().forEach(header -> {
+            if (!LeafRequest.isOfOneConnection(header.getKey())) {
+                result.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
+            }
+        });
+        return result;
+    }
+
     /** One call under way. */
     private final class Exchange implements LeafExchange {
         private final Leaf leaf;
         private final Leaf.Call call;
+        private final boolean wholeAnswer;
         private final Consumer<Envelope.Builder> reply;
         private Optional<LeafConnections.Ticket> ticket = Optional.empty();
 
-        Exchange(Leaf leaf, Leaf.Call call, Consumer<Envelope.Builder> reply) {
+        Exchange(Leaf leaf, Leaf.Call call, boolean wholeAnswer, Consumer<Envelope.Builder> reply) {
             this.leaf = leaf;
             this.call = call;
+            this.wholeAnswer = wholeAnswer;
             this.reply = reply;
         }
 
         @Override
         public void answered(LeafAnswer answer) {
             leaf.end(call, answer.outcome(), answer.load(), clock.nowNanos());
+            if (wholeAnswer) {
+                reply.accept(Envelope.newBuilder().setStageResult(whole(answer)));
+                return;
+            }
             if (answer.outcome() != LeafOutcome.SUCCEEDED || answer.signature().isEmpty()) {
                 reply.accept(ended(answer.outcome() == LeafOutcome.SUCCEEDED ? LeafOutcome.FAILED : answer.outcome()));
                 return;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -1,9 +1,12 @@
 package org.bramblerack.daemon.gateway;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.daemon.leaf.LeafConnections;
 import org.bramblerack.daemon.leaf.LeafExchange;
@@ -28,6 +31,7 @@
     private final FleetView view;
     private final StageLinks links;
     private final PeerNetwork network;
+    private final CallHeaders names;
     private final MonotonicClock clock;
 
     /**
@@ -35,11 +39,18 @@
      *
      * @param query what the other hosts are told of the query; leaf and time are added for each call
      */
-    HolderPath(StageCall query, FleetView view, StageLinks links, PeerNetwork network, MonotonicClock clock) {
+    HolderPath(
+            StageCall query,
+            FleetView view,
+            StageLinks links,
+            PeerNetwork network,
+            CallHeaders names,
+            MonotonicClock clock) {
         this.query = query;
         this.view = view;
         this.links = links;
         this.network = network;
+        this.names = names;
         this.clock = clock;
     }
 
@@ -105,7 +116,9 @@
             }
             over = true;
             holder.end();
-            if (result.getStatus() == StageResult.Status.ANSWERED && result.getSignaturesCount() == 1) {
+            if (result.getStatusCode() > 0) {
+                taker.answered(LeafAnswer.of(result.getStatusCode(), headers(result), result.getRecords(), names));
+            } else if (result.getStatus() == StageResult.Status.ANSWERED && result.getSignaturesCount() == 1) {
                 taker.answered(new LeafAnswer(
                         OK,
                         EmptyHttpHeaders.INSTANCE,
@@ -133,6 +146,15 @@
             taker.failed(notSent ? LeafOutcome.NO_CONNECTION : LeafOutcome.BROKEN);
         }
 
+        private HttpHeaders headers(StageResult result) {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            int count = Math.min(result.getHeaderNamesCount(), result.getHeaderValuesCount());
+            for (int position = 0; position < count; position++) {
+                headers.add(result.getHeaderNames(position), result.getHeaderValues(position));
+            }
+            return headers;
+        }
+
         /** Returns how the call ended at the leaf; a word of a newer program counts as a failure that may have run. */
         private LeafOutcome outcomeOf(StageResult result) {
             for (LeafOutcome outcome : LeafOutcome.values()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
@@ -23,6 +25,7 @@
     private final FleetView view;
     private final StageLinks links;
     private final PeerNetwork network;
+    private final CallHeaders names;
     private final GatewayMetrics metrics;
     private final MonotonicClock clock;
     private final EventLoop loop;
@@ -33,6 +36,7 @@
             FleetView view,
             StageLinks links,
             PeerNetwork network,
+            CallHeaders names,
             GatewayMetrics metrics,
             MonotonicClock clock,
             EventLoop loop,
@@ -41,6 +45,7 @@
         this.view = view;
         this.links = links;
         this.network = network;
+        this.names = names;
         this.metrics = metrics;
         this.clock = clock;
         this.loop = loop;
@@ -98,7 +103,7 @@
     }
 
     private ScatterRun run(RoutedCall call, ScatterQuery query, StageCaller caller, AnswerSink sink) {
-        LeafPath path = new HolderPath(caller.query(), view, links, network, clock);
+        LeafPath path = holderPath(caller.query());
         return new ScatterRun(call, query, sender(call, path), caller, sink, metrics, clock, log);
     }
 
@@ -109,13 +114,23 @@
         return pools.build();
     }
 
-    /** Creates a run that asks one leaf of a service. */
-    ForwardRun forward(RoutedCall call, String service, CallerAnswers caller) {
+    private LeafPath holderPath(StageCall query) {
+        return new HolderPath(query, view, links, network, names, clock);
+    }
+
+    /**
+     * Creates a run that asks one leaf of a service.
+     *
+     * @param query tells what other hosts are told of the request, if the service is a shard that they hold
+     */
+    ForwardRun forward(RoutedCall call, String service, Supplier<StageCall> query, CallerAnswers caller) {
         boolean repeatable = call.route().kind() == RequestKind.IDEMPOTENT;
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
         ForwardedRequest forwarded = new ForwardedRequest(view.pool(service), repeatable, bounds, random);
-        LeafPath path = (leaf, request, deadlineNanos, taker) ->
-                view.connectionsTo(leaf).send(request, deadlineNanos, taker);
+        LeafPath path = view.isHeld(service)
+                ? holderPath(query.get().toBuilder().setWholeAnswer(true).build())
+                : (leaf, request, deadlineNanos, taker) ->
+                        view.connectionsTo(leaf).send(request, deadlineNanos, taker);
         return new ForwardRun(call, forwarded, sender(call, path), caller, metrics, clock, log);
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -75,7 +75,8 @@
         };
         LeafRequest request = LeafRequest.create(
                 call.getMethod(), call.getUri(), headers(call), call.getBody().toByteArray(), names);
-        long arrivedNanos = arrivedNanos();
+        // Its times count from when it came, so that no leaf is given more time than the caller has left.
+        long arrivedNanos = view.routing().hostLag().arrivedNanos(clock.nowNanos());
         if (call.getLeaf().isEmpty()) {
             AtomicBoolean cancelled = new AtomicBoolean();
             calls.begin(sender, call.getCall(), () -> cancelled.set(true));
@@ -138,15 +139,6 @@
         }
     }
 
-    /**
-     * Returns when what is read now may have arrived: on a host that is behind, some time ago. The times of a call
-     * count from then, so that no leaf is given more time than the caller has left.
-     */
-    private long arrivedNanos() {
-        long nowNanos = clock.nowNanos();
-        return nowNanos - view.routing().hostLag().nanos(nowNanos);
-    }
-
     /**
      * Returns why a call is not run, if it is not. One that waited here for longer than the host that asked waits for a
      * first word is asked elsewhere by now; begun all the same, it would take one leaf more than the route allows.
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
@@ -32,7 +32,7 @@
     private static final String CONTENT_ENCODING = "content-encoding";
 
     /** Creates an answer and decides what it means. */
-    static LeafAnswer of(int status, HttpHeaders headers, ByteString body, CallHeaders names) {
+    public static LeafAnswer of(int status, HttpHeaders headers, ByteString body, CallHeaders names) {
         Optional<String> signature = Optional.ofNullable(headers.get(names.signature()));
         Optional<LeafLoad> load = Optional.ofNullable(headers.get(names.load())).flatMap(LeafLoad::parse);
         return new LeafAnswer(status, headers, body, outcomeOf(status, headers, signature, names), signature, load);
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
@@ -0,0 +1,247 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.util.Objects.requireNonNull;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import com.google.protobuf.ByteString;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.bramblerack.daemon.http.HttpListener;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PeerServer;
+import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.RoutingPolicy;
+import org.bramblerack.version.routing.LeafService;
+import org.bramblerack.version.routing.RequestKind;
+import org.bramblerack.version.routing.RequestLimits;
+import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.LeafRecord;
+import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageResult;
+import org.bramblerack.wire.TableDelta;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A request to one shard alone goes through the host that holds the shard's connections, like a query: with a
+ * connection of every host a leaf that takes 69 would get 94.
+ */
+final class HeldSinglesTest {
+    private static final CallHeaders NAMES = new CallHeaders(
+            "request-id",
+            "deadline-ms",
+            "leaf",
+            "leaf-id",
+            "signature",
+            "load",
+            "not-run",
+            "retry",
+            "parts",
+            "missing");
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final AtomicReference<StageCall> asked = new AtomicReference<>(StageCall.getDefaultInstance());
+    private final AtomicReference<StageResult> answer = new AtomicReference<>(StageResult.getDefaultInstance());
+    private FleetView view;
+    private HttpListener callers;
+    private PeerServer holder;
+    private String url = "";
+
+    @BeforeEach
+    void start() throws Exception {
+        HostAndPort holderAddress = HostAndPort.fromParts("127.0.0.1", freePort());
+        HostAndPort callerAddress = HostAndPort.fromParts("127.0.0.1", freePort());
+        holder = new PeerServer(holderAddress, this::answerAsHolder, group, LinkPolicy.OPEN, new PeerTraffic());
+        holder.start();
+        view = new FleetView(
+                "127.0.0.1:1",
+                new Place("z", "r", ImmutableMap.of("z", "r", "z2", "r")),
+                new FleetBudget(20, 50, Duration.ofSeconds(10)),
+                RoutingPolicy.DEFAULT,
+                NAMES,
+                group,
+                clock,
+                new SplittableRandom(1));
+        Gateway gateway = new Gateway(
+                view,
+                () -> true,
+                PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
+                NAMES,
+                new GatewayMetrics(new MetricRegistry(), clock),
+                clock,
+                group.next(),
+                new SplittableRandom(1));
+        callers = new HttpListener(callerAddress, group, gateway, () -> RequestLimits.DEFAULT, clock);
+        callers.start();
+        url = "http://" + callerAddress + "/one/x";
+        group.submit(() -> view.apply(tables(holderAddress.toString()), Optional.of(configuration())))
+                .get();
+    }
+
+    @AfterEach
+    void stop() {
+        callers.stopNow();
+        holder.stop();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void theWholeAnswerOfTheLeafIsPassedOn() throws Exception {
+        answer.set(StageResult.newBuilder()
+                .setStatus(StageResult.Status.ANSWERED)
+                .setStatusCode(203)
+                .addHeaderNames("signature")
+                .addHeaderValues("stamp")
+                .addHeaderNames("x-own")
+                .addHeaderValues("kept")
+                .setRecords(ByteString.copyFromUtf8("body"))
+                .build());
+        HttpResponse<String> response = get();
+        assertThat(response.statusCode()).isEqualTo(203);
+        assertThat(response.headers().firstValue("signature")).isEqualTo(Optional.of("stamp"));
+        assertThat(response.headers().firstValue("x-own")).isEqualTo(Optional.of("kept"));
+        assertThat(response.body()).isEqualTo("body");
+        StageCall call = requireNonNull(asked.get());
+        assertThat(call.getLeaf()).isEqualTo("i-1");
+        assertThat(call.getWholeAnswer()).isTrue();
+    }
+
+    @Test
+    void aFailureOfTheLeafIsPassedOnAsItIs() throws Exception {
+        answer.set(StageResult.newBuilder()
+                .setStatus(StageResult.Status.ANSWERED)
+                .setStatusCode(500)
+                .addHeaderNames("signature")
+                .addHeaderValues("stamp")
+                .build());
+        assertThat(get().statusCode()).isEqualTo(500);
+    }
+
+    /** It must not run twice, and a lost link leaves open whether it ran. */
+    @Test
+    void aRequestWhoseHolderFailsIsNotSaidToHaveNotRun() throws Exception {
+        answer.set(StageResult.newBuilder()
+                .setStatus(StageResult.Status.FAILED)
+                .setLeafOutcome("BROKEN")
+                .build());
+        assertThat(get().statusCode()).isEqualTo(502);
+    }
+
+    /** A host that is behind reads a request late: the time that it waited is no longer its caller's. */
+    @Test
+    void whatARequestWaitedHereIsTakenFromItsTime() throws Exception {
+        answer.set(StageResult.newBuilder()
+                .setStatus(StageResult.Status.ANSWERED)
+                .setStatusCode(200)
+                .addHeaderNames("signature")
+                .addHeaderValues("stamp")
+                .build());
+        long waitedMillis = 400;
+        behind(waitedMillis);
+        assertThat(get(800).statusCode()).isEqualTo(200);
+        long leftMicros = requireNonNull(asked.get()).getDeadlineMicros();
+        assertThat(leftMicros).isAtMost(TimeUnit.MILLISECONDS.toMicros(800 - waitedMillis));
+    }
+
+    @Test
+    void aRequestWhoseTimeIsUpWhenItIsReadIsSentNowhere() throws Exception {
+        behind(400);
+        assertThat(get(300).statusCode()).isEqualTo(503);
+        assertThat(requireNonNull(asked.get()).getLeaf()).isEmpty();
+    }
+
+    /** Makes the host's regular task late, as it is on a processor that has too much to do. */
+    private void behind(long lateMillis) throws Exception {
+        long lateNanos = TimeUnit.MILLISECONDS.toNanos(lateMillis) + FleetView.LAG_PERIOD.toNanos();
+        group.submit(() -> view.routing().hostLag().taskRuns(clock.nowNanos() - lateNanos))
+                .get();
+    }
+
+    private HttpResponse<String> get() throws Exception {
+        return get(TimeUnit.SECONDS.toMillis(1));
+    }
+
+    private HttpResponse<String> get(long deadlineMillis) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(url))
+                .header("request-id", "r-1")
+                .header("deadline-ms", Long.toString(deadlineMillis))
+                .timeout(Duration.ofSeconds(5))
+                .build();
+        return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void answerAsHolder(Envelope message, Consumer<Envelope.Builder> reply) {
+        if (message.hasStageCall()) {
+            asked.set(message.getStageCall());
+            reply.accept(Envelope.newBuilder().setStageResult(requireNonNull(answer.get())));
+        }
+    }
+
+    private static TableDelta tables(String holderAddress) {
+        return TableDelta.newBuilder()
+                .setRevision(1)
+                .setWhole(true)
+                .setThroughHolders(true)
+                .addHosts(HostRecord.newBuilder()
+                        .setName("holder")
+                        .setPeerAddress(holderAddress)
+                        .setZone("z2")
+                        .setRegion("r")
+                        .setEntry(true)
+                        .setPhase(HostRecord.Phase.READY))
+                .addLeaves(LeafRecord.newBuilder()
+                        .setId("i-1")
+                        .setService("s")
+                        .setAddress("127.0.0.1:1")
+                        .setZone("z2")
+                        .setSlots(2)
+                        .setPhase(LeafRecord.Phase.READY))
+                .build();
+    }
+
+    private static RoutingConfiguration configuration() {
+        RouteTarget.Scatter all = new RouteTarget.Scatter(ImmutableList.of("s"), 5, 0.5);
+        return RoutingConfiguration.create(
+                1,
+                ImmutableList.of(
+                        route("all", RequestKind.IDEMPOTENT, all),
+                        route("one", RequestKind.MUTATING, new RouteTarget.Single("s"))),
+                ImmutableMap.of("s", new LeafService("s", "/health", 26)),
+                RequestLimits.DEFAULT);
+    }
+
+    private static Route route(String name, RequestKind kind, RouteTarget target) {
+        Duration time = Duration.ofSeconds(1);
+        return new Route(name, "127.0.0.1", "/" + name + "/", kind, time, time, 0, 2, target);
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+}
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
@@ -394,7 +394,7 @@
       "holders\030\010 \001(\010\"N\n\014HeardMembers\022\020\n\010leaf_id" +
       "s\030\001 \003(\t\022\022\n\nhost_names\030\002 \003(\t\022\030\n\020queries_a" +
       "_minute\030\003 \003(\005\"\034\n\013JoinRequest\022\r\n\005voter\030\001 " +
-      "\001(\t\"\006\n\004Ping\"\353\002\n\tStageCall\022\035\n\025configurati" +
+      "\001(\t\"\006\n\004Ping\"\201\003\n\tStageCall\022\035\n\025configurati" +
       "on_version\030\001 \001(\003\022\r\n\005route\030\002 \001(\t\022\016\n\006metho" +
       "d\030\003 \001(\t\022\013\n\003uri\030\004 \001(\t\022\024\n\014header_names\030\005 \003" +
       "(\t\022\025\n\rheader_values\030\006 \003(\t\022\022\n\nrequest_id\030" +
@@ -403,70 +403,72 @@
       "ay_micros\030\013 \001(\003\022\014\n\004leaf\030\014 \001(\t\022\014\n\004call\030\r " +
       "\001(\003\022\014\n\004body\030\016 \001(\014\022\020\n\010services\030\017 \003(\t\022\023\n\013t" +
       "op_records\030\020 \001(\005\022\024\n\014max_attempts\030\021 \001(\005\022\021" +
-      "\n\tpassed_on\030\022 \001(\010\"Y\n\rStageProgress\022\023\n\013as" +
-      "ked_twice\030\001 \003(\005\022\022\n\nsignatures\030\002 \003(\t\022\016\n\006s" +
-      "hards\030\003 \003(\005\022\017\n\007records\030\004 \001(\014\"\364\001\n\013StageRe" +
-      "sult\022/\n\006status\030\001 \001(\0162\037.bramblerack.Stage" +
-      "Result.Status\022\022\n\nsignatures\030\002 \003(\t\022\016\n\006sha" +
-      "rds\030\003 \003(\005\022\017\n\007records\030\004 \001(\014\022\016\n\006reason\030\005 \001" +
-      "(\t\022\024\n\014leaf_outcome\030\006 \001(\t\022\020\n\010not_sent\030\007 \003" +
-      "(\005\"G\n\006Status\022\026\n\022STATUS_UNSPECIFIED\020\000\022\014\n\010" +
-      "ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILED\020\003\"\033\n\013S" +
-      "tageCancel\022\014\n\004call\030\001 \001(\003\"r\n\020ApplyDeclara" +
-      "tion\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t" +
-      "\022\031\n\021expected_revision\030\003 \001(\003\022\014\n\004text\030\004 \001(" +
-      "\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014ClaimRequest\022\017\n" +
-      "\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007at" +
-      "tempt\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\003\022\023\n\013body_d" +
-      "igest\030\005 \001(\014\022\030\n\020retention_millis\030\006 \001(\003\022\030\n" +
-      "\020issued_at_millis\030\007 \001(\003\022\027\n\017deadline_mill" +
-      "is\030\010 \001(\003\"\240\001\n\rRecordOutcome\022\017\n\007service\030\001 " +
-      "\001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t" +
-      "\022&\n\004kind\030\004 \001(\0162\030.bramblerack.OutcomeKind" +
-      "\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_m" +
-      "illis\030\007 \001(\003\"\324\002\n\rCommandResult\022-\n\004kind\030\001 " +
-      "\001(\0162\037.bramblerack.CommandResult.Kind\022\020\n\010" +
-      "revision\030\002 \001(\003\022\030\n\020winner_change_id\030\003 \001(\t" +
-      "\022!\n\005claim\030\004 \001(\0132\022.bramblerack.Claim\"\304\001\n\004" +
-      "Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001" +
-      "\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n\007CLAIMED" +
-      "\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDED\020\006\022\013\n\007EXPIRED" +
-      "\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n\nNOT_HOL" +
-      "DER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPERSEDED\020\014\"\373\001\n\005C" +
-      "laim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(" +
-      "\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramb" +
-      "lerack.OutcomeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006re" +
-      "ason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n\013body_di" +
-      "gest\030\010 \001(\014\022\031\n\021keep_until_millis\030\t \001(\003\022\030\n" +
-      "\020issue_time_known\030\n \001(\010\022\027\n\017deadline_mill" +
-      "is\030\013 \001(\003\"\252\002\n\017ControlSnapshot\022\020\n\010revision" +
-      "\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.bramblera" +
-      "ck.PartnerDeclaration\022*\n\007history\030\003 \003(\0132\031" +
-      ".bramblerack.HistoryEntry\022*\n\007results\030\004 \003" +
-      "(\0132\031.bramblerack.ChangeResult\022\"\n\006claims\030" +
-      "\005 \003(\0132\022.bramblerack.Claim\022\024\n\014clock_milli" +
-      "s\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\022)\n\006tables\030\010 \001" +
-      "(\0132\031.bramblerack.MemberTables\"\374\001\n\014Member" +
-      "Tables\022\020\n\010revision\030\001 \001(\003\022\035\n\025configuratio" +
-      "n_version\030\002 \001(\003\022\025\n\rconfiguration\030\003 \001(\014\022\036" +
-      "\n\026configuration_revision\030\004 \001(\003\022\'\n\006leaves" +
-      "\030\005 \003(\0132\027.bramblerack.LeafRecord\022&\n\005hosts" +
-      "\030\006 \003(\0132\027.bramblerack.HostRecord\022\032\n\022forgo" +
-      "tten_revision\030\007 \001(\003\022\027\n\017through_holders\030\010" +
-      " \001(\010\"Y\n\014ChangeResult\022\017\n\007partner\030\001 \001(\t\022\021\n" +
-      "\tchange_id\030\002 \001(\t\022\020\n\010revision\030\003 \001(\003\022\023\n\013te" +
-      "xt_digest\030\004 \001(\014\"\234\001\n\tLogRecord\022,\n\nhard_st" +
-      "ate\030\001 \001(\0132\026.bramblerack.HardStateH\000\022&\n\005e" +
-      "ntry\030\002 \001(\0132\025.bramblerack.LogEntryH\000\022\027\n\rt" +
-      "runcate_from\030\003 \001(\003H\000\022\030\n\016synced_through\030\004" +
-      " \001(\003H\000B\006\n\004body\",\n\tHardState\022\014\n\004term\030\001 \001(" +
-      "\003\022\021\n\tvoted_for\030\002 \001(\t\"V\n\016SnapshotRecord\022\022" +
-      "\n\nlast_index\030\001 \001(\003\022\021\n\tlast_term\030\002 \001(\003\022\r\n" +
-      "\005state\030\003 \001(\014\022\016\n\006voters\030\004 \003(\t*Z\n\013OutcomeK" +
-      "ind\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013IN_PROGR" +
-      "ESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007UNKNOWN\020\004" +
-      "B&\n\024org.bramblerack.wireB\014PeerProtocolP\001" +
-      "b\006proto3"
+      "\n\tpassed_on\030\022 \001(\010\022\024\n\014whole_answer\030\023 \001(\010\"" +
+      "Y\n\rStageProgress\022\023\n\013asked_twice\030\001 \003(\005\022\022\n" +
+      "\nsignatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007rec" +
+      "ords\030\004 \001(\014\"\266\002\n\013StageResult\022/\n\006status\030\001 \001" +
+      "(\0162\037.bramblerack.StageResult.Status\022\022\n\ns" +
+      "ignatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007recor" +
+      "ds\030\004 \001(\014\022\016\n\006reason\030\005 \001(\t\022\024\n\014leaf_outcome" +
+      "\030\006 \001(\t\022\020\n\010not_sent\030\007 \003(\005\022\023\n\013status_code\030" +
+      "\010 \001(\005\022\024\n\014header_names\030\t \003(\t\022\025\n\rheader_va" +
+      "lues\030\n \003(\t\"G\n\006Status\022\026\n\022STATUS_UNSPECIFI" +
+      "ED\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILE" +
+      "D\020\003\"\033\n\013StageCancel\022\014\n\004call\030\001 \001(\003\"r\n\020Appl" +
+      "yDeclaration\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_" +
+      "id\030\002 \001(\t\022\031\n\021expected_revision\030\003 \001(\003\022\014\n\004t" +
+      "ext\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014ClaimRe" +
+      "quest\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001" +
+      "(\t\022\017\n\007attempt\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\003\022\023" +
+      "\n\013body_digest\030\005 \001(\014\022\030\n\020retention_millis\030" +
+      "\006 \001(\003\022\030\n\020issued_at_millis\030\007 \001(\003\022\027\n\017deadl" +
+      "ine_millis\030\010 \001(\003\"\240\001\n\rRecordOutcome\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attem" +
+      "pt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblerack.Out" +
+      "comeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t" +
+      "\022\021\n\tat_millis\030\007 \001(\003\"\324\002\n\rCommandResult\022-\n" +
+      "\004kind\030\001 \001(\0162\037.bramblerack.CommandResult." +
+      "Kind\022\020\n\010revision\030\002 \001(\003\022\030\n\020winner_change_" +
+      "id\030\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.bramblerack.Cl" +
+      "aim\"\304\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010AC" +
+      "CEPTED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n" +
+      "\007CLAIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDED\020\006\022\013\n" +
+      "\007EXPIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n" +
+      "\nNOT_HOLDER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPERSEDED" +
+      "\020\014\"\373\001\n\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest" +
+      "_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\016" +
+      "2\030.bramblerack.OutcomeKind\022\016\n\006answer\030\005 \001" +
+      "(\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n" +
+      "\013body_digest\030\010 \001(\014\022\031\n\021keep_until_millis\030" +
+      "\t \001(\003\022\030\n\020issue_time_known\030\n \001(\010\022\027\n\017deadl" +
+      "ine_millis\030\013 \001(\003\"\252\002\n\017ControlSnapshot\022\020\n\010" +
+      "revision\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.b" +
+      "ramblerack.PartnerDeclaration\022*\n\007history" +
+      "\030\003 \003(\0132\031.bramblerack.HistoryEntry\022*\n\007res" +
+      "ults\030\004 \003(\0132\031.bramblerack.ChangeResult\022\"\n" +
+      "\006claims\030\005 \003(\0132\022.bramblerack.Claim\022\024\n\014clo" +
+      "ck_millis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\022)\n\006ta" +
+      "bles\030\010 \001(\0132\031.bramblerack.MemberTables\"\374\001" +
+      "\n\014MemberTables\022\020\n\010revision\030\001 \001(\003\022\035\n\025conf" +
+      "iguration_version\030\002 \001(\003\022\025\n\rconfiguration" +
+      "\030\003 \001(\014\022\036\n\026configuration_revision\030\004 \001(\003\022\'" +
+      "\n\006leaves\030\005 \003(\0132\027.bramblerack.LeafRecord\022" +
+      "&\n\005hosts\030\006 \003(\0132\027.bramblerack.HostRecord\022" +
+      "\032\n\022forgotten_revision\030\007 \001(\003\022\027\n\017through_h" +
+      "olders\030\010 \001(\010\"Y\n\014ChangeResult\022\017\n\007partner\030" +
+      "\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t\022\020\n\010revision\030\003 \001" +
+      "(\003\022\023\n\013text_digest\030\004 \001(\014\"\234\001\n\tLogRecord\022,\n" +
+      "\nhard_state\030\001 \001(\0132\026.bramblerack.HardStat" +
+      "eH\000\022&\n\005entry\030\002 \001(\0132\025.bramblerack.LogEntr" +
+      "yH\000\022\027\n\rtruncate_from\030\003 \001(\003H\000\022\030\n\016synced_t" +
+      "hrough\030\004 \001(\003H\000B\006\n\004body\",\n\tHardState\022\014\n\004t" +
+      "erm\030\001 \001(\003\022\021\n\tvoted_for\030\002 \001(\t\"V\n\016Snapshot" +
+      "Record\022\022\n\nlast_index\030\001 \001(\003\022\021\n\tlast_term\030" +
+      "\002 \001(\003\022\r\n\005state\030\003 \001(\014\022\016\n\006voters\030\004 \003(\t*Z\n\013" +
+      "OutcomeKind\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013" +
+      "IN_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007U" +
+      "NKNOWN\020\004B&\n\024org.bramblerack.wireB\014PeerPr" +
+      "otocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -651,7 +653,7 @@
     internal_static_bramblerack_StageCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_StageCall_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", "Route", "Method", "Uri", "HeaderNames", "HeaderValues", "RequestId", "GoalMicros", "DeadlineMicros", "Shards", "HedgeDelayMicros", "Leaf", "Call", "Body", "Services", "TopRecords", "MaxAttempts", "PassedOn", });
+        new java.lang.String[] { "ConfigurationVersion", "Route", "Method", "Uri", "HeaderNames", "HeaderValues", "RequestId", "GoalMicros", "DeadlineMicros", "Shards", "HedgeDelayMicros", "Leaf", "Call", "Body", "Services", "TopRecords", "MaxAttempts", "PassedOn", "WholeAnswer", });
     internal_static_bramblerack_StageProgress_descriptor =
       getDescriptor().getMessageType(30);
     internal_static_bramblerack_StageProgress_fieldAccessorTable = new
@@ -663,7 +665,7 @@
     internal_static_bramblerack_StageResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_StageResult_descriptor,
-        new java.lang.String[] { "Status", "Signatures", "Shards", "Records", "Reason", "LeafOutcome", "NotSent", });
+        new java.lang.String[] { "Status", "Signatures", "Shards", "Records", "Reason", "LeafOutcome", "NotSent", "StatusCode", "HeaderNames", "HeaderValues", });
     internal_static_bramblerack_StageCancel_descriptor =
       getDescriptor().getMessageType(32);
     internal_static_bramblerack_StageCancel_fieldAccessorTable = new
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
@@ -555,6 +555,21 @@
     return passedOn_;
   }
 
+  public static final int WHOLE_ANSWER_FIELD_NUMBER = 19;
+  private boolean wholeAnswer_ = false;
+  /**
+   * <pre>
+   * True if the whole answer of the leaf that is named is wanted, to be passed on to a caller.
+   * </pre>
+   *
+   * <code>bool whole_answer = 19;</code>
+   * @return The wholeAnswer.
+   */
+  @java.lang.Override
+  public boolean getWholeAnswer() {
+    return wholeAnswer_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -628,6 +643,9 @@
     if (passedOn_ != false) {
       output.writeBool(18, passedOn_);
     }
+    if (wholeAnswer_ != false) {
+      output.writeBool(19, wholeAnswer_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -726,6 +744,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(18, passedOn_);
     }
+    if (wholeAnswer_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(19, wholeAnswer_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -777,6 +799,8 @@
         != other.getMaxAttempts()) return false;
     if (getPassedOn()
         != other.getPassedOn()) return false;
+    if (getWholeAnswer()
+        != other.getWholeAnswer()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -838,6 +862,9 @@
     hash = (37 * hash) + PASSED_ON_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getPassedOn());
+    hash = (37 * hash) + WHOLE_ANSWER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWholeAnswer());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -994,6 +1021,7 @@
       topRecords_ = 0;
       maxAttempts_ = 0;
       passedOn_ = false;
+      wholeAnswer_ = false;
       return this;
     }
 
@@ -1085,6 +1113,9 @@
       if (((from_bitField0_ & 0x00020000) != 0)) {
         result.passedOn_ = passedOn_;
       }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.wholeAnswer_ = wholeAnswer_;
+      }
     }
 
     @java.lang.Override
@@ -1192,6 +1223,9 @@
       if (other.getPassedOn() != false) {
         setPassedOn(other.getPassedOn());
       }
+      if (other.getWholeAnswer() != false) {
+        setWholeAnswer(other.getWholeAnswer());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1322,6 +1356,11 @@
               bitField0_ |= 0x00020000;
               break;
             } // case 144
+            case 152: {
+              wholeAnswer_ = input.readBool();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 152
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2557,6 +2596,50 @@
       return this;
     }
 
+    private boolean wholeAnswer_ ;
+    /**
+     * <pre>
+     * True if the whole answer of the leaf that is named is wanted, to be passed on to a caller.
+     * </pre>
+     *
+     * <code>bool whole_answer = 19;</code>
+     * @return The wholeAnswer.
+     */
+    @java.lang.Override
+    public boolean getWholeAnswer() {
+      return wholeAnswer_;
+    }
+    /**
+     * <pre>
+     * True if the whole answer of the leaf that is named is wanted, to be passed on to a caller.
+     * </pre>
+     *
+     * <code>bool whole_answer = 19;</code>
+     * @param value The wholeAnswer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWholeAnswer(boolean value) {
+
+      wholeAnswer_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the whole answer of the leaf that is named is wanted, to be passed on to a caller.
+     * </pre>
+     *
+     * <code>bool whole_answer = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWholeAnswer() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      wholeAnswer_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageCall)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
@@ -275,4 +275,14 @@
    * @return The passedOn.
    */
   boolean getPassedOn();
+
+  /**
+   * <pre>
+   * True if the whole answer of the leaf that is named is wanted, to be passed on to a caller.
+   * </pre>
+   *
+   * <code>bool whole_answer = 19;</code>
+   * @return The wholeAnswer.
+   */
+  boolean getWholeAnswer();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResult.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResult.java
@@ -36,6 +36,10 @@
     reason_ = "";
     leafOutcome_ = "";
     notSent_ = emptyIntList();
+    headerNames_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    headerValues_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -430,6 +434,95 @@
   }
   private int notSentMemoizedSerializedSize = -1;
 
+  public static final int STATUS_CODE_FIELD_NUMBER = 8;
+  private int statusCode_ = 0;
+  /**
+   * <pre>
+   * The answer of the leaf, if the whole of it was wanted and one came; its body stands in the records.
+   * </pre>
+   *
+   * <code>int32 status_code = 8;</code>
+   * @return The statusCode.
+   */
+  @java.lang.Override
+  public int getStatusCode() {
+    return statusCode_;
+  }
+
+  public static final int HEADER_NAMES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList headerNames_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @return A list containing the headerNames.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getHeaderNamesList() {
+    return headerNames_;
+  }
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @return The count of headerNames.
+   */
+  public int getHeaderNamesCount() {
+    return headerNames_.size();
+  }
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @param index The index of the element to return.
+   * @return The headerNames at the given index.
+   */
+  public java.lang.String getHeaderNames(int index) {
+    return headerNames_.get(index);
+  }
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the headerNames at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getHeaderNamesBytes(int index) {
+    return headerNames_.getByteString(index);
+  }
+
+  public static final int HEADER_VALUES_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList headerValues_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @return A list containing the headerValues.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getHeaderValuesList() {
+    return headerValues_;
+  }
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @return The count of headerValues.
+   */
+  public int getHeaderValuesCount() {
+    return headerValues_.size();
+  }
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @param index The index of the element to return.
+   * @return The headerValues at the given index.
+   */
+  public java.lang.String getHeaderValues(int index) {
+    return headerValues_.get(index);
+  }
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the headerValues at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getHeaderValuesBytes(int index) {
+    return headerValues_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -474,6 +567,15 @@
     for (int i = 0; i < notSent_.size(); i++) {
       output.writeInt32NoTag(notSent_.getInt(i));
     }
+    if (statusCode_ != 0) {
+      output.writeInt32(8, statusCode_);
+    }
+    for (int i = 0; i < headerNames_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, headerNames_.getRaw(i));
+    }
+    for (int i = 0; i < headerValues_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 10, headerValues_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -533,6 +635,26 @@
       }
       notSentMemoizedSerializedSize = dataSize;
     }
+    if (statusCode_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(8, statusCode_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < headerNames_.size(); i++) {
+        dataSize += computeStringSizeNoTag(headerNames_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getHeaderNamesList().size();
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < headerValues_.size(); i++) {
+        dataSize += computeStringSizeNoTag(headerValues_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getHeaderValuesList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -561,6 +683,12 @@
         .equals(other.getLeafOutcome())) return false;
     if (!getNotSentList()
         .equals(other.getNotSentList())) return false;
+    if (getStatusCode()
+        != other.getStatusCode()) return false;
+    if (!getHeaderNamesList()
+        .equals(other.getHeaderNamesList())) return false;
+    if (!getHeaderValuesList()
+        .equals(other.getHeaderValuesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -592,6 +720,16 @@
       hash = (37 * hash) + NOT_SENT_FIELD_NUMBER;
       hash = (53 * hash) + getNotSentList().hashCode();
     }
+    hash = (37 * hash) + STATUS_CODE_FIELD_NUMBER;
+    hash = (53 * hash) + getStatusCode();
+    if (getHeaderNamesCount() > 0) {
+      hash = (37 * hash) + HEADER_NAMES_FIELD_NUMBER;
+      hash = (53 * hash) + getHeaderNamesList().hashCode();
+    }
+    if (getHeaderValuesCount() > 0) {
+      hash = (37 * hash) + HEADER_VALUES_FIELD_NUMBER;
+      hash = (53 * hash) + getHeaderValuesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -731,6 +869,11 @@
       reason_ = "";
       leafOutcome_ = "";
       notSent_ = emptyIntList();
+      statusCode_ = 0;
+      headerNames_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      headerValues_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -788,6 +931,17 @@
         notSent_.makeImmutable();
         result.notSent_ = notSent_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.statusCode_ = statusCode_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        headerNames_.makeImmutable();
+        result.headerNames_ = headerNames_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        headerValues_.makeImmutable();
+        result.headerValues_ = headerValues_;
+      }
     }
 
     @java.lang.Override
@@ -850,6 +1004,29 @@
         }
         onChanged();
       }
+      if (other.getStatusCode() != 0) {
+        setStatusCode(other.getStatusCode());
+      }
+      if (!other.headerNames_.isEmpty()) {
+        if (headerNames_.isEmpty()) {
+          headerNames_ = other.headerNames_;
+          bitField0_ |= 0x00000100;
+        } else {
+          ensureHeaderNamesIsMutable();
+          headerNames_.addAll(other.headerNames_);
+        }
+        onChanged();
+      }
+      if (!other.headerValues_.isEmpty()) {
+        if (headerValues_.isEmpty()) {
+          headerValues_ = other.headerValues_;
+          bitField0_ |= 0x00000200;
+        } else {
+          ensureHeaderValuesIsMutable();
+          headerValues_.addAll(other.headerValues_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -934,6 +1111,23 @@
               input.popLimit(limit);
               break;
             } // case 58
+            case 64: {
+              statusCode_ = input.readInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 74: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureHeaderNamesIsMutable();
+              headerNames_.add(s);
+              break;
+            } // case 74
+            case 82: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureHeaderValuesIsMutable();
+              headerValues_.add(s);
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1533,6 +1727,272 @@
       return this;
     }
 
+    private int statusCode_ ;
+    /**
+     * <pre>
+     * The answer of the leaf, if the whole of it was wanted and one came; its body stands in the records.
+     * </pre>
+     *
+     * <code>int32 status_code = 8;</code>
+     * @return The statusCode.
+     */
+    @java.lang.Override
+    public int getStatusCode() {
+      return statusCode_;
+    }
+    /**
+     * <pre>
+     * The answer of the leaf, if the whole of it was wanted and one came; its body stands in the records.
+     * </pre>
+     *
+     * <code>int32 status_code = 8;</code>
+     * @param value The statusCode to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatusCode(int value) {
+
+      statusCode_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The answer of the leaf, if the whole of it was wanted and one came; its body stands in the records.
+     * </pre>
+     *
+     * <code>int32 status_code = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStatusCode() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      statusCode_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList headerNames_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureHeaderNamesIsMutable() {
+      if (!headerNames_.isModifiable()) {
+        headerNames_ = new com.google.protobuf.LazyStringArrayList(headerNames_);
+      }
+      bitField0_ |= 0x00000100;
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @return A list containing the headerNames.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getHeaderNamesList() {
+      headerNames_.makeImmutable();
+      return headerNames_;
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @return The count of headerNames.
+     */
+    public int getHeaderNamesCount() {
+      return headerNames_.size();
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @param index The index of the element to return.
+     * @return The headerNames at the given index.
+     */
+    public java.lang.String getHeaderNames(int index) {
+      return headerNames_.get(index);
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the headerNames at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getHeaderNamesBytes(int index) {
+      return headerNames_.getByteString(index);
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @param index The index to set the value at.
+     * @param value The headerNames to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeaderNames(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureHeaderNamesIsMutable();
+      headerNames_.set(index, value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @param value The headerNames to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeaderNames(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureHeaderNamesIsMutable();
+      headerNames_.add(value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @param values The headerNames to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllHeaderNames(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureHeaderNamesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, headerNames_);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeaderNames() {
+      headerNames_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000100);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_names = 9;</code>
+     * @param value The bytes of the headerNames to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeaderNamesBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureHeaderNamesIsMutable();
+      headerNames_.add(value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList headerValues_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureHeaderValuesIsMutable() {
+      if (!headerValues_.isModifiable()) {
+        headerValues_ = new com.google.protobuf.LazyStringArrayList(headerValues_);
+      }
+      bitField0_ |= 0x00000200;
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @return A list containing the headerValues.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getHeaderValuesList() {
+      headerValues_.makeImmutable();
+      return headerValues_;
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @return The count of headerValues.
+     */
+    public int getHeaderValuesCount() {
+      return headerValues_.size();
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @param index The index of the element to return.
+     * @return The headerValues at the given index.
+     */
+    public java.lang.String getHeaderValues(int index) {
+      return headerValues_.get(index);
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the headerValues at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getHeaderValuesBytes(int index) {
+      return headerValues_.getByteString(index);
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @param index The index to set the value at.
+     * @param value The headerValues to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeaderValues(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureHeaderValuesIsMutable();
+      headerValues_.set(index, value);
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @param value The headerValues to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeaderValues(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureHeaderValuesIsMutable();
+      headerValues_.add(value);
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @param values The headerValues to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllHeaderValues(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureHeaderValuesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, headerValues_);
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeaderValues() {
+      headerValues_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000200);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string header_values = 10;</code>
+     * @param value The bytes of the headerValues to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeaderValuesBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureHeaderValuesIsMutable();
+      headerValues_.add(value);
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageResult)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResultOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageResultOrBuilder.java
@@ -141,4 +141,64 @@
    * @return The notSent at the given index.
    */
   int getNotSent(int index);
+
+  /**
+   * <pre>
+   * The answer of the leaf, if the whole of it was wanted and one came; its body stands in the records.
+   * </pre>
+   *
+   * <code>int32 status_code = 8;</code>
+   * @return The statusCode.
+   */
+  int getStatusCode();
+
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @return A list containing the headerNames.
+   */
+  java.util.List<java.lang.String>
+      getHeaderNamesList();
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @return The count of headerNames.
+   */
+  int getHeaderNamesCount();
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @param index The index of the element to return.
+   * @return The headerNames at the given index.
+   */
+  java.lang.String getHeaderNames(int index);
+  /**
+   * <code>repeated string header_names = 9;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the headerNames at the given index.
+   */
+  com.google.protobuf.ByteString
+      getHeaderNamesBytes(int index);
+
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @return A list containing the headerValues.
+   */
+  java.util.List<java.lang.String>
+      getHeaderValuesList();
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @return The count of headerValues.
+   */
+  int getHeaderValuesCount();
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @param index The index of the element to return.
+   * @return The headerValues at the given index.
+   */
+  java.lang.String getHeaderValues(int index);
+  /**
+   * <code>repeated string header_values = 10;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the headerValues at the given index.
+   */
+  com.google.protobuf.ByteString
+      getHeaderValuesBytes(int index);
 }
