--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReader.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReader.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
-import org.bramblerack.daemon.gateway.FleetBudget;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.document.DocumentReader;
 import org.bramblerack.process.document.Fault;
 import org.bramblerack.process.document.Fields;
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.bramblerack.connection.ConnectionShare;
-import org.bramblerack.daemon.gateway.FleetBudget;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.WindowedBudget;
 import org.bramblerack.process.leaf.Distance;
--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/SmallExperiment.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/SmallExperiment.java
@@ -2,7 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import org.bramblerack.daemon.gateway.FleetBudget;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.leaf.Mechanism;
 import org.bramblerack.process.leaf.RoutingPolicy;
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetBudget.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/FleetBudget.java
@@ -1,9 +1,8 @@
-package org.bramblerack.daemon.gateway;
+package org.bramblerack.process;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.time.Duration;
-import org.bramblerack.process.WindowedBudget;
 
 /**
  * What all hosts together may spend on extra attempts at one service within any window.
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
@@ -7,9 +7,7 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.bramblerack.wire.HardState;
 import org.bramblerack.wire.LogEntry;
@@ -39,21 +37,17 @@
     private final ElectionTimer timer;
     private final long heartbeatNanos;
     private final long electionNanos;
+    private final Replica replica;
     private final RaftLog log;
     private final FollowerTable followers;
-    private final Map<Long, Long> tokensByIndex = new TreeMap<>();
     private final ReadRounds reads = new ReadRounds();
     private final RaftMessages messages;
     private final Ballot ballot = new Ballot();
     private final VoterPolicy policy;
-    private ByteString snapshot;
     private long term;
     private String votedFor;
     private RaftRole role = RaftRole.FOLLOWER;
     private Optional<String> leader = Optional.empty();
-    private long commitIndex;
-    private long appliedIndex;
-    private long persistedIndex;
     private long leaderCommitIndex;
 
     /**
@@ -78,14 +72,10 @@
         this.timer = new ElectionTimer(timings.election().toNanos(), random, nowNanos);
         this.heartbeatNanos = timings.heartbeat().toNanos();
         this.electionNanos = timings.election().toNanos();
-        ImmutableSortedSet<String> voters = stored.snapshotVoters().isEmpty() ? firstVoters : stored.snapshotVoters();
-        this.log = new RaftLog(stored.snapshotIndex(), stored.snapshotTerm(), voters, stored.entries());
-        this.snapshot = stored.snapshot();
+        this.replica = new Replica(stored, firstVoters);
+        this.log = replica.log();
         this.term = stored.hardState().getTerm();
         this.votedFor = stored.hardState().getVotedFor();
-        this.commitIndex = stored.snapshotIndex();
-        this.appliedIndex = stored.snapshotIndex();
-        this.persistedIndex = log.lastIndex();
         this.followers = new FollowerTable(self);
     }
 
@@ -139,11 +129,10 @@
      * @return false if this voter is not the leader or has too much unacknowledged; the command was not taken
      */
     public boolean propose(long token, ByteString command) {
-        if (role != RaftRole.LEADER || log.lastIndex() - commitIndex >= MAX_UNCOMMITTED) {
+        if (role != RaftRole.LEADER || replica.uncommittedCount() >= MAX_UNCOMMITTED) {
             return false;
         }
-        appendOwn(LogEntry.newBuilder().setCommand(command));
-        tokensByIndex.put(log.lastIndex(), token);
+        replica.appendCommand(command, term, token);
         return true;
     }
 
@@ -154,10 +143,10 @@
             return actions;
         }
         boolean newRound = reads.beginRound();
-        if (log.lastIndex() == persistedIndex && !newRound) {
+        if (!replica.hasUnstored() && !newRound) {
             return actions;
         }
-        persistOwnEntries(actions);
+        replica.persistOwnEntries(actions);
         followers.sendNew(view(), newRound, nowNanos, actions);
         advanceCommit(actions);
         return actions;
@@ -170,21 +159,16 @@
      * @return false if this voter is not a leader that has committed in its term
      */
     public boolean read(long token) {
-        if (role != RaftRole.LEADER || log.termAt(commitIndex) != term) {
+        if (role != RaftRole.LEADER || !replica.hasCommittedIn(term)) {
             return false;
         }
-        reads.add(token, commitIndex);
+        reads.add(token, replica.commitIndex());
         return true;
     }
 
     /** Replaces the log up to the applied index by a snapshot of the state. */
     public List<RaftAction> compact(ByteString state) {
-        if (appliedIndex == log.snapshotIndex()) {
-            return ImmutableList.of();
-        }
-        log.compact(appliedIndex);
-        snapshot = state;
-        return ImmutableList.of(saveSnapshot());
+        return replica.compact(state, hardState());
     }
 
     /**
@@ -193,9 +177,9 @@
      */
     public boolean isInTouch(long nowNanos) {
         if (role == RaftRole.LEADER) {
-            return log.termAt(commitIndex) == term;
+            return replica.hasCommittedIn(term);
         }
-        return timer.hasHeardWithin(2, nowNanos) && appliedIndex >= leaderCommitIndex;
+        return timer.hasHeardWithin(2, nowNanos) && replica.appliedIndex() >= leaderCommitIndex;
     }
 
     /** Returns the present role. */
@@ -215,12 +199,12 @@
 
     /** Returns the index up to which entries were given out to be applied. */
     public long appliedIndex() {
-        return appliedIndex;
+        return replica.appliedIndex();
     }
 
     /** Returns how many entries were applied since the snapshot. */
     public long appliedSinceSnapshot() {
-        return appliedIndex - log.snapshotIndex();
+        return replica.appliedIndex() - log.snapshotIndex();
     }
 
     /** Returns true if this host votes. */
@@ -230,7 +214,7 @@
 
     /** Returns the voters in force. */
     public ImmutableSortedSet<String> voters() {
-        return log.voters().latest();
+        return replica.voters();
     }
 
     /** Takes the wish of a host to get the log, and to vote once it has it. A host that does not lead ignores it. */
@@ -242,22 +226,18 @@
 
     /** Makes the next single change of the voters, once the last one is agreed. */
     private void changeVotersIfDue(long nowNanos, List<RaftAction> actions) {
-        boolean settled = log.voters().lastChangeIndex() <= commitIndex && log.termAt(commitIndex) == term;
+        boolean settled = log.voters().lastChangeIndex() <= replica.commitIndex() && replica.hasCommittedIn(term);
         ImmutableSortedSet<String> before = voters();
         Optional<ImmutableSortedSet<String>> next =
-                settled ? policy.next(self, before, followers, commitIndex, nowNanos) : Optional.empty();
+                settled ? policy.next(self, before, followers, replica.commitIndex(), nowNanos) : Optional.empty();
         if (next.isEmpty()) {
             return;
         }
-        appendOwn(LogEntry.newBuilder().addAllVoters(next.get()));
+        replica.append(LogEntry.newBuilder().addAllVoters(next.get()), term);
         followers.setVoters(next.get(), log.lastIndex(), nowNanos);
         tellVoters(before, actions);
     }
 
-    private void appendOwn(LogEntry.Builder entry) {
-        log.append(entry.setTerm(term).setIndex(log.lastIndex() + 1).build());
-    }
-
     private void tellVoters(ImmutableSortedSet<String> before, List<RaftAction> actions) {
         if (!before.equals(voters())) {
             actions.add(new RaftAction.VotersChanged(voters()));
@@ -343,16 +323,15 @@
     private void becomeLeader(long nowNanos, List<RaftAction> actions) {
         changeRole(RaftRole.LEADER, Optional.of(self), actions);
         followers.reset(voters(), log.lastIndex() + 1, nowNanos);
-        appendOwn(LogEntry.newBuilder());
+        replica.append(LogEntry.newBuilder(), term);
         actions.addAll(flush(nowNanos));
     }
 
     private void becomeFollower(long newTerm, Optional<String> newLeader, long nowNanos, List<RaftAction> actions) {
         if (role == RaftRole.LEADER) {
-            tokensByIndex.values().forEach(token -> actions.add(new RaftAction.ProposalLost(token)));
-            tokensByIndex.clear();
+            replica.loseProposals(actions);
             reads.failAll(actions);
-            persistOwnEntries(actions);
+            replica.persistOwnEntries(actions);
             timer.restart(nowNanos);
         }
         if (newTerm > term) {
@@ -379,20 +358,12 @@
             actions.add(messages.appendReply(request, term, false, Math.min(previous - 1, log.lastIndex())));
             return;
         }
-        appendFrom(request, actions);
-        long match = previous + request.getEntriesCount();
-        commitTo(Math.min(request.getCommitIndex(), match), actions);
-        actions.add(messages.appendReply(request, term, true, match));
-    }
-
-    private void appendFrom(RaftMessage request, List<RaftAction> actions) {
         ImmutableSortedSet<String> before = voters();
-        RaftLog.Merge merge = log.merge(request.getEntriesList(), commitIndex);
-        if (!merge.added().isEmpty()) {
-            actions.add(new RaftAction.Persist(Optional.empty(), merge.truncatedFrom(), merge.added()));
-        }
-        persistedIndex = log.lastIndex();
+        replica.merge(request.getEntriesList(), actions);
         tellVoters(before, actions);
+        long match = previous + request.getEntriesCount();
+        replica.commitTo(Math.min(request.getCommitIndex(), match), actions);
+        actions.add(messages.appendReply(request, term, true, match));
     }
 
     private void takeSnapshot(RaftMessage request, long nowNanos, List<RaftAction> actions) {
@@ -400,19 +371,10 @@
             return;
         }
         hearLeader(request.getFrom(), nowNanos, actions);
-        if (request.getLastIndex() > commitIndex) {
+        if (request.getLastIndex() > replica.commitIndex()) {
             ImmutableSortedSet<String> before = voters();
-            log.reset(
-                    request.getLastIndex(),
-                    request.getLastTerm(),
-                    ImmutableSortedSet.copyOf(request.getSnapshotVotersList()));
+            replica.restore(request, hardState(), actions);
             tellVoters(before, actions);
-            snapshot = request.getSnapshot();
-            commitIndex = request.getLastIndex();
-            appliedIndex = request.getLastIndex();
-            persistedIndex = log.lastIndex();
-            actions.add(saveSnapshot());
-            actions.add(new RaftAction.RestoreSnapshot(snapshot));
         }
         actions.add(messages.snapshotReply(request, term));
     }
@@ -429,36 +391,19 @@
     private FollowerTable.LeaderView view() {
         return new FollowerTable.LeaderView(
                 term,
-                commitIndex,
+                replica.commitIndex(),
                 reads.currentRound(),
                 log,
-                snapshot,
+                replica.snapshot(),
                 log.voters().at(log.snapshotIndex()));
     }
 
-    private void persistOwnEntries(List<RaftAction> actions) {
-        if (log.lastIndex() > persistedIndex) {
-            ImmutableList<LogEntry> entries = log.from(persistedIndex + 1, Integer.MAX_VALUE);
-            actions.add(new RaftAction.Persist(Optional.empty(), Optional.empty(), entries));
-            persistedIndex = log.lastIndex();
-        }
-    }
-
     private void advanceCommit(List<RaftAction> actions) {
-        long candidate = followers.quorumMatch(persistedIndex);
-        if (candidate > commitIndex && log.termAt(candidate) == term) {
-            commitTo(candidate, actions);
-        }
-        reads.confirm(followers.quorumRound(reads.currentRound()), appliedIndex, actions);
-    }
-
-    private void commitTo(long index, List<RaftAction> actions) {
-        commitIndex = Math.max(commitIndex, index);
-        while (appliedIndex < commitIndex) {
-            appliedIndex++;
-            Optional<Long> token = Optional.ofNullable(tokensByIndex.remove(appliedIndex));
-            actions.add(new RaftAction.Apply(log.entryAt(appliedIndex), token));
+        long candidate = followers.quorumMatch(replica.persistedIndex());
+        if (candidate > replica.commitIndex() && log.termAt(candidate) == term) {
+            replica.commitTo(candidate, actions);
         }
+        reads.confirm(followers.quorumRound(reads.currentRound()), replica.appliedIndex(), actions);
     }
 
     private void hearLeader(String from, long nowNanos, List<RaftAction> actions) {
@@ -482,18 +427,6 @@
         return new RaftAction.Persist(Optional.of(hardState()), Optional.empty(), ImmutableList.of());
     }
 
-    private RaftAction saveSnapshot() {
-        ImmutableList<LogEntry> suffix = log.from(log.snapshotIndex() + 1, Integer.MAX_VALUE);
-        persistedIndex = log.lastIndex();
-        return new RaftAction.SaveSnapshot(
-                log.snapshotIndex(),
-                log.termAt(log.snapshotIndex()),
-                snapshot,
-                log.voters().at(log.snapshotIndex()),
-                hardState(),
-                suffix);
-    }
-
     private HardState hardState() {
         return HardState.newBuilder().setTerm(term).setVotedFor(votedFor).build();
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/Query.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/Query.java
@@ -264,12 +264,7 @@
         long lateNanos = tables.latency().lateNanos();
         List<Attempt> late = new ArrayList<>();
         for (ShardState shard : shards) {
-            if (!shard.finished && shard.attempts.size() == 1) {
-                Attempt only = shard.attempts.get(0);
-                if (!only.finished && nowNanos - only.hedgeDueNanos(lateNanos) >= 0) {
-                    late.add(only);
-                }
-            }
+            shard.lateAttempt(lateNanos, nowNanos).ifPresent(late::add);
         }
         late.forEach(attempt -> attempt.hedgeNotBeforeNanos = nowNanos + lateNanos / 2);
         if (late.size() >= LEAST_LATE_TO_SUSPECT && late.size() * SLOW_SERVICE_DIVISOR > shards.length) {
@@ -369,14 +364,7 @@
         long next = spec.deadlineNanos();
         long lateNanos = tables.latency().lateNanos();
         for (ShardState shard : shards) {
-            if (shard.finished) {
-                continue;
-            }
-            if (shard.retryDue) {
-                next = earlier(next, shard.retryAtNanos);
-            } else if (shard.attempts.size() == 1) {
-                next = earlier(next, shard.attempts.get(0).hedgeDueNanos(lateNanos));
-            }
+            next = earlier(next, shard.nextLookNanos(lateNanos).orElse(next));
         }
         next = nowNanos - next > 0 ? nowNanos : next;
         if (armedWakeNanos == Long.MAX_VALUE || next - armedWakeNanos < 0) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/ShardState.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/ShardState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.bramblerack.version.UpstreamName;
 
 /** How far a query has come with one shard. Guarded by the query's lock. */
@@ -42,4 +43,23 @@
     boolean isVersionGone() {
         return !attempts.isEmpty() && attempts.stream().allMatch(Attempt::foundVersionGone);
     }
+
+    /** Returns the only attempt if it counts as late. */
+    Optional<Attempt> lateAttempt(long lateNanos, long nowNanos) {
+        return onlyAttempt()
+                .filter(only -> !finished && !only.finished)
+                .filter(only -> nowNanos - only.hedgeDueNanos(lateNanos) >= 0);
+    }
+
+    /** Returns when to look at the shard again, if time alone can change anything about it. */
+    Optional<Long> nextLookNanos(long lateNanos) {
+        if (finished) {
+            return Optional.empty();
+        }
+        return retryDue ? Optional.of(retryAtNanos) : onlyAttempt().map(only -> only.hedgeDueNanos(lateNanos));
+    }
+
+    private Optional<Attempt> onlyAttempt() {
+        return attempts.size() == 1 ? Optional.of(attempts.get(0)) : Optional.empty();
+    }
 }
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -0,0 +1,135 @@
+package org.bramblerack.request.routed;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.bramblerack.process.leaf.LeafPool;
+
+/**
+ * The shards of one query and how each of them stands, by number.
+ *
+ * <p>Invariant: the shards stay the same as long as the query lives. Not safe for use by several threads.
+ */
+final class QueryShards implements Iterable<ShardRequest> {
+    private final ShardRequest[] shards;
+
+    /**
+     * Creates shards of which none was asked.
+     *
+     * @param pools the leafs of each shard, in the order of the shards
+     */
+    QueryShards(ImmutableList<LeafPool> pools, RequestBounds bounds, boolean hedged, RandomGenerator random) {
+        shards = new ShardRequest[pools.size()];
+        for (int shard = 0; shard < shards.length; shard++) {
+            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, hedged, random);
+        }
+    }
+
+    @Override
+    public Iterator<ShardRequest> iterator() {
+        return Arrays.asList(shards).iterator();
+    }
+
+    ShardRequest get(int shard) {
+        return shards[shard];
+    }
+
+    int count() {
+        return shards.length;
+    }
+
+    /** Returns the number of a shard of this query. */
+    int numberOf(ShardRequest wanted) {
+        for (int shard = 0; shard < shards.length; shard++) {
+            if (shards[shard] == wanted) {
+                return shard;
+            }
+        }
+        throw new IllegalStateException("an attempt of another query");
+    }
+
+    /** Returns how many may still bring an answer. */
+    int waitingCount() {
+        return count(shard -> !shard.isFinished());
+    }
+
+    /** Returns at how many a second leaf would be asked now if nothing spoke against it. */
+    int lateCount(long nowNanos) {
+        return count(shard -> shard.isHedgeDue(nowNanos));
+    }
+
+    /** Returns the numbers of the shards at which more than one leaf was asked. */
+    ImmutableList<Integer> askedTwice() {
+        return numbers(ShardRequest::wasAskedTwice);
+    }
+
+    /** Returns the numbers of the shards that no leaf can have seen the query of. */
+    ImmutableList<Integer> notSent() {
+        return numbers(shard -> !shard.wasSent());
+    }
+
+    /**
+     * Returns why a query that brought too little is refused.
+     *
+     * @param deadlineCome true if its time is up
+     */
+    RefusalReason refusalReason(boolean deadlineCome) {
+        if (count(ShardRequest::isNotRun) == shards.length) {
+            return count(ShardRequest::wasAsked) > 0 ? RefusalReason.ALL_BUSY : RefusalReason.NO_LEAF;
+        }
+        return deadlineCome ? RefusalReason.TIME_UP : RefusalReason.TOO_FEW_SHARDS;
+    }
+
+    /** Returns the earlier of a moment and the first at which a shard wants to be woken. */
+    long earliestWakeNanos(long latestNanos) {
+        long next = latestNanos;
+        for (ShardRequest shard : shards) {
+            Optional<Long> wake = shard.nextWakeNanos();
+            if (wake.isPresent() && wake.get() - next < 0) {
+                next = wake.get();
+            }
+        }
+        return next;
+    }
+
+    /** Ends all of them and gives up the attempts under way. */
+    void finish(List<RoutedAction> actions) {
+        for (ShardRequest shard : shards) {
+            shard.finish(actions);
+        }
+    }
+
+    /** Returns in words how the shards stand that are not present, for a log line. */
+    String describeWithout(ImmutableSet<Integer> present, long nowNanos) {
+        StringBuilder text = new StringBuilder();
+        for (int shard = 0; shard < shards.length; shard++) {
+            if (!present.contains(shard)) {
+                text.append(text.length() == 0 ? "" : "; ").append(shards[shard].describe(nowNanos));
+            }
+        }
+        return text.toString();
+    }
+
+    private int count(Predicate<ShardRequest> wanted) {
+        int count = 0;
+        for (ShardRequest shard : shards) {
+            count += wanted.test(shard) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private ImmutableList<Integer> numbers(Predicate<ShardRequest> wanted) {
+        ImmutableList.Builder<Integer> numbers = ImmutableList.builder();
+        for (int shard = 0; shard < shards.length; shard++) {
+            if (wanted.test(shards[shard])) {
+                numbers.add(shard);
+            }
+        }
+        return numbers.build();
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -1,7 +1,6 @@
 package org.bramblerack.request.routed;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -41,7 +40,7 @@
 
     private final RouteTarget.Scatter target;
     private final RequestBounds bounds;
-    private final ShardRequest[] shards;
+    private final QueryShards shards;
     private final QueryStages stages;
     private final GatheredParts parts;
     private final Delivery delivery;
@@ -83,18 +82,15 @@
         this.delivery = delivery;
         this.context = context;
         this.parts = new GatheredParts(target.topRecords(), pools.size());
-        this.shards = new ShardRequest[pools.size()];
-        for (int shard = 0; shard < shards.length; shard++) {
-            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, context.uses(Mechanism.HEDGES), random);
-        }
+        this.shards = new QueryShards(pools, bounds, context.uses(Mechanism.HEDGES), random);
     }
 
     /** Begins: one attempt on every shard, here or by another host. */
     public List<RoutedAction> start(long nowNanos) {
-        List<RoutedAction> actions = new ArrayList<>(2 * shards.length + 1);
+        List<RoutedAction> actions = new ArrayList<>(2 * shards.count() + 1);
         startedNanos = nowNanos;
         for (StageAttempt stage : stages.all()) {
-            stage.shards().forEach(shard -> shards[shard].delegate());
+            stage.shards().forEach(shard -> shards.get(shard).delegate());
         }
         stages.ask(actions);
         for (ShardRequest shard : shards) {
@@ -115,7 +111,7 @@
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
         }
-        if (!parts.add(indexOf(shard), reply)) {
+        if (!parts.add(shards.numberOf(shard), reply)) {
             return failed(attempt, LeafOutcome.GARBLED, nowNanos);
         }
         shard.answered(attempt, actions);
@@ -158,12 +154,12 @@
         take(stage, reply);
         reply.notSent().stream()
                 .filter(shard -> stage.shards().contains(shard))
-                .forEach(shard -> shards[shard].takeBack(true, nowNanos, actions));
+                .forEach(shard -> shards.get(shard).takeBack(true, nowNanos, actions));
         boolean inTime = nowNanos + bounds.expectedNanos() - bounds.goalNanos() < 0;
         if (inTime || !isEnough()) {
             takeBack(stage, false, nowNanos, actions);
         } else {
-            stage.shards().forEach(shard -> shards[shard].finish(actions));
+            stage.shards().forEach(shard -> shards.get(shard).finish(actions));
         }
         decide(nowNanos, actions);
         return actions;
@@ -174,7 +170,7 @@
         stage.hear();
         for (int shard : askedTwice) {
             if (stage.shards().contains(shard)) {
-                shards[shard].delegateAskedTwice();
+                shards.get(shard).delegateAskedTwice();
             }
         }
     }
@@ -206,8 +202,8 @@
         closeAtGoal(nowNanos, actions);
         long lagNanos = context.lagNanos(nowNanos);
         for (StageAttempt stage : stages.abandonSilent(nowNanos - lagNanos - startedNanos, actions)) {
-            stage.shards().forEach(shard -> shards[shard].backUp(nowNanos, actions));
-            if (stage.shards().stream().noneMatch(shard -> shards[shard].isAwaitedElsewhere())) {
+            stage.shards().forEach(shard -> shards.get(shard).backUp(nowNanos, actions));
+            if (stage.shards().stream().noneMatch(shard -> shards.get(shard).isAwaitedElsewhere())) {
                 // A host that begins late would ask second and third leafs of shards that are asked here by now.
                 stage.finish();
                 actions.add(new RoutedAction.GiveUpStage(stage));
@@ -244,30 +240,17 @@
 
     /** Returns the numbers of the shards at which more than one leaf was asked. */
     public ImmutableList<Integer> askedTwice() {
-        ImmutableList.Builder<Integer> numbers = ImmutableList.builder();
-        for (int shard = 0; shard < shards.length; shard++) {
-            if (shards[shard].wasAskedTwice()) {
-                numbers.add(shard);
-            }
-        }
-        return numbers.build();
+        return shards.askedTwice();
     }
 
     /** Returns how many shards are not in. */
     public int shardsMissing() {
-        return shards.length - parts.count();
+        return shards.count() - parts.count();
     }
 
     /** Returns in words which shards are not in and why, for a log line. */
     public String describeMissing(long nowNanos) {
-        StringBuilder text = new StringBuilder();
-        ImmutableSet<Integer> present = parts.shards();
-        for (int shard = 0; shard < shards.length; shard++) {
-            if (!present.contains(shard)) {
-                text.append(text.length() == 0 ? "" : "; ").append(shards[shard].describe(nowNanos));
-            }
-        }
-        return text.append(stages.describe()).toString();
+        return shards.describeWithout(parts.shards(), nowNanos) + stages.describe();
     }
 
     /** Returns why no late shard should be hedged now, if there is a reason that holds for all of them. */
@@ -275,27 +258,24 @@
         if (lagNanos > bounds.hedgeDelayNanos() / LAG_DIVISOR) {
             return Optional.of(AttemptCounter.HEDGE_DENIED_HOST_LAG);
         }
-        int late = 0;
-        for (ShardRequest shard : shards) {
-            late += shard.isHedgeDue(nowNanos) ? 1 : 0;
-        }
-        boolean slowService = late > Math.max(LEAST_LATE_TO_SUSPECT, shards.length / SLOW_SERVICE_DIVISOR);
+        boolean slowService =
+                shards.lateCount(nowNanos) > Math.max(LEAST_LATE_TO_SUSPECT, shards.count() / SLOW_SERVICE_DIVISOR);
         return slowService ? Optional.of(AttemptCounter.HEDGE_DENIED_SLOW_SERVICE) : Optional.empty();
     }
 
     private void decide(long nowNanos, List<RoutedAction> actions) {
-        boolean nothingToWaitFor = waitingCount() == 0 || !canBeEnough();
+        boolean nothingToWaitFor = shards.waitingCount() == 0 || !canBeEnough();
         boolean deadlineCome = nowNanos - bounds.deadlineNanos() >= 0;
         boolean goalCome = nowNanos - bounds.goalNanos() >= 0;
         boolean finished = nothingToWaitFor || deadlineCome;
         if (isEnough() && (finished || (goalCome && delivery == Delivery.AT_ONCE))) {
-            ImmutableList<Integer> notSent = notSent();
+            ImmutableList<Integer> notSent = shards.notSent();
             end(actions);
             actions.add(new RoutedAction.DeliverMerged(parts.takeNew(notSent)));
             return;
         }
         if (finished) {
-            RefusalReason reason = refusalReason(deadlineCome);
+            RefusalReason reason = shards.refusalReason(deadlineCome);
             end(actions);
             actions.add(new RoutedAction.Refuse(reason));
             return;
@@ -318,7 +298,7 @@
     /** Adds what another host gathered, if it fits; otherwise its shards stay as they are. */
     private void take(StageAttempt stage, StageReply reply) {
         if (fits(stage, reply)) {
-            reply.shards().forEach(shard -> shards[shard].answeredElsewhere());
+            reply.shards().forEach(shard -> shards.get(shard).answeredElsewhere());
             parts.addAll(reply);
         }
     }
@@ -328,7 +308,9 @@
         Set<Integer> seen = new HashSet<>();
         for (int position = 0; position < reply.shards().size(); position++) {
             int shard = reply.shards().get(position);
-            boolean open = stage.shards().contains(shard) && seen.add(shard) && !shards[shard].isFinished();
+            boolean open = stage.shards().contains(shard)
+                    && seen.add(shard)
+                    && !shards.get(shard).isFinished();
             if (!open) {
                 return false;
             }
@@ -338,77 +320,29 @@
 
     private void takeBack(StageAttempt stage, boolean notRun, long nowNanos, List<RoutedAction> actions) {
         for (int shard : stage.shards()) {
-            shards[shard].takeBack(notRun, nowNanos, actions);
+            shards.get(shard).takeBack(notRun, nowNanos, actions);
         }
     }
 
-    private int indexOf(ShardRequest wanted) {
-        for (int shard = 0; shard < shards.length; shard++) {
-            if (shards[shard] == wanted) {
-                return shard;
-            }
-        }
-        throw new IllegalStateException("an attempt of another query");
-    }
-
-    private RefusalReason refusalReason(boolean deadlineCome) {
-        boolean asked = false;
-        boolean notRun = true;
-        for (ShardRequest shard : shards) {
-            asked |= shard.wasAsked();
-            notRun &= shard.isNotRun();
-        }
-        if (notRun) {
-            return asked ? RefusalReason.ALL_BUSY : RefusalReason.NO_LEAF;
-        }
-        return deadlineCome ? RefusalReason.TIME_UP : RefusalReason.TOO_FEW_SHARDS;
-    }
-
     private boolean isEnough() {
-        return parts.count() > 0 && parts.count() >= target.leastShare() * shards.length;
+        return parts.count() > 0 && parts.count() >= target.leastShare() * shards.count();
     }
 
     /** Returns false once so many shards are lost that there will be no answer, whatever the others bring. */
     private boolean canBeEnough() {
         return !context.uses(Mechanism.EARLY_END)
-                || parts.count() + waitingCount() >= target.leastShare() * shards.length;
-    }
-
-    private ImmutableList<Integer> notSent() {
-        ImmutableList.Builder<Integer> numbers = ImmutableList.builder();
-        for (int shard = 0; shard < shards.length; shard++) {
-            if (!shards[shard].wasSent()) {
-                numbers.add(shard);
-            }
-        }
-        return numbers.build();
-    }
-
-    private int waitingCount() {
-        int waiting = 0;
-        for (ShardRequest shard : shards) {
-            waiting += shard.isFinished() ? 0 : 1;
-        }
-        return waiting;
+                || parts.count() + shards.waitingCount() >= target.leastShare() * shards.count();
     }
 
     private void end(List<RoutedAction> actions) {
         over = true;
-        for (ShardRequest shard : shards) {
-            shard.finish(actions);
-        }
+        shards.finish(actions);
         stages.giveUp(actions);
     }
 
     private void armWake(long nowNanos, List<RoutedAction> actions) {
         boolean goalAhead = nowNanos - bounds.goalNanos() < 0;
-        long next = goalAhead ? bounds.goalNanos() : bounds.deadlineNanos();
-        for (ShardRequest shard : shards) {
-            Optional<Long> wake = shard.nextWakeNanos();
-            if (wake.isPresent() && wake.get() - next < 0) {
-                next = wake.get();
-            }
-        }
+        long next = shards.earliestWakeNanos(goalAhead ? bounds.goalNanos() : bounds.deadlineNanos());
         Optional<Long> silence = stages.nextSilenceNanos(startedNanos, nowNanos);
         if (silence.isPresent() && silence.get() - next < 0) {
             next = silence.get();
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetBudgetTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/FleetBudgetTest.java
@@ -1,4 +1,4 @@
-package org.bramblerack.daemon.gateway;
+package org.bramblerack.process;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import org.bramblerack.process.WindowedBudget;
 import org.junit.jupiter.api.Test;
 
 /** All hosts together stay within the budget of the fleet, whatever they would like to spend. */
--- a/bramblerack-core/src/test/java/org/bramblerack/process/agreement/AgreementWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/AgreementWorld.java
@@ -15,8 +15,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import org.bramblerack.wire.ApplyDeclaration;
-import org.bramblerack.wire.ClaimRequest;
 import org.bramblerack.wire.Command;
 import org.bramblerack.wire.CommandResult;
 import org.bramblerack.wire.ControlSnapshot;
@@ -43,7 +41,6 @@
     private static final int MAX_MESSAGES = 60;
     private static final int REORDERED = 8;
     private static final int CRASH_SPARSENESS = 40;
-    private static final int CLAIMED_REQUESTS = 3;
 
     private final ImmutableSortedSet<String> firstNames;
     private final List<String> names;
@@ -165,7 +162,7 @@
                         .that(voter.node.appliedIndex())
                         .isAtLeast((long) agreed.size()));
         Set<Long> present = new HashSet<>();
-        agreed.forEach(entry -> present.add(tokenOf(entry)));
+        agreed.forEach(entry -> present.add(TestCommand.tokenOf(entry)));
         assertWithMessage("answered and lost").that(present).containsAtLeastElementsIn(answered);
         assertWithMessage("states differ")
                 .that(voters.values().stream()
@@ -196,17 +193,6 @@
         return requireNonNull(voters.get(name));
     }
 
-    private static long tokenOf(LogEntry entry) {
-        try {
-            Command command = Command.parseFrom(entry.getCommand());
-            return command.hasClaim()
-                    ? Long.parseLong(command.getClaim().getAttempt())
-                    : Long.parseLong("0" + command.getApplyDeclaration().getChangeId());
-        } catch (InvalidProtocolBufferException impossible) {
-            throw new AssertionError(impossible);
-        }
-    }
-
     /** Thrown inside a voter to stop it between two of its actions. */
     private static final class Crash extends RuntimeException {
         private static final long serialVersionUID = 1L;
@@ -278,23 +264,7 @@
 
         void propose(int choice) {
             long token = nextToken++;
-            Command command = choice % 2 == 0
-                    ? Command.newBuilder()
-                            .setApplyDeclaration(ApplyDeclaration.newBuilder()
-                                    .setPartner("p")
-                                    .setChangeId(Long.toString(token))
-                                    .setExpectedRevision(state.revision())
-                                    .setText("text " + token))
-                            .build()
-                    : Command.newBuilder()
-                            .setClaim(ClaimRequest.newBuilder()
-                                    .setService("s")
-                                    .setRequestId("r" + choice % CLAIMED_REQUESTS)
-                                    .setAttempt(Long.toString(token))
-                                    .setAtMillis(1)
-                                    .setRetentionMillis(1_000_000))
-                            .build();
-            node.propose(token, command.toByteString());
+            node.propose(token, TestCommand.of(choice, token, state.revision()).toByteString());
         }
 
         void read() {
@@ -381,7 +351,7 @@
             Integer before = readsAsked.remove(token);
             if (before != null) {
                 long commands = agreed.subList(0, (int) node.appliedIndex()).stream()
-                        .filter(entry -> answered.contains(tokenOf(entry)))
+                        .filter(entry -> answered.contains(TestCommand.tokenOf(entry)))
                         .count();
                 assertWithMessage("answers missing from a read").that(commands).isAtLeast((long) before);
             }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedWorld.java
@@ -1,5 +1,6 @@
 package org.bramblerack.request.routed;
 
+import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,6 +14,7 @@
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.version.routing.RouteTarget;
 
 /** Leafs by name and a record of what a request wanted done. */
 final class RoutedWorld {
@@ -101,4 +103,42 @@
     int answers() {
         return delivered.size() + passed.size() + refused.size();
     }
+
+    /** Returns the target of a query over all services. */
+    RouteTarget.Scatter target(double leastShare) {
+        return new RouteTarget.Scatter(ImmutableList.copyOf(pools.keySet()), 5, leastShare);
+    }
+
+    ImmutableList<LeafPool> pools() {
+        return ImmutableList.copyOf(pools.values());
+    }
+
+    /** Spends the whole budget of every service. */
+    void spendDeposits() {
+        for (LeafPool pool : pools.values()) {
+            while (pool.budget().tryWithdraw(0)) {
+                // Until nothing is left.
+            }
+        }
+    }
+
+    /** Answers everything that was asked so far, with a signature by the shard's number. */
+    void answerAll(ScatterQuery query, long nowNanos) {
+        for (Attempt attempt : ImmutableList.copyOf(asked)) {
+            String service = attempt.leaf().service();
+            answer(query, attempt, "sig" + service.substring(1), nowNanos);
+        }
+    }
+
+    /** Brings the answer of one attempt. */
+    void answer(ScatterQuery query, Attempt attempt, String signature, long nowNanos) {
+        end(attempt, LeafOutcome.SUCCEEDED, nowNanos);
+        carryOut(query.answered(attempt, part(signature, 1), nowNanos), nowNanos);
+    }
+
+    /** Ends one attempt without an answer. */
+    void fail(ScatterQuery query, Attempt attempt, LeafOutcome outcome, long nowNanos) {
+        end(attempt, outcome, nowNanos);
+        carryOut(query.failed(attempt, outcome, nowNanos), nowNanos);
+    }
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -3,17 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
-import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
-import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.process.leaf.RoutingContext;
-import org.bramblerack.version.routing.RouteTarget;
 import org.junit.jupiter.api.Test;
 
 final class ScatterQueryTest {
@@ -26,7 +22,7 @@
         ScatterQuery query = query(3, 2, 0, 0.5);
         world.carryOut(query.start(0), 0);
         assertThat(world.asked).hasSize(3);
-        answerAll(query, MILLI);
+        world.answerAll(query, MILLI);
         assertThat(world.delivered).hasSize(1);
         assertThat(world.delivered.get(0).missing()).isEqualTo(0);
         assertThat(world.delivered.get(0).signatures()).containsExactly("sig0", "sig1", "sig2");
@@ -41,8 +37,8 @@
         world.carryOut(query.wake(RoutedWorld.HEDGE_NANOS), RoutedWorld.HEDGE_NANOS);
         assertThat(world.asked).hasSize(2);
         assertThat(world.asked.get(1).leaf()).isNotEqualTo(world.asked.get(0).leaf());
-        answer(query, world.asked.get(1), "hedge", 50 * MILLI);
-        answer(query, world.asked.get(0), "first", 60 * MILLI);
+        world.answer(query, world.asked.get(1), "hedge", 50 * MILLI);
+        world.answer(query, world.asked.get(0), "first", 60 * MILLI);
         assertThat(world.delivered).hasSize(1);
         assertThat(world.delivered.get(0).signatures()).containsExactly("hedge");
         assertThat(world.counts).contains(AttemptCounter.LATE_ANSWER);
@@ -89,7 +85,7 @@
         spendOne();
         world.carryOut(query.wake(RoutedWorld.HEDGE_NANOS), RoutedWorld.HEDGE_NANOS);
         assertThat(world.counts).contains(AttemptCounter.HEDGE_DENIED_BUDGET);
-        fail(query, world.asked.get(0), LeafOutcome.BROKEN, 50 * MILLI);
+        world.fail(query, world.asked.get(0), LeafOutcome.BROKEN, 50 * MILLI);
         assertThat(world.counts).contains(AttemptCounter.RETRY);
     }
 
@@ -98,7 +94,7 @@
         ScatterQuery query = query(4, 1, 0, 0.75);
         world.carryOut(query.start(0), 0);
         for (int shard = 0; shard < 3; shard++) {
-            answer(query, world.asked.get(shard), "sig" + shard, MILLI);
+            world.answer(query, world.asked.get(shard), "sig" + shard, MILLI);
         }
         world.carryOut(query.wake(RoutedWorld.GOAL_NANOS), RoutedWorld.GOAL_NANOS);
         assertThat(world.givenUp).containsExactly(world.asked.get(3));
@@ -108,10 +104,10 @@
     void aQueryThatCannotBeEnoughAnyMoreEndsAtOnceAndStopsItsCalls() {
         ScatterQuery query = query(4, 2, 0, 0.75);
         world.carryOut(query.start(0), 0);
-        answer(query, world.asked.get(0), "sig0", MILLI);
-        fail(query, world.asked.get(1), LeafOutcome.FAILED, 2 * MILLI);
+        world.answer(query, world.asked.get(0), "sig0", MILLI);
+        world.fail(query, world.asked.get(1), LeafOutcome.FAILED, 2 * MILLI);
         assertThat(world.answers()).isEqualTo(0);
-        fail(query, world.asked.get(2), LeafOutcome.FAILED, 3 * MILLI);
+        world.fail(query, world.asked.get(2), LeafOutcome.FAILED, 3 * MILLI);
         assertThat(world.refused).containsExactly(RefusalReason.TOO_FEW_SHARDS);
         assertThat(world.givenUp).containsExactly(world.asked.get(3));
         assertThat(query.isOver()).isTrue();
@@ -140,9 +136,9 @@
     @Test
     void noHedgeWithoutBudget() {
         ScatterQuery query = query(1, 2, 0, 1);
-        spendDeposits();
+        world.spendDeposits();
         world.carryOut(query.start(0), 0);
-        spendDeposits();
+        world.spendDeposits();
         world.carryOut(query.wake(RoutedWorld.HEDGE_NANOS), RoutedWorld.HEDGE_NANOS);
         assertThat(world.asked).hasSize(1);
         assertThat(world.counts).contains(AttemptCounter.HEDGE_DENIED_BUDGET);
@@ -153,8 +149,8 @@
         ScatterQuery query = query(1, 5, 10, 1);
         world.carryOut(query.start(0), 0);
         world.carryOut(query.wake(RoutedWorld.HEDGE_NANOS), RoutedWorld.HEDGE_NANOS);
-        fail(query, world.asked.get(0), LeafOutcome.BROKEN, 50 * MILLI);
-        fail(query, world.asked.get(1), LeafOutcome.BROKEN, 51 * MILLI);
+        world.fail(query, world.asked.get(0), LeafOutcome.BROKEN, 50 * MILLI);
+        world.fail(query, world.asked.get(1), LeafOutcome.BROKEN, 51 * MILLI);
         assertThat(world.asked).hasSize(2);
         assertThat(world.refused).containsExactly(RefusalReason.TOO_FEW_SHARDS);
     }
@@ -164,7 +160,7 @@
         ScatterQuery query = query(4, 1, 0, 0.75);
         world.carryOut(query.start(0), 0);
         for (int shard = 0; shard < 3; shard++) {
-            answer(query, world.asked.get(shard), "sig" + shard, MILLI);
+            world.answer(query, world.asked.get(shard), "sig" + shard, MILLI);
         }
         world.carryOut(query.wake(RoutedWorld.GOAL_NANOS - 1), RoutedWorld.GOAL_NANOS - 1);
         assertThat(world.delivered).isEmpty();
@@ -177,11 +173,11 @@
     void afterTheGoalTheAnswerLeavesAsSoonAsItIsEnough() {
         ScatterQuery query = query(4, 1, 0, 0.75);
         world.carryOut(query.start(0), 0);
-        answer(query, world.asked.get(0), "sig0", MILLI);
-        answer(query, world.asked.get(1), "sig1", MILLI);
+        world.answer(query, world.asked.get(0), "sig0", MILLI);
+        world.answer(query, world.asked.get(1), "sig1", MILLI);
         world.carryOut(query.wake(RoutedWorld.GOAL_NANOS), RoutedWorld.GOAL_NANOS);
         assertThat(world.answers()).isEqualTo(0);
-        answer(query, world.asked.get(2), "sig2", RoutedWorld.GOAL_NANOS + MILLI);
+        world.answer(query, world.asked.get(2), "sig2", RoutedWorld.GOAL_NANOS + MILLI);
         assertThat(world.delivered).hasSize(1);
     }
 
@@ -189,7 +185,7 @@
     void theDeadlineRefusesWhatIsTooLittle() {
         ScatterQuery query = query(4, 1, 0, 0.75);
         world.carryOut(query.start(0), 0);
-        answer(query, world.asked.get(0), "sig0", MILLI);
+        world.answer(query, world.asked.get(0), "sig0", MILLI);
         world.carryOut(query.wake(RoutedWorld.DEADLINE_NANOS), RoutedWorld.DEADLINE_NANOS);
         assertThat(world.refused).containsExactly(RefusalReason.TIME_UP);
     }
@@ -199,7 +195,7 @@
         world.service("empty", 0, 0);
         ScatterQuery query = query(3, 1, 0, 0.5);
         world.carryOut(query.start(0), 0);
-        answerAll(query, MILLI);
+        world.answerAll(query, MILLI);
         assertThat(world.delivered).hasSize(1);
         assertThat(world.delivered.get(0).missing()).isEqualTo(1);
     }
@@ -215,8 +211,8 @@
     void aSignatureThatCameTwiceIsNoPart() {
         ScatterQuery query = query(2, 1, 0, 0.5);
         world.carryOut(query.start(0), 0);
-        answer(query, world.asked.get(0), "same", MILLI);
-        answer(query, world.asked.get(1), "same", MILLI);
+        world.answer(query, world.asked.get(0), "same", MILLI);
+        world.answer(query, world.asked.get(1), "same", MILLI);
         world.carryOut(query.wake(RoutedWorld.GOAL_NANOS), RoutedWorld.GOAL_NANOS);
         assertThat(world.delivered).hasSize(1);
         assertThat(world.delivered.get(0).signatures()).containsExactly("same");
@@ -228,87 +224,11 @@
         ScatterQuery query = query(2, 1, 0, 0.5);
         world.carryOut(query.start(0), 0);
         query.callerGone();
-        answerAll(query, MILLI);
+        world.answerAll(query, MILLI);
         world.carryOut(query.wake(RoutedWorld.DEADLINE_NANOS), RoutedWorld.DEADLINE_NANOS);
         assertThat(world.answers()).isEqualTo(0);
     }
 
-    @Test
-    void theReplyOfAnotherHostIsMergedWithThePartsOfThisOne() {
-        ScatterQuery query = staged(4, 0, 2, 3);
-        world.carryOut(query.start(0), 0);
-        assertThat(world.asked).hasSize(2);
-        answer(query, world.asked.get(0), "sig0", MILLI);
-        answer(query, world.asked.get(1), "sig1", MILLI);
-        world.carryOut(query.stageAnswered(world.stages.get(0), reply(2, 3), 2 * MILLI), 2 * MILLI);
-        assertThat(world.delivered).hasSize(1);
-        assertThat(world.delivered.get(0).signatures()).containsExactly("sig0", "sig1", "stage2", "stage3");
-    }
-
-    @Test
-    void aSilentHostIsBackedUpAndItsLateReplyCannotCountTwice() {
-        ScatterQuery query = staged(4, 10, 2, 3);
-        world.carryOut(query.start(0), 0);
-        answer(query, world.asked.get(0), "sig0", MILLI);
-        answer(query, world.asked.get(1), "sig1", MILLI);
-        world.carryOut(query.wake(STAGE_SILENCE), STAGE_SILENCE);
-        assertThat(world.asked).hasSize(4);
-        answer(query, world.asked.get(2), "own2", STAGE_SILENCE + MILLI);
-        world.carryOut(
-                query.stageAnswered(world.stages.get(0), reply(2, 3), STAGE_SILENCE + 2 * MILLI),
-                STAGE_SILENCE + 2 * MILLI);
-        answer(query, world.asked.get(3), "own3", STAGE_SILENCE + 3 * MILLI);
-        assertThat(world.delivered).hasSize(1);
-        assertThat(world.delivered.get(0).signatures()).containsExactly("sig0", "sig1", "own2", "own3");
-    }
-
-    @Test
-    void aSilentHostIsWaitedForIfThereIsNoBudgetToBackItUp() {
-        ScatterQuery query = staged(4, 0, 2, 3);
-        world.carryOut(query.start(0), 0);
-        spendDeposits();
-        world.carryOut(query.wake(STAGE_SILENCE), STAGE_SILENCE);
-        assertThat(world.asked).hasSize(2);
-        assertThat(world.answers()).isEqualTo(0);
-        world.carryOut(
-                query.stageAnswered(world.stages.get(0), reply(2, 3), STAGE_SILENCE + MILLI), STAGE_SILENCE + MILLI);
-        answer(query, world.asked.get(0), "sig0", STAGE_SILENCE + MILLI);
-        answer(query, world.asked.get(1), "sig1", STAGE_SILENCE + MILLI);
-        assertThat(world.delivered.get(0).missing()).isEqualTo(0);
-    }
-
-    @Test
-    void aHostThatSaysItIsAtWorkIsNotBackedUp() {
-        ScatterQuery query = staged(4, 10, 2, 3);
-        world.carryOut(query.start(0), 0);
-        query.stageProgress(world.stages.get(0), List.of(2));
-        world.carryOut(query.wake(STAGE_SILENCE), STAGE_SILENCE);
-        assertThat(world.asked.stream()
-                        .filter(attempt -> attempt.purpose() == Attempt.Purpose.RETRY)
-                        .count())
-                .isEqualTo(0);
-    }
-
-    @Test
-    void aFailedHostLeavesOnlyTheAttemptsThatItDidNotUse() {
-        ScatterQuery query = staged(4, 10, 2, 3);
-        world.carryOut(query.start(0), 0);
-        query.stageProgress(world.stages.get(0), List.of(2));
-        world.carryOut(query.stageFailed(world.stages.get(0), false, MILLI), MILLI);
-        assertThat(world.asked).hasSize(3);
-        assertThat(world.asked.get(2).leaf().service()).isEqualTo("s3");
-    }
-
-    @Test
-    void aHostThatDidNotRunItLeavesEveryAttempt() {
-        ScatterQuery query = staged(4, 0, 2, 3);
-        world.carryOut(query.start(0), 0);
-        world.carryOut(query.stageFailed(world.stages.get(0), true, MILLI), MILLI);
-        assertThat(world.asked).hasSize(4);
-    }
-
-    private static final long STAGE_SILENCE = 60 * MILLI;
-
     private ScatterQuery query(int shards, int leafs, int budget, double leastShare) {
         for (int shard = 0; shard < shards; shard++) {
             if (world.pools.size() < shards) {
@@ -316,173 +236,16 @@
             }
         }
         return new ScatterQuery(
-                target(leastShare),
-                pools(),
-                ImmutableList.of(),
-                RoutedWorld.bounds(2),
-                ScatterQuery.Delivery.AT_ONCE,
-                RoutingContext.plain(),
-                RoutedWorld.random());
-    }
-
-    @Test
-    void aStageThatNobodyWaitsForIsGivenUp() {
-        ScatterQuery query = staged(4, 0, 2, 3);
-        world.carryOut(query.start(0), 0);
-        List<RoutedAction> actions = query.callerGone();
-        assertThat(actions).contains(new RoutedAction.GiveUpStage(world.stages.get(0)));
-    }
-
-    @Test
-    void aStageThatIsLateAtTheGoalIsGivenUpWithTheAnswer() {
-        ScatterQuery query = staged(4, 0, 2, 3);
-        world.carryOut(query.start(0), 0);
-        answerAll(query, MILLI);
-        query.stageProgress(world.stages.get(0), List.of());
-        List<RoutedAction> actions = query.wake(RoutedWorld.GOAL_NANOS);
-        assertThat(actions).contains(new RoutedAction.GiveUpStage(world.stages.get(0)));
-        world.carryOut(actions, RoutedWorld.GOAL_NANOS);
-        assertThat(world.delivered).hasSize(1);
-    }
-
-    @Test
-    void aQueryOnBehalfOfAnotherHostSendsLatePartsOn() {
-        for (int shard = 0; shard < 3; shard++) {
-            world.service("s" + shard, 2, 0);
-        }
-        ScatterQuery query = new ScatterQuery(
-                target(0),
-                pools(),
-                ImmutableList.of(),
-                RoutedWorld.bounds(1),
-                ScatterQuery.Delivery.IN_PIECES,
-                RoutingContext.plain(),
-                RoutedWorld.random());
-        world.carryOut(query.start(0), 0);
-        answer(query, world.asked.get(0), "sig0", MILLI);
-        assertThat(world.pieces).isEmpty();
-        world.carryOut(query.wake(RoutedWorld.GOAL_NANOS), RoutedWorld.GOAL_NANOS);
-        assertThat(world.pieces.get(0).signatures()).containsExactly("sig0");
-        answer(query, world.asked.get(1), "sig1", RoutedWorld.GOAL_NANOS + MILLI);
-        assertThat(world.pieces.get(1).signatures()).containsExactly("sig1");
-        assertThat(world.delivered).isEmpty();
-        answer(query, world.asked.get(2), "sig2", RoutedWorld.GOAL_NANOS + 2 * MILLI);
-        assertThat(world.delivered.get(0).signatures()).containsExactly("sig2");
-        assertThat(world.givenUp).isEmpty();
-    }
-
-    @Test
-    void aQueryOnBehalfOfAnotherHostMakesNoAttemptAfterItsGoal() {
-        for (int shard = 0; shard < 2; shard++) {
-            world.service("s" + shard, 2, 10);
-        }
-        ScatterQuery query = new ScatterQuery(
-                target(0),
-                pools(),
+                world.target(leastShare),
+                world.pools(),
                 ImmutableList.of(),
                 RoutedWorld.bounds(2),
-                ScatterQuery.Delivery.IN_PIECES,
-                RoutingContext.plain(),
-                RoutedWorld.random());
-        world.carryOut(query.start(0), 0);
-        long late = RoutedWorld.GOAL_NANOS + MILLI;
-        world.carryOut(query.wake(late), late);
-        fail(query, world.asked.get(0), LeafOutcome.BROKEN, late + MILLI);
-        fail(query, world.asked.get(1), LeafOutcome.BROKEN, late + 2 * MILLI);
-        assertThat(world.asked).hasSize(2);
-        assertThat(world.refused).hasSize(1);
-    }
-
-    @Test
-    void aQueryThatLacksShardsAtTheGoalTakesThemFromTheStageWithoutSpendingAnAttempt() {
-        ScatterQuery query = staged(4, 0, 1, 2, 3);
-        world.carryOut(query.start(0), 0);
-        answer(query, world.asked.get(0), "sig0", MILLI);
-        long goal = RoutedWorld.GOAL_NANOS;
-        world.carryOut(query.stageBrought(world.stages.get(0), reply(1), goal), goal);
-        assertThat(world.delivered.get(0).signatures()).containsExactly("sig0", "stage1");
-    }
-
-    @Test
-    void piecesOfAStageAreMergedWithItsLastReply() {
-        ScatterQuery query = staged(4, 0, 1, 2, 3);
-        world.carryOut(query.start(0), 0);
-        world.carryOut(query.stageBrought(world.stages.get(0), reply(1), MILLI), MILLI);
-        world.carryOut(query.stageAnswered(world.stages.get(0), reply(2, 3), 2 * MILLI), 2 * MILLI);
-        answer(query, world.asked.get(0), "sig0", 3 * MILLI);
-        assertThat(world.asked).hasSize(1);
-        assertThat(world.delivered.get(0).missing()).isEqualTo(0);
-        assertThat(world.delivered.get(0).signatures()).containsExactly("stage1", "stage2", "stage3", "sig0");
-    }
-
-    @Test
-    void aSilentStageIsSuspectedBeforeItsShardsAreAskedAgain() {
-        ScatterQuery query = staged(4, 10, 2, 3);
-        world.carryOut(query.start(0), 0);
-        List<RoutedAction> actions = query.wake(STAGE_SILENCE);
-        int suspected = actions.indexOf(new RoutedAction.SuspectStage(world.stages.get(0)));
-        assertThat(suspected).isAtLeast(0);
-        assertThat(actions.subList(0, suspected).stream().filter(action -> action instanceof RoutedAction.Ask))
-                .isEmpty();
-    }
-
-    private ScatterQuery staged(int shards, int budget, Integer... far) {
-        for (int shard = 0; shard < shards; shard++) {
-            world.service("s" + shard, 2, budget);
-        }
-        StageAttempt stage = new StageAttempt("host", ImmutableList.copyOf(far), STAGE_SILENCE);
-        return new ScatterQuery(
-                target(0.5),
-                pools(),
-                ImmutableList.of(stage),
-                RoutedWorld.bounds(2),
                 ScatterQuery.Delivery.AT_ONCE,
                 RoutingContext.plain(),
                 RoutedWorld.random());
     }
 
-    private static StageReply reply(Integer... shards) {
-        ImmutableList<Integer> numbers = ImmutableList.copyOf(shards);
-        return new StageReply(
-                numbers,
-                numbers.stream().map(number -> "stage" + number).collect(ImmutableList.toImmutableList()),
-                ByteString.EMPTY);
-    }
-
-    private RouteTarget.Scatter target(double leastShare) {
-        return new RouteTarget.Scatter(ImmutableList.copyOf(world.pools.keySet()), 5, leastShare);
-    }
-
-    private ImmutableList<LeafPool> pools() {
-        return ImmutableList.copyOf(world.pools.values());
-    }
-
     private void spendOne() {
         world.pools.values().forEach(pool -> pool.budget().tryWithdraw(0));
     }
-
-    private void spendDeposits() {
-        for (LeafPool pool : world.pools.values()) {
-            while (pool.budget().tryWithdraw(0)) {
-                // Until nothing is left.
-            }
-        }
-    }
-
-    private void answerAll(ScatterQuery query, long nowNanos) {
-        for (Attempt attempt : ImmutableList.copyOf(world.asked)) {
-            String service = attempt.leaf().service();
-            answer(query, attempt, "sig" + service.substring(1), nowNanos);
-        }
-    }
-
-    private void answer(ScatterQuery query, Attempt attempt, String signature, long nowNanos) {
-        world.end(attempt, LeafOutcome.SUCCEEDED, nowNanos);
-        world.carryOut(query.answered(attempt, RoutedWorld.part(signature, 1), nowNanos), nowNanos);
-    }
-
-    private void fail(ScatterQuery query, Attempt attempt, LeafOutcome outcome, long nowNanos) {
-        world.end(attempt, outcome, nowNanos);
-        world.carryOut(query.failed(attempt, outcome, nowNanos), nowNanos);
-    }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -1,7 +1,6 @@
 package org.bramblerack.daemon.control;
 
 import com.google.common.collect.ImmutableSortedSet;
-import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
@@ -17,7 +16,6 @@
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.agreement.ControlState;
 import org.bramblerack.process.agreement.RaftAction;
 import org.bramblerack.process.agreement.RaftNode;
 import org.bramblerack.process.agreement.RaftTimings;
@@ -28,8 +26,8 @@
 import org.bramblerack.wire.ConfigurationPull;
 import org.bramblerack.wire.ControlRead;
 import org.bramblerack.wire.ControlReadResult;
-import org.bramblerack.wire.ControlSnapshot;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.LogEntry;
 import org.bramblerack.wire.Ping;
 import org.bramblerack.wire.RaftMessage;
 import org.bramblerack.wire.TableDelta;
@@ -66,8 +64,7 @@
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>(MAX_EVENTS_WAITING);
     private final PendingCalls calls = new PendingCalls();
     private final DiskRoom diskRoom;
-    private final InForceTable inForce = new InForceTable();
-    private final ControlState state = new ControlState();
+    private final AgreedState state = new AgreedState();
     private final TableSubscriptions subscriptions = new TableSubscriptions();
     private @Nullable RaftNode node;
     private @Nullable Thread thread;
@@ -76,7 +73,6 @@
     private volatile boolean inTouch;
     private volatile Optional<String> leader = Optional.empty();
     private volatile ImmutableSortedSet<String> voters = ImmutableSortedSet.of();
-    private long snapshotBytes;
 
     /**
      * Creates the role; nothing is read or sent before {@link #start}.
@@ -119,7 +115,7 @@
     }
 
     private void begin(StoredState stored) {
-        restore(stored.snapshot());
+        state.restore(stored.snapshot());
         RaftNode created = new RaftNode(self, firstVoters, lossesBorne, timings, stored, random, clock.nowNanos());
         node = created;
         voters = created.voters();
@@ -216,11 +212,11 @@
     public Uni<ConfigurationDelta> pull(ConfigurationPull pull) {
         return Uni.createFrom().emitter(emitter -> {
             boolean queued = offer((raft, nowNanos) -> {
-                inForce.record(pull, nowNanos);
+                state.hear(pull, nowNanos);
                 readNow(
                         raft,
-                        () -> emitter.complete(delta(pull.getKnownRevision(), true)),
-                        () -> emitter.complete(delta(pull.getKnownRevision(), false)));
+                        () -> emitter.complete(changes(pull, true)),
+                        () -> emitter.complete(changes(pull, false)));
                 return List.of();
             });
             if (!queued) {
@@ -343,10 +339,8 @@
         inTouch = raft.isInTouch(nowNanos);
         subscriptions.answerDue(state.tables(), inTouch, nowNanos);
         if (raft.appliedSinceSnapshot() >= LEAST_ENTRIES_TO_COMPACT
-                && store.logBytes() >= Math.max(LEAST_BYTES_TO_COMPACT, 2 * snapshotBytes)) {
-            ByteString snapshot = state.toSnapshot();
-            snapshotBytes = snapshot.size();
-            carryOut(raft.compact(snapshot));
+                && store.logBytes() >= Math.max(LEAST_BYTES_TO_COMPACT, 2 * state.snapshotBytes())) {
+            carryOut(raft.compact(state.takeSnapshot()));
         }
     }
 
@@ -358,7 +352,7 @@
             } else if (action instanceof RaftAction.Apply apply) {
                 apply(apply);
             } else if (action instanceof RaftAction.RestoreSnapshot restore) {
-                restore(restore.state());
+                state.restore(restore.state());
             } else if (action instanceof RaftAction.ProposalLost lost) {
                 calls.complete(lost.token(), new ProposalResult.Undecided("the leader changed"));
             } else if (action instanceof RaftAction.ReadReady ready) {
@@ -384,22 +378,17 @@
     }
 
     private void apply(RaftAction.Apply apply) throws RoleEnded {
-        CommandResult result = CommandResult.getDefaultInstance();
-        if (!apply.entry().getCommand().isEmpty()) {
-            result = state.apply(parse(apply.entry().getCommand()));
-        }
+        CommandResult result = resultOf(apply.entry());
         if (apply.token().isPresent()) {
             calls.complete(apply.token().get(), new ProposalResult.Applied(result));
         }
     }
 
-    private void restore(ByteString snapshot) {
+    private CommandResult resultOf(LogEntry entry) throws RoleEnded {
         try {
-            state.restore(ControlSnapshot.parseFrom(snapshot));
-            snapshotBytes = snapshot.size();
+            return state.apply(entry);
         } catch (InvalidProtocolBufferException malformed) {
-            throw new IllegalStateException(
-                    "a checked snapshot cannot be read; use the version that wrote it", malformed);
+            throw new RoleEnded("an agreed command cannot be read; run the program version that wrote it");
         }
     }
 
@@ -425,34 +414,16 @@
         }
     }
 
-    private ConfigurationDelta delta(long knownRevision, boolean confirmed) {
-        return ConfigurationDelta.newBuilder()
-                .setRevision(state.revision())
-                .setConfirmed(confirmed)
-                .addAllDeclarations(state.declarationsAfter(knownRevision))
-                .setLeader(leader.orElse(""))
-                .build();
+    private ConfigurationDelta changes(ConfigurationPull pull, boolean confirmed) {
+        return state.changesSince(pull.getKnownRevision(), confirmed, leader.orElse(""));
     }
 
     private ControlReadResult result(ControlRead request, boolean current) {
-        ControlReadResult.Builder result = ControlReadResult.newBuilder()
+        return state.read(request, clock.nowNanos())
                 .setCurrent(current)
                 .setLeader(leader.orElse(""))
-                .setRevision(state.revision())
-                .setTerm(node == null ? 0 : node.term());
-        switch (request.getKind()) {
-            case CLAIM -> {
-                state.claim(request.getService(), request.getRequestId()).ifPresent(result::setClaim);
-                result.setForgotten(state.isForgotten(request.getService(), request.getRequestId()));
-            }
-            case HISTORY -> result.addAllHistory(state.history());
-            case ROUTING ->
-                result.setRoutingVersion(state.tables().configurationVersion())
-                        .setRoutingDocument(state.tables().configuration());
-            default ->
-                result.addAllInForce(inForce.toList(clock.nowNanos())).addAllDeclarations(state.declarationsAfter(0));
-        }
-        return result.build();
+                .setTerm(node == null ? 0 : node.term())
+                .build();
     }
 
     private void failEverything() {
@@ -460,14 +431,6 @@
         subscriptions.answerAll();
     }
 
-    private static Command parse(ByteString bytes) throws RoleEnded {
-        try {
-            return Command.parseFrom(bytes);
-        } catch (InvalidProtocolBufferException malformed) {
-            throw new RoleEnded("an agreed command cannot be read; run the program version that wrote it");
-        }
-    }
-
     /** Something for the thread of the role to do. */
     @FunctionalInterface
     private interface Event {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -75,7 +75,8 @@
                 group,
                 clock,
                 random);
-        PeerTraffic traffic = new PeerTraffic(metrics, view::isInOtherRegion);
+        PeerTraffic traffic =
+                new PeerTraffic(metrics, host -> view.otherRegionOf(host).isPresent());
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
         this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self, random);
         this.gateway = new Gateway(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.leaf.RoutingPolicy;
 
 /**
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -4,23 +4,20 @@
 import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafConnections;
-import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.EventRate;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.WindowedBudget;
@@ -68,8 +65,7 @@
     private final RoutingContext routing;
     private final Map<String, LeafPool> pools = new HashMap<>();
     private final Map<Leaf, LeafConnections> connections = new HashMap<>();
-    private final Map<String, HostRecord> hosts = new LinkedHashMap<>();
-    private final Map<String, String> regionsByAddress = new ConcurrentHashMap<>();
+    private final FleetHosts hosts;
     private final Map<String, LeafRecord> leafRecords = new HashMap<>();
     private final Map<String, LatencyTracker> latencies = new HashMap<>();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
@@ -95,6 +91,7 @@
             MonotonicClock clock,
             RandomGenerator random) {
         this.place = place;
+        this.hosts = new FleetHosts(place);
         this.startedNanos = clock.nowNanos();
         this.queries = new EventRate(startedNanos);
         this.routing = new RoutingContext(policy, HostLag.create(LAG_PERIOD));
@@ -138,18 +135,12 @@
 
     /** Returns the other hosts and this one that take requests of callers. */
     public ImmutableList<HostRecord> entryHosts() {
-        return hosts.values().stream()
-                .filter(host -> host.getEntry() && host.getPhase() == HostRecord.Phase.READY)
-                .collect(ImmutableList.toImmutableList());
+        return hosts.entryHosts();
     }
 
     /** Returns the peer addresses of the hosts that serve control, the nearest first. */
     public ImmutableList<String> controlAddresses() {
-        return hosts.values().stream()
-                .filter(host -> !host.getControlAddress().isEmpty() && host.getPhase() == HostRecord.Phase.READY)
-                .sorted(Comparator.comparing(host -> place.distanceTo(host.getZone())))
-                .map(HostRecord::getPeerAddress)
-                .collect(ImmutableList.toImmutableList());
+        return hosts.controlAddresses();
     }
 
     /** Notes a query over shards of a caller. */
@@ -162,15 +153,9 @@
         return queries.aMinute(clock.nowNanos());
     }
 
-    /** Returns true if a host with the given name or peer address is known to be in another region. */
-    boolean isInOtherRegion(String host) {
-        return otherRegionOf(host).isPresent();
-    }
-
     /** Returns the region of a host with the given name or peer address if it is known to be another one. */
     Optional<String> otherRegionOf(String host) {
-        return Optional.ofNullable(regionsByAddress.get(PeerNetwork.addressOf(host)))
-                .filter(region -> !region.equals(place.region()));
+        return hosts.otherRegionOf(host);
     }
 
     /** Returns the leafs of a service; a service without any has an empty pool. */
@@ -246,7 +231,7 @@
         }
         int hostsBefore = entryHosts().size();
         int leavesBefore = leafRecords.size();
-        boolean hostsChanged = applyHosts(delta);
+        boolean hostsChanged = hosts.apply(delta);
         boolean leavesChanged = applyLeaves(delta);
         boolean waysChanged = throughHolders != delta.getThroughHolders();
         throughHolders = delta.getThroughHolders();
@@ -290,22 +275,6 @@
                 .collect(Collectors.joining(" "));
     }
 
-    private boolean applyHosts(TableDelta delta) {
-        ImmutableList<HostRecord> before = entryHosts();
-        if (delta.getWhole()) {
-            hosts.clear();
-        }
-        for (HostRecord host : delta.getHostsList()) {
-            if (host.getPhase() == HostRecord.Phase.GONE) {
-                hosts.remove(host.getName());
-            } else {
-                hosts.put(host.getName(), host);
-                regionsByAddress.put(host.getPeerAddress(), host.getRegion());
-            }
-        }
-        return !before.equals(entryHosts());
-    }
-
     private boolean applyLeaves(TableDelta delta) {
         Set<String> before = ImmutableSet.copyOf(leafRecords.keySet());
         if (delta.getWhole()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.bramblerack.connection.ConnectionShare;
 import org.bramblerack.connection.ZoneHolders;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -28,6 +28,7 @@
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
@@ -17,6 +17,7 @@
 import io.vertx.mutiny.ext.web.client.HttpRequest;
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import io.vertx.mutiny.ext.web.client.WebClient;
+import java.lang.System.Logger;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Locale;
@@ -39,6 +40,7 @@
 public final class HttpUpstreamProtocol implements UpstreamProtocol {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int KEEP_ALIVE_SECONDS = 20;
+    private static final Logger LOGGER = System.getLogger(HttpUpstreamProtocol.class.getName());
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
     private static final Duration GRACE = Duration.ofMillis(20);
     private static final int STATUS_OK = 200;
@@ -83,7 +85,7 @@
                 .timeout(REPORT_TIMEOUT.toMillis())
                 .send()
                 .subscribe()
-                .with(response -> {}, failure -> {});
+                .with(response -> {}, failure -> notSent("cancel " + callId, failure));
     }
 
     @Override
@@ -94,10 +96,15 @@
     @Override
     public void warm() {
         for (int connection = 0; connection < callConnections; connection++) {
-            reportOver(calls).subscribe().with(report -> {}, failure -> {});
+            reportOver(calls).subscribe().with(report -> {}, failure -> notSent("open a connection ahead", failure));
         }
     }
 
+    /** Notes what was only a help: the call ends at its deadline, and a connection is made when it is needed. */
+    private void notSent(String help, Throwable failure) {
+        LOGGER.log(Logger.Level.DEBUG, "{0} could not {1}: {2}", upstream.name(), help, failure.getMessage());
+    }
+
     @Override
     public void close() {
         calls.close();
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -25,6 +25,7 @@
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.LeafOutcome;
