Wait until nobody listens before a test says that nobody does

Cause: LeafConnectionsTest.nobodyThereMeansThatNothingWasSent failed once with BROKEN in place of UNREACHABLE (mvn verify, seen once). The test closes a socket while its thread still waits in accept: until that thread has left, the kernel still completes connections and then resets them, so that something may have been sent, and BROKEN is true.

Change: the test joins the thread. The check is the same.

--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -41,6 +41,7 @@
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
     private final AtomicInteger accepted = new AtomicInteger();
     private ServerSocket server;
+    private Thread listener;
     private LeafConnections connections;
     private volatile String answer = WHOLE;
     private volatile End end = End.STAY;
@@ -55,9 +56,9 @@
     @BeforeEach
     void listen() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread thread = new Thread(this::acceptAll, "leaf");
-        thread.setDaemon(true);
-        thread.start();
+        listener = new Thread(this::acceptAll, "leaf");
+        listener.setDaemon(true);
+        listener.start();
         Leaf leaf = new Leaf("i-1", "s", "127.0.0.1:" + server.getLocalPort(), Distance.SAME_ZONE, 2, Duration.ZERO, 0);
         connections = new LeafConnections(leaf, group, NAMES, MonotonicClock.system(), () -> 1);
     }
@@ -160,6 +161,8 @@
     @Test
     void nobodyThereMeansThatNothingWasSent() throws Exception {
         server.close();
+        // Until its thread has left it, the socket still takes connections, and resets them.
+        listener.join();
         assertThat(send("r-1")).isEqualTo(LeafOutcome.UNREACHABLE);
     }
 
