Count connections to leafs by why they are made and why they end

Change: LeafConnections tells an observer what becomes of each connection, by one of eleven causes; the entry role counts them (gateway_leaf_connection_*). No decision changes.

Tests: an answer that says it closes and a reset under a call are told apart (LeafConnectionsTest, 2 more).

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -11,10 +11,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.leaf.ConnectionEvent;
 import org.bramblerack.daemon.leaf.LeafConnections;
 import org.bramblerack.process.EventRate;
 import org.bramblerack.process.FleetBudget;
@@ -75,6 +77,7 @@
     private boolean connectionsReviewed = true;
     private boolean accessStale;
     private Runnable onHostsChanged = () -> {};
+    private Consumer<ConnectionEvent> connectionObserver = event -> {};
 
     /**
      * Creates a view that knows nothing.
@@ -128,6 +131,11 @@
         onHostsChanged = task;
     }
 
+    /** Sets what is told of each connection to a leaf. */
+    void onConnectionEvent(Consumer<ConnectionEvent> observer) {
+        connectionObserver = observer;
+    }
+
     /** Returns true once requests can be served: a configuration and at least one leaf are known. */
     public boolean isComplete() {
         return configuration.version() > 0 && !leafRecords.isEmpty();
@@ -211,7 +219,14 @@
     /** Returns the connections of this host to a leaf. */
     public LeafConnections connectionsTo(Leaf leaf) {
         return connections.computeIfAbsent(
-                leaf, unused -> new LeafConnections(leaf, group, names, clock, () -> connectionShare(leaf)));
+                leaf,
+                unused -> new LeafConnections(
+                        leaf,
+                        group,
+                        names,
+                        clock,
+                        () -> connectionShare(leaf),
+                        event -> connectionObserver.accept(event)));
     }
 
     /** Returns what is known of how long the calls of a route take. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -87,6 +87,7 @@
         this.random = random;
         this.stages = new StageLinks(view, network, clock, loop, random);
         view.onHostsChanged(stages::hostsChanged);
+        view.onConnectionEvent(metrics::count);
         this.log = new DecisionLog(clock, view);
         this.runs = new QueryRuns(view, stages, network, names, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.bramblerack.daemon.event.CounterSummary;
+import org.bramblerack.daemon.leaf.ConnectionEvent;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -21,6 +22,7 @@
     private final Map<AttemptCounter, Counter> attempts = new EnumMap<>(AttemptCounter.class);
     private final Map<LeafOutcome, Counter> outcomes = new EnumMap<>(LeafOutcome.class);
     private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+    private final Map<ConnectionEvent, Counter> connections = new EnumMap<>(ConnectionEvent.class);
     private final MetricRegistry registry;
     private final MonotonicClock clock;
     private final Histogram answerMicros;
@@ -46,6 +48,9 @@
         for (LeafOutcome outcome : LeafOutcome.values()) {
             outcomes.put(outcome, registry.counter("gateway_leaf_" + lower(outcome)));
         }
+        for (ConnectionEvent event : ConnectionEvent.values()) {
+            connections.put(event, registry.counter("gateway_leaf_connection_" + lower(event)));
+        }
         for (RefusalReason reason : RefusalReason.values()) {
             refusals.put(reason, registry.counter("gateway_refused_" + lower(reason)));
         }
@@ -84,6 +89,11 @@
         increment(outcomes.get(outcome));
     }
 
+    /** Notes what became of a connection to a leaf. */
+    void count(ConnectionEvent event) {
+        increment(connections.get(event));
+    }
+
     void refused(RefusalReason reason) {
         increment(refusals.get(reason));
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -205,7 +205,7 @@
             this.done = done;
             Leaf target = new Leaf(
                     "entry", "entry", callerAddress.toString(), Distance.SAME_ZONE, 1, Duration.ZERO, clock.nowNanos());
-            this.connections = new LeafConnections(target, group, names, clock, () -> 1);
+            this.connections = new LeafConnections(target, group, names, clock, () -> 1, event -> {});
         }
 
         void next() {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
@@ -44,6 +44,7 @@
     private @Nullable CompositeByteBuf body;
     private int foreignAnswers;
     private boolean keepsOpen = true;
+    private @Nullable ConnectionEvent end;
     private boolean reset;
     private long idleSinceNanos;
     private long idleLimitNanos = Long.MAX_VALUE;
@@ -73,9 +74,14 @@
         open.writeAndFlush(request.encode(open.alloc(), leafId, remainingMillis), open.voidPromise());
     }
 
-    /** Ends the connection, as to make the leaf drop the present request. */
-    void close() {
+    /**
+     * Ends the connection, as to make the leaf drop the present request.
+     *
+     * @param reason why, unless it is closed already
+     */
+    void close(ConnectionEvent reason) {
         keepsOpen = false;
+        end = end == null ? reason : end;
         Channel open = channel;
         if (open != null) {
             open.close();
@@ -102,7 +108,7 @@
         try {
             if (exchange == null) {
                 // Nothing is due: an answer too many, or bytes that belong to no request.
-                close();
+                close(ConnectionEvent.ENDED_GARBLED);
                 return;
             }
             if (message instanceof HttpResponse head) {
@@ -119,15 +125,20 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         reset = true;
-        close();
+        close(endedByLeaf());
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         keepsOpen = false;
+        ConnectionEvent reason = end == null ? endedByLeaf() : end;
         dropBody();
         fail(LeafOutcome.BROKEN);
-        owner.closed(this);
+        owner.closed(this, reason);
+    }
+
+    private ConnectionEvent endedByLeaf() {
+        return exchange == null ? ConnectionEvent.ENDED_WHILE_IDLE : ConnectionEvent.ENDED_WHILE_CALLED;
     }
 
     private void begin(HttpResponse head) {
@@ -204,7 +215,7 @@
         if (keepsOpen) {
             owner.idle(this);
         } else {
-            close();
+            close(ConnectionEvent.ENDED_BY_ANSWER);
         }
         if (taker != null) {
             taker.answered(answer);
@@ -215,7 +226,7 @@
         dropBody();
         response = null;
         fail(LeafOutcome.GARBLED);
-        close();
+        close(ConnectionEvent.ENDED_GARBLED);
     }
 
     private void fail(LeafOutcome outcome) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Leaf;
@@ -35,6 +36,7 @@
     private final CallHeaders names;
     private final MonotonicClock clock;
     private final IntSupplier share;
+    private final Consumer<ConnectionEvent> observer;
     private final Deque<LeafConnection> idle = new ArrayDeque<>();
     private final List<LeafConnection> open = new ArrayList<>(4);
     private final Deque<Pending> waiting = new ArrayDeque<>();
@@ -44,14 +46,21 @@
      * Creates a set without connections.
      *
      * @param share how many connections this host may have to the leaf, at least 1
+     * @param observer is told what becomes of each connection
      */
     public LeafConnections(
-            Leaf leaf, EventLoopGroup group, CallHeaders names, MonotonicClock clock, IntSupplier share) {
+            Leaf leaf,
+            EventLoopGroup group,
+            CallHeaders names,
+            MonotonicClock clock,
+            IntSupplier share,
+            Consumer<ConnectionEvent> observer) {
         this.leaf = leaf;
         this.group = group;
         this.names = names;
         this.clock = clock;
         this.share = share;
+        this.observer = observer;
     }
 
     /**
@@ -81,7 +90,7 @@
     /** Opens a connection ahead of its use, if there is none. */
     public void warm() {
         if (open.isEmpty() && connecting == 0 && waiting.isEmpty()) {
-            connect();
+            connect(ConnectionEvent.MADE_AHEAD);
         }
     }
 
@@ -94,7 +103,7 @@
     /** Closes what is idle; another connection is made when one is needed. */
     public void closeIdle() {
         for (LeafConnection connection : List.copyOf(idle)) {
-            connection.close();
+            connection.close(ConnectionEvent.ENDED_NOT_NEEDED);
         }
     }
 
@@ -105,7 +114,7 @@
 
     void idle(LeafConnection connection) {
         if (!leaf.acceptsWork()) {
-            connection.close();
+            connection.close(ConnectionEvent.ENDED_NOT_NEEDED);
             failWaiting(LeafOutcome.NO_CONNECTION);
             return;
         }
@@ -117,7 +126,8 @@
         }
     }
 
-    void closed(LeafConnection connection) {
+    void closed(LeafConnection connection, ConnectionEvent reason) {
+        observer.accept(reason);
         idle.remove(connection);
         open.remove(connection);
         if (!waiting.isEmpty()) {
@@ -129,10 +139,11 @@
         long nowNanos = clock.nowNanos();
         while (!idle.isEmpty()) {
             LeafConnection candidate = idle.pollFirst();
-            if (candidate.isUsable(nowNanos) && !candidate.lastCarried(requestId)) {
+            boolean usable = candidate.isUsable(nowNanos);
+            if (usable && !candidate.lastCarried(requestId)) {
                 return candidate;
             }
-            candidate.close();
+            candidate.close(usable ? ConnectionEvent.ENDED_SAME_REQUEST : ConnectionEvent.ENDED_RESTED);
         }
         return null;
     }
@@ -148,12 +159,13 @@
     private void connectIfAllowed() {
         boolean needed = connecting < waiting.size();
         if (needed && open.size() + connecting < Math.max(1, share.getAsInt())) {
-            connect();
+            connect(ConnectionEvent.MADE_FOR_CALL);
         }
     }
 
-    private void connect() {
+    private void connect(ConnectionEvent reason) {
         connecting++;
+        observer.accept(reason);
         LeafConnection connection = new LeafConnection(this, names, clock);
         HostAndPort address = HostAndPort.fromString(leaf.address());
         new Bootstrap()
@@ -179,6 +191,7 @@
             idle(connection);
             return;
         }
+        observer.accept(ConnectionEvent.NOT_MADE);
         failWaiting(LeafOutcome.UNREACHABLE);
     }
 
@@ -247,7 +260,7 @@
                 taker.failed(LeafOutcome.NO_CONNECTION);
                 return true;
             }
-            connection.close();
+            connection.close(ConnectionEvent.ENDED_CALL_GIVEN_UP);
             return false;
         }
     }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -39,6 +39,7 @@
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final BlockingQueue<Object> results = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    private final BlockingQueue<ConnectionEvent> events = new LinkedBlockingQueue<>();
     private final AtomicInteger accepted = new AtomicInteger();
     private ServerSocket server;
     private Thread listener;
@@ -60,7 +61,7 @@
         listener.setDaemon(true);
         listener.start();
         Leaf leaf = new Leaf("i-1", "s", "127.0.0.1:" + server.getLocalPort(), Distance.SAME_ZONE, 2, Duration.ZERO, 0);
-        connections = new LeafConnections(leaf, group, NAMES, MonotonicClock.system(), () -> 1);
+        connections = new LeafConnections(leaf, group, NAMES, MonotonicClock.system(), () -> 1, events::add);
     }
 
     @AfterEach
@@ -77,6 +78,23 @@
         assertThat(accepted.get()).isEqualTo(1);
     }
 
+    @Test
+    void theEndOfAConnectionIsToldWithItsCause() throws Exception {
+        answer = WHOLE.replace("Content-Length", "Connection: close\r\nContent-Length");
+        success(send("r-1"));
+        assertThat(events.poll(2, TimeUnit.SECONDS)).isEqualTo(ConnectionEvent.MADE_FOR_CALL);
+        assertThat(events.poll(2, TimeUnit.SECONDS)).isEqualTo(ConnectionEvent.ENDED_BY_ANSWER);
+    }
+
+    @Test
+    void aConnectionThatTheLeafResetsUnderACallIsToldApart() throws Exception {
+        answer = "";
+        end = End.RESET;
+        send("r-1");
+        assertThat(events.poll(2, TimeUnit.SECONDS)).isEqualTo(ConnectionEvent.MADE_FOR_CALL);
+        assertThat(events.poll(2, TimeUnit.SECONDS)).isEqualTo(ConnectionEvent.ENDED_WHILE_CALLED);
+    }
+
     @Test
     void theLeafIsToldWhatIsMeantAndHowLongItHas() throws Exception {
         send("r-1");
