--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -16,14 +16,17 @@
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafPlace;
 import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.process.leaf.Mechanism;
+import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.request.routed.HedgeTiming;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StagePlanner;
 import org.bramblerack.request.routed.StageTiming;
+import org.bramblerack.version.routing.Homes;
 
 /**
  * An entry host: what it knows of the leafs and of other hosts, by the product's own classes. Its own work takes no
@@ -38,7 +41,7 @@
     private final Fleet fleet;
     private final SimulatedTime time;
     private final RandomGenerator random;
-    private final ImmutableList<LeafPool> pools;
+    private final ImmutableList<PermittedLeaves> permitted;
     private final Map<Leaf, ModelConnections> connections = new HashMap<>();
     private final Map<Leaf, ModelLeaf> leafs = new HashMap<>();
     private final Map<String, LatencyTracker> latencies = new HashMap<>();
@@ -68,11 +71,11 @@
         this.random = random;
         this.context = new RoutingContext(policy, HostLag.none());
         this.planner = new StagePlanner(this, random);
-        ImmutableList.Builder<LeafPool> built = ImmutableList.builder();
+        ImmutableList.Builder<PermittedLeaves> built = ImmutableList.builder();
         for (int shard = 0; shard < shards.size(); shard++) {
-            built.add(newPool(shard, position, shards.get(shard)));
+            built.add(newPool(shard, position, shards.get(shard)).permitted(Homes.ANYWHERE));
         }
-        this.pools = built.build();
+        this.permitted = built.build();
     }
 
     private LeafPool newPool(int shard, int position, List<ModelLeaf> replicas) {
@@ -87,7 +90,10 @@
                     replica.id(),
                     pool.service(),
                     "127.0.0.1:1",
-                    Distance.between(zone.name(), zone.region(), other.name(), other.region()),
+                    new LeafPlace(
+                            other.name(),
+                            other.region(),
+                            Distance.between(zone.name(), zone.region(), other.name(), other.region())),
                     fleet.slots(),
                     Duration.ZERO,
                     context,
@@ -115,8 +121,8 @@
         return zone;
     }
 
-    ImmutableList<LeafPool> pools() {
-        return pools;
+    ImmutableList<PermittedLeaves> pools() {
+        return permitted;
     }
 
     RoutingContext context() {
@@ -145,7 +151,7 @@
 
     ImmutableList<StageAttempt> plan(long expectedNanos, long hedgeDelayNanos) {
         return context.uses(Mechanism.STAGES)
-                ? planner.plan(pools, expectedNanos, hedgeDelayNanos, StagePlanner.Relays.USED, time.nowNanos())
+                ? planner.plan(permitted, expectedNanos, hedgeDelayNanos, StagePlanner.Relays.USED, time.nowNanos())
                 : ImmutableList.of();
     }
 
@@ -170,7 +176,7 @@
     }
 
     @Override
-    public Optional<String> holderOf(Leaf leaf) {
+    public Optional<String> holderOf(Leaf leaf, Homes homes) {
         return Optional.empty();
     }
 
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
@@ -11,7 +11,7 @@
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafLoad;
 import org.bramblerack.process.leaf.LeafOutcome;
-import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.request.routed.Attempt;
 import org.bramblerack.request.routed.HedgeTiming;
 import org.bramblerack.request.routed.MergedAnswer;
@@ -72,11 +72,12 @@
         this.bounds = bounds;
         this.sink = sink;
         this.latency = host.latency(arrival.load());
-        ImmutableList<LeafPool> pools =
+        ImmutableList<PermittedLeaves> pools =
                 numbers.stream().map(host.pools()::get).collect(ImmutableList.toImmutableList());
         ImmutableList<StageAttempt> planned =
                 inPieces ? ImmutableList.of() : host.plan(bounds.expectedNanos(), bounds.hedgeDelayNanos());
-        ImmutableList<String> services = pools.stream().map(LeafPool::service).collect(ImmutableList.toImmutableList());
+        ImmutableList<String> services =
+                pools.stream().map(PermittedLeaves::service).collect(ImmutableList.toImmutableList());
         this.query = new ScatterQuery(
                 new RouteTarget.Scatter(
                         services, 1, inPieces ? 0 : arrival.load().leastShare()),
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
@@ -48,6 +48,7 @@
             case REPORT_HOST -> tables.report(command.getReportHost());
             case FORGET_MEMBERS -> tables.forget(command.getForgetMembers());
             case SET_SHARD_ACCESS -> tables.set(command.getSetShardAccess());
+            case SET_ZONE_DRAIN -> tables.set(command.getSetZoneDrain());
             case BODY_NOT_SET ->
                 CommandResult.newBuilder().setKind(CommandResult.Kind.INVALID).build();
         };
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -1,5 +1,7 @@
 package org.bramblerack.process.leaf;
 
+import static java.util.Objects.requireNonNull;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -60,12 +62,13 @@
     private final String id;
     private final String service;
     private final String address;
-    private final Distance distance;
+    private final LeafPlace place;
     private final long warmAtNanos;
     private final RoutingContext context;
     private final List<Call> calls = new ArrayList<>(4);
     private int slots;
     private boolean acceptsWork = true;
+    private boolean zoneDrained;
     private int toldCalls;
     private long toldAtNanos;
     private long busyUntilNanos;
@@ -86,7 +89,7 @@
      */
     public Leaf(
             String id, String service, String address, Distance distance, int slots, Duration coldFor, long nowNanos) {
-        this(id, service, address, distance, slots, coldFor, RoutingContext.plain(), nowNanos);
+        this(id, service, address, LeafPlace.unnamed(distance), slots, coldFor, RoutingContext.plain(), nowNanos);
     }
 
     /**
@@ -99,7 +102,7 @@
             String id,
             String service,
             String address,
-            Distance distance,
+            LeafPlace place,
             int slots,
             Duration coldFor,
             RoutingContext context,
@@ -107,7 +110,7 @@
         this.id = id;
         this.service = service;
         this.address = address;
-        this.distance = distance;
+        this.place = requireNonNull(place);
         this.slots = Math.max(1, slots);
         this.warmAtNanos = nowNanos + coldFor.toNanos();
         this.context = context;
@@ -134,14 +137,26 @@
         return address;
     }
 
+    /** Returns where it is. */
+    public LeafPlace place() {
+        return place;
+    }
+
     /** Returns how far it is from this host. */
     public Distance distance() {
-        return distance;
+        return place.distance();
     }
 
     /** Returns true while new work may be sent to it. */
     public boolean acceptsWork() {
-        return acceptsWork;
+        return acceptsWork && !zoneDrained;
+    }
+
+    /**
+     * States whether operators have its availability zone get no work; unlike {@link #leave}, that may be taken back.
+     */
+    public void setZoneDrained(boolean drained) {
+        zoneDrained = drained;
     }
 
     /** States that it is leaving or has left; it gets no new work from now on. */
@@ -237,7 +252,8 @@
         }
         long readNanos = nowNanos - context.lagNanos(nowNanos);
         for (Call call : calls) {
-            if (readNanos - call.sentNanos > STALLED_AFTER * call.expectedNanos + 2 * distance.handicapNanos()) {
+            if (readNanos - call.sentNanos
+                    > STALLED_AFTER * call.expectedNanos + 2 * place.distance().handicapNanos()) {
                 return true;
             }
         }
@@ -267,7 +283,7 @@
         if (nowNanos - warmAtNanos < 0) {
             work *= COLD_FACTOR;
         }
-        double cost = work * (1 + ahead / slots) + distance.handicapNanos();
+        double cost = work * (1 + ahead / slots) + place.distance().handicapNanos();
         cost += occupancy * work / (FREE_SLOT_DIVISOR * slots);
         cost += failureRate * FAILURE_HANDICAP_NANOS;
         if (nowNanos - busyUntilNanos < 0) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.WindowedBudget;
+import org.bramblerack.version.routing.Homes;
 
 /**
  * The leafs of one service and this host's share of the service's budget of extra attempts.
@@ -51,6 +52,11 @@
         this.context = context;
     }
 
+    /** Returns what a request with the given homes may use of it. */
+    public PermittedLeaves permitted(Homes homes) {
+        return new PermittedLeaves(this, homes);
+    }
+
     /** Returns the name of the service. */
     public String service() {
         return service;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
@@ -1,11 +1,14 @@
 package org.bramblerack.process.members;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
 import com.google.protobuf.ByteString;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.bramblerack.wire.CommandResult;
@@ -15,6 +18,7 @@
 import org.bramblerack.wire.MemberTables;
 import org.bramblerack.wire.PutConfiguration;
 import org.bramblerack.wire.SetShardAccess;
+import org.bramblerack.wire.SetZoneDrain;
 import org.bramblerack.wire.TableDelta;
 
 /**
@@ -22,8 +26,8 @@
  *
  * <p>Invariants: the same commands in the same order give the same tables everywhere. Each change raises the revision
  * by one, so that a host that knows a revision can be sent what changed since. The configuration's version only grows.
- * A leaf that has left never comes back, and a late report never undoes a newer one. Not safe for use by several
- * threads.
+ * A life of a leaf that has ended never comes back, and a late report never undoes a newer one. Not safe for use by
+ * several threads.
  */
 public final class AgreedTables {
     /** How many departed leafs and hosts are remembered, so that their late reports change nothing. */
@@ -37,6 +41,7 @@
     private long configurationRevision;
     private long forgottenRevision;
     private boolean throughHolders;
+    private final SortedSet<String> drainedZones = new TreeSet<>();
 
     /** Takes a whole configuration if its version is above the one held. */
     public CommandResult put(PutConfiguration change) {
@@ -53,19 +58,15 @@
     /** Takes the report of a leaf unless a newer one was taken. */
     public CommandResult report(LeafRecord report) {
         LeafRecord known = leaves.get(report.getId());
-        if (known != null && !changes(known, report)) {
+        if (known != null && !LeafReports.isNews(known, report)) {
             return result(CommandResult.Kind.SUPERSEDED);
         }
         revision++;
-        LeafRecord.Builder next = report.toBuilder().setChangedRevision(revision);
-        if (known != null && report.getPhase() == LeafRecord.Phase.GONE) {
-            next = known.toBuilder()
-                    .setPhase(LeafRecord.Phase.GONE)
-                    .setSequence(Math.max(known.getSequence(), report.getSequence()))
-                    .setChangedRevision(revision);
-        }
+        LeafRecord next = (known == null ? report.toBuilder() : LeafReports.merge(known, report))
+                .setChangedRevision(revision)
+                .build();
         leaves.remove(report.getId());
-        leaves.put(report.getId(), next.build());
+        leaves.put(report.getId(), next);
         forgetOldest();
         return result(CommandResult.Kind.ACCEPTED);
     }
@@ -112,6 +113,22 @@
         return result(CommandResult.Kind.ACCEPTED);
     }
 
+    /** Has the leafs of an availability zone get no work, or takes that back. */
+    public CommandResult set(SetZoneDrain change) {
+        boolean changes =
+                change.getDrained() ? drainedZones.add(change.getZone()) : drainedZones.remove(change.getZone());
+        if (!changes) {
+            return result(CommandResult.Kind.SUPERSEDED);
+        }
+        revision++;
+        return result(CommandResult.Kind.ACCEPTED);
+    }
+
+    /** Returns the availability zones whose leafs get no work. */
+    public ImmutableSortedSet<String> drainedZones() {
+        return ImmutableSortedSet.copyOf(drainedZones);
+    }
+
     /** Returns true if only a few hosts connect to a leaf of a shard, and the others ask through them. */
     public boolean throughHolders() {
         return throughHolders;
@@ -120,7 +137,7 @@
     /** Returns true if the report of a leaf says anything new. */
     public boolean wouldChange(LeafRecord report) {
         LeafRecord known = leaves.get(report.getId());
-        return known == null || changes(known, report);
+        return known == null || LeafReports.isNews(known, report);
     }
 
     /** Returns true if the report of a host says anything new. */
@@ -176,7 +193,8 @@
                 .setRevision(revision)
                 .setWhole(whole)
                 .setConfigurationVersion(configurationVersion)
-                .setThroughHolders(throughHolders);
+                .setThroughHolders(throughHolders)
+                .addAllDrainedZones(drainedZones);
         if (configurationRevision > since) {
             delta.setConfiguration(configuration);
         }
@@ -204,6 +222,7 @@
                 .setConfigurationRevision(configurationRevision)
                 .setForgottenRevision(forgottenRevision)
                 .setThroughHolders(throughHolders)
+                .addAllDrainedZones(drainedZones)
                 .addAllLeaves(leaves.values())
                 .addAllHosts(hosts.values())
                 .build();
@@ -219,24 +238,12 @@
         configurationRevision = snapshot.getConfigurationRevision();
         forgottenRevision = snapshot.getForgottenRevision();
         throughHolders = snapshot.getThroughHolders();
+        drainedZones.clear();
+        drainedZones.addAll(snapshot.getDrainedZonesList());
         snapshot.getLeavesList().forEach(leaf -> leaves.put(leaf.getId(), leaf));
         snapshot.getHostsList().forEach(host -> hosts.put(host.getName(), host));
     }
 
-    private static boolean changes(LeafRecord known, LeafRecord report) {
-        if (known.getPhase() == LeafRecord.Phase.GONE) {
-            return false;
-        }
-        if (report.getPhase() == LeafRecord.Phase.GONE) {
-            return true;
-        }
-        return report.getSequence() > known.getSequence()
-                && (report.getPhase() != known.getPhase()
-                        || !report.getAddress().equals(known.getAddress())
-                        || !report.getService().equals(known.getService())
-                        || report.getSlots() != known.getSlots());
-    }
-
     private static boolean changes(HostRecord known, HostRecord report) {
         if (report.getIncarnation() != known.getIncarnation()) {
             return true;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.LeafOutcome;
-import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
 
 /**
  * The decisions of one request to one leaf of a service: whom to ask, when to ask another, and what to tell the caller.
@@ -29,7 +29,7 @@
      *
      * @param repeatable true if it may run more than once
      */
-    public ForwardedRequest(LeafPool pool, boolean repeatable, RequestBounds bounds, RandomGenerator random) {
+    public ForwardedRequest(PermittedLeaves pool, boolean repeatable, RequestBounds bounds, RandomGenerator random) {
         this.request = new ShardRequest(pool, bounds, repeatable, repeatable, random);
         this.bounds = bounds;
     }
@@ -113,7 +113,7 @@
         if (lastFailure.isPresent()) {
             actions.add(new RoutedAction.DeliverAnswer(lastFailure.get()));
         } else if (notRun) {
-            actions.add(new RoutedAction.Refuse(request.wasAsked() ? RefusalReason.ALL_BUSY : RefusalReason.NO_LEAF));
+            actions.add(new RoutedAction.Refuse(request.notRunReason()));
         } else {
             actions.add(new RoutedAction.Refuse(
                     deadlineCome && !lost ? RefusalReason.TIME_UP : RefusalReason.OUTCOME_UNKNOWN));
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
 
 /**
  * The shards of one query and how each of them stands, by number.
@@ -23,7 +23,7 @@
      *
      * @param pools the leafs of each shard, in the order of the shards
      */
-    QueryShards(ImmutableList<LeafPool> pools, RequestBounds bounds, boolean hedged, RandomGenerator random) {
+    QueryShards(ImmutableList<PermittedLeaves> pools, RequestBounds bounds, boolean hedged, RandomGenerator random) {
         shards = new ShardRequest[pools.size()];
         for (int shard = 0; shard < shards.length; shard++) {
             shards[shard] = new ShardRequest(pools.get(shard), bounds, true, hedged, random);
@@ -80,7 +80,8 @@
      */
     RefusalReason refusalReason(boolean deadlineCome) {
         if (count(ShardRequest::isNotRun) == shards.length) {
-            return count(ShardRequest::wasAsked) > 0 ? RefusalReason.ALL_BUSY : RefusalReason.NO_LEAF;
+            boolean asked = count(ShardRequest::wasAsked) > 0;
+            return asked ? RefusalReason.ALL_BUSY : shards[0].notRunReason();
         }
         return deadlineCome ? RefusalReason.TIME_UP : RefusalReason.TOO_FEW_SHARDS;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
@@ -4,6 +4,8 @@
 public enum RefusalReason {
     /** No leaf that could run it takes work; it has not run. */
     NO_LEAF(true),
+    /** Leafs take work, but none of them is in a region that may serve the request. */
+    NO_LEAF_AT_HOME(true),
     /** Every leaf that was asked said that it did not run it. */
     ALL_BUSY(true),
     /** Its time was up before any leaf was asked. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.LeafOutcome;
-import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.process.leaf.Mechanism;
+import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.version.routing.RouteTarget;
 
@@ -70,7 +70,7 @@
      */
     public ScatterQuery(
             RouteTarget.Scatter target,
-            ImmutableList<LeafPool> pools,
+            ImmutableList<PermittedLeaves> pools,
             ImmutableList<StageAttempt> stages,
             RequestBounds bounds,
             Delivery delivery,
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -8,7 +8,7 @@
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
-import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
 
 /**
  * The attempts of one request at one service: which leaf is asked, when another is, and when there is no hope left.
@@ -32,7 +32,7 @@
     /** How long to leave a service alone all of whose leafs said that they are full. */
     private static final long BACKOFF_NANOS = Duration.ofMillis(20).toNanos();
 
-    private final LeafPool pool;
+    private final PermittedLeaves pool;
     private final RequestBounds bounds;
     private final boolean repeatable;
     private final boolean hedged;
@@ -53,7 +53,8 @@
      * @param repeatable whether it may run more than once
      * @param hedged whether a second leaf is asked if the first is late; only if it is repeatable
      */
-    ShardRequest(LeafPool pool, RequestBounds bounds, boolean repeatable, boolean hedged, RandomGenerator random) {
+    ShardRequest(
+            PermittedLeaves pool, RequestBounds bounds, boolean repeatable, boolean hedged, RandomGenerator random) {
         this.pool = pool;
         this.bounds = bounds;
         this.repeatable = repeatable;
@@ -227,6 +228,14 @@
         return spentElsewhere > 0 || !attempts.isEmpty();
     }
 
+    /** Returns why a request that has not run could not be served. */
+    RefusalReason notRunReason() {
+        if (wasAsked()) {
+            return RefusalReason.ALL_BUSY;
+        }
+        return pool.areAllElsewhere() ? RefusalReason.NO_LEAF_AT_HOME : RefusalReason.NO_LEAF;
+    }
+
     /** Returns true if a leaf may have seen the request. */
     boolean wasSent() {
         return spentElsewhere > 0 || !attempts.stream().allMatch(Attempt::isNotSent);
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/StagePlanner.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StagePlanner.java
@@ -10,7 +10,8 @@
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
-import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
+import org.bramblerack.version.routing.Homes;
 
 /**
  * Decides which shards of a query other hosts ask on behalf of this one.
@@ -47,8 +48,11 @@
         /** Returns the region of a host if it is another one than this host's. */
         Optional<String> otherRegionOf(String host);
 
-        /** Returns the host that holds the connections to a leaf, if that is another host and can be asked. */
-        Optional<String> holderOf(Leaf leaf);
+        /**
+         * Returns the host that holds the connections to a leaf, if that is another host, can be asked, and may see the
+         * body of a request with the given homes.
+         */
+        Optional<String> holderOf(Leaf leaf, Homes homes);
 
         /** Returns the region of a leaf. */
         String regionOf(Leaf leaf);
@@ -73,7 +77,11 @@
      * @param relays whether the holders of another region are asked through one of them
      */
     public ImmutableList<StageAttempt> plan(
-            ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos, Relays relays, long nowNanos) {
+            ImmutableList<PermittedLeaves> pools,
+            long expectedNanos,
+            long hedgeDelayNanos,
+            Relays relays,
+            long nowNanos) {
         Map<String, List<Integer>> shardsByRegion = new HashMap<>();
         Map<String, List<Integer>> shardsByHolder = new LinkedHashMap<>();
         List<Integer> far = farShards(pools, expectedNanos, nowNanos, shardsByRegion, shardsByHolder);
@@ -127,16 +135,16 @@
     }
 
     private List<Integer> farShards(
-            ImmutableList<LeafPool> pools,
+            ImmutableList<PermittedLeaves> pools,
             long expectedNanos,
             long nowNanos,
             Map<String, List<Integer>> shardsByRegion,
             Map<String, List<Integer>> shardsByHolder) {
         List<Integer> far = new ArrayList<>();
         for (int shard = 0; shard < pools.size(); shard++) {
-            LeafPool pool = pools.get(shard);
+            PermittedLeaves pool = pools.get(shard);
             Optional<Leaf> best = pool.choose(leaf -> true, expectedNanos, random, nowNanos);
-            Optional<String> holder = best.flatMap(ways::holderOf);
+            Optional<String> holder = best.flatMap(leaf -> ways.holderOf(leaf, pool.homes()));
             if (holder.isPresent()) {
                 shardsByHolder
                         .computeIfAbsent(holder.get(), unused -> new ArrayList<>())
@@ -153,7 +161,8 @@
     }
 
     /** Notes the regions in which a shard has a leaf that can be asked. */
-    private void noteRegions(LeafPool pool, int shard, long nowNanos, Map<String, List<Integer>> shardsByRegion) {
+    private void noteRegions(
+            PermittedLeaves pool, int shard, long nowNanos, Map<String, List<Integer>> shardsByRegion) {
         for (Leaf leaf : pool.all()) {
             if (leaf.acceptsWork() && leaf.distance() == Distance.OTHER_REGION && !leaf.isEjected(nowNanos)) {
                 List<Integer> shards = shardsByRegion.computeIfAbsent(ways.regionOf(leaf), unused -> new ArrayList<>());
--- a/bramblerack-core/src/main/java/org/bramblerack/version/routing/Route.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/version/routing/Route.java
@@ -19,6 +19,7 @@
  * @param priority its rank; 0 is the highest
  * @param maxAttempts how many leafs a request may be sent to, for a fan-out at each shard
  * @param target where its requests go
+ * @param homes the regions that may serve its requests
  */
 public record Route(
         String name,
@@ -29,11 +30,13 @@
         Duration goal,
         int priority,
         int maxAttempts,
-        RouteTarget target) {
+        RouteTarget target,
+        Homes homes) {
     /** Refuses what no request could be served by. */
     public Route {
         requireNonNull(kind);
         requireNonNull(target);
+        requireNonNull(homes);
         checkArgument(
                 prefix.startsWith("/") && prefix.endsWith("/"),
                 "the prefix %s of route %s does not begin and end with a slash",
@@ -43,4 +46,18 @@
                 !timeout.isZero() && !timeout.isNegative(), "route %s has the time-out %s; give more", name, timeout);
         checkArgument(maxAttempts >= 1, "route %s allows %s attempts; allow 1 at least", name, maxAttempts);
     }
+
+    /** Creates a route whose requests every region may serve. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration goal,
+            int priority,
+            int maxAttempts,
+            RouteTarget target) {
+        this(name, host, prefix, kind, timeout, goal, priority, maxAttempts, target, Homes.ANYWHERE);
+    }
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/HostLagTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/HostLagTest.java
@@ -37,7 +37,8 @@
     @Test
     void aHostThatIsBehindDoesNotTakeItsLeafForStalled() {
         RoutingContext context = new RoutingContext(RoutingPolicy.DEFAULT, lag);
-        Leaf leaf = new Leaf("l", "s", "10.0.0.1:1", Distance.SAME_ZONE, 2, Duration.ZERO, context, 0);
+        Leaf leaf =
+                new Leaf("l", "s", "10.0.0.1:1", LeafPlace.unnamed(Distance.SAME_ZONE), 2, Duration.ZERO, context, 0);
         lag.taskRuns(0);
         Leaf.Call call = leaf.begin(EXPECTED, 0);
         assertThat(leaf.isStalled(100 * MILLI)).isFalse();
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ForwardedRequestTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ForwardedRequestTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.collect.ImmutableList;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -96,11 +95,8 @@
 
     private ForwardedRequest request(int leafs, boolean repeatable, int budget) {
         world.service("s", leafs, budget);
-        ForwardedRequest request = new ForwardedRequest(
-                ImmutableList.copyOf(world.pools.values()).get(0),
-                repeatable,
-                RoutedWorld.bounds(2),
-                RoutedWorld.random());
+        ForwardedRequest request =
+                new ForwardedRequest(world.pools().get(0), repeatable, RoutedWorld.bounds(2), RoutedWorld.random());
         world.carryOut(request.start(0), 0);
         return request;
     }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
@@ -63,7 +63,7 @@
         world.service("s1", 2, budget);
         ScatterQuery query = new ScatterQuery(
                 new RouteTarget.Scatter(ImmutableList.copyOf(world.pools.keySet()), 5, 0),
-                ImmutableList.copyOf(world.pools.values()),
+                world.pools(),
                 stages,
                 RoutedWorld.bounds(2),
                 delivery,
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/PassedOnQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/PassedOnQueryTest.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.time.Duration;
-import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.version.routing.RouteTarget;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,10 +27,9 @@
         world.service("s0", 2, 10);
         world.service("s1", 2, 10);
         RouteTarget.Scatter target = new RouteTarget.Scatter(ImmutableList.copyOf(world.pools.keySet()), 5, 0);
-        ImmutableList<LeafPool> pools = ImmutableList.copyOf(world.pools.values());
         query = new ScatterQuery(
                 target,
-                pools,
+                world.pools(),
                 ImmutableList.of(stage),
                 RoutedWorld.bounds(2),
                 ScatterQuery.Delivery.IN_PIECES,
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedWorld.java
@@ -14,6 +14,8 @@
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
+import org.bramblerack.version.routing.Homes;
 import org.bramblerack.version.routing.RouteTarget;
 
 /** Leafs by name and a record of what a request wanted done. */
@@ -109,8 +111,10 @@
         return new RouteTarget.Scatter(ImmutableList.copyOf(pools.keySet()), 5, leastShare);
     }
 
-    ImmutableList<LeafPool> pools() {
-        return ImmutableList.copyOf(pools.values());
+    ImmutableList<PermittedLeaves> pools() {
+        return pools.values().stream()
+                .map(pool -> pool.permitted(Homes.ANYWHERE))
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Spends the whole budget of every service. */
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagePlannerTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagePlannerTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,8 @@
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
+import org.bramblerack.version.routing.Homes;
 import org.junit.jupiter.api.Test;
 
 final class StagePlannerTest {
@@ -86,7 +89,10 @@
     }
 
     private ImmutableList<StageAttempt> plan(StagePlanner.Relays relays, LeafPool... pools) {
-        return planner.plan(ImmutableList.copyOf(pools), EXPECTED, HEDGE, relays, 0);
+        ImmutableList<PermittedLeaves> permitted = Arrays.stream(pools)
+                .map(pool -> pool.permitted(Homes.ANYWHERE))
+                .collect(ImmutableList.toImmutableList());
+        return planner.plan(permitted, EXPECTED, HEDGE, relays, 0);
     }
 
     private static LeafPool near(int shard) {
@@ -112,7 +118,7 @@
         }
 
         @Override
-        public Optional<String> holderOf(Leaf leaf) {
+        public Optional<String> holderOf(Leaf leaf, Homes homes) {
             return Optional.ofNullable(holders.get(leaf.id()));
         }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -27,6 +27,7 @@
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.PutConfiguration;
 import org.bramblerack.wire.SetShardAccess;
+import org.bramblerack.wire.SetZoneDrain;
 import org.bramblerack.wire.TableDelta;
 import org.bramblerack.wire.TablePull;
 
@@ -115,6 +116,21 @@
         });
     }
 
+    /** Has the leafs of an availability zone get no work, or takes that back; either may be said again. */
+    public Uni<FleetOutcome> drainZone(String zone, boolean drained) {
+        Command command = Command.newBuilder()
+                .setSetZoneDrain(SetZoneDrain.newBuilder().setZone(zone).setDrained(drained))
+                .build();
+        return propose(command, CHANGE_WAIT).invoke(outcome -> {
+            count("fleet_zone_drain_", outcome);
+            EVENTS.info("zone_drain_set")
+                    .with("zone", zone)
+                    .with("drained", drained)
+                    .with("outcome", outcome.name())
+                    .write();
+        });
+    }
+
     /** Returns the compressed document of the newest configuration, if it is certain that it is the newest. */
     public Uni<Optional<ByteString>> newestConfiguration() {
         return client.read(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetHosts.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetHosts.java
@@ -14,7 +14,8 @@
  * The hosts that the agreed tables name.
  *
  * <p>Invariant: a host that has gone is no longer listed, but where it was is remembered, since messages to it may
- * still be under way. Owned by the event loop; {@link #otherRegionOf} alone is safe for use by many threads.
+ * still be under way. Owned by the event loop; {@link #regionOf} and {@link #otherRegionOf} alone are safe for use by
+ * many threads.
  */
 final class FleetHosts {
     private final Place place;
@@ -65,9 +66,13 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns the region of a host with the given name or peer address, if it is or was known. */
+    Optional<String> regionOf(String host) {
+        return Optional.ofNullable(regionsByAddress.get(PeerNetwork.addressOf(host)));
+    }
+
     /** Returns the region of a host with the given name or peer address if it is known to be another one. */
     Optional<String> otherRegionOf(String host) {
-        return Optional.ofNullable(regionsByAddress.get(PeerNetwork.addressOf(host)))
-                .filter(region -> !region.equals(place.region()));
+        return regionOf(host).filter(region -> !region.equals(place.region()));
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -74,6 +74,7 @@
     private long revision;
     private final EventRate queries;
     private boolean throughHolders;
+    private ImmutableSet<String> drainedZones = ImmutableSet.of();
     private boolean connectionsReviewed = true;
     private boolean accessStale;
     private Runnable onHostsChanged = () -> {};
@@ -161,6 +162,11 @@
         return queries.aMinute(clock.nowNanos());
     }
 
+    /** Returns the region of a host with the given name or peer address, if it is or was known. */
+    Optional<String> regionOf(String host) {
+        return hosts.regionOf(host);
+    }
+
     /** Returns the region of a host with the given name or peer address if it is known to be another one. */
     Optional<String> otherRegionOf(String host) {
         return hosts.otherRegionOf(host);
@@ -247,10 +253,11 @@
         int hostsBefore = entryHosts().size();
         int leavesBefore = leafRecords.size();
         boolean hostsChanged = hosts.apply(delta);
+        boolean zonesChanged = applyDrainedZones(delta);
         boolean leavesChanged = applyLeaves(delta);
         boolean waysChanged = throughHolders != delta.getThroughHolders();
         throughHolders = delta.getThroughHolders();
-        if (hostsChanged || leavesChanged || waysChanged || newer.isPresent()) {
+        if (hostsChanged || leavesChanged || zonesChanged || waysChanged || newer.isPresent()) {
             accessStale = true;
             if (hostsChanged) {
                 onHostsChanged.run();
@@ -265,6 +272,7 @@
                     .with("leafsBefore", leavesBefore)
                     .with("throughHolders", throughHolders)
                     .with("leaving", leaving(delta))
+                    .with("drainedZones", String.join(" ", drainedZones))
                     .write();
         }
     }
@@ -290,6 +298,19 @@
                 .collect(Collectors.joining(" "));
     }
 
+    /** Returns true if the leafs of other availability zones than before get no work. */
+    private boolean applyDrainedZones(TableDelta delta) {
+        ImmutableSet<String> before = drainedZones;
+        drainedZones = ImmutableSet.copyOf(delta.getDrainedZonesList());
+        if (before.equals(drainedZones)) {
+            return false;
+        }
+        for (LeafRecord record : leafRecords.values()) {
+            leaf(record.getId()).ifPresent(leaf -> leaf.setZoneDrained(drainedZones.contains(record.getZone())));
+        }
+        return true;
+    }
+
     private boolean applyLeaves(TableDelta delta) {
         Set<String> before = ImmutableSet.copyOf(leafRecords.keySet());
         if (delta.getWhole()) {
@@ -313,6 +334,9 @@
     }
 
     private void put(LeafRecord record) {
+        leafRecord(record.getId())
+                .filter(known -> known.getIncarnation() != record.getIncarnation())
+                .ifPresent(this::remove);
         LeafPool pool = pool(record.getService());
         Optional<Leaf> known = pool.find(record.getId());
         if (known.isEmpty()) {
@@ -320,11 +344,12 @@
                     record.getId(),
                     record.getService(),
                     record.getAddress(),
-                    place.distanceTo(record.getZone()),
+                    place.of(record.getZone()),
                     record.getSlots(),
                     Duration.ofMillis(record.getColdMillis()),
                     routing,
                     clock.nowNanos());
+            leaf.setZoneDrained(drainedZones.contains(record.getZone()));
             pool.add(leaf);
             known = Optional.of(leaf);
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -89,7 +89,7 @@
         view.onHostsChanged(stages::hostsChanged);
         view.onConnectionEvent(metrics::count);
         this.log = new DecisionLog(clock, view);
-        this.runs = new QueryRuns(view, stages, network, names, metrics, clock, loop, random, log);
+        this.runs = new QueryRuns(view, stages, names, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
         this.stageServer = new StageServer(view, runs, names, clock, loop);
     }
@@ -173,8 +173,13 @@
             refusedUnrouted(exchange, "NO_ROUTE");
             return;
         }
-        LeafRequest request =
-                LeafRequest.create(exchange.method(), exchange.uri(), exchange.headers(), exchange.body(), names);
+        LeafRequest request = LeafRequest.create(
+                exchange.method(),
+                exchange.uri(),
+                exchange.headers(),
+                exchange.body(),
+                route.get().homes(),
+                names);
         RequestTimes times = times(exchange, route.get());
         if (times.deadlineNanos() - clock.nowNanos() <= 0) {
             caller.refuse(RefusalReason.EXPIRED);
@@ -242,7 +247,8 @@
                 .setHedgeDelayMicros(TimeUnit.NANOSECONDS.toMicros(runs.hedgeDelayNanos(route)))
                 .setMethod(exchange.method())
                 .setUri(exchange.uri())
-                .setBody(ByteString.copyFrom(exchange.body()));
+                .setBody(ByteString.copyFrom(exchange.body()))
+                .addAllHomeRegions(route.homes().regions());
         exchange.headers().forEach(header -> {
             if (!LeafRequest.isOfOneConnection(header.getKey())) {
                 call.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -12,11 +12,10 @@
 import org.bramblerack.daemon.leaf.LeafExchange;
 import org.bramblerack.daemon.leaf.LeafRequest;
 import org.bramblerack.daemon.peer.PeerFailure;
-import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
-import org.bramblerack.wire.Envelope;
+import org.bramblerack.version.routing.Homes;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageResult;
 
@@ -30,7 +29,7 @@
     private final StageCall query;
     private final FleetView view;
     private final StageLinks links;
-    private final PeerNetwork network;
+    private final Homes homes;
     private final CallHeaders names;
     private final MonotonicClock clock;
 
@@ -39,24 +38,18 @@
      *
      * @param query what the other hosts are told of the query; leaf and time are added for each call
      */
-    HolderPath(
-            StageCall query,
-            FleetView view,
-            StageLinks links,
-            PeerNetwork network,
-            CallHeaders names,
-            MonotonicClock clock) {
+    HolderPath(StageCall query, FleetView view, StageLinks links, CallHeaders names, MonotonicClock clock) {
         this.query = query;
         this.view = view;
         this.links = links;
-        this.network = network;
+        this.homes = Homes.of(query.getHomeRegionsList());
         this.names = names;
         this.clock = clock;
     }
 
     @Override
     public LeafConnections.Ticket send(Leaf leaf, LeafRequest request, long deadlineNanos, LeafExchange taker) {
-        Optional<StageLinks.Link> holder = links.firstUsable(view.holdersOf(leaf), leaf.id());
+        Optional<StageLinks.Link> holder = links.firstUsable(view.holdersOf(leaf), leaf.id(), homes);
         if (holder.isEmpty()) {
             return view.connectionsTo(leaf).send(request, deadlineNanos, taker);
         }
@@ -82,11 +75,7 @@
         void send(long deadlineNanos) {
             long remainingNanos = Math.max(1, deadlineNanos - clock.nowNanos());
             holder.begin();
-            network.requestWhenConnected(
-                            holder.host(),
-                            () -> Envelope.newBuilder().setStageCall(message(deadlineNanos)),
-                            Duration.ofNanos(remainingNanos),
-                            progress -> {})
+            links.ask(holder, homes, () -> message(deadlineNanos), Duration.ofNanos(remainingNanos), progress -> {})
                     .subscribe()
                     .with(reply -> take(reply.getStageResult()), this::fail);
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Place.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Place.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import org.bramblerack.process.leaf.Distance;
+import org.bramblerack.process.leaf.LeafPlace;
 
 /**
  * Where this host is, and which region each availability zone belongs to.
@@ -22,6 +23,11 @@
         return regionsByZone.getOrDefault(otherZone, otherZone);
     }
 
+    /** Returns where the leafs of a zone are. */
+    public LeafPlace of(String otherZone) {
+        return new LeafPlace(otherZone, regionOf(otherZone), distanceTo(otherZone));
+    }
+
     /** Returns how far a zone is. */
     public Distance distanceTo(String otherZone) {
         return Distance.between(zone, region, otherZone, regionOf(otherZone));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -5,10 +5,9 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.leaf.CallHeaders;
-import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.request.routed.ForwardedRequest;
 import org.bramblerack.request.routed.HedgeTiming;
 import org.bramblerack.request.routed.RequestBounds;
@@ -24,7 +23,6 @@
 final class QueryRuns {
     private final FleetView view;
     private final StageLinks links;
-    private final PeerNetwork network;
     private final CallHeaders names;
     private final GatewayMetrics metrics;
     private final MonotonicClock clock;
@@ -35,7 +33,6 @@
     QueryRuns(
             FleetView view,
             StageLinks links,
-            PeerNetwork network,
             CallHeaders names,
             GatewayMetrics metrics,
             MonotonicClock clock,
@@ -44,7 +41,6 @@
             DecisionLog log) {
         this.view = view;
         this.links = links;
-        this.network = network;
         this.names = names;
         this.metrics = metrics;
         this.clock = clock;
@@ -60,7 +56,7 @@
 
     /** Creates a run that may leave shards far away to other hosts. */
     ScatterRun scatter(RoutedCall call, RouteTarget.Scatter target, StageCaller caller, AnswerSink sink) {
-        ImmutableList<LeafPool> pools = pools(target);
+        ImmutableList<PermittedLeaves> pools = pools(call, target);
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
         ImmutableList<StageAttempt> stages = view.usesStages()
                 ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos(), StagePlanner.Relays.USED)
@@ -84,7 +80,7 @@
             StageCaller caller,
             AnswerSink sink) {
         RequestBounds bounds = bounds(call, hedgeDelayNanos);
-        ImmutableList<LeafPool> pools = pools(target);
+        ImmutableList<PermittedLeaves> pools = pools(call, target);
         ImmutableList<StageAttempt> stages = mayPassOn && view.usesHolders()
                 ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos(), StagePlanner.Relays.NOT_USED)
                 : ImmutableList.of();
@@ -99,7 +95,7 @@
      * @param shardServices the services that are the shards, in their order
      */
     StageCaller stageCaller(StageCall call, ImmutableList<String> shardServices, RequestTimes times) {
-        return new StageCaller(call, shardServices, times, links, network, clock, metrics);
+        return new StageCaller(call, shardServices, times, links, clock, metrics);
     }
 
     private ScatterRun run(RoutedCall call, ScatterQuery query, StageCaller caller, AnswerSink sink) {
@@ -107,15 +103,17 @@
         return new ScatterRun(call, query, sender(call, path), caller, sink, metrics, clock, log);
     }
 
-    private ImmutableList<LeafPool> pools(RouteTarget.Scatter target) {
-        ImmutableList.Builder<LeafPool> pools =
+    private ImmutableList<PermittedLeaves> pools(RoutedCall call, RouteTarget.Scatter target) {
+        ImmutableList.Builder<PermittedLeaves> pools =
                 ImmutableList.builderWithExpectedSize(target.shards().size());
-        target.shards().forEach(shard -> pools.add(view.pool(shard)));
+        target.shards()
+                .forEach(shard ->
+                        pools.add(view.pool(shard).permitted(call.route().homes())));
         return pools.build();
     }
 
     private LeafPath holderPath(StageCall query) {
-        return new HolderPath(query, view, links, network, names, clock);
+        return new HolderPath(query, view, links, names, clock);
     }
 
     /**
@@ -126,7 +124,8 @@
     ForwardRun forward(RoutedCall call, String service, Supplier<StageCall> query, CallerAnswers caller) {
         boolean repeatable = call.route().kind() == RequestKind.IDEMPOTENT;
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
-        ForwardedRequest forwarded = new ForwardedRequest(view.pool(service), repeatable, bounds, random);
+        ForwardedRequest forwarded =
+                new ForwardedRequest(view.pool(service).permitted(call.route().homes()), repeatable, bounds, random);
         LeafPath path = view.isHeld(service)
                 ? holderPath(query.get().toBuilder().setWholeAnswer(true).build())
                 : (leaf, request, deadlineNanos, taker) ->
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -9,12 +9,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.bramblerack.daemon.peer.PeerFailure;
-import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StageReply;
 import org.bramblerack.request.routed.StageTiming;
-import org.bramblerack.wire.Envelope;
+import org.bramblerack.version.routing.Homes;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageProgress;
 import org.bramblerack.wire.StageResult;
@@ -25,7 +24,7 @@
     private final ImmutableList<String> shardServices;
     private final RequestTimes times;
     private final StageLinks links;
-    private final PeerNetwork network;
+    private final Homes homes;
     private final MonotonicClock clock;
     private final GatewayMetrics metrics;
     private final Map<StageAttempt, Sent> underWay = new HashMap<>();
@@ -41,14 +40,13 @@
             ImmutableList<String> shardServices,
             RequestTimes times,
             StageLinks links,
-            PeerNetwork network,
             MonotonicClock clock,
             GatewayMetrics metrics) {
         this.call = call;
         this.shardServices = shardServices;
         this.times = times;
         this.links = links;
-        this.network = network;
+        this.homes = Homes.of(call.getHomeRegionsList());
         this.clock = clock;
         this.metrics = metrics;
     }
@@ -79,9 +77,10 @@
         underWay.put(stage, sent);
         Duration wait = Duration.ofNanos(Math.max(1, times.deadlineNanos() - clock.nowNanos()));
         link.begin();
-        network.requestWhenConnected(
-                        stage.host(),
-                        () -> Envelope.newBuilder().setStageCall(message(stage, sent)),
+        links.ask(
+                        link,
+                        homes,
+                        () -> message(stage, sent),
                         wait,
                         progress -> progressed(stage, progress.getStageProgress(), taker))
                 .subscribe()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,19 +12,23 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerFailure;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Leaf;
-import org.bramblerack.process.leaf.LeafPool;
+import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StagePlanner;
 import org.bramblerack.request.routed.StageTiming;
+import org.bramblerack.version.routing.Homes;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.Ping;
+import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageCancel;
 import org.jspecify.annotations.Nullable;
 
@@ -93,13 +98,16 @@
 
     /** Divides the shards of a query between this host and others; see {@link StagePlanner#plan}. */
     ImmutableList<StageAttempt> plan(
-            ImmutableList<LeafPool> pools, long expectedNanos, long hedgeDelayNanos, StagePlanner.Relays relays) {
+            ImmutableList<PermittedLeaves> pools,
+            long expectedNanos,
+            long hedgeDelayNanos,
+            StagePlanner.Relays relays) {
         return planner.plan(pools, expectedNanos, hedgeDelayNanos, relays, clock.nowNanos());
     }
 
     @Override
-    public Optional<String> holderOf(Leaf leaf) {
-        return firstUsable(view.holdersOf(leaf), leaf.id()).map(Link::host);
+    public Optional<String> holderOf(Leaf leaf, Homes homes) {
+        return firstUsable(view.holdersOf(leaf), leaf.id(), homes).map(Link::host);
     }
 
     @Override
@@ -149,14 +157,37 @@
      * start of the whole fleet no host is known to answer, and to go round the holders would take connections to every
      * leaf from every host.
      */
-    Optional<Link> firstUsable(List<String> hosts, String leafId) {
+    Optional<Link> firstUsable(List<String> hosts, String leafId, Homes homes) {
         long nowNanos = clock.nowNanos();
         return hosts.stream()
+                .filter(host -> maySee(host, homes))
                 .map(this::link)
                 .filter(link -> link.mayBeTried(nowNanos) && link.mayReach(leafId, nowNanos))
                 .findFirst();
     }
 
+    /**
+     * Has another host ask leafs. Every such call goes this way, so here is the last check that its body may go there.
+     *
+     * @param homes the regions that may see the body
+     * @param message makes the call as soon as the link is there
+     * @param progress takes what the host says of its progress before the reply
+     */
+    Uni<Envelope> ask(
+            Link link, Homes homes, Supplier<StageCall.Builder> message, Duration wait, Consumer<Envelope> progress) {
+        if (!maySee(link.host, homes)) {
+            return Uni.createFrom()
+                    .failure(new PeerFailure(
+                            PeerFailure.Kind.NOT_SENT, link.host + " is in no region that may serve the request"));
+        }
+        return network.requestWhenConnected(
+                link.host, () -> Envelope.newBuilder().setStageCall(message.get()), wait, progress);
+    }
+
+    private boolean maySee(String host, Homes homes) {
+        return homes.areAnywhere() || view.regionOf(host).filter(homes::allow).isPresent();
+    }
+
     /** Returns a number that no other call of this host has. */
     long nextCall() {
         return ++lastCall;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -18,6 +18,7 @@
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.request.routed.StageTiming;
+import org.bramblerack.version.routing.Homes;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
@@ -73,8 +74,9 @@
             calls.end(sender, call.getCall());
             reply.accept(message);
         };
+        Homes homes = homes(call);
         LeafRequest request = LeafRequest.create(
-                call.getMethod(), call.getUri(), headers(call), call.getBody().toByteArray(), names);
+                call.getMethod(), call.getUri(), headers(call), call.getBody().toByteArray(), homes, names);
         // Its times count from when it came, so that no leaf is given more time than the caller has left.
         long arrivedNanos = view.routing().hostLag().arrivedNanos(clock.nowNanos());
         if (call.getLeaf().isEmpty()) {
@@ -83,7 +85,7 @@
             loop.execute(() -> {
                 if (!cancelled.get()) {
                     calls.end(sender, call.getCall());
-                    runQuery(sender, call, arrivedNanos, request, reply, lastReply);
+                    runQuery(sender, call, homes, arrivedNanos, request, reply, lastReply);
                 }
             });
         } else {
@@ -102,11 +104,12 @@
     private void runQuery(
             String sender,
             StageCall call,
+            Homes homes,
             long arrivedNanos,
             LeafRequest request,
             Consumer<Envelope.Builder> reply,
             Consumer<Envelope.Builder> lastReply) {
-        Optional<String> refusal = refusal(call, arrivedNanos);
+        Optional<String> refusal = refusal(call, homes, arrivedNanos);
         if (refusal.isPresent()) {
             reply.accept(Envelope.newBuilder()
                     .setStageResult(StageResult.newBuilder()
@@ -124,11 +127,15 @@
                 new RouteTarget.Scatter(ImmutableList.copyOf(call.getServicesList()), call.getTopRecords(), 0);
         ScatterRun run = runs.scatterHere(
                 new RoutedCall(
-                        route(call, target, maxAttempts), call.getConfigurationVersion(), request, arrivedNanos, times),
+                        route(call, target, homes, maxAttempts),
+                        call.getConfigurationVersion(),
+                        request,
+                        arrivedNanos,
+                        times),
                 target,
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
                 !call.getPassedOn(),
-                runs.stageCaller(passedOn(call, maxAttempts), target.shards(), times),
+                runs.stageCaller(passedOn(call, homes, maxAttempts), target.shards(), times),
                 new Replier(reply, lastReply, call.getShardsList(), sender));
         run.onStillAtWork(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
@@ -143,18 +150,33 @@
      * Returns why a call is not run, if it is not. One that waited here for longer than the host that asked waits for a
      * first word is asked elsewhere by now; begun all the same, it would take one leaf more than the route allows.
      */
-    private Optional<String> refusal(StageCall call, long arrivedNanos) {
+    private Optional<String> refusal(StageCall call, Homes homes, long arrivedNanos) {
         if (refusesWork) {
             return Optional.of("this host is stopping");
         }
         if (!namesShards(call)) {
             return Optional.of("the call names no shards");
         }
+        if (homes.areNowhere()) {
+            return Optional.of("no region may serve the route by all that hosts know of it");
+        }
         long waitedNanos = clock.nowNanos() - arrivedNanos;
         boolean givenUp = waitedNanos >= TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros());
         return givenUp ? Optional.of("this host is behind") : Optional.empty();
     }
 
+    /**
+     * Returns the regions that may serve a call: those that the host that asked knows of its route and those that this
+     * host does, since for a moment the two may follow different versions of the configuration.
+     */
+    private Homes homes(StageCall call) {
+        Homes told = Homes.of(call.getHomeRegionsList());
+        return view.configuration()
+                .routeNamed(call.getRoute())
+                .map(route -> told.and(route.homes()))
+                .orElse(told);
+    }
+
     /**
      * Returns how many leafs of a shard may be asked here. The host that asked makes an attempt of its own if it waits
      * for the first word longer than it allows for the way: then a call that waited here has one left.
@@ -165,11 +187,13 @@
     }
 
     /** Returns what hosts are told that are asked in turn; shards and times are added for each. */
-    private static StageCall passedOn(StageCall call, int maxAttempts) {
+    private static StageCall passedOn(StageCall call, Homes homes, int maxAttempts) {
         return call.toBuilder()
                 .clearShards()
                 .clearServices()
                 .setMaxAttempts(maxAttempts)
+                .clearHomeRegions()
+                .addAllHomeRegions(homes.regions())
                 .setPassedOn(true)
                 .build();
     }
@@ -188,10 +212,11 @@
      *
      * <p>Evidence of how long calls take is kept by its name.
      */
-    private Route route(StageCall call, RouteTarget.Scatter target, int maxAttempts) {
+    private Route route(StageCall call, RouteTarget.Scatter target, Homes homes, int maxAttempts) {
         return view.configuration()
                 .routeNamed(call.getRoute())
-                .filter(known -> known.maxAttempts() == maxAttempts)
+                .filter(known ->
+                        known.maxAttempts() == maxAttempts && known.homes().equals(homes))
                 .orElseGet(() -> new Route(
                         call.getRoute(),
                         "",
@@ -201,7 +226,8 @@
                         Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()))),
                         0,
                         maxAttempts,
-                        target));
+                        target,
+                        homes));
     }
 
     /** Turns the numbers of shards of a part into those of the whole. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -66,12 +66,14 @@
     /**
      * Sends a request on an idle connection, or on a new one if this host may open another.
      *
+     * <p>Every request to a leaf goes this way, so here is the last check that it may go there at all.
+     *
      * @param deadlineNanos when the sender stops waiting
      * @return what to call to give the request up
      */
     public Ticket send(LeafRequest request, long deadlineNanos, LeafExchange taker) {
         Pending pending = new Pending(request, deadlineNanos, taker);
-        if (!leaf.acceptsWork()) {
+        if (!leaf.acceptsWork() || !request.mayBeSentTo(leaf)) {
             taker.failed(LeafOutcome.NO_CONNECTION);
             return pending;
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
@@ -10,6 +10,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.version.routing.Homes;
 
 /**
  * A caller's request in the form in which leafs get it: everything but what differs from leaf to leaf is written once.
@@ -36,18 +38,30 @@
     private final boolean head;
     private final byte[] commonHead;
     private final byte[] body;
+    private final Homes homes;
 
-    private LeafRequest(CallHeaders names, String requestId, boolean head, byte[] commonHead, byte[] body) {
+    private LeafRequest(
+            CallHeaders names, String requestId, boolean head, byte[] commonHead, byte[] body, Homes homes) {
         this.names = names;
         this.requestId = requestId;
         this.head = head;
         this.commonHead = commonHead;
         this.body = body;
+        this.homes = homes;
     }
 
-    /** Creates the request that leafs get from that of a caller. */
+    /**
+     * Creates the request that leafs get from that of a caller.
+     *
+     * @param homes the regions whose leafs may get it
+     */
     public static LeafRequest create(
-            String method, String uri, Iterable<Map.Entry<String, String>> headers, byte[] body, CallHeaders names) {
+            String method,
+            String uri,
+            Iterable<Map.Entry<String, String>> headers,
+            byte[] body,
+            Homes homes,
+            CallHeaders names) {
         StringBuilder text = new StringBuilder(256);
         text.append(method).append(' ').append(uri).append(" HTTP/1.1").append(LINE_END);
         String requestId = "";
@@ -68,7 +82,12 @@
             text.append("Content-Length: ").append(body.length).append(LINE_END);
         }
         return new LeafRequest(
-                names, requestId, method.equals("HEAD"), text.toString().getBytes(StandardCharsets.ISO_8859_1), body);
+                names,
+                requestId,
+                method.equals("HEAD"),
+                text.toString().getBytes(StandardCharsets.ISO_8859_1),
+                body,
+                homes);
     }
 
     /** Returns the identifier that the caller gave it, empty if it gave none. */
@@ -76,6 +95,11 @@
         return requestId;
     }
 
+    /** Returns true if the leaf may get it. */
+    boolean mayBeSentTo(Leaf leaf) {
+        return homes.allow(leaf.place().region());
+    }
+
     /** Returns true if answers to it have no body whatever their head says. */
     boolean isHead() {
         return head;
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -21,6 +22,7 @@
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.version.routing.Homes;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -44,6 +46,7 @@
     private ServerSocket server;
     private Thread listener;
     private LeafConnections connections;
+    private volatile Homes homes = Homes.ANYWHERE;
     private volatile String answer = WHOLE;
     private volatile End end = End.STAY;
 
@@ -78,6 +81,14 @@
         assertThat(accepted.get()).isEqualTo(1);
     }
 
+    /** The last check before a leaf: whoever chose it, a request with homes does not leave them. */
+    @Test
+    void aRequestIsNotSentToALeafOutsideItsHomes() throws Exception {
+        homes = Homes.of(ImmutableList.of("elsewhere"));
+        assertThat(send("r-1")).isEqualTo(LeafOutcome.NO_CONNECTION);
+        assertThat(accepted.get()).isEqualTo(0);
+    }
+
     @Test
     void theEndOfAConnectionIsToldWithItsCause() throws Exception {
         answer = WHOLE.replace("Content-Length", "Connection: close\r\nContent-Length");
@@ -224,12 +235,13 @@
         return System.nanoTime() + Duration.ofSeconds(3).toNanos();
     }
 
-    private static LeafRequest request(String id) {
+    private LeafRequest request(String id) {
         return LeafRequest.create(
                 "GET",
                 "/path?q=1",
                 new DefaultHttpHeaders().set("Host", "h").set("Request-Id", id).set("Connection", "keep-alive"),
                 new byte[0],
+                homes,
                 NAMES);
     }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/Command.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/Command.java
@@ -61,6 +61,7 @@
     REPORT_HOST(6),
     FORGET_MEMBERS(7),
     SET_SHARD_ACCESS(8),
+    SET_ZONE_DRAIN(9),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -86,6 +87,7 @@
         case 6: return REPORT_HOST;
         case 7: return FORGET_MEMBERS;
         case 8: return SET_SHARD_ACCESS;
+        case 9: return SET_ZONE_DRAIN;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -349,6 +351,37 @@
     return org.bramblerack.wire.SetShardAccess.getDefaultInstance();
   }
 
+  public static final int SET_ZONE_DRAIN_FIELD_NUMBER = 9;
+  /**
+   * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+   * @return Whether the setZoneDrain field is set.
+   */
+  @java.lang.Override
+  public boolean hasSetZoneDrain() {
+    return bodyCase_ == 9;
+  }
+  /**
+   * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+   * @return The setZoneDrain.
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.SetZoneDrain getSetZoneDrain() {
+    if (bodyCase_ == 9) {
+       return (org.bramblerack.wire.SetZoneDrain) body_;
+    }
+    return org.bramblerack.wire.SetZoneDrain.getDefaultInstance();
+  }
+  /**
+   * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+   */
+  @java.lang.Override
+  public org.bramblerack.wire.SetZoneDrainOrBuilder getSetZoneDrainOrBuilder() {
+    if (bodyCase_ == 9) {
+       return (org.bramblerack.wire.SetZoneDrain) body_;
+    }
+    return org.bramblerack.wire.SetZoneDrain.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -387,6 +420,9 @@
     if (bodyCase_ == 8) {
       output.writeMessage(8, (org.bramblerack.wire.SetShardAccess) body_);
     }
+    if (bodyCase_ == 9) {
+      output.writeMessage(9, (org.bramblerack.wire.SetZoneDrain) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -428,6 +464,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, (org.bramblerack.wire.SetShardAccess) body_);
     }
+    if (bodyCase_ == 9) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, (org.bramblerack.wire.SetZoneDrain) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -477,6 +517,10 @@
         if (!getSetShardAccess()
             .equals(other.getSetShardAccess())) return false;
         break;
+      case 9:
+        if (!getSetZoneDrain()
+            .equals(other.getSetZoneDrain())) return false;
+        break;
       case 0:
       default:
     }
@@ -524,6 +568,10 @@
         hash = (37 * hash) + SET_SHARD_ACCESS_FIELD_NUMBER;
         hash = (53 * hash) + getSetShardAccess().hashCode();
         break;
+      case 9:
+        hash = (37 * hash) + SET_ZONE_DRAIN_FIELD_NUMBER;
+        hash = (53 * hash) + getSetZoneDrain().hashCode();
+        break;
       case 0:
       default:
     }
@@ -686,6 +734,9 @@
       if (setShardAccessBuilder_ != null) {
         setShardAccessBuilder_.clear();
       }
+      if (setZoneDrainBuilder_ != null) {
+        setZoneDrainBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -759,6 +810,10 @@
           setShardAccessBuilder_ != null) {
         result.body_ = setShardAccessBuilder_.build();
       }
+      if (bodyCase_ == 9 &&
+          setZoneDrainBuilder_ != null) {
+        result.body_ = setZoneDrainBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -806,6 +861,10 @@
           mergeSetShardAccess(other.getSetShardAccess());
           break;
         }
+        case SET_ZONE_DRAIN: {
+          mergeSetZoneDrain(other.getSetZoneDrain());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -892,6 +951,13 @@
               bodyCase_ = 8;
               break;
             } // case 66
+            case 74: {
+              input.readMessage(
+                  internalGetSetZoneDrainFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 9;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2060,6 +2126,148 @@
       return setShardAccessBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.SetZoneDrain, org.bramblerack.wire.SetZoneDrain.Builder, org.bramblerack.wire.SetZoneDrainOrBuilder> setZoneDrainBuilder_;
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     * @return Whether the setZoneDrain field is set.
+     */
+    @java.lang.Override
+    public boolean hasSetZoneDrain() {
+      return bodyCase_ == 9;
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     * @return The setZoneDrain.
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.SetZoneDrain getSetZoneDrain() {
+      if (setZoneDrainBuilder_ == null) {
+        if (bodyCase_ == 9) {
+          return (org.bramblerack.wire.SetZoneDrain) body_;
+        }
+        return org.bramblerack.wire.SetZoneDrain.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 9) {
+          return setZoneDrainBuilder_.getMessage();
+        }
+        return org.bramblerack.wire.SetZoneDrain.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     */
+    public Builder setSetZoneDrain(org.bramblerack.wire.SetZoneDrain value) {
+      if (setZoneDrainBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        setZoneDrainBuilder_.setMessage(value);
+      }
+      bodyCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     */
+    public Builder setSetZoneDrain(
+        org.bramblerack.wire.SetZoneDrain.Builder builderForValue) {
+      if (setZoneDrainBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        setZoneDrainBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     */
+    public Builder mergeSetZoneDrain(org.bramblerack.wire.SetZoneDrain value) {
+      if (setZoneDrainBuilder_ == null) {
+        if (bodyCase_ == 9 &&
+            body_ != org.bramblerack.wire.SetZoneDrain.getDefaultInstance()) {
+          body_ = org.bramblerack.wire.SetZoneDrain.newBuilder((org.bramblerack.wire.SetZoneDrain) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 9) {
+          setZoneDrainBuilder_.mergeFrom(value);
+        } else {
+          setZoneDrainBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     */
+    public Builder clearSetZoneDrain() {
+      if (setZoneDrainBuilder_ == null) {
+        if (bodyCase_ == 9) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 9) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        setZoneDrainBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     */
+    public org.bramblerack.wire.SetZoneDrain.Builder getSetZoneDrainBuilder() {
+      return internalGetSetZoneDrainFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     */
+    @java.lang.Override
+    public org.bramblerack.wire.SetZoneDrainOrBuilder getSetZoneDrainOrBuilder() {
+      if ((bodyCase_ == 9) && (setZoneDrainBuilder_ != null)) {
+        return setZoneDrainBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 9) {
+          return (org.bramblerack.wire.SetZoneDrain) body_;
+        }
+        return org.bramblerack.wire.SetZoneDrain.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bramblerack.wire.SetZoneDrain, org.bramblerack.wire.SetZoneDrain.Builder, org.bramblerack.wire.SetZoneDrainOrBuilder> 
+        internalGetSetZoneDrainFieldBuilder() {
+      if (setZoneDrainBuilder_ == null) {
+        if (!(bodyCase_ == 9)) {
+          body_ = org.bramblerack.wire.SetZoneDrain.getDefaultInstance();
+        }
+        setZoneDrainBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bramblerack.wire.SetZoneDrain, org.bramblerack.wire.SetZoneDrain.Builder, org.bramblerack.wire.SetZoneDrainOrBuilder>(
+                (org.bramblerack.wire.SetZoneDrain) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 9;
+      onChanged();
+      return setZoneDrainBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.Command)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/CommandOrBuilder.java
@@ -130,5 +130,20 @@
    */
   org.bramblerack.wire.SetShardAccessOrBuilder getSetShardAccessOrBuilder();
 
+  /**
+   * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+   * @return Whether the setZoneDrain field is set.
+   */
+  boolean hasSetZoneDrain();
+  /**
+   * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+   * @return The setZoneDrain.
+   */
+  org.bramblerack.wire.SetZoneDrain getSetZoneDrain();
+  /**
+   * <code>.bramblerack.SetZoneDrain set_zone_drain = 9;</code>
+   */
+  org.bramblerack.wire.SetZoneDrainOrBuilder getSetZoneDrainOrBuilder();
+
   org.bramblerack.wire.Command.BodyCase getBodyCase();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/LeafRecord.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/LeafRecord.java
@@ -425,6 +425,21 @@
     return changedRevision_;
   }
 
+  public static final int INCARNATION_FIELD_NUMBER = 10;
+  private long incarnation_ = 0L;
+  /**
+   * <pre>
+   * Tells one start under this identifier from another: the later start has the greater number. 0 if not told.
+   * </pre>
+   *
+   * <code>int64 incarnation = 10;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public long getIncarnation() {
+    return incarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -466,6 +481,9 @@
     if (changedRevision_ != 0L) {
       output.writeInt64(9, changedRevision_);
     }
+    if (incarnation_ != 0L) {
+      output.writeInt64(10, incarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -507,6 +525,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(9, changedRevision_);
     }
+    if (incarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, incarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -539,6 +561,8 @@
         != other.getColdMillis()) return false;
     if (getChangedRevision()
         != other.getChangedRevision()) return false;
+    if (getIncarnation()
+        != other.getIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -570,6 +594,9 @@
     hash = (37 * hash) + CHANGED_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getChangedRevision());
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -714,6 +741,7 @@
       sequence_ = 0L;
       coldMillis_ = 0;
       changedRevision_ = 0L;
+      incarnation_ = 0L;
       return this;
     }
 
@@ -774,6 +802,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.changedRevision_ = changedRevision_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
     }
 
     @java.lang.Override
@@ -823,6 +854,9 @@
       if (other.getChangedRevision() != 0L) {
         setChangedRevision(other.getChangedRevision());
       }
+      if (other.getIncarnation() != 0L) {
+        setIncarnation(other.getIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -894,6 +928,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              incarnation_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1414,6 +1453,50 @@
       return this;
     }
 
+    private long incarnation_ ;
+    /**
+     * <pre>
+     * Tells one start under this identifier from another: the later start has the greater number. 0 if not told.
+     * </pre>
+     *
+     * <code>int64 incarnation = 10;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+    /**
+     * <pre>
+     * Tells one start under this identifier from another: the later start has the greater number. 0 if not told.
+     * </pre>
+     *
+     * <code>int64 incarnation = 10;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(long value) {
+
+      incarnation_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tells one start under this identifier from another: the later start has the greater number. 0 if not told.
+     * </pre>
+     *
+     * <code>int64 incarnation = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      incarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.LeafRecord)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/LeafRecordOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/LeafRecordOrBuilder.java
@@ -104,4 +104,14 @@
    * @return The changedRevision.
    */
   long getChangedRevision();
+
+  /**
+   * <pre>
+   * Tells one start under this identifier from another: the later start has the greater number. 0 if not told.
+   * </pre>
+   *
+   * <code>int64 incarnation = 10;</code>
+   * @return The incarnation.
+   */
+  long getIncarnation();
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/MemberTablesOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/MemberTablesOrBuilder.java
@@ -93,4 +93,29 @@
    * @return The throughHolders.
    */
   boolean getThroughHolders();
+
+  /**
+   * <code>repeated string drained_zones = 9;</code>
+   * @return A list containing the drainedZones.
+   */
+  java.util.List<java.lang.String>
+      getDrainedZonesList();
+  /**
+   * <code>repeated string drained_zones = 9;</code>
+   * @return The count of drainedZones.
+   */
+  int getDrainedZonesCount();
+  /**
+   * <code>repeated string drained_zones = 9;</code>
+   * @param index The index of the element to return.
+   * @return The drainedZones at the given index.
+   */
+  java.lang.String getDrainedZones(int index);
+  /**
+   * <code>repeated string drained_zones = 9;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the drainedZones at the given index.
+   */
+  com.google.protobuf.ByteString
+      getDrainedZonesBytes(int index);
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/PeerProtocol.java
@@ -146,6 +146,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bramblerack_SetShardAccess_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bramblerack_SetZoneDrain_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bramblerack_SetZoneDrain_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bramblerack_TablePull_descriptor;
   static final 
@@ -354,7 +359,7 @@
       "\001(\003\022\030\n\020routing_document\030\013 \001(\014\"`\n\014History" +
       "Entry\022\020\n\010revision\030\001 \001(\003\022\017\n\007partner\030\002 \001(\t" +
       "\022\021\n\tchange_id\030\003 \001(\t\022\032\n\022accepted_at_milli" +
-      "s\030\004 \001(\003\"\263\003\n\007Command\022:\n\021apply_declaration" +
+      "s\030\004 \001(\003\"\350\003\n\007Command\022:\n\021apply_declaration" +
       "\030\001 \001(\0132\035.bramblerack.ApplyDeclarationH\000\022" +
       "*\n\005claim\030\002 \001(\0132\031.bramblerack.ClaimReques" +
       "tH\000\022-\n\007outcome\030\003 \001(\0132\032.bramblerack.Recor" +
@@ -364,111 +369,116 @@
       "\n\013report_host\030\006 \001(\0132\027.bramblerack.HostRe" +
       "cordH\000\0224\n\016forget_members\030\007 \001(\0132\032.bramble" +
       "rack.ForgetMembersH\000\0227\n\020set_shard_access" +
-      "\030\010 \001(\0132\033.bramblerack.SetShardAccessH\000B\006\n" +
-      "\004body\"5\n\020PutConfiguration\022\017\n\007version\030\001 \001" +
-      "(\003\022\020\n\010document\030\002 \001(\014\"\211\002\n\nLeafRecord\022\n\n\002i" +
-      "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(" +
-      "\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022,\n\005phase\030" +
-      "\006 \001(\0162\035.bramblerack.LeafRecord.Phase\022\020\n\010" +
-      "sequence\030\007 \001(\003\022\023\n\013cold_millis\030\010 \001(\005\022\030\n\020c" +
-      "hanged_revision\030\t \001(\003\"A\n\005Phase\022\025\n\021PHASE_" +
-      "UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010" +
-      "\n\004GONE\020\003\"\225\002\n\nHostRecord\022\014\n\004name\030\001 \001(\t\022\024\n" +
-      "\014peer_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022\016\n\006reg" +
-      "ion\030\004 \001(\t\022\027\n\017control_address\030\005 \001(\t\022\r\n\005en" +
-      "try\030\006 \001(\010\022\023\n\013incarnation\030\007 \001(\003\022,\n\005phase\030" +
-      "\010 \001(\0162\035.bramblerack.HostRecord.Phase\022\030\n\020" +
-      "changed_revision\030\t \001(\003\"@\n\005Phase\022\025\n\021PHASE" +
-      "_UNSPECIFIED\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002\022\010" +
-      "\n\004GONE\020\003\"I\n\rForgetMembers\022\020\n\010leaf_ids\030\001 " +
-      "\003(\t\022&\n\005hosts\030\002 \003(\0132\027.bramblerack.HostRec" +
-      "ord\")\n\016SetShardAccess\022\027\n\017through_holders" +
-      "\030\001 \001(\010\"d\n\tTablePull\022\026\n\016known_revision\030\001 " +
-      "\001(\003\022%\n\004self\030\002 \001(\0132\027.bramblerack.HostReco" +
-      "rd\022\030\n\020queries_a_minute\030\003 \001(\005\"\336\001\n\nTableDe" +
-      "lta\022\017\n\007current\030\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022\r" +
-      "\n\005whole\030\003 \001(\010\022\035\n\025configuration_version\030\004" +
-      " \001(\003\022\025\n\rconfiguration\030\005 \001(\014\022\'\n\006leaves\030\006 " +
-      "\003(\0132\027.bramblerack.LeafRecord\022&\n\005hosts\030\007 " +
-      "\003(\0132\027.bramblerack.HostRecord\022\027\n\017through_" +
-      "holders\030\010 \001(\010\"N\n\014HeardMembers\022\020\n\010leaf_id" +
-      "s\030\001 \003(\t\022\022\n\nhost_names\030\002 \003(\t\022\030\n\020queries_a" +
-      "_minute\030\003 \003(\005\"\034\n\013JoinRequest\022\r\n\005voter\030\001 " +
-      "\001(\t\"\006\n\004Ping\"\201\003\n\tStageCall\022\035\n\025configurati" +
-      "on_version\030\001 \001(\003\022\r\n\005route\030\002 \001(\t\022\016\n\006metho" +
-      "d\030\003 \001(\t\022\013\n\003uri\030\004 \001(\t\022\024\n\014header_names\030\005 \003" +
-      "(\t\022\025\n\rheader_values\030\006 \003(\t\022\022\n\nrequest_id\030" +
-      "\007 \001(\t\022\023\n\013goal_micros\030\010 \001(\003\022\027\n\017deadline_m" +
-      "icros\030\t \001(\003\022\016\n\006shards\030\n \003(\005\022\032\n\022hedge_del" +
-      "ay_micros\030\013 \001(\003\022\014\n\004leaf\030\014 \001(\t\022\014\n\004call\030\r " +
-      "\001(\003\022\014\n\004body\030\016 \001(\014\022\020\n\010services\030\017 \003(\t\022\023\n\013t" +
-      "op_records\030\020 \001(\005\022\024\n\014max_attempts\030\021 \001(\005\022\021" +
-      "\n\tpassed_on\030\022 \001(\010\022\024\n\014whole_answer\030\023 \001(\010\"" +
-      "Y\n\rStageProgress\022\023\n\013asked_twice\030\001 \003(\005\022\022\n" +
-      "\nsignatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007rec" +
-      "ords\030\004 \001(\014\"\266\002\n\013StageResult\022/\n\006status\030\001 \001" +
-      "(\0162\037.bramblerack.StageResult.Status\022\022\n\ns" +
-      "ignatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n\007recor" +
-      "ds\030\004 \001(\014\022\016\n\006reason\030\005 \001(\t\022\024\n\014leaf_outcome" +
-      "\030\006 \001(\t\022\020\n\010not_sent\030\007 \003(\005\022\023\n\013status_code\030" +
-      "\010 \001(\005\022\024\n\014header_names\030\t \003(\t\022\025\n\rheader_va" +
-      "lues\030\n \003(\t\"G\n\006Status\022\026\n\022STATUS_UNSPECIFI" +
-      "ED\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n\006FAILE" +
-      "D\020\003\"\033\n\013StageCancel\022\014\n\004call\030\001 \001(\003\"r\n\020Appl" +
-      "yDeclaration\022\017\n\007partner\030\001 \001(\t\022\021\n\tchange_" +
-      "id\030\002 \001(\t\022\031\n\021expected_revision\030\003 \001(\003\022\014\n\004t" +
-      "ext\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014ClaimRe" +
-      "quest\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001" +
-      "(\t\022\017\n\007attempt\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\003\022\023" +
-      "\n\013body_digest\030\005 \001(\014\022\030\n\020retention_millis\030" +
-      "\006 \001(\003\022\030\n\020issued_at_millis\030\007 \001(\003\022\027\n\017deadl" +
-      "ine_millis\030\010 \001(\003\"\240\001\n\rRecordOutcome\022\017\n\007se" +
-      "rvice\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007attem" +
-      "pt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblerack.Out" +
-      "comeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t" +
-      "\022\021\n\tat_millis\030\007 \001(\003\"\324\002\n\rCommandResult\022-\n" +
-      "\004kind\030\001 \001(\0162\037.bramblerack.CommandResult." +
-      "Kind\022\020\n\010revision\030\002 \001(\003\022\030\n\020winner_change_" +
-      "id\030\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.bramblerack.Cl" +
-      "aim\"\304\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010AC" +
-      "CEPTED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDEN\020\003\022\013\n" +
-      "\007CLAIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDED\020\006\022\013\n" +
-      "\007EXPIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROOM\020\t\022\016\n" +
-      "\nNOT_HOLDER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPERSEDED" +
-      "\020\014\"\373\001\n\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest" +
-      "_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\016" +
-      "2\030.bramblerack.OutcomeKind\022\016\n\006answer\030\005 \001" +
-      "(\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\022\023\n" +
-      "\013body_digest\030\010 \001(\014\022\031\n\021keep_until_millis\030" +
-      "\t \001(\003\022\030\n\020issue_time_known\030\n \001(\010\022\027\n\017deadl" +
-      "ine_millis\030\013 \001(\003\"\252\002\n\017ControlSnapshot\022\020\n\010" +
-      "revision\030\001 \001(\003\0225\n\014declarations\030\002 \003(\0132\037.b" +
-      "ramblerack.PartnerDeclaration\022*\n\007history" +
-      "\030\003 \003(\0132\031.bramblerack.HistoryEntry\022*\n\007res" +
-      "ults\030\004 \003(\0132\031.bramblerack.ChangeResult\022\"\n" +
-      "\006claims\030\005 \003(\0132\022.bramblerack.Claim\022\024\n\014clo" +
-      "ck_millis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014\022)\n\006ta" +
-      "bles\030\010 \001(\0132\031.bramblerack.MemberTables\"\374\001" +
-      "\n\014MemberTables\022\020\n\010revision\030\001 \001(\003\022\035\n\025conf" +
-      "iguration_version\030\002 \001(\003\022\025\n\rconfiguration" +
-      "\030\003 \001(\014\022\036\n\026configuration_revision\030\004 \001(\003\022\'" +
-      "\n\006leaves\030\005 \003(\0132\027.bramblerack.LeafRecord\022" +
-      "&\n\005hosts\030\006 \003(\0132\027.bramblerack.HostRecord\022" +
-      "\032\n\022forgotten_revision\030\007 \001(\003\022\027\n\017through_h" +
-      "olders\030\010 \001(\010\"Y\n\014ChangeResult\022\017\n\007partner\030" +
-      "\001 \001(\t\022\021\n\tchange_id\030\002 \001(\t\022\020\n\010revision\030\003 \001" +
-      "(\003\022\023\n\013text_digest\030\004 \001(\014\"\234\001\n\tLogRecord\022,\n" +
-      "\nhard_state\030\001 \001(\0132\026.bramblerack.HardStat" +
-      "eH\000\022&\n\005entry\030\002 \001(\0132\025.bramblerack.LogEntr" +
-      "yH\000\022\027\n\rtruncate_from\030\003 \001(\003H\000\022\030\n\016synced_t" +
-      "hrough\030\004 \001(\003H\000B\006\n\004body\",\n\tHardState\022\014\n\004t" +
-      "erm\030\001 \001(\003\022\021\n\tvoted_for\030\002 \001(\t\"V\n\016Snapshot" +
-      "Record\022\022\n\nlast_index\030\001 \001(\003\022\021\n\tlast_term\030" +
-      "\002 \001(\003\022\r\n\005state\030\003 \001(\014\022\016\n\006voters\030\004 \003(\t*Z\n\013" +
-      "OutcomeKind\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013" +
-      "IN_PROGRESS\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007U" +
-      "NKNOWN\020\004B&\n\024org.bramblerack.wireB\014PeerPr" +
-      "otocolP\001b\006proto3"
+      "\030\010 \001(\0132\033.bramblerack.SetShardAccessH\000\0223\n" +
+      "\016set_zone_drain\030\t \001(\0132\031.bramblerack.SetZ" +
+      "oneDrainH\000B\006\n\004body\"5\n\020PutConfiguration\022\017" +
+      "\n\007version\030\001 \001(\003\022\020\n\010document\030\002 \001(\014\"\236\002\n\nLe" +
+      "afRecord\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n" +
+      "\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 " +
+      "\001(\005\022,\n\005phase\030\006 \001(\0162\035.bramblerack.LeafRec" +
+      "ord.Phase\022\020\n\010sequence\030\007 \001(\003\022\023\n\013cold_mill" +
+      "is\030\010 \001(\005\022\030\n\020changed_revision\030\t \001(\003\022\023\n\013in" +
+      "carnation\030\n \001(\003\"A\n\005Phase\022\025\n\021PHASE_UNSPEC" +
+      "IFIED\020\000\022\t\n\005READY\020\001\022\014\n\010DRAINING\020\002\022\010\n\004GONE" +
+      "\020\003\"\225\002\n\nHostRecord\022\014\n\004name\030\001 \001(\t\022\024\n\014peer_" +
+      "address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022\016\n\006region\030\004 " +
+      "\001(\t\022\027\n\017control_address\030\005 \001(\t\022\r\n\005entry\030\006 " +
+      "\001(\010\022\023\n\013incarnation\030\007 \001(\003\022,\n\005phase\030\010 \001(\0162" +
+      "\035.bramblerack.HostRecord.Phase\022\030\n\020change" +
+      "d_revision\030\t \001(\003\"@\n\005Phase\022\025\n\021PHASE_UNSPE" +
+      "CIFIED\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002\022\010\n\004GONE" +
+      "\020\003\"I\n\rForgetMembers\022\020\n\010leaf_ids\030\001 \003(\t\022&\n" +
+      "\005hosts\030\002 \003(\0132\027.bramblerack.HostRecord\")\n" +
+      "\016SetShardAccess\022\027\n\017through_holders\030\001 \001(\010" +
+      "\"-\n\014SetZoneDrain\022\014\n\004zone\030\001 \001(\t\022\017\n\007draine" +
+      "d\030\002 \001(\010\"d\n\tTablePull\022\026\n\016known_revision\030\001" +
+      " \001(\003\022%\n\004self\030\002 \001(\0132\027.bramblerack.HostRec" +
+      "ord\022\030\n\020queries_a_minute\030\003 \001(\005\"\365\001\n\nTableD" +
+      "elta\022\017\n\007current\030\001 \001(\010\022\020\n\010revision\030\002 \001(\003\022" +
+      "\r\n\005whole\030\003 \001(\010\022\035\n\025configuration_version\030" +
+      "\004 \001(\003\022\025\n\rconfiguration\030\005 \001(\014\022\'\n\006leaves\030\006" +
+      " \003(\0132\027.bramblerack.LeafRecord\022&\n\005hosts\030\007" +
+      " \003(\0132\027.bramblerack.HostRecord\022\027\n\017through" +
+      "_holders\030\010 \001(\010\022\025\n\rdrained_zones\030\t \003(\t\"N\n" +
+      "\014HeardMembers\022\020\n\010leaf_ids\030\001 \003(\t\022\022\n\nhost_" +
+      "names\030\002 \003(\t\022\030\n\020queries_a_minute\030\003 \003(\005\"\034\n" +
+      "\013JoinRequest\022\r\n\005voter\030\001 \001(\t\"\006\n\004Ping\"\227\003\n\t" +
+      "StageCall\022\035\n\025configuration_version\030\001 \001(\003" +
+      "\022\r\n\005route\030\002 \001(\t\022\016\n\006method\030\003 \001(\t\022\013\n\003uri\030\004" +
+      " \001(\t\022\024\n\014header_names\030\005 \003(\t\022\025\n\rheader_val" +
+      "ues\030\006 \003(\t\022\022\n\nrequest_id\030\007 \001(\t\022\023\n\013goal_mi" +
+      "cros\030\010 \001(\003\022\027\n\017deadline_micros\030\t \001(\003\022\016\n\006s" +
+      "hards\030\n \003(\005\022\032\n\022hedge_delay_micros\030\013 \001(\003\022" +
+      "\014\n\004leaf\030\014 \001(\t\022\014\n\004call\030\r \001(\003\022\014\n\004body\030\016 \001(" +
+      "\014\022\020\n\010services\030\017 \003(\t\022\023\n\013top_records\030\020 \001(\005" +
+      "\022\024\n\014max_attempts\030\021 \001(\005\022\021\n\tpassed_on\030\022 \001(" +
+      "\010\022\024\n\014whole_answer\030\023 \001(\010\022\024\n\014home_regions\030" +
+      "\024 \003(\t\"Y\n\rStageProgress\022\023\n\013asked_twice\030\001 " +
+      "\003(\005\022\022\n\nsignatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022" +
+      "\017\n\007records\030\004 \001(\014\"\266\002\n\013StageResult\022/\n\006stat" +
+      "us\030\001 \001(\0162\037.bramblerack.StageResult.Statu" +
+      "s\022\022\n\nsignatures\030\002 \003(\t\022\016\n\006shards\030\003 \003(\005\022\017\n" +
+      "\007records\030\004 \001(\014\022\016\n\006reason\030\005 \001(\t\022\024\n\014leaf_o" +
+      "utcome\030\006 \001(\t\022\020\n\010not_sent\030\007 \003(\005\022\023\n\013status" +
+      "_code\030\010 \001(\005\022\024\n\014header_names\030\t \003(\t\022\025\n\rhea" +
+      "der_values\030\n \003(\t\"G\n\006Status\022\026\n\022STATUS_UNS" +
+      "PECIFIED\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\n\n" +
+      "\006FAILED\020\003\"\033\n\013StageCancel\022\014\n\004call\030\001 \001(\003\"r" +
+      "\n\020ApplyDeclaration\022\017\n\007partner\030\001 \001(\t\022\021\n\tc" +
+      "hange_id\030\002 \001(\t\022\031\n\021expected_revision\030\003 \001(" +
+      "\003\022\014\n\004text\030\004 \001(\t\022\021\n\tat_millis\030\005 \001(\003\"\271\001\n\014C" +
+      "laimRequest\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_" +
+      "id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022\021\n\tat_millis\030\004" +
+      " \001(\003\022\023\n\013body_digest\030\005 \001(\014\022\030\n\020retention_m" +
+      "illis\030\006 \001(\003\022\030\n\020issued_at_millis\030\007 \001(\003\022\027\n" +
+      "\017deadline_millis\030\010 \001(\003\"\240\001\n\rRecordOutcome" +
+      "\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\017\n" +
+      "\007attempt\030\003 \001(\t\022&\n\004kind\030\004 \001(\0162\030.bramblera" +
+      "ck.OutcomeKind\022\016\n\006answer\030\005 \001(\014\022\016\n\006reason" +
+      "\030\006 \001(\t\022\021\n\tat_millis\030\007 \001(\003\"\324\002\n\rCommandRes" +
+      "ult\022-\n\004kind\030\001 \001(\0162\037.bramblerack.CommandR" +
+      "esult.Kind\022\020\n\010revision\030\002 \001(\003\022\030\n\020winner_c" +
+      "hange_id\030\003 \001(\t\022!\n\005claim\030\004 \001(\0132\022.brambler" +
+      "ack.Claim\"\304\001\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000" +
+      "\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\r\n\tFORBIDDE" +
+      "N\020\003\022\013\n\007CLAIMED\020\004\022\013\n\007ALREADY\020\005\022\014\n\010RECORDE" +
+      "D\020\006\022\013\n\007EXPIRED\020\007\022\014\n\010MISMATCH\020\010\022\013\n\007NO_ROO" +
+      "M\020\t\022\016\n\nNOT_HOLDER\020\n\022\013\n\007INVALID\020\013\022\016\n\nSUPE" +
+      "RSEDED\020\014\"\373\001\n\005Claim\022\017\n\007service\030\001 \001(\t\022\022\n\nr" +
+      "equest_id\030\002 \001(\t\022\017\n\007attempt\030\003 \001(\t\022&\n\004kind" +
+      "\030\004 \001(\0162\030.bramblerack.OutcomeKind\022\016\n\006answ" +
+      "er\030\005 \001(\014\022\016\n\006reason\030\006 \001(\t\022\021\n\tat_millis\030\007 " +
+      "\001(\003\022\023\n\013body_digest\030\010 \001(\014\022\031\n\021keep_until_m" +
+      "illis\030\t \001(\003\022\030\n\020issue_time_known\030\n \001(\010\022\027\n" +
+      "\017deadline_millis\030\013 \001(\003\"\252\002\n\017ControlSnapsh" +
+      "ot\022\020\n\010revision\030\001 \001(\003\0225\n\014declarations\030\002 \003" +
+      "(\0132\037.bramblerack.PartnerDeclaration\022*\n\007h" +
+      "istory\030\003 \003(\0132\031.bramblerack.HistoryEntry\022" +
+      "*\n\007results\030\004 \003(\0132\031.bramblerack.ChangeRes" +
+      "ult\022\"\n\006claims\030\005 \003(\0132\022.bramblerack.Claim\022" +
+      "\024\n\014clock_millis\030\006 \001(\003\022\021\n\tforgotten\030\007 \001(\014" +
+      "\022)\n\006tables\030\010 \001(\0132\031.bramblerack.MemberTab" +
+      "les\"\223\002\n\014MemberTables\022\020\n\010revision\030\001 \001(\003\022\035" +
+      "\n\025configuration_version\030\002 \001(\003\022\025\n\rconfigu" +
+      "ration\030\003 \001(\014\022\036\n\026configuration_revision\030\004" +
+      " \001(\003\022\'\n\006leaves\030\005 \003(\0132\027.bramblerack.LeafR" +
+      "ecord\022&\n\005hosts\030\006 \003(\0132\027.bramblerack.HostR" +
+      "ecord\022\032\n\022forgotten_revision\030\007 \001(\003\022\027\n\017thr" +
+      "ough_holders\030\010 \001(\010\022\025\n\rdrained_zones\030\t \003(" +
+      "\t\"Y\n\014ChangeResult\022\017\n\007partner\030\001 \001(\t\022\021\n\tch" +
+      "ange_id\030\002 \001(\t\022\020\n\010revision\030\003 \001(\003\022\023\n\013text_" +
+      "digest\030\004 \001(\014\"\234\001\n\tLogRecord\022,\n\nhard_state" +
+      "\030\001 \001(\0132\026.bramblerack.HardStateH\000\022&\n\005entr" +
+      "y\030\002 \001(\0132\025.bramblerack.LogEntryH\000\022\027\n\rtrun" +
+      "cate_from\030\003 \001(\003H\000\022\030\n\016synced_through\030\004 \001(" +
+      "\003H\000B\006\n\004body\",\n\tHardState\022\014\n\004term\030\001 \001(\003\022\021" +
+      "\n\tvoted_for\030\002 \001(\t\"V\n\016SnapshotRecord\022\022\n\nl" +
+      "ast_index\030\001 \001(\003\022\021\n\tlast_term\030\002 \001(\003\022\r\n\005st" +
+      "ate\030\003 \001(\014\022\016\n\006voters\030\004 \003(\t*Z\n\013OutcomeKind" +
+      "\022\027\n\023OUTCOME_UNSPECIFIED\020\000\022\017\n\013IN_PROGRESS" +
+      "\020\001\022\007\n\003RAN\020\002\022\013\n\007NOT_RUN\020\003\022\013\n\007UNKNOWN\020\004B&\n" +
+      "\024org.bramblerack.wireB\014PeerProtocolP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -587,7 +597,7 @@
     internal_static_bramblerack_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_Command_descriptor,
-        new java.lang.String[] { "ApplyDeclaration", "Claim", "Outcome", "PutConfiguration", "ReportLeaf", "ReportHost", "ForgetMembers", "SetShardAccess", "Body", });
+        new java.lang.String[] { "ApplyDeclaration", "Claim", "Outcome", "PutConfiguration", "ReportLeaf", "ReportHost", "ForgetMembers", "SetShardAccess", "SetZoneDrain", "Body", });
     internal_static_bramblerack_PutConfiguration_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_bramblerack_PutConfiguration_fieldAccessorTable = new
@@ -599,7 +609,7 @@
     internal_static_bramblerack_LeafRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_LeafRecord_descriptor,
-        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Phase", "Sequence", "ColdMillis", "ChangedRevision", });
+        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Phase", "Sequence", "ColdMillis", "ChangedRevision", "Incarnation", });
     internal_static_bramblerack_HostRecord_descriptor =
       getDescriptor().getMessageType(21);
     internal_static_bramblerack_HostRecord_fieldAccessorTable = new
@@ -618,122 +628,128 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_SetShardAccess_descriptor,
         new java.lang.String[] { "ThroughHolders", });
-    internal_static_bramblerack_TablePull_descriptor =
+    internal_static_bramblerack_SetZoneDrain_descriptor =
       getDescriptor().getMessageType(24);
+    internal_static_bramblerack_SetZoneDrain_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bramblerack_SetZoneDrain_descriptor,
+        new java.lang.String[] { "Zone", "Drained", });
+    internal_static_bramblerack_TablePull_descriptor =
+      getDescriptor().getMessageType(25);
     internal_static_bramblerack_TablePull_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_TablePull_descriptor,
         new java.lang.String[] { "KnownRevision", "Self", "QueriesAMinute", });
     internal_static_bramblerack_TableDelta_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_bramblerack_TableDelta_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_TableDelta_descriptor,
-        new java.lang.String[] { "Current", "Revision", "Whole", "ConfigurationVersion", "Configuration", "Leaves", "Hosts", "ThroughHolders", });
+        new java.lang.String[] { "Current", "Revision", "Whole", "ConfigurationVersion", "Configuration", "Leaves", "Hosts", "ThroughHolders", "DrainedZones", });
     internal_static_bramblerack_HeardMembers_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_bramblerack_HeardMembers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_HeardMembers_descriptor,
         new java.lang.String[] { "LeafIds", "HostNames", "QueriesAMinute", });
     internal_static_bramblerack_JoinRequest_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_bramblerack_JoinRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_JoinRequest_descriptor,
         new java.lang.String[] { "Voter", });
     internal_static_bramblerack_Ping_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_bramblerack_Ping_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_Ping_descriptor,
         new java.lang.String[] { });
     internal_static_bramblerack_StageCall_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_bramblerack_StageCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_StageCall_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", "Route", "Method", "Uri", "HeaderNames", "HeaderValues", "RequestId", "GoalMicros", "DeadlineMicros", "Shards", "HedgeDelayMicros", "Leaf", "Call", "Body", "Services", "TopRecords", "MaxAttempts", "PassedOn", "WholeAnswer", });
+        new java.lang.String[] { "ConfigurationVersion", "Route", "Method", "Uri", "HeaderNames", "HeaderValues", "RequestId", "GoalMicros", "DeadlineMicros", "Shards", "HedgeDelayMicros", "Leaf", "Call", "Body", "Services", "TopRecords", "MaxAttempts", "PassedOn", "WholeAnswer", "HomeRegions", });
     internal_static_bramblerack_StageProgress_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_bramblerack_StageProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_StageProgress_descriptor,
         new java.lang.String[] { "AskedTwice", "Signatures", "Shards", "Records", });
     internal_static_bramblerack_StageResult_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_bramblerack_StageResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_StageResult_descriptor,
         new java.lang.String[] { "Status", "Signatures", "Shards", "Records", "Reason", "LeafOutcome", "NotSent", "StatusCode", "HeaderNames", "HeaderValues", });
     internal_static_bramblerack_StageCancel_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_bramblerack_StageCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_StageCancel_descriptor,
         new java.lang.String[] { "Call", });
     internal_static_bramblerack_ApplyDeclaration_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_bramblerack_ApplyDeclaration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ApplyDeclaration_descriptor,
         new java.lang.String[] { "Partner", "ChangeId", "ExpectedRevision", "Text", "AtMillis", });
     internal_static_bramblerack_ClaimRequest_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_bramblerack_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ClaimRequest_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Attempt", "AtMillis", "BodyDigest", "RetentionMillis", "IssuedAtMillis", "DeadlineMillis", });
     internal_static_bramblerack_RecordOutcome_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_bramblerack_RecordOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_RecordOutcome_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Attempt", "Kind", "Answer", "Reason", "AtMillis", });
     internal_static_bramblerack_CommandResult_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_bramblerack_CommandResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_CommandResult_descriptor,
         new java.lang.String[] { "Kind", "Revision", "WinnerChangeId", "Claim", });
     internal_static_bramblerack_Claim_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_bramblerack_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_Claim_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Attempt", "Kind", "Answer", "Reason", "AtMillis", "BodyDigest", "KeepUntilMillis", "IssueTimeKnown", "DeadlineMillis", });
     internal_static_bramblerack_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_bramblerack_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ControlSnapshot_descriptor,
         new java.lang.String[] { "Revision", "Declarations", "History", "Results", "Claims", "ClockMillis", "Forgotten", "Tables", });
     internal_static_bramblerack_MemberTables_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_bramblerack_MemberTables_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_MemberTables_descriptor,
-        new java.lang.String[] { "Revision", "ConfigurationVersion", "Configuration", "ConfigurationRevision", "Leaves", "Hosts", "ForgottenRevision", "ThroughHolders", });
+        new java.lang.String[] { "Revision", "ConfigurationVersion", "Configuration", "ConfigurationRevision", "Leaves", "Hosts", "ForgottenRevision", "ThroughHolders", "DrainedZones", });
     internal_static_bramblerack_ChangeResult_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_bramblerack_ChangeResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_ChangeResult_descriptor,
         new java.lang.String[] { "Partner", "ChangeId", "Revision", "TextDigest", });
     internal_static_bramblerack_LogRecord_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_bramblerack_LogRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_LogRecord_descriptor,
         new java.lang.String[] { "HardState", "Entry", "TruncateFrom", "SyncedThrough", "Body", });
     internal_static_bramblerack_HardState_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_bramblerack_HardState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_HardState_descriptor,
         new java.lang.String[] { "Term", "VotedFor", });
     internal_static_bramblerack_SnapshotRecord_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_bramblerack_SnapshotRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bramblerack_SnapshotRecord_descriptor,
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCall.java
@@ -45,6 +45,8 @@
     body_ = com.google.protobuf.ByteString.EMPTY;
     services_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    homeRegions_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -570,6 +572,59 @@
     return wholeAnswer_;
   }
 
+  public static final int HOME_REGIONS_FIELD_NUMBER = 20;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList homeRegions_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @return A list containing the homeRegions.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getHomeRegionsList() {
+    return homeRegions_;
+  }
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @return The count of homeRegions.
+   */
+  public int getHomeRegionsCount() {
+    return homeRegions_.size();
+  }
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @param index The index of the element to return.
+   * @return The homeRegions at the given index.
+   */
+  public java.lang.String getHomeRegions(int index) {
+    return homeRegions_.get(index);
+  }
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the homeRegions at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getHomeRegionsBytes(int index) {
+    return homeRegions_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -646,6 +701,9 @@
     if (wholeAnswer_ != false) {
       output.writeBool(19, wholeAnswer_);
     }
+    for (int i = 0; i < homeRegions_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 20, homeRegions_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -748,6 +806,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(19, wholeAnswer_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < homeRegions_.size(); i++) {
+        dataSize += computeStringSizeNoTag(homeRegions_.getRaw(i));
+      }
+      size += dataSize;
+      size += 2 * getHomeRegionsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -801,6 +867,8 @@
         != other.getPassedOn()) return false;
     if (getWholeAnswer()
         != other.getWholeAnswer()) return false;
+    if (!getHomeRegionsList()
+        .equals(other.getHomeRegionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -865,6 +933,10 @@
     hash = (37 * hash) + WHOLE_ANSWER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getWholeAnswer());
+    if (getHomeRegionsCount() > 0) {
+      hash = (37 * hash) + HOME_REGIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getHomeRegionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1022,6 +1094,8 @@
       maxAttempts_ = 0;
       passedOn_ = false;
       wholeAnswer_ = false;
+      homeRegions_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -1116,6 +1190,10 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.wholeAnswer_ = wholeAnswer_;
       }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        homeRegions_.makeImmutable();
+        result.homeRegions_ = homeRegions_;
+      }
     }
 
     @java.lang.Override
@@ -1226,6 +1304,16 @@
       if (other.getWholeAnswer() != false) {
         setWholeAnswer(other.getWholeAnswer());
       }
+      if (!other.homeRegions_.isEmpty()) {
+        if (homeRegions_.isEmpty()) {
+          homeRegions_ = other.homeRegions_;
+          bitField0_ |= 0x00080000;
+        } else {
+          ensureHomeRegionsIsMutable();
+          homeRegions_.addAll(other.homeRegions_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1361,6 +1449,12 @@
               bitField0_ |= 0x00040000;
               break;
             } // case 152
+            case 162: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureHomeRegionsIsMutable();
+              homeRegions_.add(s);
+              break;
+            } // case 162
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2640,6 +2734,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList homeRegions_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureHomeRegionsIsMutable() {
+      if (!homeRegions_.isModifiable()) {
+        homeRegions_ = new com.google.protobuf.LazyStringArrayList(homeRegions_);
+      }
+      bitField0_ |= 0x00080000;
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @return A list containing the homeRegions.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getHomeRegionsList() {
+      homeRegions_.makeImmutable();
+      return homeRegions_;
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @return The count of homeRegions.
+     */
+    public int getHomeRegionsCount() {
+      return homeRegions_.size();
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @param index The index of the element to return.
+     * @return The homeRegions at the given index.
+     */
+    public java.lang.String getHomeRegions(int index) {
+      return homeRegions_.get(index);
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the homeRegions at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getHomeRegionsBytes(int index) {
+      return homeRegions_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @param index The index to set the value at.
+     * @param value The homeRegions to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHomeRegions(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureHomeRegionsIsMutable();
+      homeRegions_.set(index, value);
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @param value The homeRegions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHomeRegions(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureHomeRegionsIsMutable();
+      homeRegions_.add(value);
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @param values The homeRegions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllHomeRegions(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureHomeRegionsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, homeRegions_);
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHomeRegions() {
+      homeRegions_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00080000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The regions that may serve the request and see its body; none means that all may.
+     * </pre>
+     *
+     * <code>repeated string home_regions = 20;</code>
+     * @param value The bytes of the homeRegions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHomeRegionsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureHomeRegionsIsMutable();
+      homeRegions_.add(value);
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.StageCall)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/StageCallOrBuilder.java
@@ -285,4 +285,45 @@
    * @return The wholeAnswer.
    */
   boolean getWholeAnswer();
+
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @return A list containing the homeRegions.
+   */
+  java.util.List<java.lang.String>
+      getHomeRegionsList();
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @return The count of homeRegions.
+   */
+  int getHomeRegionsCount();
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @param index The index of the element to return.
+   * @return The homeRegions at the given index.
+   */
+  java.lang.String getHomeRegions(int index);
+  /**
+   * <pre>
+   * The regions that may serve the request and see its body; none means that all may.
+   * </pre>
+   *
+   * <code>repeated string home_regions = 20;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the homeRegions at the given index.
+   */
+  com.google.protobuf.ByteString
+      getHomeRegionsBytes(int index);
 }
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDelta.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDelta.java
@@ -31,6 +31,8 @@
     configuration_ = com.google.protobuf.ByteString.EMPTY;
     leaves_ = java.util.Collections.emptyList();
     hosts_ = java.util.Collections.emptyList();
+    drainedZones_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -206,6 +208,59 @@
     return throughHolders_;
   }
 
+  public static final int DRAINED_ZONES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList drainedZones_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @return A list containing the drainedZones.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getDrainedZonesList() {
+    return drainedZones_;
+  }
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @return The count of drainedZones.
+   */
+  public int getDrainedZonesCount() {
+    return drainedZones_.size();
+  }
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @param index The index of the element to return.
+   * @return The drainedZones at the given index.
+   */
+  public java.lang.String getDrainedZones(int index) {
+    return drainedZones_.get(index);
+  }
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the drainedZones at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getDrainedZonesBytes(int index) {
+    return drainedZones_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -244,6 +299,9 @@
     if (throughHolders_ != false) {
       output.writeBool(8, throughHolders_);
     }
+    for (int i = 0; i < drainedZones_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, drainedZones_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -285,6 +343,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, throughHolders_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < drainedZones_.size(); i++) {
+        dataSize += computeStringSizeNoTag(drainedZones_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getDrainedZonesList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -316,6 +382,8 @@
         .equals(other.getHostsList())) return false;
     if (getThroughHolders()
         != other.getThroughHolders()) return false;
+    if (!getDrainedZonesList()
+        .equals(other.getDrainedZonesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -352,6 +420,10 @@
     hash = (37 * hash) + THROUGH_HOLDERS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getThroughHolders());
+    if (getDrainedZonesCount() > 0) {
+      hash = (37 * hash) + DRAINED_ZONES_FIELD_NUMBER;
+      hash = (53 * hash) + getDrainedZonesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -503,6 +575,8 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       throughHolders_ = false;
+      drainedZones_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -576,6 +650,10 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.throughHolders_ = throughHolders_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        drainedZones_.makeImmutable();
+        result.drainedZones_ = drainedZones_;
+      }
     }
 
     @java.lang.Override
@@ -660,6 +738,16 @@
       if (other.getThroughHolders() != false) {
         setThroughHolders(other.getThroughHolders());
       }
+      if (!other.drainedZones_.isEmpty()) {
+        if (drainedZones_.isEmpty()) {
+          drainedZones_ = other.drainedZones_;
+          bitField0_ |= 0x00000100;
+        } else {
+          ensureDrainedZonesIsMutable();
+          drainedZones_.addAll(other.drainedZones_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -742,6 +830,12 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureDrainedZonesIsMutable();
+              drainedZones_.add(s);
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1467,6 +1561,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList drainedZones_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureDrainedZonesIsMutable() {
+      if (!drainedZones_.isModifiable()) {
+        drainedZones_ = new com.google.protobuf.LazyStringArrayList(drainedZones_);
+      }
+      bitField0_ |= 0x00000100;
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @return A list containing the drainedZones.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getDrainedZonesList() {
+      drainedZones_.makeImmutable();
+      return drainedZones_;
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @return The count of drainedZones.
+     */
+    public int getDrainedZonesCount() {
+      return drainedZones_.size();
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @param index The index of the element to return.
+     * @return The drainedZones at the given index.
+     */
+    public java.lang.String getDrainedZones(int index) {
+      return drainedZones_.get(index);
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the drainedZones at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getDrainedZonesBytes(int index) {
+      return drainedZones_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @param index The index to set the value at.
+     * @param value The drainedZones to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDrainedZones(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDrainedZonesIsMutable();
+      drainedZones_.set(index, value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @param value The drainedZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDrainedZones(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDrainedZonesIsMutable();
+      drainedZones_.add(value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @param values The drainedZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDrainedZones(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureDrainedZonesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, drainedZones_);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDrainedZones() {
+      drainedZones_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000100);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All availability zones whose leafs get no work.
+     * </pre>
+     *
+     * <code>repeated string drained_zones = 9;</code>
+     * @param value The bytes of the drainedZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDrainedZonesBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureDrainedZonesIsMutable();
+      drainedZones_.add(value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bramblerack.TableDelta)
   }
 
--- a/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDeltaOrBuilder.java
+++ b/bramblerack-wire/src/main/java/org/bramblerack/wire/TableDeltaOrBuilder.java
@@ -105,4 +105,45 @@
    * @return The throughHolders.
    */
   boolean getThroughHolders();
+
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @return A list containing the drainedZones.
+   */
+  java.util.List<java.lang.String>
+      getDrainedZonesList();
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @return The count of drainedZones.
+   */
+  int getDrainedZonesCount();
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @param index The index of the element to return.
+   * @return The drainedZones at the given index.
+   */
+  java.lang.String getDrainedZones(int index);
+  /**
+   * <pre>
+   * All availability zones whose leafs get no work.
+   * </pre>
+   *
+   * <code>repeated string drained_zones = 9;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the drainedZones at the given index.
+   */
+  com.google.protobuf.ByteString
+      getDrainedZonesBytes(int index);
 }
