--- a/bramblerack-core/src/test/java/org/bramblerack/process/members/AgreedTablesTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/members/AgreedTablesTest.java
@@ -12,6 +12,7 @@
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.PutConfiguration;
 import org.bramblerack.wire.SetShardAccess;
+import org.bramblerack.wire.SetZoneDrain;
 import org.bramblerack.wire.TableDelta;
 import org.junit.jupiter.api.Test;
 
@@ -110,6 +111,7 @@
         tables.report(leaf("m", LeafRecord.Phase.GONE, 1));
         tables.report(host("h", 1));
         tables.set(SetShardAccess.newBuilder().setThroughHolders(true).build());
+        drain("north-1", true);
         AgreedTables restored = new AgreedTables();
         restored.restore(tables.toSnapshot());
         assertThat(restored.toSnapshot()).isEqualTo(tables.toSnapshot());
@@ -127,6 +129,28 @@
         assertThat(tables.revision()).isEqualTo(changed);
     }
 
+    /** Orders are sent again when their acknowledgement is lost, and may cross with their opposite. */
+    @Test
+    void aDrainedZoneStaysDrainedUntilItIsTakenBack() {
+        long before = tables.revision();
+        assertThat(drain("north-1", true).getKind()).isEqualTo(CommandResult.Kind.ACCEPTED);
+        long drained = tables.revision();
+        assertThat(drained).isGreaterThan(before);
+        assertThat(drain("north-1", true).getKind()).isEqualTo(CommandResult.Kind.SUPERSEDED);
+        assertThat(tables.revision()).isEqualTo(drained);
+        put(5, "five");
+        assertThat(tables.changesSince(drained).getDrainedZonesList()).containsExactly("north-1");
+        drain("north-1", false);
+        drain("north-1", false);
+        assertThat(tables.drainedZones()).isEmpty();
+        assertThat(tables.changesSince(drained).getDrainedZonesList()).isEmpty();
+    }
+
+    private CommandResult drain(String zone, boolean drained) {
+        return tables.set(
+                SetZoneDrain.newBuilder().setZone(zone).setDrained(drained).build());
+    }
+
     private void change(SplittableRandom random, int step) {
         switch (random.nextInt(4)) {
             case 0 -> put(step, "document " + step);
