Name a host in the tables once it is warm

Cause: a starting host was in the agreed tables from its first request for them, so others made it the holder of shards and sent it calls while it warmed up, 1.3 s of processor time long, 3.5 s and more on 0.36 of a core.

Ruled out: a phase for starting hosts: after a loss of power all hosts would be in it at once, the tables would name no holder, and every host would connect to every leaf. As it is, those that come back are still named.

Change: TablePull says nothing of a host before it is warm; then it is announced at once rather than with the next request, which may be held for 0.7 s.

Tests: TableFollowerTest.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -141,8 +141,11 @@
                 .map(result -> result.getCurrent() ? Optional.of(result.getRoutingDocument()) : Optional.empty());
     }
 
-    /** Answers a host that follows the tables, and notes that it lives. */
+    /** Answers a host that follows the tables; if it takes part already, notes that it lives. */
     public Uni<TableDelta> pull(TablePull pull) {
+        if (!pull.hasSelf()) {
+            return node.pullTables(pull);
+        }
         HostRecord host = pull.getSelf();
         return node.withTables((tables, inTouch, nowNanos) -> {
                     synchronized (watch) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpListener;
@@ -118,6 +119,7 @@
         gateway.start();
         warmUp.run();
         warm = true;
+        follower.announce();
         EVENTS.info("started")
                 .with("host", settings.name())
                 .with("address", settings.callerAddress().toString())
@@ -193,8 +195,15 @@
         return clock.nowNanos() - beganNanos;
     }
 
-    private HostRecord self() {
-        return HostRecord.newBuilder()
+    /**
+     * Returns what the tables should say of this host: nothing as long as it warms up, since others would have it ask
+     * their shards by code that is not loaded yet, on a processor that is busy with that.
+     */
+    private Optional<HostRecord> self() {
+        if (!warm) {
+            return Optional.empty();
+        }
+        return Optional.of(HostRecord.newBuilder()
                 .setName(settings.name())
                 .setPeerAddress(settings.peerAddress().toString())
                 .setZone(settings.place().zone())
@@ -202,6 +211,6 @@
                 .setEntry(true)
                 .setIncarnation(incarnation)
                 .setPhase(stopping ? HostRecord.Phase.LEAVING : HostRecord.Phase.READY)
-                .build();
+                .build());
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
  * in touch with a leader. Owned by the event loop.
  */
 public final class TableFollower {
+    private static final Logger LOGGER = System.getLogger(TableFollower.class.getName());
     private static final EventLog EVENTS = EventLog.of(TableFollower.class);
     /** A control host holds a request back for at most 700 ms; more is a host or a link that does not answer. */
     private static final Duration REPLY_WAIT = Duration.ofMillis(1_100);
@@ -37,7 +39,7 @@
     private final PeerNetwork network;
     private final EventLoop loop;
     private ImmutableList<String> seeds;
-    private final Supplier<HostRecord> self;
+    private final Supplier<Optional<HostRecord>> self;
     private String source;
     private int failures;
     private boolean synchronizedOnce;
@@ -48,7 +50,7 @@
      * Creates a follower that does nothing yet.
      *
      * @param seeds the peer addresses of the control hosts that are known beforehand, at least one
-     * @param self tells what the tables should say of this host
+     * @param self tells what the tables should say of this host; nothing as long as it takes no part
      * @param random draws the control host that is asked first: a fleet that starts together would ask the same one
      */
     public TableFollower(
@@ -57,7 +59,7 @@
             PeerNetwork network,
             EventLoop loop,
             ImmutableList<String> seeds,
-            Supplier<HostRecord> self,
+            Supplier<Optional<HostRecord>> self,
             RandomGenerator random) {
         this.view = view;
         this.codec = codec;
@@ -92,18 +94,33 @@
         if (stopped) {
             return;
         }
-        TablePull.Builder pull = TablePull.newBuilder()
-                .setKnownRevision(view.revision())
-                .setSelf(self.get())
-                .setQueriesAMinute(view.queriesAMinute());
         String asked = source;
-        network.request(asked, Envelope.newBuilder().setTablePull(pull), REPLY_WAIT)
+        network.request(asked, Envelope.newBuilder().setTablePull(message()), REPLY_WAIT)
                 .subscribe()
                 .with(
                         reply -> loop.execute(() -> take(reply.getTableDelta())),
                         failure -> loop.execute(() -> tryAnother(asked, String.valueOf(failure.getMessage()))));
     }
 
+    /** Tells a control host at once that this host takes part now: the request under way may be held for a moment. */
+    public void announce() {
+        loop.execute(() -> network.request(source, Envelope.newBuilder().setTablePull(message()), REPLY_WAIT)
+                .subscribe()
+                .with(
+                        reply -> LOGGER.log(Logger.Level.DEBUG, "this host was announced"),
+                        failure -> LOGGER.log(
+                                Logger.Level.DEBUG,
+                                "the announcement failed, the next request makes it again: {0}",
+                                failure.getMessage())));
+    }
+
+    private TablePull.Builder message() {
+        TablePull.Builder pull =
+                TablePull.newBuilder().setKnownRevision(view.revision()).setQueriesAMinute(view.queriesAMinute());
+        self.get().ifPresent(pull::setSelf);
+        return pull;
+    }
+
     private void take(TableDelta delta) {
         boolean older = delta.getRevision() < view.revision();
         if (older || !delta.getCurrent()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/lifecycle/LogProvider.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/lifecycle/LogProvider.java
@@ -15,7 +15,8 @@
  *
  * <p>The library's own provider looks through every file of the class path, twice, and loads a parser: a third of the
  * processor time that a start takes until the settings are read. A process names this provider by the property
- * {@value #PROPERTY}; without it the library's own serves. Safe for use by many threads once {@link #initialize} is done.
+ * {@value #PROPERTY}; without it the library's own serves. Safe for use by many threads once {@link #initialize} is
+ * done.
  */
 public final class LogProvider implements SLF4JServiceProvider {
     /** The system property by which a process chooses its provider. */
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TableFollowerTest.java
@@ -0,0 +1,119 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PeerServer;
+import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.FleetBudget;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.RoutingPolicy;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.TablePull;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** When other hosts learn that a host takes part, or no longer does: a control host that holds requests back. */
+final class TableFollowerTest {
+    private static final CallHeaders NAMES = new CallHeaders("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
+    private static final HostRecord READY = HostRecord.newBuilder()
+            .setName("h")
+            .setPhase(HostRecord.Phase.READY)
+            .build();
+    private static final HostRecord LEAVING =
+            READY.toBuilder().setPhase(HostRecord.Phase.LEAVING).build();
+    private static final long WAIT_MILLIS = 2_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final PeerNetwork network = PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic());
+    private final BlockingQueue<TablePull> pulls = new LinkedBlockingQueue<>();
+    private volatile Optional<HostRecord> self = Optional.empty();
+    private PeerServer control;
+    private TableFollower follower;
+
+    @BeforeEach
+    void start() throws Exception {
+        HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        control = new PeerServer(address, (message, reply) -> note(message), group, LinkPolicy.OPEN, new PeerTraffic());
+        control.start();
+        FleetView view = new FleetView(
+                "127.0.0.1:1",
+                new Place("z", "r", ImmutableMap.of("z", "r")),
+                new FleetBudget(20, 50, Duration.ofSeconds(10)),
+                RoutingPolicy.DEFAULT,
+                NAMES,
+                group,
+                MonotonicClock.system(),
+                new SplittableRandom(1));
+        follower = new TableFollower(
+                view,
+                document -> {
+                    throw new IllegalStateException("no configuration comes");
+                },
+                network,
+                group.next(),
+                ImmutableList.of(address.toString()),
+                () -> self,
+                new SplittableRandom(1));
+        follower.start();
+    }
+
+    @AfterEach
+    void stop() {
+        follower.stop();
+        control.stop();
+        network.stop();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aHostThatWarmsUpFollowsTheTablesButIsNotNamedInThem() throws Exception {
+        assertThat(nextPull().hasSelf()).isFalse();
+    }
+
+    /** The first request is still held, so an announcement that waited for its answer would come too late. */
+    @Test
+    void whatChangesOfTheHostIsToldAtOnce() throws Exception {
+        nextPull();
+        self = Optional.of(READY);
+        follower.announce();
+        assertThat(nextPull().getSelf()).isEqualTo(READY);
+        self = Optional.of(LEAVING);
+        follower.announce();
+        assertThat(nextPull().getSelf()).isEqualTo(LEAVING);
+    }
+
+    private TablePull nextPull() throws InterruptedException {
+        TablePull pull = pulls.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(pull).isNotNull();
+        return pull;
+    }
+
+    private void note(Envelope message) {
+        if (message.hasTablePull()) {
+            pulls.add(message.getTablePull());
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0)) {
+            return any.getLocalPort();
+        }
+    }
+}
