Refuse a request without a leaf at home with 503, not 502

Cause: a new reason for refusals fell into the default of a switch and was told as "may have run", though nothing had been sent.

Change: the switch names every reason, so that the compiler asks for the next one.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -68,10 +68,13 @@
         metrics.refused(reason);
         switch (reason) {
             case NO_LEAF -> refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf takes this request now; come back soon");
+            case NO_LEAF_AT_HOME ->
+                refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf in a region that may serve this request takes it now");
             case ALL_BUSY -> refuse(UNAVAILABLE, RETRY_BUSY_SECONDS, "every leaf is full; come back soon");
             case EXPIRED -> refuse(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
             case TIME_UP -> refuse(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
-            default -> refuse(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
+            case TOO_FEW_SHARDS, OUTCOME_UNKNOWN ->
+                refuse(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
         }
     }
 
