Let a leaving host say so at once and serve other hosts until they know

Cause: at SIGTERM a host refused the calls of other hosts at once, but they learnt of its leave only with its next request for the tables, up to 0.7 s later, and went on sending it their shards; each such query took them back and asked by itself, over connections made for it.

Ruled out: telling every host directly: the tables reach them within a quorum's round once the announcement is made.

Change: the leave is announced at once; calls of other hosts are served as long as requests of callers are, 3.2 s.

Tests: EntryHostTest.aStoppingHostServesOtherHostsUntilTheyKnow (with the old order of things calls fail); beside it the whole path of requests with homes.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -146,8 +146,9 @@
     }
 
     /**
-     * Stops: is no longer ready, goes on serving until callers have had time to notice, finishes what is under way,
-     * refuses what it could not finish, and ends within the limit of the settings.
+     * Stops: is no longer ready and says so, goes on serving callers and other hosts until they have had time to notice
+     * and to ask the hosts that stand in for it, finishes what is under way, refuses what it could not finish, and ends
+     * within the limit of the settings.
      *
      * @throws InterruptedException if the thread is interrupted meanwhile
      */
@@ -155,11 +156,12 @@
         long beganNanos = clock.nowNanos();
         stopping = true;
         callers.beginStop();
-        gateway.beginStop();
+        follower.announce();
         EVENTS.info("stopping").with("host", settings.name()).write();
         while (sinceNanos(beganNanos) < STILL_TAKES_REQUESTS.toNanos()) {
             Thread.sleep(LOOK_EVERY.toMillis());
         }
+        gateway.beginStop();
         callers.closeIdle();
         long limitNanos = settings.stopLimit().toNanos();
         long refusesAfterNanos = limitNanos - FINISHES_WITHIN.toNanos();
