Read the load of leafs that tell how long work takes there, and expect it for a moment

Cause: leafs of the shifted deployment tell a fourth figure with their load, how long work takes there at this moment. A load of four figures was no load to LeafLoad, so that nothing of what other hosts had under way was known there.

Change: four figures are read; work is expected to take as long as was told for 200 ms (such phases last 0.4 to 0.5 s), and what a call took is judged by it. Mechanism told-work switches the expectation off.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelLeaf.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelLeaf.java
@@ -189,7 +189,7 @@
     }
 
     private LeafLoad load() {
-        return new LeafLoad(running.size(), waiting.size(), fleet.slots());
+        return new LeafLoad(running.size(), waiting.size(), fleet.slots(), LeafLoad.USUAL_PERCENT);
     }
 
     /** One call or new connection at the leaf. */
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -36,6 +36,15 @@
     private static final Duration EVIDENCE_FADE = Duration.ofSeconds(5);
     /** How long a load that was told shows by itself that the leaf is full: the time of a few calls. */
     private static final long LOAD_FRESH_NANOS = Duration.ofMillis(250).toNanos();
+    /**
+     * How long what a leaf tells of how long its work takes is taken to hold: such phases were seen to last 0.4 to 0.5
+     * s, so that one has half of that left on average.
+     */
+    private static final long WORK_FRESH_NANOS = Duration.ofMillis(200).toNanos();
+
+    private static final double LEAST_WORK = 0.2;
+    private static final double MOST_WORK = 10.0;
+
     /** How fast a load that was told fades: the time of a few calls. */
     private static final Duration LOAD_FADE = Duration.ofMillis(400);
     /** A load that was told is that of a moment; averaged over a few it says what the next call will meet. */
@@ -71,6 +80,7 @@
     private boolean zoneDrained;
     private int toldCalls;
     private long toldAtNanos;
+    private double toldWork = 1;
     private long busyUntilNanos;
     private final FadingAverage slowness;
     private final FadingAverage refusalRate;
@@ -193,6 +203,7 @@
             toldAtNanos = nowNanos;
             callsOfOthers.observe(Math.max(0, toldCalls - calls.size()), nowNanos);
             slots = Math.max(1, told.get().slots());
+            noteWork(told.get());
         }
         switch (outcome) {
             case SUCCEEDED -> {
@@ -212,6 +223,18 @@
         }
     }
 
+    private void noteWork(LeafLoad told) {
+        if (context.uses(Mechanism.TOLD_WORK)) {
+            double work = (double) told.workPercent() / LeafLoad.USUAL_PERCENT;
+            toldWork = Math.max(LEAST_WORK, Math.min(work, MOST_WORK));
+        }
+    }
+
+    /** Returns how many times as long as usual work takes there, as far as the leaf has told of late. */
+    private double toldWork(long nowNanos) {
+        return nowNanos - toldAtNanos < WORK_FRESH_NANOS ? toldWork : 1;
+    }
+
     /**
      * Notes that this host gave a call up. That says nothing bad of the leaf by itself, but a call that was long
      * overdue does, and several in a row with no answer between them count as a failure.
@@ -280,6 +303,7 @@
         double occupancy = occupancy(nowNanos);
         double ahead = Math.max(0, occupancy + 1 - slots);
         double work = context.uses(Mechanism.SLOWNESS) ? expectedNanos * slowness.at(nowNanos) : expectedNanos;
+        work *= toldWork(nowNanos);
         if (nowNanos - warmAtNanos < 0) {
             work *= COLD_FACTOR;
         }
@@ -309,7 +333,8 @@
         ejectionNanos = 0;
         stalledUntilNanos = nowNanos;
         failureRate -= FAILURE_SMOOTHING * failureRate;
-        observe(ratio(call, nowNanos), nowNanos);
+        // What the leaf says of the moment is no property of the leaf.
+        observe(ratio(call, nowNanos) / toldWork(nowNanos), nowNanos);
     }
 
     /** Returns how many times as long as usual a call has taken, without the time for which this host was behind. */
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
@@ -6,6 +6,8 @@
     REFUSAL_PRICE,
     /** What other hosts have under way at a leaf is estimated from the load that it tells. */
     LOAD_OF_OTHERS,
+    /** What a leaf tells of how long its work takes at the moment is expected to go on for a moment. */
+    TOLD_WORK,
     /** A leaf that took longer than usual of late is expected to go on so. */
     SLOWNESS,
     /** A leaf with a call that is long overdue is taken to pause. */
