Look for the next wake only when something may be due earlier

Cause: by a profile of 320 queries of 225 shards in one process (JFR, 217 samples of Java code), 33 were in the decisions, most of them in a search through all shards for the next wake and in counting those that wait, made with every answer: 225 times 225 steps a query, each with an Optional.

Ruled out: the reading of answers (42 samples) and the event loop (33) come before it, but are the transport's; most of the 162 us a leaf call are system calls.

Change: after an answer a wake that is set still serves; the number of shards that wait is kept; an attempt's shard is found in a table.

Tests: those of the routed requests, unchanged.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -30,7 +30,7 @@
      * @param repeatable true if it may run more than once
      */
     public ForwardedRequest(PermittedLeaves pool, boolean repeatable, RequestBounds bounds, RandomGenerator random) {
-        this.request = new ShardRequest(pool, bounds, repeatable, repeatable, random);
+        this.request = new ShardRequest(pool, bounds, repeatable, repeatable, random, () -> {});
         this.bounds = bounds;
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -3,8 +3,10 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -17,6 +19,9 @@
  */
 final class QueryShards implements Iterable<ShardRequest> {
     private final ShardRequest[] shards;
+    private final Map<ShardRequest, Integer> numbers = new HashMap<>();
+    /** Kept rather than counted: it is asked for with every answer, of which there are as many as shards. */
+    private int waiting;
 
     /**
      * Creates shards of which none was asked.
@@ -25,8 +30,10 @@
      */
     QueryShards(ImmutableList<PermittedLeaves> pools, RequestBounds bounds, boolean hedged, RandomGenerator random) {
         shards = new ShardRequest[pools.size()];
+        waiting = shards.length;
         for (int shard = 0; shard < shards.length; shard++) {
-            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, hedged, random);
+            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, hedged, random, () -> waiting--);
+            numbers.put(shards[shard], shard);
         }
     }
 
@@ -45,17 +52,16 @@
 
     /** Returns the number of a shard of this query. */
     int numberOf(ShardRequest wanted) {
-        for (int shard = 0; shard < shards.length; shard++) {
-            if (shards[shard] == wanted) {
-                return shard;
-            }
+        Integer number = numbers.get(wanted);
+        if (number == null) {
+            throw new IllegalStateException("an attempt of another query");
         }
-        throw new IllegalStateException("an attempt of another query");
+        return number;
     }
 
     /** Returns how many may still bring an answer. */
     int waitingCount() {
-        return count(shard -> !shard.isFinished());
+        return waiting;
     }
 
     /** Returns at how many a second leaf would be asked now if nothing spoke against it. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -115,7 +115,7 @@
             return failed(attempt, LeafOutcome.GARBLED, nowNanos);
         }
         shard.answered(attempt, actions);
-        decide(nowNanos, actions);
+        decideAfterAnswer(nowNanos, actions);
         return actions;
     }
 
@@ -263,7 +263,24 @@
         return slowService ? Optional.of(AttemptCounter.HEDGE_DENIED_SLOW_SERVICE) : Optional.empty();
     }
 
+    /**
+     * Decides after one more shard is in. That makes nothing due earlier, so a wake that is set still serves: looking
+     * at every shard for the next one, with every answer, took a seventh of the work that 225 shards cost.
+     */
+    private void decideAfterAnswer(long nowNanos, List<RoutedAction> actions) {
+        if (!sealed(nowNanos, actions) && !wakeArmed) {
+            armWake(nowNanos, actions);
+        }
+    }
+
     private void decide(long nowNanos, List<RoutedAction> actions) {
+        if (!sealed(nowNanos, actions)) {
+            armWake(nowNanos, actions);
+        }
+    }
+
+    /** Ends the query if its time has come, or sends on what is in; returns true if it is over. */
+    private boolean sealed(long nowNanos, List<RoutedAction> actions) {
         boolean nothingToWaitFor = shards.waitingCount() == 0 || !canBeEnough();
         boolean deadlineCome = nowNanos - bounds.deadlineNanos() >= 0;
         boolean goalCome = nowNanos - bounds.goalNanos() >= 0;
@@ -272,18 +289,18 @@
             ImmutableList<Integer> notSent = shards.notSent();
             end(actions);
             actions.add(new RoutedAction.DeliverMerged(parts.takeNew(notSent)));
-            return;
+            return true;
         }
         if (finished) {
             RefusalReason reason = shards.refusalReason(deadlineCome);
             end(actions);
             actions.add(new RoutedAction.Refuse(reason));
-            return;
+            return true;
         }
         if (goalCome && delivery == Delivery.IN_PIECES && parts.hasNew()) {
             actions.add(new RoutedAction.DeliverPiece(parts.takeNew(ImmutableList.of())));
         }
-        armWake(nowNanos, actions);
+        return false;
     }
 
     /** After its goal a query for another host makes no attempts: that host may make them itself, and counts them. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -37,6 +37,7 @@
     private final boolean repeatable;
     private final boolean hedged;
     private final RandomGenerator random;
+    private final Runnable onFinished;
     private final List<Attempt> attempts = new ArrayList<>(2);
     private int spentElsewhere;
     private boolean delegated;
@@ -52,14 +53,21 @@
      *
      * @param repeatable whether it may run more than once
      * @param hedged whether a second leaf is asked if the first is late; only if it is repeatable
+     * @param onFinished is run once, when there is nothing to wait for any more
      */
     ShardRequest(
-            PermittedLeaves pool, RequestBounds bounds, boolean repeatable, boolean hedged, RandomGenerator random) {
+            PermittedLeaves pool,
+            RequestBounds bounds,
+            boolean repeatable,
+            boolean hedged,
+            RandomGenerator random,
+            Runnable onFinished) {
         this.pool = pool;
         this.bounds = bounds;
         this.repeatable = repeatable;
         this.hedged = repeatable && hedged;
         this.random = random;
+        this.onFinished = onFinished;
     }
 
     /** Leaves the request to another host. */
@@ -139,7 +147,7 @@
 
     /** Notes that the other host brought the answer. */
     void answeredElsewhere() {
-        finished = true;
+        end();
     }
 
     /** Notes that an attempt brought the answer; the others are of no use any more. */
@@ -150,7 +158,7 @@
 
     /** Ends the request and gives up the attempts under way. */
     void finish(List<RoutedAction> actions) {
-        finished = true;
+        end();
         for (Attempt attempt : attempts) {
             if (!attempt.isFinished()) {
                 attempt.finish(Attempt.State.GIVEN_UP);
@@ -161,7 +169,7 @@
 
     /** Ends the request; attempts under way are left to the sender. */
     void abandon() {
-        finished = true;
+        end();
     }
 
     /** Makes no attempt from now on; those under way are waited for. */
@@ -354,8 +362,15 @@
         actions.add(new RoutedAction.Ask(attempt));
     }
 
+    private void end() {
+        if (!finished) {
+            finished = true;
+            onFinished.run();
+        }
+    }
+
     private void giveUp(AttemptCounter reason, List<RoutedAction> actions) {
-        finished = true;
+        end();
         actions.add(new RoutedAction.Count(reason));
     }
 
