Bound what a cold leaf gets from all hosts together

Cause: nothing knew that a service may say how many requests a second its cold leafs are made for, above which they fall over.

Ways weighed (docs/design/places.md): even shares, turns by time, leases from control, one host that spends. The last: the leaf's holder, or a host of its zone that the agreed tables name, spends half of the allowance, since two may take themselves for it; it begins with nothing saved, and spends where bytes are written.

LeafAccessTest, LeafReportsTest.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -72,7 +72,11 @@
     private final String service;
     private final String address;
     private final LeafPlace place;
-    private final long warmAtNanos;
+    private long warmAtNanos;
+    /** Absent if a cold leaf of the service bears as much as a warm one. */
+    private Optional<ColdAllowance> coldAllowance = Optional.empty();
+
+    private boolean spendsCold;
     private final RoutingContext context;
     private final List<Call> calls = new ArrayList<>(4);
     private int slots;
@@ -162,6 +166,42 @@
         return acceptsWork && !zoneDrained;
     }
 
+    /**
+     * States that it is cold, as after a start or an absence.
+     *
+     * @param coldFor how much longer
+     */
+    public void turnCold(Duration coldFor, long nowNanos) {
+        warmAtNanos = nowNanos + coldFor.toNanos();
+    }
+
+    /**
+     * States what it bears while it is cold.
+     *
+     * @param mostPerSecond how many requests in any second, from all hosts together
+     * @param spendsHere whether this is the host that may send them
+     */
+    public void boundCold(double mostPerSecond, boolean spendsHere, long nowNanos) {
+        if (coldAllowance.isEmpty() || spendsHere != spendsCold) {
+            coldAllowance = Optional.of(new ColdAllowance(mostPerSecond, nowNanos));
+        }
+        spendsCold = spendsHere;
+    }
+
+    /** Returns true if it is cold and this host may send it nothing now. */
+    public boolean isColdAndSpent(long nowNanos) {
+        return isColdAndBound(nowNanos) && !(spendsCold && coldAllowance.get().isLeft(nowNanos));
+    }
+
+    /** Notes a request that is to be sent; returns false if it is cold and must not be sent this one. */
+    public boolean admit(long nowNanos) {
+        return !isColdAndBound(nowNanos) || (spendsCold && coldAllowance.get().trySpend(nowNanos));
+    }
+
+    private boolean isColdAndBound(long nowNanos) {
+        return coldAllowance.isPresent() && nowNanos - warmAtNanos < 0;
+    }
+
     /**
      * States whether operators have its availability zone get no work; unlike {@link #leave}, that may be taken back.
      */
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
@@ -128,7 +128,8 @@
             if (!leaf.acceptsWork() || !filter.test(leaf)) {
                 continue;
             }
-            boolean ejected = leaf.isEjected(nowNanos);
+            // A cold leaf for which this host has no allowance is asked through another host, or not at all.
+            boolean ejected = leaf.isEjected(nowNanos) || leaf.isColdAndSpent(nowNanos);
             double cost = leaf.costNanos(expectedNanos, nowNanos) + leaf.refusalRate(nowNanos) * refusalNanos;
             cost += heldHere && leaf.distance() != Distance.SAME_ZONE ? PASS_ON_NANOS : 0;
             boolean better = ejected != bestEjected ? !ejected : cost < bestCost;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/LeafReports.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/LeafReports.java
@@ -31,7 +31,9 @@
     private static boolean isNewsOfSameLife(LeafRecord known, LeafRecord report) {
         boolean ofTheSameLeaf = report.getService().equals(known.getService())
                 && report.getAddress().equals(known.getAddress());
-        boolean saysOther = report.getPhase() != known.getPhase() || report.getSlots() != known.getSlots();
+        boolean turnedColdOrWarm = report.getColdMillis() > 0 != known.getColdMillis() > 0;
+        boolean saysOther =
+                report.getPhase() != known.getPhase() || report.getSlots() != known.getSlots() || turnedColdOrWarm;
         return ofTheSameLeaf && saysOther && report.getSequence() > known.getSequence();
     }
 
--- a/bramblerack-core/src/test/java/org/bramblerack/process/members/LeafReportsTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/members/LeafReportsTest.java
@@ -66,4 +66,18 @@
                         later.toBuilder().setPhase(LeafRecord.Phase.DRAINING).build()))
                 .isTrue();
     }
+
+    /** A leaf may turn cold at any time of its life; it says so with each report, but only a change is news. */
+    @Test
+    void turningColdAndWarmIsNews() {
+        LeafRecord cold =
+                FIRST_LIFE.toBuilder().setSequence(41).setColdMillis(3_000).build();
+        assertThat(LeafReports.isNews(FIRST_LIFE, cold)).isTrue();
+        LeafRecord lessCold =
+                cold.toBuilder().setSequence(42).setColdMillis(1_800).build();
+        assertThat(LeafReports.isNews(cold, lessCold)).isFalse();
+        assertThat(LeafReports.isNews(
+                        cold, lessCold.toBuilder().setColdMillis(0).build()))
+                .isTrue();
+    }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -71,6 +71,7 @@
                 settings.peerAddress().toString(),
                 settings.place(),
                 settings.budget(),
+                settings.coldBound(),
                 settings.routing(),
                 names,
                 group,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
@@ -6,6 +6,7 @@
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
 import org.bramblerack.process.FleetBudget;
+import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.RoutingPolicy;
 
 /**
@@ -19,6 +20,7 @@
  * @param peerAddress where other hosts reach it
  * @param seeds the peer addresses of control hosts that are known beforehand
  * @param budget what all hosts may spend on extra attempts at a service
+ * @param coldBound by how much all hosts together may go over what cold leafs are made for
  * @param routing which mechanisms take part in routing
  * @param stopLimit how long a planned stop may take
  */
@@ -29,6 +31,7 @@
         HostAndPort peerAddress,
         ImmutableList<String> seeds,
         FleetBudget budget,
+        ColdBound coldBound,
         RoutingPolicy routing,
         Duration stopLimit) {
     /** Refuses settings without a control host to ask. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -23,6 +23,7 @@
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.WindowedBudget;
+import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
@@ -30,6 +31,7 @@
 import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.request.routed.HedgeTiming;
+import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.version.routing.RoutingConfiguration;
@@ -60,6 +62,7 @@
     private final long startedNanos;
     private final LeafAccess access;
     private final FleetBudget budget;
+    private final ColdBound coldBound;
     private final CallHeaders names;
     private final EventLoopGroup group;
     private final MonotonicClock clock;
@@ -89,6 +92,7 @@
             String self,
             Place place,
             FleetBudget budget,
+            ColdBound coldBound,
             RoutingPolicy policy,
             CallHeaders names,
             EventLoopGroup group,
@@ -101,6 +105,7 @@
         this.routing = new RoutingContext(policy, HostLag.create(LAG_PERIOD));
         this.access = new LeafAccess(self, place);
         this.budget = budget;
+        this.coldBound = coldBound;
         this.names = names;
         this.group = group;
         this.clock = clock;
@@ -224,6 +229,8 @@
 
     /** Returns the connections of this host to a leaf. */
     public LeafConnections connectionsTo(Leaf leaf) {
+        // A leaf that has just come is told what it bears before anything is sent to it.
+        access();
         return connections.computeIfAbsent(
                 leaf,
                 unused -> new LeafConnections(
@@ -285,6 +292,7 @@
             accessStale = false;
             access.update(entryHosts(), leafRecords.values(), configuration, throughHolders);
             pools.values().forEach(this::takeOver);
+            leafRecords.values().forEach(this::boundCold);
         }
         return access;
     }
@@ -306,11 +314,21 @@
             return false;
         }
         for (LeafRecord record : leafRecords.values()) {
-            leaf(record.getId()).ifPresent(leaf -> leaf.setZoneDrained(drainedZones.contains(record.getZone())));
+            leaf(record.getId()).ifPresent(leaf -> setDrained(leaf, record, before.contains(record.getZone())));
         }
         return true;
     }
 
+    /** A leaf that got no work for long may have turned cold meanwhile. */
+    private void setDrained(Leaf leaf, LeafRecord record, boolean wasDrained) {
+        boolean drained = drainedZones.contains(record.getZone());
+        leaf.setZoneDrained(drained);
+        LeafService service = configuration.services().get(record.getService());
+        if (wasDrained && !drained && service != null && service.coldPerSecond() > 0) {
+            leaf.turnCold(service.coldFor(), clock.nowNanos());
+        }
+    }
+
     private boolean applyLeaves(TableDelta delta) {
         Set<String> before = ImmutableSet.copyOf(leafRecords.keySet());
         if (delta.getWhole()) {
@@ -330,7 +348,8 @@
             }
         }
         boolean leaving = delta.getLeavesList().stream().anyMatch(leaf -> leaf.getPhase() != LeafRecord.Phase.READY);
-        return leaving || !before.equals(leafRecords.keySet());
+        boolean cold = delta.getLeavesList().stream().anyMatch(leaf -> leaf.getColdMillis() > 0);
+        return leaving || cold || !before.equals(leafRecords.keySet());
     }
 
     private void put(LeafRecord record) {
@@ -352,6 +371,8 @@
             leaf.setZoneDrained(drainedZones.contains(record.getZone()));
             pool.add(leaf);
             known = Optional.of(leaf);
+        } else if (record.getColdMillis() > 0) {
+            known.get().turnCold(Duration.ofMillis(record.getColdMillis()), clock.nowNanos());
         }
         leafRecords.put(record.getId(), record);
         if (record.getPhase() == LeafRecord.Phase.DRAINING) {
@@ -359,6 +380,20 @@
         }
     }
 
+    /** Tells a leaf what it bears while it is cold, and whether this host may send it that. */
+    private void boundCold(LeafRecord record) {
+        LeafService service = configuration.services().get(record.getService());
+        Optional<Leaf> leaf = leaf(record.getId());
+        if (service == null || service.coldPerSecond() <= 0 || leaf.isEmpty()) {
+            return;
+        }
+        leaf.get()
+                .boundCold(
+                        coldBound.mostPerSecond(service.coldPerSecond()),
+                        access.spendsCold(record.getId(), record.getService(), record.getZone()),
+                        clock.nowNanos());
+    }
+
     /** Looks a little later, each host at another moment, at which connections to keep. */
     private void reviewConnectionsLater() {
         if (connectionsReviewed) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -150,6 +150,18 @@
         return !holders.isEmpty() && holders.get(0).equals(self);
     }
 
+    /**
+     * Returns true if this host is the one that may send requests to a leaf while it is cold: the holder of the leaf,
+     * or one of the hosts of its zone that the agreed tables name.
+     */
+    boolean spendsCold(String leafId, String service, String zone) {
+        ImmutableList<String> spenders = isHeld(service)
+                ? holdersIn(zone, service).of(service)
+                : ZoneHolders.compute(candidatesIn(zone), ImmutableSortedSet.of(leafId))
+                        .of(leafId);
+        return !spenders.isEmpty() && spenders.get(0).equals(self);
+    }
+
     /** Returns in how many availability zones a shard has a leaf. */
     int zonesOf(String service) {
         return (int) shardsByZone.values().stream()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -30,6 +30,7 @@
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -102,7 +103,15 @@
     public void run() throws InterruptedException {
         long beganNanos = clock.nowNanos();
         FleetView view = new FleetView(
-                "warm-up", place(), BUDGET, RoutingPolicy.DEFAULT, names, group, clock, new SplittableRandom(1));
+                "warm-up",
+                place(),
+                BUDGET,
+                ColdBound.NONE,
+                RoutingPolicy.DEFAULT,
+                names,
+                group,
+                clock,
+                new SplittableRandom(1));
         PeerTraffic traffic = new PeerTraffic();
         PeerNetwork network = PeerNetwork.byAddress("warm-up", group, LinkPolicy.OPEN, traffic);
         Gateway gateway = new Gateway(
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -231,6 +231,12 @@
         }
 
         void sendOn(LeafConnection free) {
+            if (!leaf.admit(clock.nowNanos())) {
+                done = true;
+                idle(free);
+                taker.failed(LeafOutcome.NO_CONNECTION);
+                return;
+            }
             connection = free;
             long remainingMillis = Math.max(1, (deadlineNanos - clock.nowNanos()) / NANOS_PER_MILLI);
             free.send(request, leaf.id(), remainingMillis, new LeafExchange() {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
@@ -16,6 +16,7 @@
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
@@ -53,6 +54,7 @@
                     "127.0.0.1:1",
                     new Place("z", "r", ImmutableMap.of("z", "r")),
                     new FleetBudget(20, 50, Duration.ofSeconds(10)),
+                    ColdBound.NONE,
                     RoutingPolicy.DEFAULT,
                     NAMES,
                     group,
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
@@ -29,6 +29,7 @@
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
@@ -82,6 +83,7 @@
                 "127.0.0.1:1",
                 new Place("z", "r", ImmutableMap.of("z", "r", "z2", "r")),
                 new FleetBudget(20, 50, Duration.ofSeconds(10)),
+                ColdBound.NONE,
                 RoutingPolicy.DEFAULT,
                 NAMES,
                 group,
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,6 +55,24 @@
         }
     }
 
+    /** Held or not, and whatever the order in which hosts learnt of one another, one alone spends what is agreed. */
+    @Test
+    void oneHostAloneMaySendToAColdLeaf() {
+        for (int most : new int[] {26, 410}) {
+            List<HostRecord> hosts = hosts(59);
+            List<HostRecord> inOtherOrder = new ArrayList<>(hosts);
+            Collections.reverse(inOtherOrder);
+            int spenders = 0;
+            for (HostRecord host : hosts) {
+                List<HostRecord> known = spenders % 2 == 0 ? hosts : inOtherOrder;
+                LeafAccess access = access(known, most, host.getPeerAddress(), host.getZone());
+                spenders += access.spendsCold("s0-0", "s0", "z0") ? 1 : 0;
+                spenders += access.spendsCold("single", "single", "z2") ? 1 : 0;
+            }
+            assertThat(spenders).isEqualTo(2);
+        }
+    }
+
     @Test
     void holdersAreOfTheLeafsZoneWhileItHasHosts() {
         List<HostRecord> hosts = hosts(83);
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -27,6 +27,7 @@
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.RoutingPolicy;
@@ -87,6 +88,7 @@
                 "127.0.0.1:1",
                 place,
                 new FleetBudget(20, 50, Duration.ofSeconds(10)),
+                ColdBound.NONE,
                 RoutingPolicy.DEFAULT,
                 NAMES,
                 group,
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TableFollowerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TableFollowerTest.java
@@ -21,6 +21,7 @@
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
@@ -56,6 +57,7 @@
                 "127.0.0.1:1",
                 new Place("z", "r", ImmutableMap.of("z", "r")),
                 new FleetBudget(20, 50, Duration.ofSeconds(10)),
+                ColdBound.NONE,
                 RoutingPolicy.DEFAULT,
                 NAMES,
                 group,
