Take coldness, told load and the table of connections out of two large classes

Change: Coldness, ToldLoad, LeafConnectionTable; the answer to a refusal is an expression, so that a reason without one does not compile. No decision changes.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -34,21 +34,6 @@
      * How fast old evidence of slowness and of refusals fades: somewhat slower than a leaf gets calls to show either.
      */
     private static final Duration EVIDENCE_FADE = Duration.ofSeconds(5);
-    /** How long a load that was told shows by itself that the leaf is full: the time of a few calls. */
-    private static final long LOAD_FRESH_NANOS = Duration.ofMillis(250).toNanos();
-    /**
-     * How long what a leaf tells of how long its work takes is taken to hold: such phases were seen to last 0.4 to 0.5
-     * s, so that one has half of that left on average.
-     */
-    private static final long WORK_FRESH_NANOS = Duration.ofMillis(200).toNanos();
-
-    private static final double LEAST_WORK = 0.2;
-    private static final double MOST_WORK = 10.0;
-
-    /** How fast a load that was told fades: the time of a few calls. */
-    private static final Duration LOAD_FADE = Duration.ofMillis(400);
-    /** A load that was told is that of a moment; averaged over a few it says what the next call will meet. */
-    private static final double LOAD_SMOOTHING = 0.3;
     /**
      * The part of what other hosts had under way that the next call is taken to meet. All hosts learn of the same free
      * leaf at about the same time, so that the whole of it would send them all to and fro together; compared by the
@@ -72,23 +57,16 @@
     private final String service;
     private final String address;
     private final LeafPlace place;
-    private long warmAtNanos;
-    /** Absent if a cold leaf of the service bears as much as a warm one. */
-    private Optional<ColdAllowance> coldAllowance = Optional.empty();
-
-    private boolean spendsCold;
+    private final Coldness coldness;
     private final RoutingContext context;
     private final List<Call> calls = new ArrayList<>(4);
     private int slots;
     private boolean acceptsWork = true;
     private boolean zoneDrained;
-    private int toldCalls;
-    private long toldAtNanos;
-    private double toldWork = 1;
     private long busyUntilNanos;
     private final FadingAverage slowness;
     private final FadingAverage refusalRate;
-    private final FadingAverage callsOfOthers;
+    private final ToldLoad told;
     private long stalledUntilNanos;
     private int consecutiveAbandoned;
     private double failureRate;
@@ -126,14 +104,14 @@
         this.address = address;
         this.place = requireNonNull(place);
         this.slots = Math.max(1, slots);
-        this.warmAtNanos = nowNanos + coldFor.toNanos();
+        this.coldness = new Coldness(nowNanos + coldFor.toNanos());
         this.context = context;
         this.busyUntilNanos = nowNanos;
         this.ejectedUntilNanos = nowNanos;
         this.stalledUntilNanos = nowNanos;
         this.slowness = new FadingAverage(1, SLOWNESS_SMOOTHING, EVIDENCE_FADE, nowNanos);
         this.refusalRate = new FadingAverage(0, REFUSAL_SMOOTHING, EVIDENCE_FADE, nowNanos);
-        this.callsOfOthers = new FadingAverage(0, LOAD_SMOOTHING, LOAD_FADE, nowNanos);
+        this.told = new ToldLoad(nowNanos);
     }
 
     /** Returns the identifier of this start of the leaf. */
@@ -172,7 +150,7 @@
      * @param coldFor how much longer
      */
     public void turnCold(Duration coldFor, long nowNanos) {
-        warmAtNanos = nowNanos + coldFor.toNanos();
+        coldness.turnCold(coldFor, nowNanos);
     }
 
     /**
@@ -182,24 +160,17 @@
      * @param spendsHere whether this is the host that may send them
      */
     public void boundCold(double mostPerSecond, boolean spendsHere, long nowNanos) {
-        if (coldAllowance.isEmpty() || spendsHere != spendsCold) {
-            coldAllowance = Optional.of(new ColdAllowance(mostPerSecond, nowNanos));
-        }
-        spendsCold = spendsHere;
+        coldness.bound(mostPerSecond, spendsHere, nowNanos);
     }
 
     /** Returns true if it is cold and this host may send it nothing now. */
     public boolean isColdAndSpent(long nowNanos) {
-        return isColdAndBound(nowNanos) && !(spendsCold && coldAllowance.get().isLeft(nowNanos));
+        return coldness.isSpent(nowNanos);
     }
 
     /** Notes a request that is to be sent; returns false if it is cold and must not be sent this one. */
     public boolean admit(long nowNanos) {
-        return !isColdAndBound(nowNanos) || (spendsCold && coldAllowance.get().trySpend(nowNanos));
-    }
-
-    private boolean isColdAndBound(long nowNanos) {
-        return coldAllowance.isPresent() && nowNanos - warmAtNanos < 0;
+        return coldness.admit(nowNanos);
     }
 
     /**
@@ -236,14 +207,11 @@
     }
 
     /** Notes the end of a call, with the load that the leaf told, if it did. */
-    public void end(Call call, LeafOutcome outcome, Optional<LeafLoad> told, long nowNanos) {
+    public void end(Call call, LeafOutcome outcome, Optional<LeafLoad> load, long nowNanos) {
         calls.remove(call);
-        if (told.isPresent()) {
-            toldCalls = told.get().running() + told.get().waiting();
-            toldAtNanos = nowNanos;
-            callsOfOthers.observe(Math.max(0, toldCalls - calls.size()), nowNanos);
-            slots = Math.max(1, told.get().slots());
-            noteWork(told.get());
+        if (load.isPresent()) {
+            told.note(load.get(), calls.size(), nowNanos);
+            slots = Math.max(1, load.get().slots());
         }
         switch (outcome) {
             case SUCCEEDED -> {
@@ -263,16 +231,9 @@
         }
     }
 
-    private void noteWork(LeafLoad told) {
-        if (context.uses(Mechanism.TOLD_WORK)) {
-            double work = (double) told.workPercent() / LeafLoad.USUAL_PERCENT;
-            toldWork = Math.max(LEAST_WORK, Math.min(work, MOST_WORK));
-        }
-    }
-
     /** Returns how many times as long as usual work takes there, as far as the leaf has told of late. */
     private double toldWork(long nowNanos) {
-        return nowNanos - toldAtNanos < WORK_FRESH_NANOS ? toldWork : 1;
+        return context.uses(Mechanism.TOLD_WORK) ? told.work(nowNanos) : 1;
     }
 
     /**
@@ -325,8 +286,7 @@
 
     /** Returns true if one more call would wait behind as many as it works on at a time, or it just refused one. */
     public boolean isOverloaded(long nowNanos) {
-        int told = nowNanos - toldAtNanos < LOAD_FRESH_NANOS ? toldCalls : 0;
-        return Math.max(calls.size(), told) >= 2 * slots || nowNanos - busyUntilNanos < 0;
+        return Math.max(calls.size(), told.calls(nowNanos)) >= 2 * slots || nowNanos - busyUntilNanos < 0;
     }
 
     /** Returns true if one more call would begin at once, as far as this host knows. */
@@ -344,7 +304,7 @@
         double ahead = Math.max(0, occupancy + 1 - slots);
         double work = context.uses(Mechanism.SLOWNESS) ? expectedNanos * slowness.at(nowNanos) : expectedNanos;
         work *= toldWork(nowNanos);
-        if (nowNanos - warmAtNanos < 0) {
+        if (coldness.isCold(nowNanos)) {
             work *= COLD_FACTOR;
         }
         double cost = work * (1 + ahead / slots) + place.distance().handicapNanos();
@@ -363,7 +323,7 @@
 
     /** Returns how many calls the next one is expected to meet at the leaf: those of this host and of others. */
     private double occupancy(long nowNanos) {
-        double others = context.uses(Mechanism.LOAD_OF_OTHERS) ? callsOfOthers.at(nowNanos) : 0;
+        double others = context.uses(Mechanism.LOAD_OF_OTHERS) ? told.callsOfOthers(nowNanos) : 0;
         return calls.size() + OTHERS_SHARE * others;
     }
 
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/ToldLoad.java
@@ -0,0 +1,62 @@
+package org.bramblerack.process.leaf;
+
+import java.time.Duration;
+
+/**
+ * What a leaf told of its load, as far as it still holds.
+ *
+ * <p>Not safe for use by several threads.
+ */
+final class ToldLoad {
+    /** How long a load that was told shows by itself that the leaf is full: the time of a few calls. */
+    private static final long FRESH_NANOS = Duration.ofMillis(250).toNanos();
+    /**
+     * How long what a leaf tells of how long its work takes is taken to hold: such phases were seen to last 0.4 to 0.5
+     * s, so that one has half of that left on average.
+     */
+    private static final long WORK_FRESH_NANOS = Duration.ofMillis(200).toNanos();
+
+    private static final double LEAST_WORK = 0.2;
+    private static final double MOST_WORK = 10.0;
+    /** How fast a load that was told fades: the time of a few calls. */
+    private static final Duration FADE = Duration.ofMillis(400);
+    /** A load that was told is that of a moment; averaged over a few it says what the next call will meet. */
+    private static final double SMOOTHING = 0.3;
+
+    private final FadingAverage callsOfOthers;
+    private int calls;
+    private double work = 1;
+    private long toldAtNanos;
+
+    ToldLoad(long nowNanos) {
+        this.callsOfOthers = new FadingAverage(0, SMOOTHING, FADE, nowNanos);
+    }
+
+    /**
+     * Notes a load.
+     *
+     * @param callsOfThisHost how many of the calls there are this host's
+     */
+    void note(LeafLoad told, int callsOfThisHost, long nowNanos) {
+        calls = told.running() + told.waiting();
+        toldAtNanos = nowNanos;
+        callsOfOthers.observe(Math.max(0, calls - callsOfThisHost), nowNanos);
+        double times = (double) told.workPercent() / LeafLoad.USUAL_PERCENT;
+        work = Math.max(LEAST_WORK, Math.min(times, MOST_WORK));
+    }
+
+    /** Returns how many calls of all hosts were there, if that was told a moment ago; else 0. */
+    int calls(long nowNanos) {
+        return nowNanos - toldAtNanos < FRESH_NANOS ? calls : 0;
+    }
+
+    /** Returns how many calls of other hosts are to be expected. */
+    double callsOfOthers(long nowNanos) {
+        return callsOfOthers.at(nowNanos);
+    }
+
+    /** Returns how many times as long as usual work takes there. */
+    double work(long nowNanos) {
+        return nowNanos - toldAtNanos < WORK_FRESH_NANOS ? work : 1;
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -66,16 +66,19 @@
     @Override
     public void refuse(RefusalReason reason) {
         metrics.refused(reason);
-        switch (reason) {
-            case NO_LEAF -> refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf takes this request now; come back soon");
-            case NO_LEAF_AT_HOME ->
-                refuse(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf in a region that may serve this request takes it now");
-            case ALL_BUSY -> refuse(UNAVAILABLE, RETRY_BUSY_SECONDS, "every leaf is full; come back soon");
-            case EXPIRED -> refuse(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
-            case TIME_UP -> refuse(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
-            case TOO_FEW_SHARDS, OUTCOME_UNKNOWN ->
-                refuse(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
-        }
+        Told told =
+                switch (reason) {
+                    case NO_LEAF -> new Told(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf takes this request now");
+                    case NO_LEAF_AT_HOME ->
+                        new Told(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf where this may be served takes it now");
+                    case ALL_BUSY -> new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "every leaf is full");
+                    case EXPIRED ->
+                        new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
+                    case TIME_UP -> new Told(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
+                    case TOO_FEW_SHARDS, OUTCOME_UNKNOWN ->
+                        new Told(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
+                };
+        refuse(told.status(), told.retryAfterSeconds(), told.text());
     }
 
     /** Tells the caller that the request was not looked at and when to come back. */
@@ -97,4 +100,7 @@
         metrics.answered(exchange.receivedNanos());
         exchange.respond(response);
     }
+
+    /** What a caller is told of a refusal. */
+    private record Told(int status, String retryAfterSeconds, String text) {}
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -46,11 +45,6 @@
  * from the moment at which the change arrives. Owned by the event loop.
  */
 public final class FleetView {
-    /** The first table may name a part of a fleet that is just starting: this long until connections are made ahead. */
-    private static final Duration WARM_AFTER = Duration.ofMillis(400);
-    /** Hosts make connections at different moments within this time, so that no leaf gets all at once. */
-    private static final Duration WARM_WITHIN = Duration.ofMillis(1_500);
-
     /** How often this host looks how far it is behind: several times in the shortest goal that was seen. */
     static final Duration LAG_PERIOD = Duration.ofMillis(20);
 
@@ -63,13 +57,10 @@
     private final LeafAccess access;
     private final FleetBudget budget;
     private final ColdBound coldBound;
-    private final CallHeaders names;
-    private final EventLoopGroup group;
     private final MonotonicClock clock;
-    private final RandomGenerator random;
     private final RoutingContext routing;
     private final Map<String, LeafPool> pools = new HashMap<>();
-    private final Map<Leaf, LeafConnections> connections = new HashMap<>();
+    private final LeafConnectionTable connections;
     private final FleetHosts hosts;
     private final Map<String, LeafRecord> leafRecords = new HashMap<>();
     private final Map<String, LatencyTracker> latencies = new HashMap<>();
@@ -78,10 +69,8 @@
     private final EventRate queries;
     private boolean throughHolders;
     private ImmutableSet<String> drainedZones = ImmutableSet.of();
-    private boolean connectionsReviewed = true;
     private boolean accessStale;
     private Runnable onHostsChanged = () -> {};
-    private Consumer<ConnectionEvent> connectionObserver = event -> {};
 
     /**
      * Creates a view that knows nothing.
@@ -106,10 +95,8 @@
         this.access = new LeafAccess(self, place);
         this.budget = budget;
         this.coldBound = coldBound;
-        this.names = names;
-        this.group = group;
         this.clock = clock;
-        this.random = random;
+        this.connections = new LeafConnectionTable(this, names, group, clock, random);
     }
 
     /** Returns the revision of the tables that was applied last. */
@@ -139,7 +126,7 @@
 
     /** Sets what is told of each connection to a leaf. */
     void onConnectionEvent(Consumer<ConnectionEvent> observer) {
-        connectionObserver = observer;
+        connections.onEvent(observer);
     }
 
     /** Returns true once requests can be served: a configuration and at least one leaf are known. */
@@ -222,6 +209,11 @@
         return usesHolders() || routing.uses(Mechanism.STAGES);
     }
 
+    /** Returns the records of the leafs that have not left. */
+    ImmutableList<LeafRecord> leafRecords() {
+        return ImmutableList.copyOf(leafRecords.values());
+    }
+
     /** Returns the record of a leaf. */
     public Optional<LeafRecord> leafRecord(String id) {
         return Optional.ofNullable(leafRecords.get(id));
@@ -231,15 +223,7 @@
     public LeafConnections connectionsTo(Leaf leaf) {
         // A leaf that has just come is told what it bears before anything is sent to it.
         access();
-        return connections.computeIfAbsent(
-                leaf,
-                unused -> new LeafConnections(
-                        leaf,
-                        group,
-                        names,
-                        clock,
-                        () -> connectionShare(leaf),
-                        event -> connectionObserver.accept(event)));
+        return connections.to(leaf);
     }
 
     /** Returns what is known of how long the calls of a route take. */
@@ -269,7 +253,7 @@
             if (hostsChanged) {
                 onHostsChanged.run();
             }
-            reviewConnectionsLater();
+            connections.reviewLater();
             EVENTS.info("tables_changed")
                     .with("revision", revision)
                     .with("configuration", configuration.version())
@@ -287,7 +271,7 @@
     /**
      * Returns how leafs are reached, worked out anew only if it is asked for after a change: changes come in series.
      */
-    private LeafAccess access() {
+    LeafAccess access() {
         if (accessStale) {
             accessStale = false;
             access.update(entryHosts(), leafRecords.values(), configuration, throughHolders);
@@ -394,38 +378,6 @@
                         clock.nowNanos());
     }
 
-    /** Looks a little later, each host at another moment, at which connections to keep. */
-    private void reviewConnectionsLater() {
-        if (connectionsReviewed) {
-            connectionsReviewed = false;
-            long delayMillis = WARM_AFTER.toMillis() + random.nextLong(WARM_WITHIN.toMillis());
-            group.next().schedule(this::reviewConnections, delayMillis, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /** Makes connections ahead to the leafs that this host asks itself, and closes idle ones to those of others. */
-    private void reviewConnections() {
-        connectionsReviewed = true;
-        for (LeafRecord record : leafRecords.values()) {
-            leaf(record.getId()).filter(Leaf::acceptsWork).ifPresent(leaf -> review(leaf, record.getZone()));
-        }
-    }
-
-    private void review(Leaf leaf, String zone) {
-        LeafConnections held = connections.get(leaf);
-        if (!configuration.services().containsKey(leaf.service())) {
-            return;
-        }
-        if (access().keepsConnections(leaf.service(), zone)) {
-            // A connection that rested and was closed is made again when it is needed; a holder is asked all the time.
-            if (held == null || access().isHeld(leaf.service())) {
-                connectionsTo(leaf).warm();
-            }
-        } else if (held != null && !access().isNamedFor(leaf.service(), zone)) {
-            held.closeIdle();
-        }
-    }
-
     private void remove(LeafRecord record) {
         LeafRecord known = leafRecords.remove(record.getId());
         if (known != null) {
@@ -435,10 +387,7 @@
 
     private void retire(Leaf leaf) {
         leaf.leave();
-        LeafConnections held = connections.remove(leaf);
-        if (held != null) {
-            held.retire();
-        }
+        connections.retire(leaf);
     }
 
     private LeafPool newPool(String service) {
@@ -466,7 +415,8 @@
         }
     }
 
-    private int connectionShare(Leaf leaf) {
+    /** Returns how many connections this host may have to a leaf. */
+    int connectionShare(Leaf leaf) {
         String zone = leafRecord(leaf.id()).map(LeafRecord::getZone).orElse("");
         return access().connectionShare(leaf.service(), zone);
     }
