--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/Benches.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/Benches.java
@@ -14,6 +14,7 @@
             new ChangesBench(),
             new ClaimsBench(),
             new CostBench(),
+            new PathBench(),
             new CapacityBench());
 
     private Benches() {}
--- /dev/null
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/PathCost.java
@@ -0,0 +1,82 @@
+package org.bramblerack.cli.bench;
+
+import com.sun.management.OperatingSystemMXBean;
+import com.sun.management.ThreadMXBean;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import org.bramblerack.daemon.gateway.WarmUp;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.process.MonotonicClock;
+
+/**
+ * What one call to a leaf costs on the path of a routed query, stand-in leafs and callers in the same process included.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param calls how many calls were made
+ * @param cpuMicros the processor time of the process for each, in microseconds
+ * @param allocatedBytes what was allocated for each
+ */
+public record PathCost(int calls, double cpuMicros, double allocatedBytes) {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final Duration LIMIT = Duration.ofMinutes(2);
+    private static final double NANOS_A_MICRO = 1_000;
+    private static final CallHeaders NAMES = new CallHeaders(
+            "Request-Id",
+            "Deadline",
+            "Expected-Leaf",
+            "Leaf-Id",
+            "Signature",
+            "Load",
+            "Not-Run",
+            "Retry-After",
+            "Signatures",
+            "Missing");
+
+    /**
+     * Serves queries one after the other and measures.
+     *
+     * @throws IOException if no port is free
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public static PathCost measure(int shards, int queries) throws IOException, InterruptedException {
+        int firstPort = FreePorts.next();
+        FreePorts.next();
+        FreePorts.next();
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        try {
+            WarmUp run = new WarmUp(
+                    NAMES,
+                    group,
+                    LOOPBACK,
+                    firstPort,
+                    MonotonicClock.system(),
+                    new WarmUp.Size(shards, queries, LIMIT));
+            long cpuNanos = cpuNanos();
+            long bytes = bytesAllocatedSoFar();
+            run.run();
+            int calls = Math.max(1, run.leafCalls());
+            return new PathCost(
+                    run.leafCalls(),
+                    (cpuNanos() - cpuNanos) / NANOS_A_MICRO / calls,
+                    (double) (bytesAllocatedSoFar() - bytes) / calls);
+        } finally {
+            group.shutdownGracefully().await();
+        }
+    }
+
+    private static long cpuNanos() {
+        return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
+    }
+
+    private static long bytesAllocatedSoFar() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long sum = 0;
+        for (long bytes : threads.getThreadAllocatedBytes(threads.getAllThreadIds())) {
+            sum += Math.max(0, bytes);
+        }
+        return sum;
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -1,5 +1,7 @@
 package org.bramblerack.daemon.gateway;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -59,14 +61,15 @@
     private static final String HOST = "warm-up.invalid";
     private static final String NEAR = "near";
     private static final String FAR = "far";
-    static final int SHARDS = 16;
+    private static final int SHARDS = 16;
     /** One in this many shards is far, so that the way over another host is used as well. */
     private static final int FAR_EVERY = 3;
-    /** Enough for the compiler to take up the code of a leaf call, which runs {@link #SHARDS} times a query. */
+    /** Enough for the compiler to take up the code of a leaf call, which runs once a shard. */
     private static final int QUERIES = 30;
 
     private static final int PART_BYTES = 512;
     private static final Duration LIMIT = Duration.ofSeconds(1);
+    private static final Size OF_A_START = new Size(SHARDS, QUERIES, LIMIT);
     private static final Duration ROUTE_TIME = Duration.ofSeconds(2);
     /** Second attempts for the queries of the warm-up; none is needed, but the code that counts them runs. */
     private static final FleetBudget BUDGET = new FleetBudget(10, 10, ROUTE_TIME);
@@ -78,15 +81,42 @@
     private final HostAndPort callerAddress;
     private final HostAndPort peerAddress;
     private final AtomicInteger answers = new AtomicInteger();
+    private final Size size;
     private final CountDownLatch done = new CountDownLatch(1);
 
     /**
-     * Creates a warm-up that does nothing yet.
+     * How much is served.
+     *
+     * @param shards how many shards a query has
+     * @param queries how many queries at the most
+     * @param limit how long it may take
+     */
+    public record Size(int shards, int queries, Duration limit) {
+        /** Refuses what would serve nothing. */
+        public Size {
+            checkArgument(shards >= 2 && queries >= 1, "%s queries over %s shards", queries, shards);
+        }
+    }
+
+    /**
+     * Creates a warm-up of the size of a start that does nothing yet.
      *
      * @param address an address of this machine
      * @param firstPort the first of three ports at that address that are free
      */
     public WarmUp(CallHeaders names, EventLoopGroup group, String address, int firstPort, MonotonicClock clock) {
+        this(names, group, address, firstPort, clock, OF_A_START);
+    }
+
+    /**
+     * Creates one of another size, as to measure what a call costs.
+     *
+     * @param address an address of this machine
+     * @param firstPort the first of three ports at that address that are free
+     */
+    public WarmUp(
+            CallHeaders names, EventLoopGroup group, String address, int firstPort, MonotonicClock clock, Size size) {
+        this.size = size;
         this.names = names;
         this.group = group;
         this.clock = clock;
@@ -135,7 +165,7 @@
             gateway.probeNow();
             new Caller().next();
         });
-        boolean inTime = done.await(LIMIT.toNanos(), TimeUnit.NANOSECONDS);
+        boolean inTime = done.await(size.limit().toNanos(), TimeUnit.NANOSECONDS);
         callers.stopNow();
         leaves.stopNow();
         peers.stop();
@@ -154,7 +184,7 @@
     }
 
     /** Returns how many calls its made-up leafs have answered. */
-    int leafCalls() {
+    public int leafCalls() {
         return answers.get();
     }
 
@@ -175,7 +205,7 @@
 
     private TableDelta tables() {
         TableDelta.Builder tables = TableDelta.newBuilder().setRevision(1).setWhole(true);
-        for (int shard = 0; shard < SHARDS; shard++) {
+        for (int shard = 0; shard < size.shards(); shard++) {
             tables.addLeaves(LeafRecord.newBuilder()
                     .setId("warm-up-" + shard)
                     .setService(service(shard))
@@ -194,10 +224,10 @@
                 .build();
     }
 
-    private static RoutingConfiguration configuration() {
+    private RoutingConfiguration configuration() {
         ImmutableList.Builder<String> shards = ImmutableList.builder();
         ImmutableMap.Builder<String, LeafService> services = ImmutableMap.builder();
-        for (int shard = 0; shard < SHARDS; shard++) {
+        for (int shard = 0; shard < size.shards(); shard++) {
             shards.add(service(shard));
             services.put(service(shard), new LeafService(service(shard), "/health", 8));
         }
@@ -227,7 +257,7 @@
         }
 
         void next() {
-            if (sent >= QUERIES || done.getCount() == 0) {
+            if (sent >= size.queries() || done.getCount() == 0) {
                 connections.retire();
                 done.countDown();
                 return;
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/WarmUpTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/WarmUpTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.process.MonotonicClock;
@@ -25,9 +26,10 @@
 
     @Test
     void itServesQueriesOfItsOwn() throws Exception {
-        WarmUp warmUp = new WarmUp(NAMES, group, "127.0.0.1", freePort(), MonotonicClock.system());
+        WarmUp.Size size = new WarmUp.Size(4, 3, Duration.ofSeconds(20));
+        WarmUp warmUp = new WarmUp(NAMES, group, "127.0.0.1", freePort(), MonotonicClock.system(), size);
         warmUp.run();
-        assertThat(warmUp.leafCalls()).isAtLeast(WarmUp.SHARDS);
+        assertThat(warmUp.leafCalls()).isAtLeast(3 * 4);
     }
 
     @Test
