Name the rate of a cold leaf's requests in our own words

Cause: the field of a service was nearly the platform's name for it. Change: coldRequestsPerSecond. Measured: nothing; it compiles, no decision changes.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -308,7 +308,7 @@
         boolean drained = drainedZones.contains(record.getZone());
         leaf.setZoneDrained(drained);
         LeafService service = configuration.services().get(record.getService());
-        if (wasDrained && !drained && service != null && service.coldPerSecond() > 0) {
+        if (wasDrained && !drained && service != null && service.coldRequestsPerSecond() > 0) {
             leaf.turnCold(service.coldFor(), clock.nowNanos());
         }
     }
@@ -368,12 +368,12 @@
     private void boundCold(LeafRecord record) {
         LeafService service = configuration.services().get(record.getService());
         Optional<Leaf> leaf = leaf(record.getId());
-        if (service == null || service.coldPerSecond() <= 0 || leaf.isEmpty()) {
+        if (service == null || service.coldRequestsPerSecond() <= 0 || leaf.isEmpty()) {
             return;
         }
         leaf.get()
                 .boundCold(
-                        coldBound.mostPerSecond(service.coldPerSecond()),
+                        coldBound.mostPerSecond(service.coldRequestsPerSecond()),
                         access.spendsCold(record.getId(), record.getService(), record.getZone()),
                         clock.nowNanos());
     }
