Send a change again in the demonstration if its answer is not clear

The hosts' lines show that the leader lost its followers for 0.8 s while the change was under way; it was taken as revision 2, and the operator had been told change-unknown, which is true and asks to send it again.

Ruled out: a change that is lost or refused: it was in force 0.4 s after the election.

Change: the demonstration sends such a change again, with the same identifier, five times at the most, as its page tells operators to. The check stays as it was.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/Demonstration.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/Demonstration.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.bramblerack.daemon.entry.OperatorApi;
+import org.bramblerack.request.RefusalKind;
 
 /**
  * The running processes of the demonstration, as its steps see them, and the record of what held.
@@ -20,6 +21,9 @@
  * <p>Not safe for use by several threads.
  */
 final class Demonstration {
+    /** How often a change is sent before the demonstration takes its answer as it is: an election or two long. */
+    private static final int MOST_SENDS = 5;
+
     private static final Duration PATIENCE = Duration.ofSeconds(20);
     private static final Duration ASK_EVERY = Duration.ofMillis(100);
 
@@ -90,7 +94,12 @@
                 changeId,
                 OperatorApi.EXPECTED_REVISION,
                 Long.toString(expected));
-        return client.put(address(host), "/v1/declaration/" + partner, headers, text);
+        ApiClient.Reply reply = client.put(address(host), "/v1/declaration/" + partner, headers, text);
+        // A leader that loses its place leaves a change without a clear answer; sent again, it gets its first result.
+        for (int sent = 1; sent < MOST_SENDS && reply.refusal().equals(RefusalKind.CHANGE_UNKNOWN.code()); sent++) {
+            reply = client.put(address(host), "/v1/declaration/" + partner, headers, text);
+        }
+        return reply;
     }
 
     /** Sets how the stand-ins behave whose full name begins with a text. */
