Ask for changes of the tables at most each 100 ms while they come in series

Cause: each leaf that starts is an entry of its own in the agreed log, and each entry was sent to every host by itself.

Change: a host whose request was answered in less than 100 ms waits for the rest of them before it asks again. The other way, a control host that holds its answers back, would delay the first change as well, or need to remember hosts.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -80,7 +80,7 @@
         PeerTraffic traffic =
                 new PeerTraffic(metrics, host -> view.otherRegionOf(host).isPresent());
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
-        this.follower = new TableFollower(view, codec, network, loop, settings.seeds(), this::self, random);
+        this.follower = new TableFollower(view, codec, network, loop, clock, settings.seeds(), this::self, random);
         this.gateway = new Gateway(
                 view,
                 follower::isSynchronized,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -13,6 +13,7 @@
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.fleet.Compression;
 import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.version.routing.RoutingConfiguration;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
@@ -33,14 +34,22 @@
     private static final Duration REPLY_WAIT = Duration.ofMillis(1_100);
 
     private static final long AGAIN_MILLIS = 60;
+    /**
+     * The least time between two requests that are answered with news. Changes come in series, as when a fleet or the
+     * leafs of a service start: each alone is a message to every host, a look at all tables and a line in the log. One
+     * that comes after a pause finds a request that waits for it, and is told at once.
+     */
+    private static final Duration SPACING = Duration.ofMillis(100);
 
     private final FleetView view;
     private final ConfigurationCodec codec;
     private final PeerNetwork network;
     private final EventLoop loop;
+    private final MonotonicClock clock;
     private ImmutableList<String> seeds;
     private final Supplier<Optional<HostRecord>> self;
     private String source;
+    private long askedNanos;
     private int failures;
     private boolean synchronizedOnce;
     private boolean lost;
@@ -58,6 +67,7 @@
             ConfigurationCodec codec,
             PeerNetwork network,
             EventLoop loop,
+            MonotonicClock clock,
             ImmutableList<String> seeds,
             Supplier<Optional<HostRecord>> self,
             RandomGenerator random) {
@@ -65,6 +75,7 @@
         this.codec = codec;
         this.network = network;
         this.loop = loop;
+        this.clock = clock;
         this.seeds = seeds;
         this.self = self;
         this.source = seeds.get(random.nextInt(seeds.size()));
@@ -95,6 +106,7 @@
             return;
         }
         String asked = source;
+        askedNanos = clock.nowNanos();
         network.request(asked, Envelope.newBuilder().setTablePull(message()), REPLY_WAIT)
                 .subscribe()
                 .with(
@@ -144,7 +156,17 @@
                     .write();
         }
         preferNearest();
-        pull();
+        pullAgain();
+    }
+
+    /** Asks for the next change: at once if the request before waited for this one, otherwise a little later. */
+    private void pullAgain() {
+        long earlyNanos = SPACING.toNanos() - (clock.nowNanos() - askedNanos);
+        if (earlyNanos > 0) {
+            loop.schedule(this::pull, earlyNanos, TimeUnit.NANOSECONDS);
+        } else {
+            pull();
+        }
     }
 
     private void apply(TableDelta delta) {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TableFollowerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TableFollowerTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Range;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -14,6 +15,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
@@ -25,6 +28,7 @@
 import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.TableDelta;
 import org.bramblerack.wire.TablePull;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,10 +44,20 @@
     private static final HostRecord LEAVING =
             READY.toBuilder().setPhase(HostRecord.Phase.LEAVING).build();
     private static final long WAIT_MILLIS = 2_000;
+    private static final long SERIES_MILLIS = 1_000;
+    /** One each 100 ms, with some room. */
+    private static final int MOST_PULLS_IN_SERIES = 14;
+
+    private static final int CHANGES = 5;
+    private static final long WAITED_MILLIS = 300;
+    private static final long SPACING_NANOS = Duration.ofMillis(100).toNanos();
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final PeerNetwork network = PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic());
     private final BlockingQueue<TablePull> pulls = new LinkedBlockingQueue<>();
+    private volatile Consumer<Envelope.Builder> replyLater = reply -> {};
+    private final AtomicLong revision = new AtomicLong();
+    private volatile boolean answersAtOnce;
     private volatile Optional<HostRecord> self = Optional.empty();
     private PeerServer control;
     private TableFollower follower;
@@ -51,7 +65,7 @@
     @BeforeEach
     void start() throws Exception {
         HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
-        control = new PeerServer(address, (message, reply) -> note(message), group, LinkPolicy.OPEN, new PeerTraffic());
+        control = new PeerServer(address, this::note, group, LinkPolicy.OPEN, new PeerTraffic());
         control.start();
         FleetView view = new FleetView(
                 "127.0.0.1:1",
@@ -70,6 +84,7 @@
                 },
                 network,
                 group.next(),
+                MonotonicClock.system(),
                 ImmutableList.of(address.toString()),
                 () -> self,
                 new SplittableRandom(1));
@@ -101,15 +116,51 @@
         assertThat(nextPull().getSelf()).isEqualTo(LEAVING);
     }
 
+    /** As when the leafs of a service start: each answer would otherwise be followed by a request at once. */
+    @Test
+    void changesThatComeInSeriesAreAskedForTogether() throws Exception {
+        nextPull();
+        answersAtOnce = true;
+        replyLater.accept(newer());
+        Thread.sleep(SERIES_MILLIS);
+        assertThat(pulls.size()).isIn(Range.closed(3, MOST_PULLS_IN_SERIES));
+    }
+
+    /** A request that waited for a change is followed by the next one at once, so that no change waits for it. */
+    @Test
+    void aChangeAfterAPauseIsFollowedByARequestAtOnce() throws Exception {
+        nextPull();
+        long fastestNanos = Long.MAX_VALUE;
+        for (int change = 0; change < CHANGES; change++) {
+            Thread.sleep(WAITED_MILLIS);
+            long beganNanos = System.nanoTime();
+            replyLater.accept(newer());
+            nextPull();
+            fastestNanos = Math.min(fastestNanos, System.nanoTime() - beganNanos);
+        }
+        assertThat(fastestNanos).isLessThan(SPACING_NANOS);
+    }
+
     private TablePull nextPull() throws InterruptedException {
         TablePull pull = pulls.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS);
         assertThat(pull).isNotNull();
         return pull;
     }
 
-    private void note(Envelope message) {
+    private Envelope.Builder newer() {
+        return Envelope.newBuilder()
+                .setTableDelta(TableDelta.newBuilder()
+                        .setRevision(revision.incrementAndGet())
+                        .setCurrent(true));
+    }
+
+    private void note(Envelope message, Consumer<Envelope.Builder> reply) {
         if (message.hasTablePull()) {
             pulls.add(message.getTablePull());
+            replyLater = reply;
+            if (answersAtOnce) {
+                reply.accept(newer());
+            }
         }
     }
 
