Wake a host once for all its links, and not at all for replies that came

Cause: each link had a task of its own each half second, and each request left one behind for the end of its time limit, also when its reply had come.

Found with the new test: a request made from another thread than the link's own failed with 'no connection' when the connection was finished between the two looks at it. The state is looked at again now.

Change: one task of the network looks at all connections; a reply takes its time limit with it; the hosts that hold shards are worked out once a change of the tables instead of 1.4 times a second.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -48,6 +48,9 @@
     private final Map<String, Integer> indexOfShard = new HashMap<>();
 
     private long update;
+    /** Worked out when it is asked for: every host looks at its links again and again, and the tables seldom change. */
+    private @Nullable ImmutableSet<String> holders;
+
     private boolean throughHolders;
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private ImmutableList<String> hosts = ImmutableList.of();
@@ -73,6 +76,7 @@
             RoutingConfiguration newConfiguration,
             boolean newThroughHolders) {
         update++;
+        holders = null;
         throughHolders = newThroughHolders;
         configuration = newConfiguration;
         hosts = entryHosts.stream().map(HostRecord::getPeerAddress).sorted().collect(ImmutableList.toImmutableList());
@@ -171,6 +175,15 @@
 
     /** Returns the hosts that hold any shard in any zone or stand in for one that does, but this one. */
     ImmutableSet<String> holders() {
+        ImmutableSet<String> known = holders;
+        if (known == null) {
+            known = findHolders();
+            holders = known;
+        }
+        return known;
+    }
+
+    private ImmutableSet<String> findHolders() {
         ImmutableSet.Builder<String> all = ImmutableSet.builder();
         shardsByZone.forEach((key, services) -> services.forEach(service -> {
             if (isHeld(service)) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.net.InetSocketAddress;
@@ -43,7 +44,9 @@
 final class PeerConnection {
     private static final EventLog EVENTS = EventLog.of(PeerConnection.class);
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    private static final long PROBE_NANOS = Duration.ofMillis(500).toNanos();
+    /** How often each connection is to be probed. */
+    static final Duration PROBE_PERIOD = Duration.ofMillis(500);
+
     /** Two probes and a round trip between regions without a sign of life. */
     private static final long SILENCE_NANOS = Duration.ofMillis(1_300).toNanos();
 
@@ -84,8 +87,8 @@
      */
     void send(Envelope.Builder message) {
         Channel open = openChannel();
-        if (open != null || !awaitConnection(channel -> sendOn(channel, message))) {
-            sendOn(open, message);
+        if (open != null || !awaitConnection(made -> sendOn(made, message))) {
+            sendOn(activeChannel(), message);
         }
     }
 
@@ -111,7 +114,7 @@
             Channel open = openChannel();
             Consumer<@Nullable Channel> send = channel -> requestOn(channel, message.get(), timeout, progress, emitter);
             if (open != null || !awaitConnection(send)) {
-                send.accept(open);
+                send.accept(activeChannel());
             }
         });
     }
@@ -151,13 +154,16 @@
             return;
         }
         long correlation = nextCorrelation.getAndIncrement();
-        Pending waiting = new Pending(emitter, open, progress);
-        pending.put(correlation, waiting);
-        open.eventLoop()
+        ScheduledFuture<?> giveUp = open.eventLoop()
                 .schedule(
                         () -> fail(correlation, PeerFailure.Kind.SENT, "no reply in " + timeout),
                         timeout.toNanos(),
                         TimeUnit.NANOSECONDS);
+        pending.put(correlation, new Pending(emitter, open, giveUp, progress));
+        if (giveUp.isDone()) {
+            fail(correlation, PeerFailure.Kind.NOT_SENT, "no time was left for a reply");
+            return;
+        }
         write(open, message.setSender(self).setCorrelationId(correlation).build());
     }
 
@@ -183,12 +189,17 @@
     }
 
     private @Nullable Channel openChannel() {
-        Channel open = channel;
-        if (open != null && open.isActive()) {
-            return open;
+        Channel open = activeChannel();
+        if (open == null) {
+            connect();
         }
-        connect();
-        return null;
+        return open;
+    }
+
+    /** Returns the connection if there is one: it may have been made by its own thread a moment ago. */
+    private @Nullable Channel activeChannel() {
+        Channel open = channel;
+        return open != null && open.isActive() ? open : null;
     }
 
     private void connect() {
@@ -224,9 +235,6 @@
                 channel = future.channel();
             }
         }
-        if (keep) {
-            future.channel().eventLoop().schedule(() -> probe(future.channel()), PROBE_NANOS, TimeUnit.NANOSECONDS);
-        }
         if (!keep && future.isSuccess()) {
             future.channel().close();
         }
@@ -235,25 +243,25 @@
 
     /**
      * Asks for a sign of life if something was written and nothing came since, and closes a connection that has not
-     * given one for long.
+     * given one for long. To be called every {@link #PROBE_PERIOD}.
      */
-    private void probe(Channel open) {
-        if (!open.isActive()) {
+    void probe() {
+        Channel open = channel;
+        Optional<Long> unanswered = unansweredSinceNanos;
+        if (open == null || !open.isActive() || unanswered.isEmpty()) {
             return;
         }
-        Optional<Long> unanswered = unansweredSinceNanos;
-        if (unanswered.isPresent() && System.nanoTime() - unanswered.get() > SILENCE_NANOS) {
+        if (System.nanoTime() - unanswered.get() > SILENCE_NANOS) {
             EVENTS.info("connection_silent").with("host", remote.name()).write();
             open.close();
             return;
         }
-        if (unanswered.isPresent() && !links.isCut(remote.name())) {
+        if (!links.isCut(remote.name())) {
             open.writeAndFlush(Envelope.newBuilder()
                     .setSender(self)
                     .setPing(Ping.getDefaultInstance())
                     .build());
         }
-        open.eventLoop().schedule(() -> probe(open), PROBE_NANOS, TimeUnit.NANOSECONDS);
     }
 
     /** Notes that something is written, from when on silence counts unless it counts already. */
@@ -266,11 +274,21 @@
     private void fail(long correlation, PeerFailure.Kind kind, String reason) {
         Pending waiting = pending.remove(correlation);
         if (waiting != null) {
+            waiting.giveUp().cancel(false);
             waiting.emitter().fail(new PeerFailure(kind, remote.name() + ": " + reason));
         }
     }
 
-    private record Pending(UniEmitter<? super Envelope> emitter, Channel channel, Consumer<Envelope> progress) {}
+    /**
+     * A request that waits for its reply.
+     *
+     * @param giveUp fails it when its time is over; cancelled with its end, so that it wakes nobody later
+     */
+    private record Pending(
+            UniEmitter<? super Envelope> emitter,
+            Channel channel,
+            ScheduledFuture<?> giveUp,
+            Consumer<Envelope> progress) {}
 
     /** Completes the requests of one connection. */
     private final class Replies extends SimpleChannelInboundHandler<Envelope> {
@@ -289,6 +307,7 @@
             }
             Pending waiting = pending.remove(message.getCorrelationId());
             if (waiting != null) {
+                waiting.giveUp().cancel(false);
                 waiting.emitter().complete(message);
             }
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerNetwork.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerNetwork.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.bramblerack.daemon.settings.HostEntry;
@@ -28,6 +30,7 @@
     private final LinkPolicy links;
     private final PeerTraffic traffic;
     private final boolean findsByAddress;
+    private final ScheduledFuture<?> probing;
     private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
 
     /**
@@ -53,6 +56,10 @@
         this.group = group;
         this.links = links;
         this.traffic = traffic;
+        long periodNanos = PeerConnection.PROBE_PERIOD.toNanos();
+        // One task for all connections: each with its own would wake a host with dozens of them all the time.
+        this.probing =
+                group.next().scheduleWithFixedDelay(this::probeAll, periodNanos, periodNanos, TimeUnit.NANOSECONDS);
     }
 
     /**
@@ -127,9 +134,14 @@
 
     /** Closes every connection; requests in flight fail. */
     public void stop() {
+        probing.cancel(false);
         connections.values().forEach(PeerConnection::close);
     }
 
+    private void probeAll() {
+        connections.values().forEach(PeerConnection::probe);
+    }
+
     private static Uni<Envelope> notKnown(String host) {
         return Uni.createFrom().failure(new PeerFailure(PeerFailure.Kind.NOT_SENT, host + " is not a known host"));
     }
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/peer/PeerWakesTest.java
@@ -0,0 +1,85 @@
+package org.bramblerack.daemon.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.net.HostAndPort;
+import io.netty.channel.DefaultSelectStrategyFactory;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SelectStrategy;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.ServerSocket;
+import java.nio.channels.spi.SelectorProvider;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.Ping;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** How often a host wakes for its links when nothing happens on them: each wake costs it processor time. */
+final class PeerWakesTest {
+    private static final int LINKS = 30;
+    private static final Duration BETWEEN_LINKS = Duration.ofMillis(15);
+    /** As of most requests: a reply that came must not leave anything behind that wakes the host then. */
+    private static final Duration REPLY_WAIT = Duration.ofMillis(1_500);
+
+    /** The half second for which a request may wait for its connection, and some room. */
+    private static final Duration SETTLED = Duration.ofMillis(700);
+
+    private static final Duration QUIET = Duration.ofSeconds(2);
+    /** One task for all links each half second, and twice as much for what the loop does besides. */
+    private static final int MOST_WAKES = 12;
+
+    private final AtomicInteger wakes = new AtomicInteger();
+    private final EventLoopGroup others = new NioEventLoopGroup(1);
+    private final EventLoopGroup group = new NioEventLoopGroup(
+            1, new DefaultThreadFactory("counted"), SelectorProvider.provider(), this::countingStrategy);
+    private final PeerNetwork network = PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic());
+
+    @AfterEach
+    void stop() {
+        network.stop();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        others.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void linksOnWhichNothingIsDueLetTheHostSleep() throws Exception {
+        HostAndPort address;
+        try (ServerSocket any = new ServerSocket(0)) {
+            address = HostAndPort.fromParts("127.0.0.1", any.getLocalPort());
+        }
+        PeerServer server = new PeerServer(address, (message, reply) -> {}, others, LinkPolicy.OPEN, new PeerTraffic());
+        server.start();
+        for (int link = 0; link < LINKS; link++) {
+            ping(address.toString() + PeerNetwork.TAG + link);
+            Thread.sleep(BETWEEN_LINKS.toMillis());
+        }
+        Thread.sleep(SETTLED.toMillis());
+        int before = wakes.get();
+        Thread.sleep(QUIET.toMillis());
+        assertThat(wakes.get() - before).isAtMost(MOST_WAKES);
+        server.stop();
+    }
+
+    private void ping(String host) {
+        Envelope reply = network.requestWhenConnected(
+                        host,
+                        () -> Envelope.newBuilder().setPing(Ping.getDefaultInstance()),
+                        REPLY_WAIT,
+                        progress -> {})
+                .await()
+                .atMost(REPLY_WAIT);
+        assertThat(reply.hasPing()).isTrue();
+    }
+
+    private SelectStrategy countingStrategy() {
+        SelectStrategy plain = DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy();
+        return (supplier, hasTasks) -> {
+            wakes.incrementAndGet();
+            return plain.calculateStrategy(supplier, hasTasks);
+        };
+    }
+}
