Say of each call that breaks what was asked, by a fingerprint that attempts share

Cause: three hypotheses on leafs that end in series could not be told apart, since no line joined two arrivals of one request, or a request to the end of a leaf. Callers number each attempt anew. Change: a fingerprint of method, authority, target, credentials and body stands in each line of a request's end and in a new line, call_broken, for each call that got no whole answer (20 a second at most). It is worked out only for lines that are written.

--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/Fingerprint.java
@@ -0,0 +1,59 @@
+package org.bramblerack.process.harm;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import com.google.common.io.BaseEncoding;
+import com.google.common.primitives.Bytes;
+import com.google.common.primitives.Longs;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * Tells whether two requests ask for the same thing in the same caller's name, whichever attempt of a caller they are.
+ *
+ * <p>Two requests that differ have different fingerprints but by a chance of one in 2^128, also if somebody looks for
+ * such a pair. Immutable and safe for use by many threads.
+ *
+ * @param high the first eight bytes
+ * @param low the last eight bytes
+ */
+public record Fingerprint(long high, long low) {
+    private static final char QUERY_SIGN = '?';
+
+    /**
+     * Returns the fingerprint of a request.
+     *
+     * @param method how it asks
+     * @param authority whom it asks, as the caller named it
+     * @param target what it asks for, with the query
+     * @param credentials by what the caller says who it is, empty if it does not
+     * @param body what it brings
+     */
+    public static Fingerprint of(String method, String authority, String target, String credentials, byte[] body) {
+        Hasher hasher = Hashing.sha256().newHasher();
+        for (String part : List.of(method, authority, target, credentials)) {
+            byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+            hasher.putInt(bytes.length).putBytes(bytes);
+        }
+        byte[] digest = hasher.putBytes(requireNonNull(body)).hash().asBytes();
+        return new Fingerprint(
+                Longs.fromByteArray(digest),
+                Longs.fromBytes(
+                        digest[8], digest[9], digest[10], digest[11], digest[12], digest[13], digest[14], digest[15]));
+    }
+
+    /** Returns a target without its query. */
+    static String pathOf(String target) {
+        int query = target.indexOf(QUERY_SIGN);
+        int end = query < 0 ? target.length() : query;
+        return target.substring(0, end);
+    }
+
+    /** Returns it in hexadecimal. */
+    @Override
+    public String toString() {
+        return BaseEncoding.base16().lowerCase().encode(Bytes.concat(Longs.toByteArray(high), Longs.toByteArray(low)));
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
@@ -80,6 +80,7 @@
         long nowNanos = clock.nowNanos();
         return EVENTS.info("request_ended")
                 .with("request", call.request().requestId())
+                .with("fingerprint", call.request().fingerprints().path().toString())
                 .with("outcome", outcome)
                 .with("route", call.route().name())
                 .with("configuration", call.configurationVersion())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafConnectionTable.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafConnectionTable.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.leaf.CallWatch;
 import org.bramblerack.daemon.leaf.ConnectionEvent;
 import org.bramblerack.daemon.leaf.LeafConnections;
 import org.bramblerack.process.MonotonicClock;
@@ -31,6 +32,7 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final Map<Leaf, LeafConnections> connections = new HashMap<>();
+    private final CallWatch watch;
     private boolean reviewed = true;
     private Consumer<ConnectionEvent> observer = event -> {};
 
@@ -41,6 +43,7 @@
         this.group = group;
         this.clock = clock;
         this.random = random;
+        this.watch = new BrokenCallLog(clock);
     }
 
     /** Sets what is told of each connection. */
@@ -53,7 +56,13 @@
         return connections.computeIfAbsent(
                 leaf,
                 unused -> new LeafConnections(
-                        leaf, group, names, clock, () -> view.connectionShare(leaf), event -> observer.accept(event)));
+                        leaf,
+                        group,
+                        names,
+                        clock,
+                        () -> view.connectionShare(leaf),
+                        event -> observer.accept(event),
+                        watch));
     }
 
     /** Lets go of a leaf that has left; requests under way are finished first. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -22,6 +22,7 @@
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpListener;
 import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.leaf.CallWatch;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.daemon.leaf.LeafConnections;
 import org.bramblerack.daemon.leaf.LeafExchange;
@@ -253,7 +254,7 @@
         Caller() {
             Leaf target = new Leaf(
                     "entry", "entry", callerAddress.toString(), Distance.SAME_ZONE, 1, Duration.ZERO, clock.nowNanos());
-            this.connections = new LeafConnections(target, group, names, clock, () -> 1, event -> {});
+            this.connections = new LeafConnections(target, group, names, clock, () -> 1, event -> {}, CallWatch.NONE);
         }
 
         void next() {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -37,6 +37,7 @@
     private final MonotonicClock clock;
     private final IntSupplier share;
     private final Consumer<ConnectionEvent> observer;
+    private final CallWatch watch;
     private final Deque<LeafConnection> idle = new ArrayDeque<>();
     private final List<LeafConnection> open = new ArrayList<>(4);
     private final Deque<Pending> waiting = new ArrayDeque<>();
@@ -47,6 +48,7 @@
      *
      * @param share how many connections this host may have to the leaf, at least 1
      * @param observer is told what becomes of each connection
+     * @param watch is told what becomes of each call
      */
     public LeafConnections(
             Leaf leaf,
@@ -54,13 +56,15 @@
             CallHeaders names,
             MonotonicClock clock,
             IntSupplier share,
-            Consumer<ConnectionEvent> observer) {
+            Consumer<ConnectionEvent> observer,
+            CallWatch watch) {
         this.leaf = leaf;
         this.group = group;
         this.names = names;
         this.clock = clock;
         this.share = share;
         this.observer = observer;
+        this.watch = watch;
     }
 
     /**
@@ -249,6 +253,7 @@
                 @Override
                 public void failed(LeafOutcome outcome) {
                     done = true;
+                    watch.failed(leaf, request, outcome);
                     taker.failed(outcome);
                 }
             });
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
@@ -10,8 +10,11 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
+import org.bramblerack.process.harm.Fingerprints;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.version.routing.Homes;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A caller's request in the form in which leafs get it: everything but what differs from leaf to leaf is written once.
@@ -30,6 +33,8 @@
             "upgrade",
             "expect",
             "content-length");
+    private static final String AUTHORITY = "host";
+    private static final String CREDENTIALS = "authorization";
     private static final String LINE_END = "\r\n";
     private static final int HEAD_RESERVE_BYTES = 96;
 
@@ -39,15 +44,24 @@
     private final byte[] commonHead;
     private final byte[] body;
     private final Homes homes;
+    private final Supplier<Fingerprints> fingerprintsSource;
+    private volatile @Nullable Fingerprints fingerprints;
 
     private LeafRequest(
-            CallHeaders names, String requestId, boolean head, byte[] commonHead, byte[] body, Homes homes) {
+            CallHeaders names,
+            String requestId,
+            boolean head,
+            byte[] commonHead,
+            byte[] body,
+            Homes homes,
+            Supplier<Fingerprints> fingerprintsSource) {
         this.names = names;
         this.requestId = requestId;
         this.head = head;
         this.commonHead = commonHead;
         this.body = body;
         this.homes = homes;
+        this.fingerprintsSource = fingerprintsSource;
     }
 
     /**
@@ -65,10 +79,16 @@
         StringBuilder text = new StringBuilder(256);
         text.append(method).append(' ').append(uri).append(" HTTP/1.1").append(LINE_END);
         String requestId = "";
+        String authority = "";
+        String credentials = "";
         Set<String> nominated = nominated(headers);
         for (Map.Entry<String, String> header : headers) {
             if (header.getKey().equalsIgnoreCase(names.requestId())) {
                 requestId = header.getValue();
+            } else if (header.getKey().equalsIgnoreCase(AUTHORITY)) {
+                authority = header.getValue();
+            } else if (header.getKey().equalsIgnoreCase(CREDENTIALS)) {
+                credentials = header.getValue();
             }
             if (isPassedOn(header.getKey(), nominated, names)) {
                 text.append(header.getKey())
@@ -81,13 +101,16 @@
         if (body.length > 0 || mayHaveBody) {
             text.append("Content-Length: ").append(body.length).append(LINE_END);
         }
+        String host = authority;
+        String caller = credentials;
         return new LeafRequest(
                 names,
                 requestId,
                 method.equals("HEAD"),
                 text.toString().getBytes(StandardCharsets.ISO_8859_1),
                 body,
-                homes);
+                homes,
+                () -> Fingerprints.of(method, host, uri, caller, body));
     }
 
     /** Returns the identifier that the caller gave it, empty if it gave none. */
@@ -95,6 +118,17 @@
         return requestId;
     }
 
+    /** Returns what tells it apart from requests that ask for something else, the same on every host. */
+    public Fingerprints fingerprints() {
+        // Worked out once it is asked for: two digests a request that most requests never need.
+        Fingerprints known = fingerprints;
+        if (known == null) {
+            known = fingerprintsSource.get();
+            fingerprints = known;
+        }
+        return known;
+    }
+
     /** Returns true if the leaf may get it. */
     boolean mayBeSentTo(Leaf leaf) {
         return homes.allow(leaf.place().region());
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -64,7 +64,8 @@
         listener.setDaemon(true);
         listener.start();
         Leaf leaf = new Leaf("i-1", "s", "127.0.0.1:" + server.getLocalPort(), Distance.SAME_ZONE, 2, Duration.ZERO, 0);
-        connections = new LeafConnections(leaf, group, NAMES, MonotonicClock.system(), () -> 1, events::add);
+        connections =
+                new LeafConnections(leaf, group, NAMES, MonotonicClock.system(), () -> 1, events::add, CallWatch.NONE);
     }
 
     @AfterEach
