Keep a request from leafs once three have ended with it on them, on every host

Cause: nothing was remembered of a request once it was over, so one that ends the leafs that run it was scattered to the whole index at each arrival, at any host. Ruled out: bystanders and load (the test has none), and a bound within one arrival (each is over before the next). Change: every call passes a watch where it leaves the host (entry, holder and relay alike). A broken call counts only if the leaf then takes no connection; what was on it is told to a control host within 100 ms, agreed on, and told to all hosts with the tables. A request is barred while three ended leafs are left that no other barred request explains and no leaf has answered it since; it is refused at once as not run.

--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/EndWatch.java
@@ -0,0 +1,90 @@
+package org.bramblerack.process.harm;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Tells which calls were on a leaf when it ended.
+ *
+ * <p>A call that breaks says little: networks reset connections, and leafs close them. Only a leaf to which no
+ * connection can be made just afterwards has ended. Then every call that it had not answered was on it: those that
+ * broke, those that are about to, and those that were given up a moment before, since a query that can no longer be
+ * whole gives up the others. Not safe for use by several threads.
+ *
+ * @param <T> a call
+ */
+public final class EndWatch<T> {
+    /**
+     * How long after a call was given up the end of its leaf may be of it: what leafs do with a call that they have
+     * begun takes them some tens of milliseconds, and word of their end as long again.
+     */
+    private static final long AFTER_GIVING_UP_NANOS = Duration.ofMillis(250).toNanos();
+    /** How many calls that were given up are remembered: more than a leaf works on and queues. */
+    private static final int MAX_GIVEN_UP = 32;
+
+    private final List<T> atWork = new ArrayList<>(4);
+    private final List<T> broken = new ArrayList<>(0);
+    private final Deque<GivenUp<T>> givenUp = new ArrayDeque<>(0);
+
+    /** Notes that a call was sent. */
+    public void sent(T call) {
+        atWork.add(call);
+    }
+
+    /** Notes that a call was answered, so that the leaf has survived it. */
+    public void answered(T call) {
+        atWork.remove(call);
+    }
+
+    /** Notes that a call was given up by this host. */
+    public void givenUp(T call, long nowNanos) {
+        if (!atWork.remove(call)) {
+            return;
+        }
+        givenUp.addLast(new GivenUp<>(call, nowNanos));
+        if (givenUp.size() > MAX_GIVEN_UP) {
+            givenUp.removeFirst();
+        }
+    }
+
+    /** Notes that the connection of a call ended; whether the leaf has is to be found out by connecting to it. */
+    public void broke(T call) {
+        if (atWork.remove(call)) {
+            broken.add(call);
+        }
+    }
+
+    /** Returns true while it is to be found out whether the leaf has ended. */
+    public boolean isInDoubt() {
+        return !broken.isEmpty();
+    }
+
+    /** Notes that the leaf takes connections: what broke broke for another reason. */
+    public void isUp() {
+        broken.clear();
+    }
+
+    /** Notes that the leaf takes no connections, and returns the calls that were on it, if any broke. */
+    public ImmutableList<T> isDown(long nowNanos) {
+        if (broken.isEmpty()) {
+            return ImmutableList.of();
+        }
+        ImmutableList.Builder<T> onIt =
+                ImmutableList.<T>builder().addAll(broken).addAll(atWork);
+        for (GivenUp<T> next : givenUp) {
+            if (nowNanos - next.atNanos() <= AFTER_GIVING_UP_NANOS) {
+                onIt.add(next.call());
+            }
+        }
+        broken.clear();
+        atWork.clear();
+        givenUp.clear();
+        return onIt.build();
+    }
+
+    private record GivenUp<T>(T call, long atNanos) {}
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/Fingerprint.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/Fingerprint.java
@@ -4,11 +4,14 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
-import com.google.common.io.BaseEncoding;
 import com.google.common.primitives.Bytes;
 import com.google.common.primitives.Longs;
+import com.google.protobuf.ByteString;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Tells whether two requests ask for the same thing in the same caller's name, whichever attempt of a caller they are.
@@ -44,6 +47,20 @@
                         digest[8], digest[9], digest[10], digest[11], digest[12], digest[13], digest[14], digest[15]));
     }
 
+    /** Returns the fingerprint that a message holds, if it holds one. */
+    public static Optional<Fingerprint> fromBytes(ByteString bytes) {
+        if (bytes.size() != 2 * Long.BYTES) {
+            return Optional.empty();
+        }
+        ByteBuffer buffer = bytes.asReadOnlyByteBuffer();
+        return Optional.of(new Fingerprint(buffer.getLong(), buffer.getLong()));
+    }
+
+    /** Returns it for a message. */
+    public ByteString toBytes() {
+        return ByteString.copyFrom(Bytes.concat(Longs.toByteArray(high), Longs.toByteArray(low)));
+    }
+
     /** Returns a target without its query. */
     static String pathOf(String target) {
         int query = target.indexOf(QUERY_SIGN);
@@ -54,6 +71,6 @@
     /** Returns it in hexadecimal. */
     @Override
     public String toString() {
-        return BaseEncoding.base16().lowerCase().encode(Bytes.concat(Longs.toByteArray(high), Longs.toByteArray(low)));
+        return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
     }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -226,7 +226,7 @@
             case UNREACHABLE -> failed(FAILURES_TO_EJECT, nowNanos);
             case FAILED, BROKEN, GARBLED -> failed(1, nowNanos);
             default -> {
-                // NO_CONNECTION says something about this host's share of connections, nothing about the leaf.
+                // NO_CONNECTION says something about this host's share of connections, BARRED about the request.
             }
         }
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafOutcome.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafOutcome.java
@@ -23,6 +23,9 @@
      */
     NO_CONNECTION(true, false),
 
+    /** Nothing was sent, since requests like it end the leafs that run them. */
+    BARRED(true, false),
+
     /** The connection ended before a whole answer came; the request may have run. */
     BROKEN(false, true),
 
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
@@ -11,8 +11,10 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import org.bramblerack.process.harm.HarmRecords;
 import org.bramblerack.wire.CommandResult;
 import org.bramblerack.wire.ForgetMembers;
+import org.bramblerack.wire.HarmReport;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.MemberTables;
@@ -22,7 +24,8 @@
 import org.bramblerack.wire.TableDelta;
 
 /**
- * The part of the agreed state that every host follows: the routing configuration, the leafs and the hosts.
+ * The part of the agreed state that every host follows: the routing configuration, the leafs, the hosts, and the
+ * requests that end leafs.
  *
  * <p>Invariants: the same commands in the same order give the same tables everywhere. Each change raises the revision
  * by one, so that a host that knows a revision can be sent what changed since. The configuration's version only grows.
@@ -42,6 +45,7 @@
     private long forgottenRevision;
     private boolean throughHolders;
     private final SortedSet<String> drainedZones = new TreeSet<>();
+    private final HarmRecords harm = new HarmRecords();
 
     /** Takes a whole configuration if its version is above the one held. */
     public CommandResult put(PutConfiguration change) {
@@ -124,6 +128,20 @@
         return result(CommandResult.Kind.ACCEPTED);
     }
 
+    /** Takes what a host saw of requests that end leafs. */
+    public CommandResult report(HarmReport report) {
+        if (!harm.take(report, revision + 1)) {
+            return result(CommandResult.Kind.SUPERSEDED);
+        }
+        revision++;
+        return result(CommandResult.Kind.ACCEPTED);
+    }
+
+    /** Returns what is held of requests that end leafs, to be read only. */
+    public HarmRecords harm() {
+        return harm;
+    }
+
     /** Returns the availability zones whose leafs get no work. */
     public ImmutableSortedSet<String> drainedZones() {
         return ImmutableSortedSet.copyOf(drainedZones);
@@ -194,7 +212,8 @@
                 .setWhole(whole)
                 .setConfigurationVersion(configurationVersion)
                 .setThroughHolders(throughHolders)
-                .addAllDrainedZones(drainedZones);
+                .addAllDrainedZones(drainedZones)
+                .addAllHarm(harm.changedSince(since));
         if (configurationRevision > since) {
             delta.setConfiguration(configuration);
         }
@@ -225,6 +244,9 @@
                 .addAllDrainedZones(drainedZones)
                 .addAllLeaves(leaves.values())
                 .addAllHosts(hosts.values())
+                .addAllHarm(harm.all())
+                .setHarmClockMillis(harm.clockMillis())
+                .setHarmNumber(harm.lastNumber())
                 .build();
     }
 
@@ -242,6 +264,7 @@
         drainedZones.addAll(snapshot.getDrainedZonesList());
         snapshot.getLeavesList().forEach(leaf -> leaves.put(leaf.getId(), leaf));
         snapshot.getHostsList().forEach(host -> hosts.put(host.getName(), host));
+        harm.restore(snapshot.getHarmList(), snapshot.getHarmClockMillis(), snapshot.getHarmNumber());
     }
 
     private static boolean changes(HostRecord known, HostRecord report) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
@@ -27,6 +27,8 @@
         ANSWERED,
         /** Nothing was sent to the leaf. */
         NOT_SENT,
+        /** Nothing was sent, since requests like it end leafs. */
+        BARRED,
         /** The leaf certainly did not run it. */
         REFUSED,
         /** It failed and may have run. */
@@ -72,11 +74,15 @@
     }
 
     boolean isNotRun() {
-        return state == State.REFUSED || state == State.NOT_SENT;
+        return state == State.REFUSED || isNotSent();
     }
 
     boolean isNotSent() {
-        return state == State.NOT_SENT;
+        return state == State.NOT_SENT || state == State.BARRED;
+    }
+
+    boolean isBarred() {
+        return state == State.BARRED;
     }
 
     State state() {
@@ -84,7 +90,9 @@
     }
 
     void fail(LeafOutcome outcome) {
-        if (!outcome.isSent()) {
+        if (outcome == LeafOutcome.BARRED) {
+            finish(State.BARRED);
+        } else if (!outcome.isSent()) {
             finish(State.NOT_SENT);
         } else {
             finish(outcome.isNotRun() ? State.REFUSED : State.FAILED);
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
@@ -22,6 +22,8 @@
     RETRY_DENIED_BUDGET,
     /** The route allows no further attempt, or the request must not run again. */
     RETRY_DENIED_ATTEMPTS,
+    /** Requests like it ended the leafs that ran them. */
+    DENIED_HARMFUL,
     /** Another host was asked to ask some shards. */
     STAGE,
     /** A host that was to ask some shards was silent for too long. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -86,6 +86,9 @@
      */
     RefusalReason refusalReason(boolean deadlineCome) {
         if (count(ShardRequest::isNotRun) == shards.length) {
+            if (count(ShardRequest::isBarred) > 0) {
+                return RefusalReason.HARMFUL;
+            }
             boolean asked = count(ShardRequest::wasAsked) > 0;
             return asked ? RefusalReason.ALL_BUSY : shards[0].notRunReason();
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
@@ -8,6 +8,8 @@
     NO_LEAF_AT_HOME(true),
     /** Every leaf that was asked said that it did not run it. */
     ALL_BUSY(true),
+    /** Requests like it ended the leafs that ran them, so that it was sent to none. */
+    HARMFUL(true),
     /** Its time was up before any leaf was asked. */
     EXPIRED(true),
     /** Too few shards answered. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -186,6 +186,11 @@
             return;
         }
         attempt.fail(outcome);
+        if (!finished && outcome == LeafOutcome.BARRED) {
+            // No other leaf may have it either.
+            giveUp(AttemptCounter.DENIED_HARMFUL, actions);
+            return;
+        }
         if (!finished && !hasAttemptInFlight()) {
             retry(nowNanos, actions);
         }
@@ -238,12 +243,20 @@
 
     /** Returns why a request that has not run could not be served. */
     RefusalReason notRunReason() {
+        if (isBarred()) {
+            return RefusalReason.HARMFUL;
+        }
         if (wasAsked()) {
             return RefusalReason.ALL_BUSY;
         }
         return pool.areAllElsewhere() ? RefusalReason.NO_LEAF_AT_HOME : RefusalReason.NO_LEAF;
     }
 
+    /** Returns true if an attempt was not made because requests like it end leafs. */
+    boolean isBarred() {
+        return attempts.stream().anyMatch(Attempt::isBarred);
+    }
+
     /** Returns true if a leaf may have seen the request. */
     boolean wasSent() {
         return spentElsewhere > 0 || !attempts.stream().allMatch(Attempt::isNotSent);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -11,6 +11,7 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.wire.Command;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.HarmReportResult;
 import org.bramblerack.wire.JoinRequest;
 import org.bramblerack.wire.ProposeResult;
 
@@ -49,6 +50,12 @@
                         .with(delta -> reply.accept(Envelope.newBuilder().setTableDelta(delta)), failure -> {
                             // The role has stopped; the other host asks elsewhere once it hears nothing.
                         });
+            case HARM_REPORT ->
+                fleet.reportHarm(message.getHarmReport())
+                        .subscribe()
+                        .with(taken -> reply.accept(Envelope.newBuilder()
+                                .setHarmReportResult(
+                                        HarmReportResult.newBuilder().setTaken(taken))));
             default -> {
                 // A message of a newer program: not understood, so not answered.
             }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSortedSet;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -61,6 +62,7 @@
             ControlSettings settings,
             MetricRegistry metrics,
             MonotonicClock clock,
+            InstantSource wallClock,
             RandomGenerator random,
             long incarnation)
             throws DiskFault {
@@ -82,7 +84,7 @@
                 clock,
                 random);
         ControlClient client = new ControlClient(identity.name(), settings.seeds(), Optional.of(node), network, clock);
-        this.fleet = new FleetControl(node, client, network, metrics);
+        this.fleet = new FleetControl(node, client, network, metrics, wallClock);
         this.peers = new PeerServer(
                 settings.peerAddress(), new ControlPeers(node, fleet, network, clock), group, LinkPolicy.OPEN, traffic);
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -7,6 +7,7 @@
 import io.smallrye.mutiny.Uni;
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -22,6 +23,7 @@
 import org.bramblerack.wire.ControlRead;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.ForgetMembers;
+import org.bramblerack.wire.HarmReport;
 import org.bramblerack.wire.HeardMembers;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
@@ -52,6 +54,7 @@
     private final ControlClient client;
     private final PeerNetwork network;
     private final MetricRegistry metrics;
+    private final InstantSource wallClock;
     private final MemberWatch watch = new MemberWatch();
     private final ShardAccessPolicy shardAccess = new ShardAccessPolicy();
     private volatile ImmutableList<String> knownControlHosts = ImmutableList.of();
@@ -59,11 +62,17 @@
     private boolean wasLeader;
 
     /** Creates the service; nothing happens before it is called. */
-    public FleetControl(ControlNode node, ControlClient client, PeerNetwork network, MetricRegistry metrics) {
+    public FleetControl(
+            ControlNode node,
+            ControlClient client,
+            PeerNetwork network,
+            MetricRegistry metrics,
+            InstantSource wallClock) {
         this.node = node;
         this.client = client;
         this.network = network;
         this.metrics = metrics;
+        this.wallClock = wallClock;
     }
 
     /** Takes the report of a leaf. */
@@ -116,6 +125,23 @@
         });
     }
 
+    /** Takes what a host saw of requests that end leafs, and tells whether it was agreed on. */
+    public Uni<Boolean> reportHarm(HarmReport report) {
+        return node.withTables(
+                        (tables, inTouch, nowNanos) -> inTouch && !tables.harm().wouldChange(report))
+                .chain(isKnown -> isKnown
+                        ? Uni.createFrom().item(FleetOutcome.ACKNOWLEDGED)
+                        : propose(
+                                Command.newBuilder()
+                                        .setReportHarm(report.toBuilder().setAtMillis(wallClock.millis()))
+                                        .build(),
+                                REPORT_WAIT))
+                .onFailure()
+                .recoverWithItem(FleetControl::stopped)
+                .invoke(outcome -> count("fleet_harm_report_", outcome))
+                .map(outcome -> outcome == FleetOutcome.ACKNOWLEDGED);
+    }
+
     /** Has the leafs of an availability zone get no work, or takes that back; either may be said again. */
     public Uni<FleetOutcome> drainZone(String zone, boolean drained) {
         Command command = Command.newBuilder()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -29,6 +29,12 @@
     /** When to come back after leafs were full or late: a few times the work of one request. */
     private static final String RETRY_BUSY_SECONDS = "0.1";
 
+    /**
+     * When to come back with a request that is sent to no leaf: it stays so for an hour, unless it was taken for
+     * another, which shows within seconds.
+     */
+    private static final String RETRY_HARMFUL_SECONDS = "60";
+
     private final HttpExchange exchange;
     private final CallHeaders names;
     private final GatewayMetrics metrics;
@@ -72,6 +78,11 @@
                     case NO_LEAF_AT_HOME ->
                         new Told(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf where this may be served takes it now");
                     case ALL_BUSY -> new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "every leaf is full");
+                    case HARMFUL ->
+                        new Told(
+                                UNAVAILABLE,
+                                RETRY_HARMFUL_SECONDS,
+                                "not run: requests like this one ended the leafs that ran them; ask the operator");
                     case EXPIRED ->
                         new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
                     case TIME_UP -> new Told(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -43,6 +43,7 @@
     private final PeerNetwork network;
     private final TableFollower follower;
     private final Gateway gateway;
+    private final HarmReporter harmReporter;
     private final PeerServer peers;
     private final HttpListener callers;
     private final long incarnation;
@@ -90,6 +91,7 @@
                 clock,
                 loop,
                 random);
+        this.harmReporter = new HarmReporter(view.harm(), network, follower::controlHost, loop);
         this.peers = new PeerServer(settings.peerAddress(), gateway, group, LinkPolicy.OPEN, traffic);
         this.warmUp = new WarmUp(
                 names,
@@ -117,6 +119,7 @@
         peers.start();
         callers.start();
         follower.start();
+        harmReporter.start();
         gateway.start();
         warmUp.run();
         warm = true;
@@ -175,6 +178,7 @@
         }
         callers.stopListening();
         follower.stop();
+        harmReporter.stop();
         gateway.stop();
         peers.stop();
         network.stop();
@@ -189,6 +193,7 @@
         stopping = true;
         callers.stopNow();
         follower.stop();
+        harmReporter.stop();
         gateway.stop();
         peers.stop();
         network.stop();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -22,6 +22,8 @@
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.WindowedBudget;
+import org.bramblerack.process.harm.Fingerprint;
+import org.bramblerack.process.harm.HarmGuard;
 import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.Leaf;
@@ -34,6 +36,7 @@
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.wire.HarmRecord;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.TableDelta;
@@ -61,6 +64,7 @@
     private final RoutingContext routing;
     private final Map<String, LeafPool> pools = new HashMap<>();
     private final LeafConnectionTable connections;
+    private final HarmGuard harm = new HarmGuard();
     private final FleetHosts hosts;
     private final Map<String, LeafRecord> leafRecords = new HashMap<>();
     private final Map<String, LatencyTracker> latencies = new HashMap<>();
@@ -109,6 +113,11 @@
         return configuration;
     }
 
+    /** Returns what keeps requests from leafs that end those which run them. */
+    HarmGuard harm() {
+        return harm;
+    }
+
     /** Returns what the routing decisions of this host share. */
     RoutingContext routing() {
         return routing;
@@ -248,6 +257,7 @@
         boolean leavesChanged = applyLeaves(delta);
         boolean waysChanged = throughHolders != delta.getThroughHolders();
         throughHolders = delta.getThroughHolders();
+        learnHarm(delta);
         if (hostsChanged || leavesChanged || zonesChanged || waysChanged || newer.isPresent()) {
             accessStale = true;
             if (hostsChanged) {
@@ -268,6 +278,29 @@
         }
     }
 
+    private void learnHarm(TableDelta delta) {
+        int before = harm.barredCount();
+        harm.learn(delta.getHarmList(), delta.getWhole(), clock.nowNanos());
+        if (harm.barredCount() != before) {
+            EVENTS.info("requests_barred")
+                    .with("count", harm.barredCount())
+                    .with("before", before)
+                    .with("revision", revision)
+                    .with("fingerprints", barred(delta))
+                    .write();
+        }
+    }
+
+    /** Returns the requests of a change that are sent to no leaf from now on, the first of them. */
+    private static String barred(TableDelta delta) {
+        return delta.getHarmList().stream()
+                .filter(record -> record.getVerdict() == HarmRecord.Verdict.BARRED)
+                .flatMap(record -> Fingerprint.fromBytes(record.getFingerprint()).stream())
+                .limit(MOST_NAMED)
+                .map(Fingerprint::toString)
+                .collect(Collectors.joining(" "));
+    }
+
     /**
      * Returns how leafs are reached, worked out anew only if it is asked for after a change: changes come in series.
      */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -188,10 +188,15 @@
         }
         RoutedCall call =
                 new RoutedCall(route.get(), view.configuration().version(), request, exchange.receivedNanos(), times);
+        if (view.harm().isBarred(request::fingerprints)) {
+            caller.refuse(RefusalReason.HARMFUL);
+            log.imperfect(call, RefusalReason.HARMFUL.name(), line -> {});
+            return;
+        }
         if (route.get().target() instanceof RouteTarget.Scatter target) {
             view.queryCame();
             StageCaller stageCaller =
-                    runs.stageCaller(queryCall(exchange, route.get(), target), target.shards(), times);
+                    runs.stageCaller(queryCall(exchange, route.get(), target), target.shards(), times, request);
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
             run.onSealedAtGoal(writtenNanos -> sealLead.sealed(times.goalNanos(), writtenNanos));
             begin(exchange, call, target, run);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -53,7 +53,7 @@
         if (holder.isEmpty()) {
             return view.connectionsTo(leaf).send(request, deadlineNanos, taker);
         }
-        HeldCall call = new HeldCall(holder.get(), leaf.id(), taker);
+        HeldCall call = new HeldCall(holder.get(), leaf.id(), request, taker);
         call.send(deadlineNanos);
         return call;
     }
@@ -62,13 +62,15 @@
     private final class HeldCall implements LeafConnections.Ticket {
         private final StageLinks.Link holder;
         private final String leafId;
+        private final LeafRequest request;
         private final LeafExchange taker;
         private final long number = links.nextCall();
         private boolean over;
 
-        HeldCall(StageLinks.Link holder, String leafId, LeafExchange taker) {
+        HeldCall(StageLinks.Link holder, String leafId, LeafRequest request, LeafExchange taker) {
             this.holder = holder;
             this.leafId = leafId;
+            this.request = request;
             this.taker = taker;
         }
 
@@ -106,8 +108,13 @@
             over = true;
             holder.end();
             if (result.getStatusCode() > 0) {
-                taker.answered(LeafAnswer.of(result.getStatusCode(), headers(result), result.getRecords(), names));
+                LeafAnswer answer = LeafAnswer.of(result.getStatusCode(), headers(result), result.getRecords(), names);
+                if (!answer.outcome().isNotRun()) {
+                    survived();
+                }
+                taker.answered(answer);
             } else if (result.getStatus() == StageResult.Status.ANSWERED && result.getSignaturesCount() == 1) {
+                survived();
                 taker.answered(new LeafAnswer(
                         OK,
                         EmptyHttpHeaders.INSTANCE,
@@ -117,13 +124,17 @@
                         Optional.empty()));
             } else {
                 LeafOutcome outcome = outcomeOf(result);
-                if (!outcome.isSent()) {
+                if (!outcome.isSent() && outcome != LeafOutcome.BARRED) {
                     holder.cannotReach(leafId, clock.nowNanos());
                 }
                 taker.failed(outcome);
             }
         }
 
+        private void survived() {
+            view.harm().survived(request.fingerprints(), clock.nowNanos());
+        }
+
         private void fail(Throwable failure) {
             if (over) {
                 return;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafConnectionTable.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafConnectionTable.java
@@ -32,7 +32,7 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final Map<Leaf, LeafConnections> connections = new HashMap<>();
-    private final CallWatch watch;
+    private final LeafHarm.Lines harmLines;
     private boolean reviewed = true;
     private Consumer<ConnectionEvent> observer = event -> {};
 
@@ -43,7 +43,7 @@
         this.group = group;
         this.clock = clock;
         this.random = random;
-        this.watch = new BrokenCallLog(clock);
+        this.harmLines = new LeafHarm.Lines(clock);
     }
 
     /** Sets what is told of each connection. */
@@ -62,7 +62,13 @@
                         clock,
                         () -> view.connectionShare(leaf),
                         event -> observer.accept(event),
-                        watch));
+                        harmWatch(leaf)));
+    }
+
+    private CallWatch harmWatch(Leaf leaf) {
+        long incarnation =
+                view.leafRecord(leaf.id()).map(LeafRecord::getIncarnation).orElse(0L);
+        return new LeafHarm(leaf, incarnation, view.harm(), harmLines, clock);
     }
 
     /** Lets go of a leaf that has left; requests under way are finished first. */
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafHarm.java
@@ -0,0 +1,102 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import org.bramblerack.daemon.event.EventLog;
+import org.bramblerack.daemon.event.RateBound;
+import org.bramblerack.daemon.leaf.CallWatch;
+import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.harm.Fingerprints;
+import org.bramblerack.process.harm.HarmGuard;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+
+/** Keeps harmful requests from one start of a leaf, and tells what was on it when it ended. Owned by the event loop. */
+final class LeafHarm implements CallWatch {
+    private static final EventLog EVENTS = EventLog.of(LeafHarm.class);
+
+    private final Leaf leaf;
+    private final long leafStart;
+    private final HarmGuard guard;
+    private final Lines lines;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates a watch.
+     *
+     * @param incarnation tells starts of a leaf apart that have the same identifier
+     * @param lines is shared by all leafs of this host
+     */
+    LeafHarm(Leaf leaf, long incarnation, HarmGuard guard, Lines lines, MonotonicClock clock) {
+        this.leaf = leaf;
+        this.leafStart = Hashing.sha256()
+                .hashString(leaf.service() + "\n" + leaf.id() + "\n" + incarnation, StandardCharsets.UTF_8)
+                .asLong();
+        this.guard = guard;
+        this.lines = lines;
+        this.clock = clock;
+    }
+
+    @Override
+    public boolean maySend(LeafRequest request) {
+        return !guard.isBarred(request::fingerprints);
+    }
+
+    @Override
+    public void answered(LeafRequest request) {
+        guard.survived(request.fingerprints(), clock.nowNanos());
+    }
+
+    @Override
+    public void failed(LeafRequest request, LeafOutcome outcome) {
+        if (lines.admit()) {
+            EVENTS.info("call_broken")
+                    .with("request", request.requestId())
+                    .with("fingerprint", request.fingerprints().path().toString())
+                    .with("leaf", leaf.id())
+                    .with("service", leaf.service())
+                    .with("outcome", outcome.name())
+                    .write();
+        }
+    }
+
+    @Override
+    public void leafEnded(ImmutableList<LeafRequest> onIt) {
+        ImmutableList<Fingerprints> requests =
+                onIt.stream().map(LeafRequest::fingerprints).distinct().collect(ImmutableList.toImmutableList());
+        guard.ended(leafStart, requests, clock.nowNanos());
+        if (lines.admit()) {
+            EVENTS.info("leaf_ended_under_calls")
+                    .with("leaf", leaf.id())
+                    .with("service", leaf.service())
+                    .with("requests", requests.size())
+                    .with("fingerprint", requests.get(0).path().toString())
+                    .write();
+        }
+    }
+
+    /** Bounds the lines about all leafs of this host. Owned by the event loop. */
+    static final class Lines {
+        /** A leaf that ends breaks a call for each slot and some that wait; a few leafs a second can be followed. */
+        private static final int LINES_A_SECOND = 20;
+
+        private final RateBound bound;
+
+        Lines(MonotonicClock clock) {
+            this.bound = new RateBound(clock, LINES_A_SECOND);
+        }
+
+        private boolean admit() {
+            if (!bound.admits()) {
+                return false;
+            }
+            long leftOut = bound.takeLeftOut();
+            if (leftOut > 0) {
+                EVENTS.info("call_lines_left_out").with("count", leftOut).write();
+            }
+            return true;
+        }
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.daemon.leaf.LeafRequest;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.PermittedLeaves;
@@ -93,9 +94,12 @@
      * Creates what has other hosts ask the shards of one query.
      *
      * @param shardServices the services that are the shards, in their order
+     * @param request the query as leafs get it
      */
-    StageCaller stageCaller(StageCall call, ImmutableList<String> shardServices, RequestTimes times) {
-        return new StageCaller(call, shardServices, times, links, clock, metrics);
+    StageCaller stageCaller(
+            StageCall call, ImmutableList<String> shardServices, RequestTimes times, LeafRequest request) {
+        Runnable survived = () -> view.harm().survived(request.fingerprints(), clock.nowNanos());
+        return new StageCaller(call, shardServices, times, links, clock, metrics, survived);
     }
 
     private ScatterRun run(RoutedCall call, ScatterQuery query, StageCaller caller, AnswerSink sink) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -27,6 +27,7 @@
     private final Homes homes;
     private final MonotonicClock clock;
     private final GatewayMetrics metrics;
+    private final Runnable survived;
     private final Map<StageAttempt, Sent> underWay = new HashMap<>();
 
     /**
@@ -34,6 +35,7 @@
      *
      * @param call what all hosts are told of the query; shards and times are added for each
      * @param shardServices the services that are the shards of the query, in their order
+     * @param survived is run when leafs have answered the query elsewhere
      */
     StageCaller(
             StageCall call,
@@ -41,7 +43,8 @@
             RequestTimes times,
             StageLinks links,
             MonotonicClock clock,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            Runnable survived) {
         this.call = call;
         this.shardServices = shardServices;
         this.times = times;
@@ -49,6 +52,7 @@
         this.homes = Homes.of(call.getHomeRegionsList());
         this.clock = clock;
         this.metrics = metrics;
+        this.survived = survived;
     }
 
     /** Returns what all hosts are told of the query. */
@@ -121,10 +125,11 @@
         }
     }
 
-    private static void progressed(StageAttempt stage, StageProgress progress, Taker taker) {
+    private void progressed(StageAttempt stage, StageProgress progress, Taker taker) {
         taker.progressed(stage, progress.getAskedTwiceList());
         boolean matches = progress.getShardsCount() == progress.getSignaturesCount();
         if (progress.getShardsCount() > 0 && matches) {
+            survived.run();
             taker.brought(
                     stage,
                     parts(progress.getShardsList(), progress.getSignaturesList(), List.of(), progress.getRecords()));
@@ -135,6 +140,9 @@
         boolean answered = result.getStatus() == StageResult.Status.ANSWERED
                 && result.getShardsCount() == result.getSignaturesCount();
         end(stage, link, answered);
+        if (answered && result.getShardsCount() > 0) {
+            survived.run();
+        }
         if (answered) {
             taker.answered(
                     stage,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -109,7 +109,7 @@
             LeafRequest request,
             Consumer<Envelope.Builder> reply,
             Consumer<Envelope.Builder> lastReply) {
-        Optional<String> refusal = refusal(call, homes, arrivedNanos);
+        Optional<String> refusal = refusal(call, homes, request, arrivedNanos);
         if (refusal.isPresent()) {
             reply.accept(Envelope.newBuilder()
                     .setStageResult(StageResult.newBuilder()
@@ -135,7 +135,7 @@
                 target,
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
                 !call.getPassedOn(),
-                runs.stageCaller(passedOn(call, homes, maxAttempts), target.shards(), times),
+                runs.stageCaller(passedOn(call, homes, maxAttempts), target.shards(), times, request),
                 new Replier(reply, lastReply, call.getShardsList(), sender));
         run.onStillAtWork(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
@@ -150,13 +150,16 @@
      * Returns why a call is not run, if it is not. One that waited here for longer than the host that asked waits for a
      * first word is asked elsewhere by now; begun all the same, it would take one leaf more than the route allows.
      */
-    private Optional<String> refusal(StageCall call, Homes homes, long arrivedNanos) {
+    private Optional<String> refusal(StageCall call, Homes homes, LeafRequest request, long arrivedNanos) {
         if (refusesWork) {
             return Optional.of("this host is stopping");
         }
         if (!namesShards(call)) {
             return Optional.of("the call names no shards");
         }
+        if (view.harm().isBarred(request::fingerprints)) {
+            return Optional.of(RefusalReason.HARMFUL.name());
+        }
         if (homes.areNowhere()) {
             return Optional.of("no region may serve the route by all that hosts know of it");
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -101,6 +101,11 @@
         return synchronizedOnce;
     }
 
+    /** Returns the control host that is asked at present. */
+    String controlHost() {
+        return source;
+    }
+
     private void pull() {
         if (stopped) {
             return;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/CallWatch.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/CallWatch.java
@@ -1,13 +1,39 @@
 package org.bramblerack.daemon.leaf;
 
-import org.bramblerack.process.leaf.Leaf;
+import com.google.common.collect.ImmutableList;
 import org.bramblerack.process.leaf.LeafOutcome;
 
-/** Is told what becomes of the calls that this host sends to leafs. Implementations are owned by the event loop. */
+/**
+ * Stands between this host and one leaf: says which calls may be sent, and is told what becomes of them.
+ * Implementations are owned by the event loop.
+ */
 public interface CallWatch {
-    /** Looks away. */
-    CallWatch NONE = (leaf, request, outcome) -> {};
+    /** Lets everything be sent and looks away. */
+    CallWatch NONE = new CallWatch() {
+        @Override
+        public boolean maySend(LeafRequest request) {
+            return true;
+        }
+
+        @Override
+        public void answered(LeafRequest request) {}
+
+        @Override
+        public void failed(LeafRequest request, LeafOutcome outcome) {}
+
+        @Override
+        public void leafEnded(ImmutableList<LeafRequest> onIt) {}
+    };
+
+    /** Returns true if a call may be sent to the leaf. */
+    boolean maySend(LeafRequest request);
+
+    /** Notes that the leaf answered a call as one that it has run. */
+    void answered(LeafRequest request);
 
     /** Notes that a call was sent and got no whole answer. */
-    void failed(Leaf leaf, LeafRequest request, LeafOutcome outcome);
+    void failed(LeafRequest request, LeafOutcome outcome);
+
+    /** Notes that the leaf has ended with calls on it. */
+    void leafEnded(ImmutableList<LeafRequest> onIt);
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/ConnectionEvent.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/ConnectionEvent.java
@@ -4,6 +4,8 @@
 public enum ConnectionEvent {
     /** It was made because a call waited for one. */
     MADE_FOR_CALL,
+    /** It was made to find out whether the leaf has ended, after another had with a call on it. */
+    MADE_TO_CONFIRM,
     /** It was made ahead of its use. */
     MADE_AHEAD,
     /** It could not be made. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -1,5 +1,6 @@
 package org.bramblerack.daemon.leaf;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -16,6 +17,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.harm.EndWatch;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.jspecify.annotations.Nullable;
@@ -38,6 +40,7 @@
     private final IntSupplier share;
     private final Consumer<ConnectionEvent> observer;
     private final CallWatch watch;
+    private final EndWatch<LeafRequest> calls = new EndWatch<>();
     private final Deque<LeafConnection> idle = new ArrayDeque<>();
     private final List<LeafConnection> open = new ArrayList<>(4);
     private final Deque<Pending> waiting = new ArrayDeque<>();
@@ -77,6 +80,10 @@
      */
     public Ticket send(LeafRequest request, long deadlineNanos, LeafExchange taker) {
         Pending pending = new Pending(request, deadlineNanos, taker);
+        if (!watch.maySend(request)) {
+            taker.failed(LeafOutcome.BARRED);
+            return pending;
+        }
         if (!leaf.acceptsWork() || !request.mayBeSentTo(leaf)) {
             taker.failed(LeafOutcome.NO_CONNECTION);
             return pending;
@@ -136,11 +143,19 @@
         observer.accept(reason);
         idle.remove(connection);
         open.remove(connection);
+        if (reason == ConnectionEvent.ENDED_WHILE_CALLED && isToBeConfirmed()) {
+            connect(ConnectionEvent.MADE_TO_CONFIRM);
+        }
         if (!waiting.isEmpty()) {
             connectIfAllowed();
         }
     }
 
+    /** Returns true if it is to be found out whether the leaf has ended, and no connection is being made anyway. */
+    private boolean isToBeConfirmed() {
+        return calls.isInDoubt() && connecting == 0 && leaf.acceptsWork();
+    }
+
     private @Nullable LeafConnection takeIdle(String requestId) {
         long nowNanos = clock.nowNanos();
         while (!idle.isEmpty()) {
@@ -192,12 +207,17 @@
     private void connected(ChannelFuture future, LeafConnection connection) {
         connecting--;
         if (future.isSuccess()) {
+            calls.isUp();
             connection.opened(future.channel());
             open.add(connection);
             idle(connection);
             return;
         }
         observer.accept(ConnectionEvent.NOT_MADE);
+        ImmutableList<LeafRequest> onIt = calls.isDown(clock.nowNanos());
+        if (!onIt.isEmpty() && leaf.acceptsWork()) {
+            watch.leafEnded(onIt);
+        }
         failWaiting(LeafOutcome.UNREACHABLE);
     }
 
@@ -235,6 +255,13 @@
         }
 
         void sendOn(LeafConnection free) {
+            if (!watch.maySend(request)) {
+                // It waited for a connection while the others were found to end with it.
+                done = true;
+                idle(free);
+                taker.failed(LeafOutcome.BARRED);
+                return;
+            }
             if (!leaf.admit(clock.nowNanos())) {
                 done = true;
                 idle(free);
@@ -242,23 +269,40 @@
                 return;
             }
             connection = free;
+            calls.sent(request);
             long remainingMillis = Math.max(1, (deadlineNanos - clock.nowNanos()) / NANOS_PER_MILLI);
             free.send(request, leaf.id(), remainingMillis, new LeafExchange() {
                 @Override
                 public void answered(LeafAnswer answer) {
                     done = true;
+                    calls.answered(request);
+                    if (!answer.outcome().isNotRun()) {
+                        watch.answered(request);
+                    }
                     taker.answered(answer);
                 }
 
                 @Override
                 public void failed(LeafOutcome outcome) {
                     done = true;
-                    watch.failed(leaf, request, outcome);
+                    noteFailure(outcome);
                     taker.failed(outcome);
                 }
             });
         }
 
+        private void noteFailure(LeafOutcome outcome) {
+            if (givenUp) {
+                return;
+            }
+            watch.failed(request, outcome);
+            if (outcome == LeafOutcome.BROKEN) {
+                calls.broke(request);
+            } else {
+                calls.answered(request);
+            }
+        }
+
         boolean isGivenUp() {
             return givenUp;
         }
@@ -273,6 +317,7 @@
                 taker.failed(LeafOutcome.NO_CONNECTION);
                 return true;
             }
+            calls.givenUp(request, clock.nowNanos());
             connection.close(ConnectionEvent.ENDED_CALL_GIVEN_UP);
             return false;
         }
