Try out a request that may have been a bystander, one arrival at a time in the whole fleet

Change: from two ends on a request is on trial: a control host grants one arrival in 3 s, which goes to one leaf first; an answer clears it everywhere, an end on a second arrival bars it. Ends under calls that were given up are seen by connections that end just afterwards. A host that control does not answer tries alone.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ControlState.java
@@ -49,6 +49,7 @@
             case FORGET_MEMBERS -> tables.forget(command.getForgetMembers());
             case SET_SHARD_ACCESS -> tables.set(command.getSetShardAccess());
             case SET_ZONE_DRAIN -> tables.set(command.getSetZoneDrain());
+            case TAKE_TRIAL -> tables.take(command.getTakeTrial());
             case REPORT_HARM -> tables.report(command.getReportHarm());
             case BODY_NOT_SET ->
                 CommandResult.newBuilder().setKind(CommandResult.Kind.INVALID).build();
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/EndWatch.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/EndWatch.java
@@ -29,6 +29,7 @@
     private final List<T> atWork = new ArrayList<>(4);
     private final List<T> broken = new ArrayList<>(0);
     private final Deque<GivenUp<T>> givenUp = new ArrayDeque<>(0);
+    private boolean inDoubtWithoutBreak;
 
     /** Notes that a call was sent. */
     public void sent(T call) {
@@ -58,33 +59,48 @@
         }
     }
 
+    /**
+     * Notes that a connection ended on which nothing was. Just after a call was given up that may be the end of the
+     * leaf, under a call that it worked on all the same.
+     */
+    public void idleEnded(long nowNanos) {
+        GivenUp<T> last = givenUp.peekLast();
+        inDoubtWithoutBreak |= last != null && isOfLate(last, nowNanos);
+    }
+
     /** Returns true while it is to be found out whether the leaf has ended. */
     public boolean isInDoubt() {
-        return !broken.isEmpty();
+        return inDoubtWithoutBreak || !broken.isEmpty();
     }
 
     /** Notes that the leaf takes connections: what broke broke for another reason. */
     public void isUp() {
         broken.clear();
+        inDoubtWithoutBreak = false;
     }
 
-    /** Notes that the leaf takes no connections, and returns the calls that were on it, if any broke. */
+    /** Notes that the leaf takes no connections, and returns the calls that were on it, if it was in doubt. */
     public ImmutableList<T> isDown(long nowNanos) {
-        if (broken.isEmpty()) {
+        if (!isInDoubt()) {
             return ImmutableList.of();
         }
         ImmutableList.Builder<T> onIt =
                 ImmutableList.<T>builder().addAll(broken).addAll(atWork);
         for (GivenUp<T> next : givenUp) {
-            if (nowNanos - next.atNanos() <= AFTER_GIVING_UP_NANOS) {
+            if (isOfLate(next, nowNanos)) {
                 onIt.add(next.call());
             }
         }
         broken.clear();
+        inDoubtWithoutBreak = false;
         atWork.clear();
         givenUp.clear();
         return onIt.build();
     }
 
+    private static boolean isOfLate(GivenUp<?> call, long nowNanos) {
+        return nowNanos - call.atNanos() <= AFTER_GIVING_UP_NANOS;
+    }
+
     private record GivenUp<T>(T call, long atNanos) {}
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -14,6 +14,7 @@
 import org.bramblerack.wire.HarmEvidence;
 import org.bramblerack.wire.HarmRecord;
 import org.bramblerack.wire.HarmReport;
+import org.bramblerack.wire.TakeTrial;
 
 /**
  * Keeps requests from leafs that end the leafs which run them: what this host saw of that, what all hosts agreed on,
@@ -39,24 +40,26 @@
     private final Map<Fingerprint, HarmRecord.Verdict> agreed = new HashMap<>();
     private final HarmRecords own = new HarmRecords();
     private final LinkedHashMap<Fingerprint, Long> survived = new LinkedHashMap<>();
-    private final Map<Fingerprint, Set<Long>> pendingEnds = new LinkedHashMap<>();
+    private final Map<Fingerprint, Untold> pendingEnds = new LinkedHashMap<>();
     private final Set<Fingerprint> pendingSurvived = new LinkedHashSet<>();
     private int pendingEndCount;
-    private int agreedBarred;
-    private int ownBarred;
+    private int agreedRestricted;
+    private int ownRestricted;
 
-    /** Returns true if a request is to be sent to no leaf. */
-    public boolean isBarred(Supplier<Fingerprints> request) {
-        if (agreedBarred + ownBarred == 0) {
-            return false;
+    /** Returns whether a request may be sent to leafs; works its fingerprints out only if any request may not. */
+    public Permission permission(Supplier<Fingerprints> request) {
+        if (agreedRestricted + ownRestricted == 0) {
+            return Permission.FREE;
         }
         Fingerprints fingerprints = request.get();
-        return isBarred(fingerprints.exact()) || isBarred(fingerprints.path());
+        Permission exact = permission(fingerprints.exact());
+        Permission path = permission(fingerprints.path());
+        return exact.compareTo(path) > 0 ? exact : path;
     }
 
-    /** Returns how many requests are barred by agreement, for a figure. */
-    public int barredCount() {
-        return agreedBarred;
+    /** Returns how many requests are barred or on trial by agreement, for a log line. */
+    public int restrictedCount() {
+        return agreedRestricted;
     }
 
     /**
@@ -64,15 +67,16 @@
      *
      * @param leafStart tells this start of the leaf from others
      */
-    public void ended(long leafStart, List<Fingerprints> onIt, long nowNanos) {
+    public void ended(long leafStart, List<Arrival> onIt, long nowNanos) {
         HarmReport.Builder seen = HarmReport.newBuilder().setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos));
-        for (Fingerprints request : onIt) {
-            for (Fingerprint fingerprint : request.all()) {
+        for (Arrival arrival : onIt) {
+            for (Fingerprint fingerprint : arrival.fingerprints().all()) {
                 if (!survivedOfLate(fingerprint, nowNanos)) {
-                    tellEnd(fingerprint, leafStart);
+                    tellEnd(fingerprint, leafStart, arrival.digest());
                     seen.addEnded(HarmEvidence.newBuilder()
                             .setFingerprint(fingerprint.toBytes())
-                            .addLeafStarts(leafStart));
+                            .addLeafStarts(leafStart)
+                            .addArrivals(arrival.digest()));
                 }
             }
         }
@@ -109,11 +113,33 @@
             Fingerprint.fromBytes(record.getFingerprint())
                     .ifPresent(fingerprint -> learn(fingerprint, record.getVerdict(), nowNanos));
         }
-        agreedBarred = (int) agreed.values().stream()
-                .filter(verdict -> verdict == HarmRecord.Verdict.BARRED)
+        agreedRestricted = (int) agreed.values().stream()
+                .filter(verdict -> verdict != HarmRecord.Verdict.SUSPECTED)
                 .count();
     }
 
+    /** Takes what another host saw, where hosts tell one another and nothing is agreed. */
+    public void hear(HarmReport report, long nowNanos) {
+        takeOwn(report.toBuilder()
+                .setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos))
+                .build());
+        for (HarmEvidence evidence : report.getEndedList()) {
+            Fingerprint.fromBytes(evidence.getFingerprint())
+                    .filter(fingerprint -> survivedOfLate(fingerprint, nowNanos))
+                    .ifPresent(this::acquit);
+        }
+    }
+
+    /**
+     * Has an arrival of a request tried by the word of this host alone, unless another is: for a host to which control
+     * gives no answer.
+     */
+    public boolean tryAlone(Fingerprints request, long nowNanos) {
+        TakeTrial.Builder trial = TakeTrial.newBuilder().setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos));
+        request.all().forEach(fingerprint -> trial.addFingerprints(fingerprint.toBytes()));
+        return own.tryOnce(trial.build());
+    }
+
     /** Takes what is to be told, if anything is; it counts as told unless it is handed back. */
     public Optional<HarmReport> takeReport() {
         if (pendingEnds.isEmpty() && pendingSurvived.isEmpty()) {
@@ -127,15 +153,16 @@
             acquitted.remove();
             size++;
         }
-        Iterator<Map.Entry<Fingerprint, Set<Long>>> accused =
+        Iterator<Map.Entry<Fingerprint, Untold>> accused =
                 pendingEnds.entrySet().iterator();
         while (accused.hasNext() && size < MAX_REPORTED) {
-            Map.Entry<Fingerprint, Set<Long>> next = accused.next();
+            Map.Entry<Fingerprint, Untold> next = accused.next();
             report.addEnded(HarmEvidence.newBuilder()
                     .setFingerprint(next.getKey().toBytes())
-                    .addAllLeafStarts(next.getValue()));
-            size += next.getValue().size() + 1;
-            pendingEndCount -= next.getValue().size();
+                    .addAllLeafStarts(next.getValue().leafStarts())
+                    .addAllArrivals(next.getValue().arrivals()));
+            size += next.getValue().leafStarts().size() + 1;
+            pendingEndCount -= next.getValue().leafStarts().size();
             accused.remove();
         }
         return Optional.of(report.build());
@@ -144,21 +171,21 @@
     /** Takes back a report that was not agreed on, to make it again. */
     public void handBack(HarmReport report) {
         for (HarmEvidence evidence : report.getEndedList()) {
-            Fingerprint.fromBytes(evidence.getFingerprint())
-                    .ifPresent(fingerprint ->
-                            evidence.getLeafStartsList().forEach(leafStart -> tellEnd(fingerprint, leafStart)));
+            Fingerprint.fromBytes(evidence.getFingerprint()).ifPresent(fingerprint -> tellAgain(fingerprint, evidence));
         }
         report.getSurvivedList().forEach(bytes -> Fingerprint.fromBytes(bytes).ifPresent(pendingSurvived::add));
     }
 
-    private boolean isBarred(Fingerprint fingerprint) {
+    private Permission permission(Fingerprint fingerprint) {
         HarmRecord.Verdict verdict = agreed.get(fingerprint);
-        if (verdict != null) {
-            return verdict == HarmRecord.Verdict.BARRED;
+        if (verdict == null) {
+            verdict = own.verdict(fingerprint).orElse(HarmRecord.Verdict.CLEARED);
         }
-        return own.verdict(fingerprint)
-                .filter(seen -> seen == HarmRecord.Verdict.BARRED)
-                .isPresent();
+        return switch (verdict) {
+            case BARRED -> Permission.BARRED;
+            case ON_TRIAL -> Permission.ON_TRIAL;
+            default -> Permission.FREE;
+        };
     }
 
     private void learn(Fingerprint fingerprint, HarmRecord.Verdict verdict, long nowNanos) {
@@ -174,7 +201,10 @@
     }
 
     private static boolean accuses(HarmRecord.Verdict verdict) {
-        return verdict == HarmRecord.Verdict.BARRED || verdict == HarmRecord.Verdict.SUSPECTED;
+        return switch (verdict) {
+            case SUSPECTED, ON_TRIAL, BARRED -> true;
+            default -> false;
+        };
     }
 
     private boolean survivedOfLate(Fingerprint fingerprint, long nowNanos) {
@@ -184,22 +214,34 @@
 
     private void acquit(Fingerprint fingerprint) {
         pendingSurvived.add(fingerprint);
-        Set<Long> untold = pendingEnds.remove(fingerprint);
-        pendingEndCount -= untold == null ? 0 : untold.size();
+        Untold untold = pendingEnds.remove(fingerprint);
+        pendingEndCount -= untold == null ? 0 : untold.leafStarts().size();
         takeOwn(HarmReport.newBuilder().addSurvived(fingerprint.toBytes()).build());
     }
 
-    private void tellEnd(Fingerprint fingerprint, long leafStart) {
-        if (pendingEndCount < MAX_PENDING_ENDS
-                && pendingEnds
-                        .computeIfAbsent(fingerprint, unused -> new LinkedHashSet<>())
-                        .add(leafStart)) {
+    private void tellEnd(Fingerprint fingerprint, long leafStart, long arrival) {
+        if (pendingEndCount >= MAX_PENDING_ENDS) {
+            return;
+        }
+        Untold untold = pendingEnds.computeIfAbsent(
+                fingerprint, unused -> new Untold(new LinkedHashSet<>(), new LinkedHashSet<>()));
+        untold.arrivals().add(arrival);
+        if (untold.leafStarts().add(leafStart)) {
             pendingEndCount++;
         }
     }
 
+    private void tellAgain(Fingerprint fingerprint, HarmEvidence evidence) {
+        for (long arrival : evidence.getArrivalsList()) {
+            evidence.getLeafStartsList().forEach(leafStart -> tellEnd(fingerprint, leafStart, arrival));
+        }
+    }
+
+    /** What is still to be told of one request. */
+    private record Untold(Set<Long> leafStarts, Set<Long> arrivals) {}
+
     private void takeOwn(HarmReport report) {
         own.take(report, 0);
-        ownBarred = own.barredCount();
+        ownRestricted = own.restrictedCount();
     }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
@@ -1,6 +1,7 @@
 package org.bramblerack.process.harm;
 
 import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -13,15 +14,17 @@
 import org.bramblerack.wire.HarmEvidence;
 import org.bramblerack.wire.HarmRecord;
 import org.bramblerack.wire.HarmReport;
+import org.bramblerack.wire.TakeTrial;
 
 /**
  * What is known of requests under which leafs ended, and which of them are sent to no leaf any more.
  *
- * <p>Invariants: a request is barred only while {@link #ENDS_TO_BAR} leafs ended with it on them whose ends no other
- * barred request explains, and no leaf has survived it since. The verdicts follow from the reports alone, in whichever
- * order those of one moment come: a request that was on the same leafs as a harmful one, by chance, is free again once
- * the harmful one has ended others. The number of records and of ends is bounded. No clock is read: reports carry the
- * time. Not safe for use by several threads.
+ * <p>Invariants: a request is barred only while {@link #ENDS_TO_BAR} leafs ended with it on them and no leaf has
+ * survived it since. That much happens to bystanders as well, when all leafs end at once or next to a harmful request.
+ * What tells them apart: a harmful request comes again and ends leafs again, and the ends of a bystander are explained
+ * by another one. Until that shows, a request is on trial: of all arrivals at all hosts one at a time is let through.
+ * The verdicts follow from all that was reported, anew after each report. The number of records and of ends is bounded.
+ * No clock is read: reports carry the time. Not safe for use by several threads.
  */
 public final class HarmRecords {
     /**
@@ -30,6 +33,18 @@
      */
     public static final int ENDS_TO_BAR = 3;
 
+    /**
+     * From how many ends on a request is on trial: one fewer, since the only host that saw an end may be gone or cut
+     * off. A trial costs a bystander some tens of milliseconds.
+     */
+    public static final int ENDS_TO_TRY = 2;
+
+    /** How often a request comes that can be no bystander each time: callers mostly try again once. */
+    static final int ARRIVALS_OF_HARM = 3;
+    /** For how long nobody else may try a request: the longest work of a leaf, and word of what came of it. */
+    static final long TRIAL_MILLIS = 3_000;
+    /** How many arrivals of a request are told apart. */
+    static final int MAX_ARRIVALS = 8;
     /** How many records are kept: with the ends below, about a megabyte and a half. */
     static final int MAX_RECORDS = 1_024;
     /** How many ends are kept for one request: those of every leaf of the largest index, twice over. */
@@ -63,6 +78,20 @@
         return markChanged(revision);
     }
 
+    /** Has an arrival of a request tried, unless another is; returns true if it may be sent to leafs. */
+    public boolean tryOnce(TakeTrial trial) {
+        clockMillis = Math.max(clockMillis, trial.getAtMillis());
+        List<Held> onTrial = new ArrayList<>(2);
+        for (ByteString bytes : trial.getFingerprintsList()) {
+            Fingerprint.fromBytes(bytes).map(records::get).ifPresent(onTrial::add);
+        }
+        boolean free = onTrial.stream().noneMatch(held -> held.isBarred() || clockMillis < held.trialUntilMillis);
+        if (free) {
+            onTrial.forEach(held -> held.trialUntilMillis = clockMillis + TRIAL_MILLIS);
+        }
+        return free;
+    }
+
     /** Returns true if a report says anything that is not known. */
     public boolean wouldChange(HarmReport report) {
         return report.getEndedList().stream().anyMatch(this::isNews)
@@ -78,9 +107,11 @@
         return Optional.ofNullable(records.get(fingerprint)).map(held -> held.verdict);
     }
 
-    /** Returns how many requests are barred. */
-    public int barredCount() {
-        return (int) records.values().stream().filter(Held::isBarred).count();
+    /** Returns how many requests are barred or on trial. */
+    public int restrictedCount() {
+        return (int) records.values().stream()
+                .filter(held -> held.barred || held.onTrial)
+                .count();
     }
 
     /** Returns the records that changed after a revision, without their ends, for hosts that follow. */
@@ -97,6 +128,7 @@
                 .map(entry -> entry.getValue()
                         .toRecord(entry.getKey())
                         .addAllLeafStarts(entry.getValue().leafStarts)
+                        .addAllArrivals(entry.getValue().arrivals)
                         .build())
                 .collect(ImmutableList.toImmutableList());
     }
@@ -126,7 +158,9 @@
         Held held = Fingerprint.fromBytes(evidence.getFingerprint())
                 .map(records::get)
                 .orElse(null);
-        return held == null || !held.leafStarts.containsAll(evidence.getLeafStartsList());
+        return held == null
+                || !held.leafStarts.containsAll(evidence.getLeafStartsList())
+                || (held.arrivals.size() < MAX_ARRIVALS && !held.arrivals.containsAll(evidence.getArrivalsList()));
     }
 
     private void add(Fingerprint fingerprint, HarmEvidence evidence) {
@@ -137,6 +171,11 @@
                 held.cleared = false;
             }
         }
+        for (long arrival : evidence.getArrivalsList()) {
+            if (held.arrivals.size() < MAX_ARRIVALS) {
+                held.arrivals.add(arrival);
+            }
+        }
     }
 
     private void clear(Fingerprint fingerprint) {
@@ -147,15 +186,15 @@
     }
 
     /**
-     * Decides anew which requests are barred: the one under which most leafs ended first, then each that has enough
-     * ends left which no request before it explains. Of two with the same ends the narrower fingerprint, and else the
-     * one that was heard of first, explains the other.
+     * Decides anew which requests are barred: the one under which most leafs ended first. Of two with the same ends the
+     * narrower fingerprint, and else the one that was heard of first, goes first.
      */
     private void judge() {
         Set<Long> explained = new HashSet<>();
         List<Held> candidates = new ArrayList<>();
         for (Held held : records.values()) {
             held.barred = false;
+            held.onTrial = held.leafStarts.size() >= ENDS_TO_TRY;
             if (held.leafStarts.size() >= ENDS_TO_BAR) {
                 candidates.add(held);
             }
@@ -163,16 +202,24 @@
         candidates.sort(
                 Comparator.comparingInt((Held held) -> -held.leafStarts.size()).thenComparingLong(held -> held.number));
         for (Held held : candidates) {
-            long unexplained = held.leafStarts.stream()
-                    .filter(leafStart -> !explained.contains(leafStart))
-                    .count();
-            if (unexplained >= ENDS_TO_BAR) {
+            if (isHarmful(held, explained)) {
                 held.barred = true;
                 explained.addAll(held.leafStarts);
             }
         }
     }
 
+    /** Returns true if a request ends leafs itself, as far as that can be told. */
+    private static boolean isHarmful(Held held, Set<Long> explained) {
+        if (held.arrivals.size() >= ARRIVALS_OF_HARM) {
+            return true;
+        }
+        long unexplained = held.leafStarts.stream()
+                .filter(leafStart -> !explained.contains(leafStart))
+                .count();
+        return unexplained >= ENDS_TO_BAR && held.arrivals.size() > 1;
+    }
+
     private void forgetOld() {
         for (Held held : records.values()) {
             long keptMillis = held.isBarred() ? KEEP_BARRED_MILLIS : KEEP_SUSPECTED_MILLIS;
@@ -225,8 +272,11 @@
     private static final class Held {
         private final long number;
         private final Set<Long> leafStarts = new LinkedHashSet<>();
+        private final Set<Long> arrivals = new LinkedHashSet<>(2);
         private HarmRecord.Verdict verdict = HarmRecord.Verdict.VERDICT_UNSPECIFIED;
         private boolean barred;
+        private boolean onTrial;
+        private long trialUntilMillis;
         private boolean cleared;
         private long changedRevision;
         private long seenMillis;
@@ -238,11 +288,14 @@
         static Held of(HarmRecord record) {
             Held held = new Held(record.getNumber());
             held.leafStarts.addAll(record.getLeafStartsList());
+            held.arrivals.addAll(record.getArrivalsList());
             held.verdict = record.getVerdict();
             held.barred = record.getVerdict() == HarmRecord.Verdict.BARRED;
             held.cleared = record.getVerdict() == HarmRecord.Verdict.CLEARED;
             held.changedRevision = record.getChangedRevision();
             held.seenMillis = record.getSeenMillis();
+            held.onTrial = record.getVerdict() == HarmRecord.Verdict.ON_TRIAL;
+            held.trialUntilMillis = record.getTrialUntilMillis();
             return held;
         }
 
@@ -252,8 +305,10 @@
 
         void clear(long nowMillis) {
             leafStarts.clear();
+            arrivals.clear();
             cleared = true;
             barred = false;
+            onTrial = false;
             seenMillis = nowMillis;
         }
 
@@ -261,7 +316,10 @@
             if (cleared) {
                 return HarmRecord.Verdict.CLEARED;
             }
-            return barred ? HarmRecord.Verdict.BARRED : HarmRecord.Verdict.SUSPECTED;
+            if (barred) {
+                return HarmRecord.Verdict.BARRED;
+            }
+            return onTrial ? HarmRecord.Verdict.ON_TRIAL : HarmRecord.Verdict.SUSPECTED;
         }
 
         HarmRecord.Builder toRecord(Fingerprint fingerprint) {
@@ -270,6 +328,7 @@
                     .setVerdict(verdict)
                     .setChangedRevision(changedRevision)
                     .setSeenMillis(seenMillis)
+                    .setTrialUntilMillis(trialUntilMillis)
                     .setNumber(number);
         }
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
@@ -22,6 +22,7 @@
 import org.bramblerack.wire.SetShardAccess;
 import org.bramblerack.wire.SetZoneDrain;
 import org.bramblerack.wire.TableDelta;
+import org.bramblerack.wire.TakeTrial;
 
 /**
  * The part of the agreed state that every host follows: the routing configuration, the leafs, the hosts, and the
@@ -137,6 +138,11 @@
         return result(CommandResult.Kind.ACCEPTED);
     }
 
+    /** Has an arrival of a request that is on trial tried, unless another is. */
+    public CommandResult take(TakeTrial trial) {
+        return result(harm.tryOnce(trial) ? CommandResult.Kind.ACCEPTED : CommandResult.Kind.CONFLICT);
+    }
+
     /** Returns what is held of requests that end leafs, to be read only. */
     public HarmRecords harm() {
         return harm;
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmScheduleTest.java
@@ -0,0 +1,118 @@
+package org.bramblerack.process.harm;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Both errors of barring requests, over many drawn schedules: harmful ones that are sent on, and innocent ones that are
+ * refused. Each check is shown to find a fault that is planted for it.
+ */
+final class HarmScheduleTest {
+    private static final int SEEDS = 150;
+    /**
+     * The users' bound on how often a request is sent on after its third leaf and the time for hosts to learn of it.
+     */
+    private static final int MOST_SENT_ON = 3;
+    /** Of a thousand innocent requests, beside harmful ones and any other trouble. */
+    private static final double MOST_REFUSED_PERMILLE = 1;
+
+    @Test
+    void aHarmfulRequestIsHardlySentOnWhateverElseHappens() {
+        List<String> broken = new ArrayList<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            HarmWorld world = new HarmWorld(seed, drawn(seed), 1 + seed % 3, HarmWorld.Plant.NONE).play();
+            if (world.mostSentOn() > MOST_SENT_ON) {
+                broken.add("seed " + seed + " " + drawn(seed) + ": " + world.mostSentOn());
+            }
+        }
+        assertThat(broken).isEmpty();
+    }
+
+    @Test
+    void noInnocentRequestIsRefusedWhereNoneIsHarmful() {
+        List<String> broken = new ArrayList<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            HarmWorld world = new HarmWorld(seed, drawn(seed), 0, HarmWorld.Plant.NONE).play();
+            if (world.innocentsRefused() > 0) {
+                broken.add("seed " + seed + " " + drawn(seed) + ": " + world.innocentsRefused());
+            }
+        }
+        assertThat(broken).isEmpty();
+    }
+
+    @Test
+    void fewInnocentRequestsAreRefusedBesideHarmfulOnes() {
+        int refused = 0;
+        int all = 0;
+        int ends = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            HarmWorld world = new HarmWorld(seed, drawn(seed), 1 + seed % 3, HarmWorld.Plant.NONE).play();
+            refused += world.innocentsRefused();
+            all += world.innocents();
+            ends += world.endsByHarmful();
+        }
+        System.out.println(
+                "innocent requests refused: " + refused + " of " + all + "; leafs ended by harmful: " + ends);
+        assertThat(refused * 1_000.0 / all).isAtMost(MOST_REFUSED_PERMILLE);
+    }
+
+    @Test
+    void hostsThatTellNothingAreFound() {
+        int most = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            EnumSet<HarmWorld.Trouble> calm = EnumSet.noneOf(HarmWorld.Trouble.class);
+            most = Math.max(
+                    most,
+                    new HarmWorld(seed, calm, 2, HarmWorld.Plant.NOTHING_TOLD)
+                            .play()
+                            .mostSentOn());
+        }
+        assertThat(most).isGreaterThan(MOST_SENT_ON);
+    }
+
+    @Test
+    void resetsAccuseNobodyAndBreaksThatCountAsEndsAreFound() {
+        for (int seed = 0; seed < 20; seed++) {
+            EnumSet<HarmWorld.Trouble> resets = EnumSet.of(HarmWorld.Trouble.RESETS);
+            assertThat(new HarmWorld(seed, resets, 0, HarmWorld.Plant.NONE)
+                            .play()
+                            .accused())
+                    .isEqualTo(0);
+            assertThat(new HarmWorld(seed, resets, 0, HarmWorld.Plant.BREAKS_COUNT)
+                            .play()
+                            .accused())
+                    .isGreaterThan(0);
+        }
+    }
+
+    @Test
+    void answersThatCountForNothingAreFound() {
+        assertThat(refusedWith(HarmWorld.Plant.ANSWERS_IGNORED, HarmWorld.Trouble.MANY_LEAFS_END))
+                .isGreaterThan(0);
+    }
+
+    private static int refusedWith(HarmWorld.Plant plant, HarmWorld.Trouble trouble) {
+        int refused = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            refused += new HarmWorld(seed, EnumSet.of(trouble), 0, plant).play().innocentsRefused();
+        }
+        return refused;
+    }
+
+    /** Returns troubles that may come together; any of them may be left out. */
+    private static EnumSet<HarmWorld.Trouble> drawn(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        EnumSet<HarmWorld.Trouble> troubles = EnumSet.noneOf(HarmWorld.Trouble.class);
+        for (HarmWorld.Trouble trouble : HarmWorld.Trouble.values()) {
+            if (random.nextInt(3) == 0) {
+                troubles.add(trouble);
+            }
+        }
+        return troubles;
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -14,6 +14,7 @@
 import org.bramblerack.wire.HarmReportResult;
 import org.bramblerack.wire.JoinRequest;
 import org.bramblerack.wire.ProposeResult;
+import org.bramblerack.wire.TakeTrialResult;
 
 /**
  * Hands each message of another host to the part of the control role that it concerns. Safe for use by many threads.
@@ -50,6 +51,13 @@
                         .with(delta -> reply.accept(Envelope.newBuilder().setTableDelta(delta)), failure -> {
                             // The role has stopped; the other host asks elsewhere once it hears nothing.
                         });
+            case TAKE_TRIAL ->
+                fleet.takeTrial(message.getTakeTrial())
+                        .subscribe()
+                        .with(granted -> reply.accept(Envelope.newBuilder()
+                                .setTakeTrialResult(TakeTrialResult.newBuilder()
+                                        .setGranted(granted.orElse(false))
+                                        .setDecided(granted.isPresent()))));
             case HARM_REPORT ->
                 fleet.reportHarm(message.getHarmReport())
                         .subscribe()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -20,6 +20,7 @@
 import org.bramblerack.process.members.MemberWatch;
 import org.bramblerack.process.members.ShardAccessPolicy;
 import org.bramblerack.wire.Command;
+import org.bramblerack.wire.CommandResult;
 import org.bramblerack.wire.ControlRead;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.ForgetMembers;
@@ -32,6 +33,7 @@
 import org.bramblerack.wire.SetZoneDrain;
 import org.bramblerack.wire.TableDelta;
 import org.bramblerack.wire.TablePull;
+import org.bramblerack.wire.TakeTrial;
 
 /**
  * What a control host does for leafs, operators and entry hosts.
@@ -142,6 +144,23 @@
                 .map(outcome -> outcome == FleetOutcome.ACKNOWLEDGED);
     }
 
+    /** Tells whether an arrival of a request on trial may be sent to leafs, if that can be agreed on. */
+    public Uni<Optional<Boolean>> takeTrial(TakeTrial trial) {
+        Command command = Command.newBuilder()
+                .setTakeTrial(trial.toBuilder().setAtMillis(wallClock.millis()))
+                .build();
+        return client.propose(command, REPORT_WAIT)
+                .map(result -> result instanceof ProposalResult.Applied applied
+                        ? Optional.of(applied.result().getKind() == CommandResult.Kind.ACCEPTED)
+                        : Optional.<Boolean>empty())
+                .onFailure()
+                .recoverWithItem(Optional.<Boolean>empty())
+                .invoke(granted -> metrics.counter("fleet_trial_"
+                                + granted.map(yes -> yes ? "granted" : "refused")
+                                        .orElse("undecided"))
+                        .inc());
+    }
+
     /** Has the leafs of an availability zone get no work, or takes that back; either may be said again. */
     public Uni<FleetOutcome> drainZone(String zone, boolean drained) {
         Command command = Command.newBuilder()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -85,6 +85,7 @@
         this.gateway = new Gateway(
                 view,
                 follower::isSynchronized,
+                follower::controlHost,
                 network,
                 names,
                 new GatewayMetrics(metrics, clock),
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -279,11 +279,11 @@
     }
 
     private void learnHarm(TableDelta delta) {
-        int before = harm.barredCount();
+        int before = harm.restrictedCount();
         harm.learn(delta.getHarmList(), delta.getWhole(), clock.nowNanos());
-        if (harm.barredCount() != before) {
+        if (harm.restrictedCount() != before) {
             EVENTS.info("requests_barred")
-                    .with("count", harm.barredCount())
+                    .with("count", harm.restrictedCount())
                     .with("before", before)
                     .with("revision", revision)
                     .with("fingerprints", barred(delta))
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpExchange;
@@ -61,17 +62,20 @@
     private final CallerWaits waits = new CallerWaits();
     private final StageLinks stages;
     private final StageServer stageServer;
+    private final HarmTrials trials;
     private final Map<String, SplitCursor> splits = new HashMap<>();
     private boolean refusesCallers;
 
     /**
      * Creates a gateway; it takes requests from then on.
      *
+     * @param controlHost tells which control host is followed at the moment
      * @param tablesKnown true once the view is that of a control host that is in touch with a leader
      */
     public Gateway(
             FleetView view,
             BooleanSupplier tablesKnown,
+            Supplier<String> controlHost,
             PeerNetwork network,
             CallHeaders names,
             GatewayMetrics metrics,
@@ -91,6 +95,7 @@
         this.log = new DecisionLog(clock, view);
         this.runs = new QueryRuns(view, stages, names, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
+        this.trials = new HarmTrials(view, runs, network, controlHost, loop, clock, random);
         this.stageServer = new StageServer(view, runs, names, clock, loop);
     }
 
@@ -188,20 +193,42 @@
         }
         RoutedCall call =
                 new RoutedCall(route.get(), view.configuration().version(), request, exchange.receivedNanos(), times);
-        if (view.harm().isBarred(request::fingerprints)) {
-            caller.refuse(RefusalReason.HARMFUL);
-            log.imperfect(call, RefusalReason.HARMFUL.name(), line -> {});
-            return;
+        switch (view.harm().permission(request::fingerprints)) {
+            case FREE -> serve(exchange, call, caller);
+            case ON_TRIAL -> tryOut(exchange, call, caller);
+            default -> refuse(call, caller, RefusalReason.HARMFUL);
         }
-        if (route.get().target() instanceof RouteTarget.Scatter target) {
+    }
+
+    private void tryOut(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
+        trials.tryOut(call, () -> stageCall(exchange, call), result -> {
+            if (exchange.isCallerGone()) {
+                return;
+            }
+            switch (result) {
+                case SERVE -> serve(exchange, call, caller);
+                case NOT_RUN -> refuse(call, caller, RefusalReason.HARMFUL);
+                default -> refuse(call, caller, RefusalReason.OUTCOME_UNKNOWN);
+            }
+        });
+    }
+
+    private void refuse(RoutedCall call, CallerAnswers caller, RefusalReason reason) {
+        caller.refuse(reason);
+        log.imperfect(call, reason.name(), line -> {});
+    }
+
+    private void serve(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
+        Route route = call.route();
+        if (route.target() instanceof RouteTarget.Scatter target) {
             view.queryCame();
             StageCaller stageCaller =
-                    runs.stageCaller(queryCall(exchange, route.get(), target), target.shards(), times, request);
+                    runs.stageCaller(queryCall(exchange, call, target), target.shards(), call.times(), call.request());
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
-            run.onSealedAtGoal(writtenNanos -> sealLead.sealed(times.goalNanos(), writtenNanos));
+            run.onSealedAtGoal(writtenNanos -> sealLead.sealed(call.times().goalNanos(), writtenNanos));
             begin(exchange, call, target, run);
         } else {
-            ForwardRun run = runs.forward(call, serviceOf(route.get()), () -> stageCall(exchange, route.get()), caller);
+            ForwardRun run = runs.forward(call, serviceOf(route), () -> stageCall(exchange, call), caller);
             exchange.onCallerGone(run::callerGone);
             run.start();
         }
@@ -237,17 +264,18 @@
     }
 
     /** Returns what other hosts are told of a query. */
-    private StageCall queryCall(HttpExchange exchange, Route route, RouteTarget.Scatter target) {
-        return stageCall(exchange, route).toBuilder()
+    private StageCall queryCall(HttpExchange exchange, RoutedCall routed, RouteTarget.Scatter target) {
+        return stageCall(exchange, routed).toBuilder()
                 .setTopRecords(target.topRecords())
-                .setMaxAttempts(route.maxAttempts())
+                .setMaxAttempts(routed.route().maxAttempts())
                 .build();
     }
 
     /** Returns what other hosts are told of a request. */
-    private StageCall stageCall(HttpExchange exchange, Route route) {
+    private StageCall stageCall(HttpExchange exchange, RoutedCall routed) {
+        Route route = routed.route();
         StageCall.Builder call = StageCall.newBuilder()
-                .setConfigurationVersion(view.configuration().version())
+                .setConfigurationVersion(routed.configurationVersion())
                 .setRoute(route.name())
                 .setHedgeDelayMicros(TimeUnit.NANOSECONDS.toMicros(runs.hedgeDelayNanos(route)))
                 .setMethod(exchange.method())
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -0,0 +1,143 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
+import java.lang.System.Logger;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.daemon.leaf.LeafExchange;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.harm.Fingerprint;
+import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.TakeTrial;
+import org.bramblerack.wire.TakeTrialResult;
+
+/**
+ * Tries requests under which leafs ended, which may be harmful or have been bystanders.
+ *
+ * <p>Of all arrivals at all hosts one at a time may be tried; a control host grants it. A query is sent to one leaf
+ * first, so that a harmful one ends that leaf and not one of every shard. Owned by the event loop.
+ */
+final class HarmTrials {
+    private static final Logger LOGGER = System.getLogger(HarmTrials.class.getName());
+    /** How long a caller is kept waiting for the grant: agreement takes some tens of milliseconds. */
+    private static final Duration GRANT_WAIT = Duration.ofMillis(300);
+
+    private final FleetView view;
+    private final QueryRuns runs;
+    private final PeerNetwork network;
+    private final Supplier<String> controlHost;
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final RandomGenerator random;
+
+    HarmTrials(
+            FleetView view,
+            QueryRuns runs,
+            PeerNetwork network,
+            Supplier<String> controlHost,
+            EventLoop loop,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        this.view = view;
+        this.runs = runs;
+        this.network = network;
+        this.controlHost = controlHost;
+        this.loop = loop;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    /** What came of asking for a trial. */
+    enum Result {
+        /** It is to be served. */
+        SERVE,
+        /** It is not to be sent to leafs, and was not. */
+        NOT_RUN,
+        /** It was sent to a leaf and may have run. */
+        LOST
+    }
+
+    /**
+     * Asks whether a request may be tried; if it may, and has several shards, sends it to a leaf of one of them first.
+     *
+     * @param query tells what other hosts are told of the request
+     */
+    void tryOut(RoutedCall call, Supplier<StageCall> query, Consumer<Result> taker) {
+        TakeTrial.Builder trial = TakeTrial.newBuilder();
+        call.request().fingerprints().all().stream().map(Fingerprint::toBytes).forEach(trial::addFingerprints);
+        network.request(controlHost.get(), Envelope.newBuilder().setTakeTrial(trial), GRANT_WAIT)
+                .subscribe()
+                .with(reply -> loop.execute(() -> decided(reply.getTakeTrialResult(), call, query, taker)), failure -> {
+                    LOGGER.log(Logger.Level.DEBUG, "no word on a trial: {0}", failure.getMessage());
+                    loop.execute(() -> decided(TakeTrialResult.getDefaultInstance(), call, query, taker));
+                });
+    }
+
+    /** A host to which control gives no answer tries by itself: cut off, it serves what it can. */
+    private void decided(TakeTrialResult result, RoutedCall call, Supplier<StageCall> query, Consumer<Result> taker) {
+        boolean granted = result.getDecided()
+                ? result.getGranted()
+                : view.harm().tryAlone(call.request().fingerprints(), clock.nowNanos());
+        if (granted) {
+            sendFirst(call, query, taker);
+        } else {
+            taker.accept(Result.NOT_RUN);
+        }
+    }
+
+    private void sendFirst(RoutedCall call, Supplier<StageCall> query, Consumer<Result> taker) {
+        ImmutableList<String> services = call.route().target().services();
+        if (!(call.route().target() instanceof RouteTarget.Scatter) || services.size() == 1) {
+            taker.accept(Result.SERVE);
+            return;
+        }
+        long nowNanos = clock.nowNanos();
+        long expectedNanos = view.latency(call.route()).medianNanos();
+        String shard = services.get(random.nextInt(services.size()));
+        Optional<Leaf> leaf = view.pool(shard)
+                .permitted(call.route().homes())
+                .choose(candidate -> true, expectedNanos, random, nowNanos);
+        if (leaf.isEmpty()) {
+            taker.accept(Result.NOT_RUN);
+            return;
+        }
+        First first = new First(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), taker);
+        runs.holderPath(query.get())
+                .send(leaf.get(), call.request(), call.times().leafDeadlineNanos(), first);
+    }
+
+    /** The call on the first shard. */
+    private final class First implements LeafExchange {
+        private final Leaf leaf;
+        private final Leaf.Call call;
+        private final Consumer<Result> taker;
+
+        First(Leaf leaf, Leaf.Call call, Consumer<Result> taker) {
+            this.leaf = leaf;
+            this.call = call;
+            this.taker = taker;
+        }
+
+        @Override
+        public void answered(LeafAnswer answer) {
+            leaf.end(call, answer.outcome(), answer.load(), clock.nowNanos());
+            taker.accept(answer.outcome().isNotRun() ? Result.NOT_RUN : Result.SERVE);
+        }
+
+        @Override
+        public void failed(LeafOutcome outcome) {
+            leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
+            taker.accept(outcome.isNotRun() ? Result.NOT_RUN : Result.LOST);
+        }
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafHarm.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafHarm.java
@@ -8,8 +8,9 @@
 import org.bramblerack.daemon.leaf.CallWatch;
 import org.bramblerack.daemon.leaf.LeafRequest;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.harm.Fingerprints;
+import org.bramblerack.process.harm.Arrival;
 import org.bramblerack.process.harm.HarmGuard;
+import org.bramblerack.process.harm.Permission;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 
@@ -41,7 +42,8 @@
 
     @Override
     public boolean maySend(LeafRequest request) {
-        return !guard.isBarred(request::fingerprints);
+        // What is on trial was let through as one arrival where it came; its calls are not stopped halfway.
+        return guard.permission(request::fingerprints) != Permission.BARRED;
     }
 
     @Override
@@ -64,15 +66,15 @@
 
     @Override
     public void leafEnded(ImmutableList<LeafRequest> onIt) {
-        ImmutableList<Fingerprints> requests =
-                onIt.stream().map(LeafRequest::fingerprints).distinct().collect(ImmutableList.toImmutableList());
-        guard.ended(leafStart, requests, clock.nowNanos());
+        ImmutableList<Arrival> arrivals =
+                onIt.stream().map(LeafRequest::arrival).distinct().collect(ImmutableList.toImmutableList());
+        guard.ended(leafStart, arrivals, clock.nowNanos());
         if (lines.admit()) {
             EVENTS.info("leaf_ended_under_calls")
                     .with("leaf", leaf.id())
                     .with("service", leaf.service())
-                    .with("requests", requests.size())
-                    .with("fingerprint", requests.get(0).path().toString())
+                    .with("requests", arrivals.size())
+                    .with("fingerprint", arrivals.get(0).fingerprints().path().toString())
                     .write();
         }
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -116,7 +116,7 @@
         return pools.build();
     }
 
-    private LeafPath holderPath(StageCall query) {
+    LeafPath holderPath(StageCall query) {
         return new HolderPath(query, view, links, names, clock);
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -15,6 +15,7 @@
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafRequest;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.harm.Permission;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.request.routed.StageTiming;
@@ -157,7 +158,7 @@
         if (!namesShards(call)) {
             return Optional.of("the call names no shards");
         }
-        if (view.harm().isBarred(request::fingerprints)) {
+        if (view.harm().permission(request::fingerprints) == Permission.BARRED) {
             return Optional.of(RefusalReason.HARMFUL.name());
         }
         if (homes.areNowhere()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -148,6 +148,7 @@
         Gateway gateway = new Gateway(
                 view,
                 () -> true,
+                () -> "",
                 network,
                 names,
                 new GatewayMetrics(new MetricRegistry(), clock),
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -143,7 +143,10 @@
         observer.accept(reason);
         idle.remove(connection);
         open.remove(connection);
-        if (reason == ConnectionEvent.ENDED_WHILE_CALLED && isToBeConfirmed()) {
+        if (reason == ConnectionEvent.ENDED_WHILE_IDLE) {
+            calls.idleEnded(clock.nowNanos());
+        }
+        if (isToBeConfirmed()) {
             connect(ConnectionEvent.MADE_TO_CONFIRM);
         }
         if (!waiting.isEmpty()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.bramblerack.process.harm.Arrival;
 import org.bramblerack.process.harm.Fingerprints;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.version.routing.Homes;
@@ -129,6 +130,11 @@
         return known;
     }
 
+    /** Returns what tells this attempt of its caller from others, the same on every host. */
+    public Arrival arrival() {
+        return Arrival.of(fingerprints(), requestId);
+    }
+
     /** Returns true if the leaf may get it. */
     boolean mayBeSentTo(Leaf leaf) {
         return homes.allow(leaf.place().region());
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
@@ -92,6 +92,7 @@
         Gateway gateway = new Gateway(
                 view,
                 () -> true,
+                () -> "",
                 PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
                 NAMES,
                 new GatewayMetrics(new MetricRegistry(), clock),
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -97,6 +97,7 @@
         gateway = new Gateway(
                 view,
                 () -> true,
+                () -> "",
                 PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
                 NAMES,
                 new GatewayMetrics(new MetricRegistry(), clock),
