Have a voter that was suspended claim nothing until it hears a leader again

Cause: the steady clock leaves out the time in which a machine is suspended, so a voter that wakes vouches for its tables, and a leader for its lead, as if it had just been heard. Ruled out: boot time (Java has none; /proc/uptime is another machine's where the users play) and a clock that adds what the time of day went ahead by (a time of day that is set ahead would end requests that have time left).

--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/SuspendWatch.java
@@ -0,0 +1,36 @@
+package org.bramblerack.process;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tells when this host was suspended: the steady clock leaves that time out, the time of day does not.
+ *
+ * <p>A time of day that is set ahead looks the same; what follows from a suspension must therefore be safe, and cheap,
+ * without one. A time that is set back tells nothing. Not safe for use by several threads.
+ */
+public final class SuspendWatch {
+    private final long leastMillis;
+    private long aheadMillis;
+
+    /**
+     * Creates a watch.
+     *
+     * @param least shorter suspensions are not told
+     */
+    public SuspendWatch(Duration least, long nowNanos, long wallMillis) {
+        this.leastMillis = least.toMillis();
+        this.aheadMillis = ahead(nowNanos, wallMillis);
+    }
+
+    /** Takes readings of both clocks, often enough, and returns true if this host was suspended since the last ones. */
+    public boolean wasSuspended(long nowNanos, long wallMillis) {
+        long before = aheadMillis;
+        aheadMillis = ahead(nowNanos, wallMillis);
+        return aheadMillis - before >= leastMillis;
+    }
+
+    private static long ahead(long nowNanos, long wallMillis) {
+        return wallMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos);
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ElectionTimer.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/ElectionTimer.java
@@ -12,6 +12,9 @@
     private final long electionNanos;
     private final RandomGenerator random;
     private long dueNanos;
+    /** More elections than any question about the leader looks back. */
+    private static final long LONG_AGO_ELECTIONS = 100;
+
     private long heardNanos;
     private boolean heard;
 
@@ -62,6 +65,11 @@
         restart(nowNanos);
     }
 
+    /** Counts the leader as not heard of for long, whatever the steady clock says. */
+    void forgetLeader(long nowNanos) {
+        heardNanos = nowNanos - LONG_AGO_ELECTIONS * electionNanos;
+    }
+
     boolean isDue(long nowNanos) {
         return nowNanos - dueNanos >= 0;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/agreement/RaftNode.java
@@ -95,6 +95,17 @@
         return actions;
     }
 
+    /**
+     * Notes that this host was suspended for longer than an election takes, which the steady clock does not show.
+     * Another voter may lead by now, so it leads no more and is in touch only once it has heard of a leader again.
+     */
+    public List<RaftAction> resumed(long nowNanos) {
+        List<RaftAction> actions = new ArrayList<>();
+        timer.forgetLeader(nowNanos);
+        becomeFollower(term, Optional.empty(), nowNanos, actions);
+        return actions;
+    }
+
     /** Takes a message from another voter. */
     public List<RaftAction> receive(RaftMessage message, long nowNanos) {
         List<RaftAction> actions = new ArrayList<>();
--- a/bramblerack-core/src/test/java/org/bramblerack/process/agreement/RaftNodeTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/agreement/RaftNodeTest.java
@@ -78,6 +78,31 @@
         assertThat(leader()).isNotEqualTo(old);
     }
 
+    /** The steady clock of a suspended host stands still, so nothing else tells it that others went on without it. */
+    @Test
+    void aVoterThatWasSuspendedClaimsNothingUntilItHearsALeader() {
+        String old = leader();
+        cut.add(old);
+        run(100);
+        cut.remove(old);
+        String follower = follower();
+        take(follower, node(follower).resumed(nowNanos));
+        assertThat(node(follower).isInTouch(nowNanos)).isFalse();
+        run(20);
+        assertThat(node(follower).isInTouch(nowNanos)).isTrue();
+    }
+
+    @Test
+    void aLeaderThatWasSuspendedLeadsNoMore() {
+        String leader = leader();
+        assertThat(node(leader).isInTouch(nowNanos)).isTrue();
+        take(leader, node(leader).resumed(nowNanos));
+        assertThat(node(leader).role()).isNotEqualTo(RaftRole.LEADER);
+        assertThat(node(leader).isInTouch(nowNanos)).isFalse();
+        run(200);
+        assertThat(node(leader()).isInTouch(nowNanos)).isTrue();
+    }
+
     @Test
     void aReadWaitsForAQuorumThatConfirmsAfterItCame() {
         String leader = leader();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -6,6 +6,7 @@
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.lang.System.Logger;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.SuspendWatch;
 import org.bramblerack.process.agreement.RaftAction;
 import org.bramblerack.process.agreement.RaftNode;
 import org.bramblerack.process.agreement.RaftTimings;
@@ -60,6 +62,8 @@
     private final LogStore store;
     private final PeerNetwork network;
     private final MonotonicClock clock;
+    private final InstantSource wallClock;
+    private final SuspendWatch suspendWatch;
     private final RandomGenerator random;
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>(MAX_EVENTS_WAITING);
     private final PendingCalls calls = new PendingCalls();
@@ -88,6 +92,7 @@
             LogStore store,
             PeerNetwork network,
             MonotonicClock clock,
+            InstantSource wallClock,
             RandomGenerator random) {
         this.self = self;
         this.firstVoters = firstVoters;
@@ -97,6 +102,8 @@
         this.diskRoom = new DiskRoom(store, self);
         this.network = network;
         this.clock = clock;
+        this.wallClock = wallClock;
+        this.suspendWatch = new SuspendWatch(timings.election(), clock.nowNanos(), wallClock.millis());
         this.random = random;
     }
 
@@ -330,6 +337,10 @@
         long nowNanos = clock.nowNanos();
         diskRoom.look(nowNanos);
         List<RaftAction> actions = new ArrayList<>();
+        if (suspendWatch.wasSuspended(nowNanos, wallClock.millis())) {
+            EVENTS.warning("suspended").with("voter", self).write();
+            actions.addAll(raft.resumed(nowNanos));
+        }
         for (Event event : batch) {
             actions.addAll(event.run(raft, nowNanos));
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -82,6 +82,7 @@
                 store,
                 network,
                 clock,
+                wallClock,
                 random);
         ControlClient client = new ControlClient(identity.name(), settings.seeds(), Optional.of(node), network, clock);
         this.fleet = new FleetControl(node, client, network, metrics, wallClock);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -91,7 +91,7 @@
                 clock,
                 random,
                 statuses);
-        this.control = controlNode(settings, network, clock, random);
+        this.control = controlNode(settings, network, clock, wallClock, random);
         this.client = new ControlClient(settings.host(), settings.voters(), control, network, clock);
         this.beats = new Beats(
                 settings.host(),
@@ -261,7 +261,11 @@
     }
 
     private static Optional<ControlNode> controlNode(
-            Settings settings, PeerNetwork network, MonotonicClock clock, RandomGenerator random) {
+            Settings settings,
+            PeerNetwork network,
+            MonotonicClock clock,
+            InstantSource wallClock,
+            RandomGenerator random) {
         if (!settings.has(Role.CONTROL)) {
             return Optional.empty();
         }
@@ -273,6 +277,7 @@
                 new FileLogStore(settings.controlFolder()),
                 network,
                 clock,
+                wallClock,
                 random));
     }
 
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/ControlNodeTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/ControlNodeTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -53,6 +54,7 @@
                 store,
                 network,
                 MonotonicClock.system(),
+                InstantSource.system(),
                 new SplittableRandom(1));
         node.start();
         await(node::isLeader);
