Keep requests that end upstreams from them behind the product's own interface as well

Change: holders watch which calls were on an upstream when it ended, tell one another in their heartbeats (each report four times), and refuse what is barred as not run (LeafFailure.HARMFUL). There is no agreed order of trials there: what may have been a bystander is let through until it is barred.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/LeafFailure.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/LeafFailure.java
@@ -35,6 +35,8 @@
     HOLDER_LOST(Blame.NOBODY, false),
     /** The holder's queue could not serve the call within its deadline; it did not run. */
     QUEUE_FULL(Blame.BUSY, true),
+    /** Requests like it end the upstreams that run them, so it was sent to none. */
+    HARMFUL(Blame.NOBODY, true),
     /** The call was cancelled while it waited at the holder; it did not run. */
     CANCELLED(Blame.NOBODY, true);
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
@@ -10,6 +10,7 @@
 import org.bramblerack.connection.ReplicaGate;
 import org.bramblerack.daemon.peer.Workers;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.harm.EndWatch;
 import org.bramblerack.request.LeafFailure;
 import org.bramblerack.request.LeafOutcome;
 import org.bramblerack.request.LeafRequest;
@@ -28,13 +29,22 @@
     private final MonotonicClock clock;
     private final ReentrantLock lock = new ReentrantLock();
     private final ReplicaGate gate;
+    private final UpstreamHarm harm;
+    private final EndWatch<LeafRequest> ends = new EndWatch<>();
     private final Map<String, Call> calls = new HashMap<>();
 
-    HeldUpstream(Upstream upstream, int slots, UpstreamProtocol protocol, Workers workers, MonotonicClock clock) {
+    HeldUpstream(
+            Upstream upstream,
+            int slots,
+            UpstreamProtocol protocol,
+            Workers workers,
+            MonotonicClock clock,
+            UpstreamHarm harm) {
         this.upstream = upstream;
         this.protocol = protocol;
         this.workers = workers;
         this.clock = clock;
+        this.harm = harm;
         this.gate = new ReplicaGate(slots);
     }
 
@@ -100,6 +110,11 @@
         if (call == null) {
             return;
         }
+        if (!harm.maySend(call.request())) {
+            workers.run(() -> ended(callId, new LeafOutcome.Failed(LeafFailure.HARMFUL)));
+            return;
+        }
+        ends.sent(call.request());
         Duration remaining = Duration.ofNanos(Math.max(1, call.request().deadlineNanos() - clock.nowNanos()));
         protocol.call(call.request(), remaining)
                 .subscribe()
@@ -112,6 +127,7 @@
     private void ended(String callId, LeafOutcome outcome) {
         lock.lock();
         try {
+            noteEnd(callId, outcome);
             complete(callId, outcome);
             boolean shed = outcome instanceof LeafOutcome.Failed failed && failed.failure() == LeafFailure.OVERLOADED;
             long nowNanos = clock.nowNanos();
@@ -121,6 +137,44 @@
         }
     }
 
+    /** A call that broke says something of its request only if the upstream has ended. */
+    private void noteEnd(String callId, LeafOutcome outcome) {
+        Call call = calls.get(callId);
+        if (call == null) {
+            return;
+        }
+        boolean broke = outcome instanceof LeafOutcome.Failed failed && failed.failure() == LeafFailure.CONNECTION_LOST;
+        if (!broke) {
+            ends.answered(call.request());
+            if (outcome instanceof LeafOutcome.Replied) {
+                harm.survived(call.request());
+            }
+            return;
+        }
+        boolean alreadyAsked = ends.isInDoubt();
+        ends.broke(call.request());
+        if (!alreadyAsked) {
+            protocol.takesConnections().subscribe().with(takes -> workers.run(() -> found(takes)), failure -> {});
+        }
+    }
+
+    private void found(boolean takesConnections) {
+        List<LeafRequest> onIt = List.of();
+        lock.lock();
+        try {
+            if (takesConnections) {
+                ends.isUp();
+            } else {
+                onIt = ends.isDown(clock.nowNanos());
+            }
+        } finally {
+            lock.unlock();
+        }
+        if (!onIt.isEmpty()) {
+            harm.ended(upstream.name(), onIt);
+        }
+    }
+
     private void complete(String callId, LeafOutcome outcome) {
         Call call = calls.remove(callId);
         if (call != null) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HolderService.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HolderService.java
@@ -45,6 +45,7 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final StatusBoard statuses;
+    private final UpstreamHarm harm;
     private final long startedNanos;
     private final Map<UpstreamName, Held> held = new ConcurrentHashMap<>();
     private final Set<HostAndPort> closing = ConcurrentHashMap.newKeySet();
@@ -57,7 +58,8 @@
             Workers workers,
             MonotonicClock clock,
             RandomGenerator random,
-            StatusBoard statuses) {
+            StatusBoard statuses,
+            UpstreamHarm harm) {
         this.self = self;
         this.directory = directory;
         this.protocols = protocols;
@@ -65,6 +67,7 @@
         this.clock = clock;
         this.random = random;
         this.statuses = statuses;
+        this.harm = harm;
         this.startedNanos = clock.nowNanos();
     }
 
@@ -94,6 +97,8 @@
             done.accept(new LeafOutcome.Failed(LeafFailure.HOLDER_UNREACHABLE));
         } else if (!target.mayOpen(clock.nowNanos())) {
             done.accept(new LeafOutcome.Failed(LeafFailure.HOLDER_NOT_READY));
+        } else if (!harm.maySend(request)) {
+            done.accept(new LeafOutcome.Failed(LeafFailure.HARMFUL));
         } else {
             target.upstream().submit(request, outcome -> {
                 if (outcome instanceof LeafOutcome.Failed failed && failed.failure() == LeafFailure.DRAINING) {
@@ -145,7 +150,7 @@
             return;
         }
         HeldUpstream fresh =
-                new HeldUpstream(upstream, slots, protocols.connect(upstream, connections), workers, clock);
+                new HeldUpstream(upstream, slots, protocols.connect(upstream, connections), workers, clock, harm);
         long openAtNanos = startedNanos + HolderAssignment.startDelayNanos(limits);
         Held added = new Held(fresh, share, openAtNanos);
         held.put(upstream.name(), added);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
@@ -93,6 +93,14 @@
         return reportOver(control);
     }
 
+    @Override
+    public Uni<Boolean> takesConnections() {
+        return reportOver(control)
+                .map(report -> true)
+                .onFailure()
+                .recoverWithItem(failure -> !(failure instanceof ConnectException));
+    }
+
     @Override
     public void warm() {
         for (int connection = 0; connection < callConnections; connection++) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/UpstreamProtocol.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/UpstreamProtocol.java
@@ -26,6 +26,9 @@
     /** Asks the upstream for its report; fails if none comes. */
     Uni<UpstreamReport> report();
 
+    /** Returns false if the upstream refuses connections, as after its end; true if it takes them or is silent. */
+    Uni<Boolean> takesConnections();
+
     /** Opens connections before they are needed, at most as many as were given. */
     void warm();
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/Beats.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/Beats.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.bramblerack.daemon.holder.StatusBoard;
+import org.bramblerack.daemon.holder.UpstreamHarm;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.Workers;
 import org.bramblerack.process.MembershipTable;
@@ -36,6 +37,7 @@
     private final MembershipTable membership;
     private final ServiceDirectory directory;
     private final StatusBoard statuses;
+    private final UpstreamHarm harm;
     private final Workers workers;
     private final MonotonicClock clock;
     private final Supplier<Boolean> leaving;
@@ -50,6 +52,7 @@
             MembershipTable membership,
             ServiceDirectory directory,
             StatusBoard statuses,
+            UpstreamHarm harm,
             Workers workers,
             MonotonicClock clock,
             Supplier<Boolean> leaving) {
@@ -60,6 +63,7 @@
         this.membership = membership;
         this.directory = directory;
         this.statuses = statuses;
+        this.harm = harm;
         this.workers = workers;
         this.clock = clock;
         this.leaving = leaving;
@@ -89,6 +93,7 @@
     void receive(Heartbeat beat) {
         membership.record(
                 beat.getHost(), beat.getIncarnation(), beat.getLeaving(), beat.getRevisionServed(), clock.nowNanos());
+        harm.hear(beat.getHarm());
         beat.getUpstreamsList().forEach(status -> take(beat.getHost(), status));
         Life life = new Life(beat.getIncarnation(), beat.getRevisionServed());
         if (!life.equals(livesHeard.put(beat.getHost(), life))) {
@@ -97,7 +102,9 @@
     }
 
     private void beat() {
-        Heartbeat message = message(statuses.nextBeat());
+        Heartbeat.Builder news = message(statuses.nextBeat()).toBuilder();
+        harm.nextBeat().ifPresent(news::setHarm);
+        Heartbeat message = news.build();
         network.others()
                 .forEach(host -> network.send(host, Envelope.newBuilder().setHeartbeat(message)));
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -26,6 +26,7 @@
 import org.bramblerack.daemon.holder.HolderService;
 import org.bramblerack.daemon.holder.HttpUpstreamProtocol;
 import org.bramblerack.daemon.holder.StatusBoard;
+import org.bramblerack.daemon.holder.UpstreamHarm;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
@@ -83,6 +84,7 @@
         MembershipTable membership = new MembershipTable();
         this.directory = new ServiceDirectory(settings.zone(), settings::hostsOf);
         StatusBoard statuses = new StatusBoard(settings.host(), directory);
+        UpstreamHarm harm = new UpstreamHarm(clock, wallClock);
         this.holders = new HolderService(
                 settings.host(),
                 directory,
@@ -90,7 +92,8 @@
                 workers,
                 clock,
                 random,
-                statuses);
+                statuses,
+                harm);
         this.control = controlNode(settings, network, clock, wallClock, random);
         this.client = new ControlClient(settings.host(), settings.voters(), control, network, clock);
         this.beats = new Beats(
@@ -101,6 +104,7 @@
                 membership,
                 directory,
                 statuses,
+                harm,
                 workers,
                 clock,
                 this::isLeaving);
