Bound what is remembered of answered requests, pay for the first call of a trial, say when it is over

Cause: read as a newcomer, the memory of answered requests let go of one for each that could add two; the first call of a trial was not paid for from the retry budget; a caller refused while another arrival is tried was told to come back in a minute, though the trial is over in 3 s. Change: as many go as are over the bound; the call is paid for like a retry; ON_TRIAL is a reason of its own.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -21,8 +21,8 @@
  * and what is still to be told.
  *
  * <p>Invariants: what all agreed on goes before what this host makes of its own evidence, which counts only as long as
- * nothing is agreed of a request. A request that a leaf answered a moment ago is not accused. As long as no leaf ended
- * under any request, nothing is worked out for a request. Not safe for use by several threads.
+ * nothing is agreed of a request. A request that a leaf answered a moment ago is not accused. What is kept is bounded.
+ * Not safe for use by several threads.
  */
 public final class HarmGuard {
     /**
@@ -93,8 +93,8 @@
                 acquit(fingerprint);
             }
         }
-        if (survived.size() > MAX_SURVIVED) {
-            Iterator<Fingerprint> oldestFirst = survived.keySet().iterator();
+        Iterator<Fingerprint> oldestFirst = survived.keySet().iterator();
+        for (int excess = survived.size() - MAX_SURVIVED; excess > 0; excess--) {
             oldestFirst.next();
             oldestFirst.remove();
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
@@ -10,6 +10,8 @@
     ALL_BUSY(true),
     /** Requests like it ended the leafs that ran them, so that it was sent to none. */
     HARMFUL(true),
+    /** Requests like it may have ended leafs, and another of them is being tried; it was sent to none. */
+    ON_TRIAL(true),
     /** Its time was up before any leaf was asked. */
     EXPIRED(true),
     /** Too few shards answered. */
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmRecordsTest.java
@@ -0,0 +1,118 @@
+package org.bramblerack.process.harm;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import org.bramblerack.process.members.AgreedTables;
+import org.bramblerack.wire.CommandResult;
+import org.bramblerack.wire.HarmEvidence;
+import org.bramblerack.wire.HarmRecord.Verdict;
+import org.bramblerack.wire.HarmReport;
+import org.bramblerack.wire.TakeTrial;
+import org.junit.jupiter.api.Test;
+
+/** What follows from reports of leafs that ended, step by step. */
+final class HarmRecordsTest {
+    private static final Fingerprint HARMFUL = new Fingerprint(1, 1);
+    private static final Fingerprint BYSTANDER = new Fingerprint(2, 2);
+
+    private final AgreedTables tables = new AgreedTables();
+    private long nowMillis = 1_000;
+
+    @Test
+    void oneEndIsAnAccidentTwoAreTriedThreeOnTwoArrivalsAreBarred() {
+        ended(HARMFUL, 1, 10);
+        assertThat(verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.SUSPECTED));
+        ended(HARMFUL, 1, 11);
+        assertThat(verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.ON_TRIAL));
+        ended(HARMFUL, 2, 12);
+        assertThat(verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.BARRED));
+    }
+
+    @Test
+    void anAnswerClears() {
+        ended(HARMFUL, 1, 10, 11, 12);
+        ended(HARMFUL, 2, 13);
+        tables.report(HarmReport.newBuilder().addSurvived(HARMFUL.toBytes()).build());
+        assertThat(verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.CLEARED));
+    }
+
+    @Test
+    void oneArrivalAtATimeIsTried() {
+        ended(HARMFUL, 1, 10, 11);
+        assertThat(isGranted(HARMFUL)).isTrue();
+        assertThat(isGranted(HARMFUL)).isFalse();
+        nowMillis += HarmRecords.TRIAL_MILLIS;
+        assertThat(isGranted(HARMFUL)).isTrue();
+        ended(HARMFUL, 2, 12);
+        nowMillis += HarmRecords.TRIAL_MILLIS;
+        assertThat(isGranted(HARMFUL)).isFalse();
+    }
+
+    @Test
+    void aBystanderIsExplainedByTheHarmfulOne() {
+        ended(HARMFUL, 1, 10, 11, 12, 13);
+        ended(BYSTANDER, 2, 10, 11);
+        ended(HARMFUL, 3, 14);
+        ended(BYSTANDER, 4, 12);
+        assertThat(verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.BARRED));
+        assertThat(verdict(BYSTANDER)).isEqualTo(Optional.of(Verdict.ON_TRIAL));
+    }
+
+    @Test
+    void barsOutliveASnapshotAndEndAfterAnHour() {
+        ended(HARMFUL, 1, 10, 11);
+        ended(HARMFUL, 2, 12);
+        AgreedTables restored = new AgreedTables();
+        restored.restore(tables.toSnapshot());
+        assertThat(restored.harm().verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.BARRED));
+        assertThat(restored.changesSince(0).getHarm(0).getVerdict()).isEqualTo(Verdict.BARRED);
+        assertThat(restored.changesSince(0).getHarm(0).getLeafStartsList()).isEmpty();
+        nowMillis += HarmRecords.KEEP_BARRED_MILLIS + 1;
+        ended(BYSTANDER, 9, 99);
+        assertThat(verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.CLEARED));
+    }
+
+    @Test
+    void whatIsKeptIsBoundedAndBarsGoLast() {
+        ended(HARMFUL, 1, 1, 2);
+        ended(HARMFUL, 2, 3);
+        for (int number = 0; number < 3 * HarmRecords.MAX_RECORDS; number++) {
+            long[] leafStarts = new long[40];
+            for (int each = 0; each < leafStarts.length; each++) {
+                leafStarts[each] = 1_000L * number + each;
+            }
+            ended(new Fingerprint(7, number), 5, leafStarts);
+        }
+        assertThat(tables.harm().all().size()).isAtMost(HarmRecords.MAX_RECORDS);
+        assertThat(tables.harm().all().stream()
+                        .mapToInt(record -> record.getLeafStartsCount())
+                        .sum())
+                .isAtMost(HarmRecords.MAX_ENDS_IN_ALL);
+        assertThat(verdict(HARMFUL)).isEqualTo(Optional.of(Verdict.BARRED));
+    }
+
+    private Optional<Verdict> verdict(Fingerprint fingerprint) {
+        return tables.harm().verdict(fingerprint);
+    }
+
+    private boolean isGranted(Fingerprint fingerprint) {
+        TakeTrial trial = TakeTrial.newBuilder()
+                .addFingerprints(fingerprint.toBytes())
+                .setAtMillis(nowMillis)
+                .build();
+        return tables.take(trial).getKind() == CommandResult.Kind.ACCEPTED;
+    }
+
+    private void ended(Fingerprint fingerprint, long arrival, long... leafStarts) {
+        HarmEvidence.Builder evidence =
+                HarmEvidence.newBuilder().setFingerprint(fingerprint.toBytes()).addArrivals(arrival);
+        for (long leafStart : leafStarts) {
+            evidence.addLeafStarts(leafStart);
+        }
+        tables.report(HarmReport.newBuilder()
+                .addEnded(evidence)
+                .setAtMillis(nowMillis)
+                .build());
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -29,6 +29,8 @@
     /** When to come back after leafs were full or late: a few times the work of one request. */
     private static final String RETRY_BUSY_SECONDS = "0.1";
 
+    /** When to come back with a request of which another is being tried: once that is over. */
+    private static final String RETRY_ON_TRIAL_SECONDS = "3";
     /**
      * When to come back with a request that is sent to no leaf: it stays so for an hour, unless it was taken for
      * another, which shows within seconds.
@@ -83,6 +85,11 @@
                                 UNAVAILABLE,
                                 RETRY_HARMFUL_SECONDS,
                                 "not run: requests like this one ended the leafs that ran them; ask the operator");
+                    case ON_TRIAL ->
+                        new Told(
+                                UNAVAILABLE,
+                                RETRY_ON_TRIAL_SECONDS,
+                                "not run: leafs ended with requests like this one, and another one is being tried");
                     case EXPIRED ->
                         new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
                     case TIME_UP -> new Told(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -207,7 +207,7 @@
             }
             switch (result) {
                 case SERVE -> serve(exchange, call, caller);
-                case NOT_RUN -> refuse(call, caller, RefusalReason.HARMFUL);
+                case NOT_RUN -> refuse(call, caller, RefusalReason.ON_TRIAL);
                 default -> refuse(call, caller, RefusalReason.OUTCOME_UNKNOWN);
             }
         });
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -107,7 +107,9 @@
         Optional<Leaf> leaf = view.pool(shard)
                 .permitted(call.route().homes())
                 .choose(candidate -> true, expectedNanos, random, nowNanos);
-        if (leaf.isEmpty()) {
+        // One leaf more than the query needs, so it is paid for like a retry.
+        if (leaf.isEmpty()
+                || !view.pool(shard).permitted(call.route().homes()).budget().tryWithdraw(nowNanos)) {
             taker.accept(Result.NOT_RUN);
             return;
         }
