--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -5,16 +5,19 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.leaf.LeafAnswer;
+import org.bramblerack.daemon.leaf.LeafConnections;
 import org.bramblerack.daemon.leaf.LeafExchange;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.harm.Fingerprint;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.StageCall;
@@ -104,18 +107,19 @@
         long nowNanos = clock.nowNanos();
         long expectedNanos = view.latency(call.route()).medianNanos();
         String shard = services.get(random.nextInt(services.size()));
-        Optional<Leaf> leaf = view.pool(shard)
-                .permitted(call.route().homes())
-                .choose(candidate -> true, expectedNanos, random, nowNanos);
+        PermittedLeaves pool = view.pool(shard).permitted(call.route().homes());
+        Optional<Leaf> leaf = pool.choose(candidate -> true, expectedNanos, random, nowNanos);
         // One leaf more than the query needs, so it is paid for like a retry.
-        if (leaf.isEmpty()
-                || !view.pool(shard).permitted(call.route().homes()).budget().tryWithdraw(nowNanos)) {
+        if (leaf.isEmpty() || !pool.budget().tryWithdraw(nowNanos)) {
             taker.accept(Result.NOT_RUN);
             return;
         }
         First first = new First(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), taker);
-        runs.holderPath(query.get())
+        LeafConnections.Ticket ticket = runs.holderPath(query.get())
                 .send(leaf.get(), call.request(), call.times().leafDeadlineNanos(), first);
+        // Half of the time that is left: the query itself needs the rest.
+        long waitNanos = Math.max(0, call.times().deadlineNanos() - nowNanos) / 2;
+        loop.schedule(() -> first.giveUp(ticket), waitNanos, TimeUnit.NANOSECONDS);
     }
 
     /** The call on the first shard. */
@@ -123,6 +127,7 @@
         private final Leaf leaf;
         private final Leaf.Call call;
         private final Consumer<Result> taker;
+        private boolean over;
 
         First(Leaf leaf, Leaf.Call call, Consumer<Result> taker) {
             this.leaf = leaf;
@@ -132,14 +137,31 @@
 
         @Override
         public void answered(LeafAnswer answer) {
-            leaf.end(call, answer.outcome(), answer.load(), clock.nowNanos());
-            taker.accept(answer.outcome().isNotRun() ? Result.NOT_RUN : Result.SERVE);
+            if (!over) {
+                leaf.end(call, answer.outcome(), answer.load(), clock.nowNanos());
+                end(answer.outcome().isNotRun() ? Result.NOT_RUN : Result.SERVE);
+            }
         }
 
         @Override
         public void failed(LeafOutcome outcome) {
-            leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
-            taker.accept(outcome.isNotRun() ? Result.NOT_RUN : Result.LOST);
+            if (!over) {
+                leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
+                end(outcome.isNotRun() ? Result.NOT_RUN : Result.LOST);
+            }
+        }
+
+        void giveUp(LeafConnections.Ticket ticket) {
+            if (!over) {
+                leaf.abandon(call, clock.nowNanos());
+                end(Result.LOST);
+                ticket.giveUp();
+            }
+        }
+
+        private void end(Result result) {
+            over = true;
+            taker.accept(result);
         }
     }
 }
