Count calls that break, give fruitless trials back, and bar nothing for one moment

Change: calls that break are told until a leaf answers the request, and put it on trial on two arrivals, bar it on three once one leaf was seen to end. A query that was lost whole is on trial from one end on. A trial that reached no leaf is given back; other arrivals look again twice, 80 ms apart, before they are refused. Nothing is barred for what happened within one second. A connection that was begun before a leaf came into doubt does not clear it, nor does an answer that only says that the time was up. A host that control does not answer tries a request once in 1.5 s, also one that it has no evidence of.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/EndWatch.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/EndWatch.java
@@ -30,6 +30,7 @@
     private final List<T> broken = new ArrayList<>(0);
     private final Deque<GivenUp<T>> givenUp = new ArrayDeque<>(0);
     private boolean inDoubtWithoutBreak;
+    private long inDoubtSinceNanos;
 
     /** Notes that a call was sent. */
     public void sent(T call) {
@@ -53,8 +54,9 @@
     }
 
     /** Notes that the connection of a call ended; whether the leaf has is to be found out by connecting to it. */
-    public void broke(T call) {
+    public void broke(T call, long nowNanos) {
         if (atWork.remove(call)) {
+            doubt(nowNanos);
             broken.add(call);
         }
     }
@@ -65,7 +67,16 @@
      */
     public void idleEnded(long nowNanos) {
         GivenUp<T> last = givenUp.peekLast();
-        inDoubtWithoutBreak |= last != null && isOfLate(last, nowNanos);
+        if (last != null && isOfLate(last, nowNanos)) {
+            doubt(nowNanos);
+            inDoubtWithoutBreak = true;
+        }
+    }
+
+    private void doubt(long nowNanos) {
+        if (!isInDoubt()) {
+            inDoubtSinceNanos = nowNanos;
+        }
     }
 
     /** Returns true while it is to be found out whether the leaf has ended. */
@@ -73,10 +84,17 @@
         return inDoubtWithoutBreak || !broken.isEmpty();
     }
 
-    /** Notes that the leaf takes connections: what broke broke for another reason. */
-    public void isUp() {
-        broken.clear();
-        inDoubtWithoutBreak = false;
+    /**
+     * Notes that the leaf took a connection: what broke broke for another reason. A connection that was begun before
+     * the leaf came into doubt says nothing: the leaf may have taken it and ended then.
+     *
+     * @param begunNanos when the connection was begun
+     */
+    public void isUp(long begunNanos) {
+        if (isInDoubt() && begunNanos - inDoubtSinceNanos >= 0) {
+            broken.clear();
+            inDoubtWithoutBreak = false;
+        }
     }
 
     /** Notes that the leaf takes no connections, and returns the calls that were on it, if it was in doubt. */
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -32,6 +32,8 @@
     private static final long SURVIVED_NANOS = Duration.ofSeconds(10).toNanos();
     /** How many survived requests are remembered: some seconds' worth of the most that a host is planned for. */
     private static final int MAX_SURVIVED = 4_096;
+    /** How many requests are remembered that were tried by the word of this host alone: as many as are on trial. */
+    private static final int MAX_TRIED_ALONE = HarmRecords.MAX_RECORDS;
     /** How many ends wait to be told; beyond that, what is new is left to other hosts, that see it as well. */
     private static final int MAX_PENDING_ENDS = 4_096;
     /** How many ends and fingerprints go into one report: about 10 KB. */
@@ -39,7 +41,8 @@
 
     private final Map<Fingerprint, HarmRecord.Verdict> agreed = new HashMap<>();
     private final HarmRecords own = new HarmRecords();
-    private final LinkedHashMap<Fingerprint, Long> survived = new LinkedHashMap<>();
+    private final Map<Fingerprint, Long> survived = new LinkedHashMap<>();
+    private final Map<Fingerprint, Long> triedAlone = new LinkedHashMap<>();
     private final Map<Fingerprint, Untold> pendingEnds = new LinkedHashMap<>();
     private final Set<Fingerprint> pendingSurvived = new LinkedHashSet<>();
     private int pendingEndCount;
@@ -48,7 +51,7 @@
 
     /** Returns whether a request may be sent to leafs; works its fingerprints out only if any request may not. */
     public Permission permission(Supplier<Fingerprints> request) {
-        if (agreedRestricted + ownRestricted == 0) {
+        if (!holdsBackAny()) {
             return Permission.FREE;
         }
         Fingerprints fingerprints = request.get();
@@ -57,6 +60,11 @@
         return exact.compareTo(path) > 0 ? exact : path;
     }
 
+    /** Returns true if any request may not be sent to leafs freely. */
+    public boolean holdsBackAny() {
+        return agreedRestricted + ownRestricted > 0;
+    }
+
     /** Returns how many requests are barred or on trial by agreement, for a log line. */
     public int restrictedCount() {
         return agreedRestricted;
@@ -83,21 +91,50 @@
         takeOwn(seen.build());
     }
 
+    /**
+     * Notes that a call was sent and broke. That bars nothing by itself, but leafs may be back before a host has found
+     * that they ended; then arrivals that broke, and none that was answered, are all that shows.
+     */
+    public void broke(Arrival arrival, long nowNanos) {
+        HarmReport.Builder seen = HarmReport.newBuilder().setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos));
+        for (Fingerprint fingerprint : arrival.fingerprints().all()) {
+            if (!survivedOfLate(fingerprint, nowNanos)) {
+                tellBroken(fingerprint, List.of(arrival.digest()));
+                seen.addEnded(HarmEvidence.newBuilder()
+                        .setFingerprint(fingerprint.toBytes())
+                        .addBrokenArrivals(arrival.digest()));
+            }
+        }
+        takeOwn(seen.build());
+    }
+
+    private boolean isAccused(Fingerprint fingerprint) {
+        return agreed.containsKey(fingerprint)
+                || own.verdict(fingerprint).filter(HarmGuard::accuses).isPresent();
+    }
+
+    /** Notes that a query over several shards broke and was given up before a leaf of any shard had answered it. */
+    public void lostWhole(Arrival arrival, long nowNanos) {
+        HarmReport.Builder seen = HarmReport.newBuilder().setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos));
+        for (Fingerprint fingerprint : arrival.fingerprints().all()) {
+            if (!survivedOfLate(fingerprint, nowNanos) && pendingEnds.size() < MAX_PENDING_ENDS) {
+                untold(fingerprint).lostWhole = true;
+                seen.addEnded(HarmEvidence.newBuilder()
+                        .setFingerprint(fingerprint.toBytes())
+                        .setLostWhole(true));
+            }
+        }
+        takeOwn(seen.build());
+    }
+
     /** Notes that a leaf answered a request, with success or a failure of its own. */
     public void survived(Fingerprints request, long nowNanos) {
         for (Fingerprint fingerprint : request.all()) {
-            survived.remove(fingerprint);
-            survived.put(fingerprint, nowNanos);
-            if (agreed.containsKey(fingerprint)
-                    || own.verdict(fingerprint).filter(HarmGuard::accuses).isPresent()) {
+            noteLast(survived, fingerprint, nowNanos, MAX_SURVIVED);
+            if (isAccused(fingerprint)) {
                 acquit(fingerprint);
             }
         }
-        Iterator<Fingerprint> oldestFirst = survived.keySet().iterator();
-        for (int excess = survived.size() - MAX_SURVIVED; excess > 0; excess--) {
-            oldestFirst.next();
-            oldestFirst.remove();
-        }
     }
 
     /**
@@ -134,10 +171,52 @@
      * Has an arrival of a request tried by the word of this host alone, unless another is: for a host to which control
      * gives no answer.
      */
-    public boolean tryAlone(Fingerprints request, long nowNanos) {
-        TakeTrial.Builder trial = TakeTrial.newBuilder().setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos));
-        request.all().forEach(fingerprint -> trial.addFingerprints(fingerprint.toBytes()));
-        return own.tryOnce(trial.build());
+    public boolean tryAlone(Arrival arrival, long nowNanos) {
+        Fingerprints request = arrival.fingerprints();
+        if (request.all().stream().anyMatch(fingerprint -> triedOfLate(fingerprint, nowNanos))) {
+            return false;
+        }
+        boolean granted = own.tryOnce(trialOf(arrival)
+                .setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos))
+                .build());
+        if (granted) {
+            request.all().forEach(fingerprint -> noteLast(triedAlone, fingerprint, nowNanos, MAX_TRIED_ALONE));
+        }
+        return granted;
+    }
+
+    /** Takes back a trial by the word of this host alone that reached no leaf. */
+    public void giveBack(Arrival arrival) {
+        arrival.fingerprints().all().forEach(triedAlone::remove);
+        own.giveBack(trialOf(arrival).build());
+    }
+
+    /** Returns the question whether an arrival may be tried, without the time. */
+    public static TakeTrial.Builder trialOf(Arrival arrival) {
+        TakeTrial.Builder trial = TakeTrial.newBuilder().setArrival(arrival.digest());
+        arrival.fingerprints().all().forEach(fingerprint -> trial.addFingerprints(fingerprint.toBytes()));
+        return trial;
+    }
+
+    /** Another host may have told of the request, so that there is no evidence of this host's own to hold the time. */
+    private boolean triedOfLate(Fingerprint fingerprint, long nowNanos) {
+        Long atNanos = triedAlone.get(fingerprint);
+        return atNanos != null && nowNanos - atNanos < TimeUnit.MILLISECONDS.toNanos(HarmRecords.TRIAL_MILLIS);
+    }
+
+    /** Notes the time of what was done with a request, and forgets what was noted first beyond a bound. */
+    private static void noteLast(Map<Fingerprint, Long> times, Fingerprint fingerprint, long nowNanos, int bound) {
+        times.remove(fingerprint);
+        times.put(fingerprint, nowNanos);
+        forgetFirst(times, bound);
+    }
+
+    private static void forgetFirst(Map<Fingerprint, ?> noted, int bound) {
+        Iterator<Fingerprint> firstNoted = noted.keySet().iterator();
+        for (int excess = noted.size() - bound; excess > 0; excess--) {
+            firstNoted.next();
+            firstNoted.remove();
+        }
     }
 
     /** Takes what is to be told, if anything is; it counts as told unless it is handed back. */
@@ -159,10 +238,12 @@
             Map.Entry<Fingerprint, Untold> next = accused.next();
             report.addEnded(HarmEvidence.newBuilder()
                     .setFingerprint(next.getKey().toBytes())
-                    .addAllLeafStarts(next.getValue().leafStarts())
-                    .addAllArrivals(next.getValue().arrivals()));
-            size += next.getValue().leafStarts().size() + 1;
-            pendingEndCount -= next.getValue().leafStarts().size();
+                    .addAllLeafStarts(next.getValue().leafStarts)
+                    .addAllArrivals(next.getValue().arrivals)
+                    .setLostWhole(next.getValue().lostWhole)
+                    .addAllBrokenArrivals(next.getValue().brokenArrivals));
+            size += next.getValue().leafStarts.size() + 1;
+            pendingEndCount -= next.getValue().leafStarts.size();
             accused.remove();
         }
         return Optional.of(report.build());
@@ -215,7 +296,7 @@
     private void acquit(Fingerprint fingerprint) {
         pendingSurvived.add(fingerprint);
         Untold untold = pendingEnds.remove(fingerprint);
-        pendingEndCount -= untold == null ? 0 : untold.leafStarts().size();
+        pendingEndCount -= untold == null ? 0 : untold.leafStarts.size();
         takeOwn(HarmReport.newBuilder().addSurvived(fingerprint.toBytes()).build());
     }
 
@@ -223,22 +304,40 @@
         if (pendingEndCount >= MAX_PENDING_ENDS) {
             return;
         }
-        Untold untold = pendingEnds.computeIfAbsent(
-                fingerprint, unused -> new Untold(new LinkedHashSet<>(), new LinkedHashSet<>()));
-        untold.arrivals().add(arrival);
-        if (untold.leafStarts().add(leafStart)) {
+        Untold untold = untold(fingerprint);
+        untold.arrivals.add(arrival);
+        if (untold.leafStarts.add(leafStart)) {
             pendingEndCount++;
         }
     }
 
+    private void tellBroken(Fingerprint fingerprint, List<Long> arrivals) {
+        if (!arrivals.isEmpty() && pendingEnds.size() < MAX_PENDING_ENDS) {
+            untold(fingerprint).brokenArrivals.addAll(arrivals);
+        }
+    }
+
+    private Untold untold(Fingerprint fingerprint) {
+        return pendingEnds.computeIfAbsent(fingerprint, unused -> new Untold());
+    }
+
     private void tellAgain(Fingerprint fingerprint, HarmEvidence evidence) {
+        tellBroken(fingerprint, evidence.getBrokenArrivalsList());
+        if (evidence.getLostWhole()) {
+            untold(fingerprint).lostWhole = true;
+        }
         for (long arrival : evidence.getArrivalsList()) {
             evidence.getLeafStartsList().forEach(leafStart -> tellEnd(fingerprint, leafStart, arrival));
         }
     }
 
     /** What is still to be told of one request. */
-    private record Untold(Set<Long> leafStarts, Set<Long> arrivals) {}
+    private static final class Untold {
+        private final Set<Long> leafStarts = new LinkedHashSet<>();
+        private final Set<Long> arrivals = new LinkedHashSet<>(2);
+        private final Set<Long> brokenArrivals = new LinkedHashSet<>(2);
+        private boolean lostWhole;
+    }
 
     private void takeOwn(HarmReport report) {
         own.take(report, 0);
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
@@ -1,6 +1,7 @@
 package org.bramblerack.process.harm;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Sets;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -35,14 +36,27 @@
 
     /**
      * From how many ends on a request is on trial: one fewer, since the only host that saw an end may be gone or cut
-     * off. A trial costs a bystander some tens of milliseconds.
+     * off. A trial costs a bystander some tens of milliseconds. A query that no leaf of any shard answered is on trial
+     * from the first end on: the host gave the other calls up, so it did not see what became of these leafs.
      */
     public static final int ENDS_TO_TRY = 2;
 
-    /** How often a request comes that can be no bystander each time: callers mostly try again once. */
+    /**
+     * How often a request comes that can be no bystander each time: callers mostly try again once. Arrivals whose call
+     * broke count as well once one leaf was found to have ended: a leaf may be back before a host has looked.
+     */
     static final int ARRIVALS_OF_HARM = 3;
-    /** For how long nobody else may try a request: the longest work of a leaf, and word of what came of it. */
-    static final long TRIAL_MILLIS = 3_000;
+    /**
+     * For how long nobody else may try a request: the work of a leaf, mostly under 200 ms, and word of what came of it,
+     * another 500. A trial that takes longer still counts, as an arrival that broke or an end.
+     */
+    static final long TRIAL_MILLIS = 1_500;
+    /**
+     * How far apart in time what is held against a request must be. All that happens in one moment may be one failure
+     * of many leafs, with callers that come again at once; a harmful request shows again when it comes later, which
+     * costs one trial.
+     */
+    static final long LEAST_SPREAD_MILLIS = 1_000;
     /** How many arrivals of a request are told apart. */
     static final int MAX_ARRIVALS = 8;
     /** How many records are kept: with the ends below, about a megabyte and a half. */
@@ -87,11 +101,21 @@
         }
         boolean free = onTrial.stream().noneMatch(held -> held.isBarred() || clockMillis < held.trialUntilMillis);
         if (free) {
-            onTrial.forEach(held -> held.trialUntilMillis = clockMillis + TRIAL_MILLIS);
+            onTrial.forEach(held -> held.grantTrial(trial.getArrival(), clockMillis + TRIAL_MILLIS));
         }
         return free;
     }
 
+    /** Takes back the trial of an arrival that reached no leaf, so that another one may be tried at once. */
+    public void giveBack(TakeTrial trial) {
+        for (ByteString bytes : trial.getFingerprintsList()) {
+            Fingerprint.fromBytes(bytes)
+                    .map(records::get)
+                    .filter(held -> held.trialArrival == trial.getArrival())
+                    .ifPresent(held -> held.trialUntilMillis = 0);
+        }
+    }
+
     /** Returns true if a report says anything that is not known. */
     public boolean wouldChange(HarmReport report) {
         return report.getEndedList().stream().anyMatch(this::isNews)
@@ -129,6 +153,9 @@
                         .toRecord(entry.getKey())
                         .addAllLeafStarts(entry.getValue().leafStarts)
                         .addAllArrivals(entry.getValue().arrivals)
+                        .setLostWhole(entry.getValue().lostWhole)
+                        .setTrialArrival(entry.getValue().trialArrival)
+                        .addAllBrokenArrivals(entry.getValue().brokenArrivals)
                         .build())
                 .collect(ImmutableList.toImmutableList());
     }
@@ -160,24 +187,35 @@
                 .orElse(null);
         return held == null
                 || !held.leafStarts.containsAll(evidence.getLeafStartsList())
-                || (held.arrivals.size() < MAX_ARRIVALS && !held.arrivals.containsAll(evidence.getArrivalsList()));
+                || (held.arrivals.size() < MAX_ARRIVALS && !held.arrivals.containsAll(evidence.getArrivalsList()))
+                || (evidence.getLostWhole() && !held.lostWhole)
+                || (held.brokenArrivals.size() < MAX_ARRIVALS
+                        && !held.brokenArrivals.containsAll(evidence.getBrokenArrivalsList()));
     }
 
     private void add(Fingerprint fingerprint, HarmEvidence evidence) {
         Held held = records.computeIfAbsent(fingerprint, unused -> new Held(++lastNumber));
         for (long leafStart : evidence.getLeafStartsList()) {
             if (held.leafStarts.size() < MAX_ENDS && held.leafStarts.add(leafStart)) {
-                held.seenMillis = clockMillis;
-                held.cleared = false;
+                held.accuse(clockMillis);
             }
         }
-        for (long arrival : evidence.getArrivalsList()) {
-            if (held.arrivals.size() < MAX_ARRIVALS) {
-                held.arrivals.add(arrival);
-            }
+        held.lostWhole |= evidence.getLostWhole();
+        boolean isNew = addSome(evidence.getArrivalsList(), held.arrivals);
+        if (addSome(evidence.getBrokenArrivalsList(), held.brokenArrivals) || isNew) {
+            held.accuse(clockMillis);
         }
     }
 
+    /** Adds arrivals up to the bound and returns true if any of them is new. */
+    private static boolean addSome(List<Long> arrivals, Set<Long> known) {
+        boolean isNew = false;
+        for (long arrival : arrivals) {
+            isNew |= known.size() < MAX_ARRIVALS && known.add(arrival);
+        }
+        return isNew;
+    }
+
     private void clear(Fingerprint fingerprint) {
         Held held = records.get(fingerprint);
         if (held != null) {
@@ -194,8 +232,10 @@
         List<Held> candidates = new ArrayList<>();
         for (Held held : records.values()) {
             held.barred = false;
-            held.onTrial = held.leafStarts.size() >= ENDS_TO_TRY;
-            if (held.leafStarts.size() >= ENDS_TO_BAR) {
+            held.onTrial = held.leafStarts.size() >= ENDS_TO_TRY
+                    || held.lostArrivals() >= ENDS_TO_TRY
+                    || (held.lostWhole && !held.leafStarts.isEmpty());
+            if (!held.leafStarts.isEmpty()) {
                 candidates.add(held);
             }
         }
@@ -211,7 +251,10 @@
 
     /** Returns true if a request ends leafs itself, as far as that can be told. */
     private static boolean isHarmful(Held held, Set<Long> explained) {
-        if (held.arrivals.size() >= ARRIVALS_OF_HARM) {
+        if (held.seenMillis - held.firstMillis < LEAST_SPREAD_MILLIS) {
+            return false;
+        }
+        if (held.lostArrivals() >= ARRIVALS_OF_HARM) {
             return true;
         }
         long unexplained = held.leafStarts.stream()
@@ -231,7 +274,8 @@
     }
 
     /**
-     * Lets go of cleared records first, then of suspicions, the oldest first, and of a bar only if there is no other.
+     * Lets go of cleared records first, then of suspicions, those without an end and the oldest first, and of a bar
+     * only if there is no other.
      */
     private void boundSize() {
         long ends = records.values().stream()
@@ -244,6 +288,7 @@
         leastFirst.sort(Comparator.comparing(
                         (Map.Entry<Fingerprint, Held> entry) -> entry.getValue().isBarred())
                 .thenComparing(entry -> !entry.getValue().cleared)
+                .thenComparing(entry -> !entry.getValue().leafStarts.isEmpty())
                 .thenComparing(entry -> entry.getValue().seenMillis)
                 .thenComparing(entry -> entry.getValue().number));
         for (Map.Entry<Fingerprint, Held> entry : leastFirst) {
@@ -270,15 +315,21 @@
 
     /** One request's record. */
     private static final class Held {
+        private static final long NOT_SEEN = -1;
+
         private final long number;
         private final Set<Long> leafStarts = new LinkedHashSet<>();
         private final Set<Long> arrivals = new LinkedHashSet<>(2);
+        private final Set<Long> brokenArrivals = new LinkedHashSet<>(0);
         private HarmRecord.Verdict verdict = HarmRecord.Verdict.VERDICT_UNSPECIFIED;
         private boolean barred;
         private boolean onTrial;
+        private boolean lostWhole;
         private long trialUntilMillis;
+        private long trialArrival;
         private boolean cleared;
         private long changedRevision;
+        private long firstMillis = NOT_SEEN;
         private long seenMillis;
 
         Held(long number) {
@@ -289,23 +340,46 @@
             Held held = new Held(record.getNumber());
             held.leafStarts.addAll(record.getLeafStartsList());
             held.arrivals.addAll(record.getArrivalsList());
+            held.brokenArrivals.addAll(record.getBrokenArrivalsList());
             held.verdict = record.getVerdict();
             held.barred = record.getVerdict() == HarmRecord.Verdict.BARRED;
             held.cleared = record.getVerdict() == HarmRecord.Verdict.CLEARED;
             held.changedRevision = record.getChangedRevision();
             held.seenMillis = record.getSeenMillis();
+            held.firstMillis = record.getFirstMillis();
             held.onTrial = record.getVerdict() == HarmRecord.Verdict.ON_TRIAL;
             held.trialUntilMillis = record.getTrialUntilMillis();
+            held.lostWhole = record.getLostWhole();
+            held.trialArrival = record.getTrialArrival();
             return held;
         }
 
+        void grantTrial(long arrival, long untilMillis) {
+            trialArrival = arrival;
+            trialUntilMillis = untilMillis;
+        }
+
+        /** Returns how many arrivals are known that were on a leaf that ended, or whose call broke. */
+        int lostArrivals() {
+            return Sets.union(arrivals, brokenArrivals).size();
+        }
+
         boolean isBarred() {
             return barred;
         }
 
+        void accuse(long nowMillis) {
+            firstMillis = firstMillis == NOT_SEEN ? nowMillis : firstMillis;
+            seenMillis = nowMillis;
+            cleared = false;
+        }
+
         void clear(long nowMillis) {
+            firstMillis = NOT_SEEN;
             leafStarts.clear();
             arrivals.clear();
+            brokenArrivals.clear();
+            lostWhole = false;
             cleared = true;
             barred = false;
             onTrial = false;
@@ -328,6 +402,7 @@
                     .setVerdict(verdict)
                     .setChangedRevision(changedRevision)
                     .setSeenMillis(seenMillis)
+                    .setFirstMillis(firstMillis)
                     .setTrialUntilMillis(trialUntilMillis)
                     .setNumber(number);
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
@@ -138,8 +138,12 @@
         return result(CommandResult.Kind.ACCEPTED);
     }
 
-    /** Has an arrival of a request that is on trial tried, unless another is. */
+    /** Has an arrival of a request that is on trial tried, unless another is; or takes that back. */
     public CommandResult take(TakeTrial trial) {
+        if (trial.getGivenBack()) {
+            harm.giveBack(trial);
+            return result(CommandResult.Kind.ACCEPTED);
+        }
         return result(harm.tryOnce(trial) ? CommandResult.Kind.ACCEPTED : CommandResult.Kind.CONFLICT);
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -248,6 +248,11 @@
         return shards.count() - parts.count();
     }
 
+    /** Returns true while no shard is in. */
+    public boolean hasNothing() {
+        return parts.count() == 0;
+    }
+
     /** Returns in words which shards are not in and why, for a log line. */
     public String describeMissing(long nowNanos) {
         return shards.describeWithout(parts.shards(), nowNanos) + stages.describe();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -29,8 +29,11 @@
     /** When to come back after leafs were full or late: a few times the work of one request. */
     private static final String RETRY_BUSY_SECONDS = "0.1";
 
-    /** When to come back with a request of which another is being tried: once that is over. */
-    private static final String RETRY_ON_TRIAL_SECONDS = "3";
+    /**
+     * When to come back with a request of which another is being tried: a bystander is cleared well before the 1.5 s
+     * are over for which nobody else may be tried.
+     */
+    private static final String RETRY_ON_TRIAL_SECONDS = "0.5";
     /**
      * When to come back with a request that is sent to no leaf: it stays so for an hour, unless it was taken for
      * another, which shows within seconds.
@@ -40,6 +43,7 @@
     private final HttpExchange exchange;
     private final CallHeaders names;
     private final GatewayMetrics metrics;
+    private Runnable onNotRun = () -> {};
 
     CallerAnswers(HttpExchange exchange, CallHeaders names, GatewayMetrics metrics) {
         this.exchange = exchange;
@@ -71,9 +75,17 @@
         exchange.respond(response);
     }
 
+    /** Sets what to do if the request turns out not to have run. */
+    void onNotRun(Runnable task) {
+        onNotRun = task;
+    }
+
     @Override
     public void refuse(RefusalReason reason) {
         metrics.refused(reason);
+        if (reason.isNotRun()) {
+            onNotRun.run();
+        }
         Told told =
                 switch (reason) {
                     case NO_LEAF -> new Told(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf takes this request now");
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -206,8 +206,12 @@
                 return;
             }
             switch (result) {
-                case SERVE -> serve(exchange, call, caller);
+                case SERVE -> {
+                    caller.onNotRun(() -> trials.giveBack(call));
+                    serve(exchange, call, caller);
+                }
                 case NOT_RUN -> refuse(call, caller, RefusalReason.ON_TRIAL);
+                case BARRED -> refuse(call, caller, RefusalReason.HARMFUL);
                 default -> refuse(call, caller, RefusalReason.OUTCOME_UNKNOWN);
             }
         });
@@ -226,6 +230,7 @@
                     runs.stageCaller(queryCall(exchange, call, target), target.shards(), call.times(), call.request());
             ScatterRun run = runs.scatter(call, target, stageCaller, caller);
             run.onSealedAtGoal(writtenNanos -> sealLead.sealed(call.times().goalNanos(), writtenNanos));
+            run.onLostWhole(() -> view.harm().lostWhole(call.request().arrival(), clock.nowNanos()));
             begin(exchange, call, target, run);
         } else {
             ForwardRun run = runs.forward(call, serviceOf(route), () -> stageCall(exchange, call), caller);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -14,7 +14,7 @@
 import org.bramblerack.daemon.leaf.LeafExchange;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.harm.Fingerprint;
+import org.bramblerack.process.harm.HarmGuard;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.PermittedLeaves;
@@ -34,6 +34,13 @@
     private static final Logger LOGGER = System.getLogger(HarmTrials.class.getName());
     /** How long a caller is kept waiting for the grant: agreement takes some tens of milliseconds. */
     private static final Duration GRANT_WAIT = Duration.ofMillis(300);
+    /**
+     * How long an arrival waits while another one is tried, before it looks again. A bystander is cleared by the first
+     * answer, so that it is served a moment later instead of being sent away.
+     */
+    private static final Duration OTHER_TRIAL_WAIT = Duration.ofMillis(80);
+    /** How often it asks: a trial that has brought nothing by then is rather of a harmful request. */
+    private static final int ASKS = 3;
 
     private final FleetView view;
     private final QueryRuns runs;
@@ -64,8 +71,10 @@
     enum Result {
         /** It is to be served. */
         SERVE,
-        /** It is not to be sent to leafs, and was not. */
+        /** Another one is being tried, so that it was sent to no leaf. */
         NOT_RUN,
+        /** It is sent to no leaf any more. */
+        BARRED,
         /** It was sent to a leaf and may have run. */
         LOST
     }
@@ -76,28 +85,70 @@
      * @param query tells what other hosts are told of the request
      */
     void tryOut(RoutedCall call, Supplier<StageCall> query, Consumer<Result> taker) {
-        TakeTrial.Builder trial = TakeTrial.newBuilder();
-        call.request().fingerprints().all().stream().map(Fingerprint::toBytes).forEach(trial::addFingerprints);
+        ask(call, query, ASKS, taker);
+    }
+
+    private void ask(RoutedCall call, Supplier<StageCall> query, int asksLeft, Consumer<Result> taker) {
+        TakeTrial.Builder trial = HarmGuard.trialOf(call.request().arrival());
         network.request(controlHost.get(), Envelope.newBuilder().setTakeTrial(trial), GRANT_WAIT)
                 .subscribe()
-                .with(reply -> loop.execute(() -> decided(reply.getTakeTrialResult(), call, query, taker)), failure -> {
-                    LOGGER.log(Logger.Level.DEBUG, "no word on a trial: {0}", failure.getMessage());
-                    loop.execute(() -> decided(TakeTrialResult.getDefaultInstance(), call, query, taker));
-                });
+                .with(
+                        reply -> loop.execute(
+                                () -> decided(reply.getTakeTrialResult(), call, query, asksLeft - 1, taker)),
+                        failure -> {
+                            LOGGER.log(Logger.Level.DEBUG, "no word on a trial: {0}", failure.getMessage());
+                            TakeTrialResult undecided = TakeTrialResult.getDefaultInstance();
+                            loop.execute(() -> decided(undecided, call, query, asksLeft - 1, taker));
+                        });
     }
 
     /** A host to which control gives no answer tries by itself: cut off, it serves what it can. */
-    private void decided(TakeTrialResult result, RoutedCall call, Supplier<StageCall> query, Consumer<Result> taker) {
+    private void decided(
+            TakeTrialResult result, RoutedCall call, Supplier<StageCall> query, int asksLeft, Consumer<Result> taker) {
         boolean granted = result.getDecided()
                 ? result.getGranted()
-                : view.harm().tryAlone(call.request().fingerprints(), clock.nowNanos());
+                : view.harm().tryAlone(call.request().arrival(), clock.nowNanos());
         if (granted) {
-            sendFirst(call, query, taker);
+            sendFirst(call, query, firstResult -> {
+                if (firstResult == Result.NOT_RUN) {
+                    giveBack(call);
+                }
+                taker.accept(firstResult);
+            });
+        } else if (asksLeft > 0 && hasTimeToWait(call)) {
+            loop.schedule(
+                    () -> lookAgain(call, query, asksLeft, taker), OTHER_TRIAL_WAIT.toMillis(), TimeUnit.MILLISECONDS);
         } else {
             taker.accept(Result.NOT_RUN);
         }
     }
 
+    private boolean hasTimeToWait(RoutedCall call) {
+        return call.times().deadlineNanos() - clock.nowNanos() > 2 * OTHER_TRIAL_WAIT.toNanos();
+    }
+
+    private void lookAgain(RoutedCall call, Supplier<StageCall> query, int asksLeft, Consumer<Result> taker) {
+        switch (view.harm().permission(call.request()::fingerprints)) {
+            case FREE -> taker.accept(Result.SERVE);
+            case ON_TRIAL -> ask(call, query, asksLeft, taker);
+            default -> taker.accept(Result.BARRED);
+        }
+    }
+
+    /** Lets another arrival be tried at once, since the one that was granted a trial reached no leaf. */
+    void giveBack(RoutedCall call) {
+        view.harm().giveBack(call.request().arrival());
+        TakeTrial.Builder trial = HarmGuard.trialOf(call.request().arrival()).setGivenBack(true);
+        network.request(controlHost.get(), Envelope.newBuilder().setTakeTrial(trial), GRANT_WAIT)
+                .subscribe()
+                .with(
+                        reply -> LOGGER.log(Logger.Level.DEBUG, "a trial was given back"),
+                        failure -> LOGGER.log(
+                                Logger.Level.DEBUG,
+                                "a trial was not given back, it ends by itself: {0}",
+                                failure.getMessage()));
+    }
+
     private void sendFirst(RoutedCall call, Supplier<StageCall> query, Consumer<Result> taker) {
         ImmutableList<String> services = call.route().target().services();
         if (!(call.route().target() instanceof RouteTarget.Scatter) || services.size() == 1) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -109,7 +109,7 @@
             holder.end();
             if (result.getStatusCode() > 0) {
                 LeafAnswer answer = LeafAnswer.of(result.getStatusCode(), headers(result), result.getRecords(), names);
-                if (!answer.outcome().isNotRun()) {
+                if (answer.showsSurvival()) {
                     survived();
                 }
                 taker.answered(answer);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafHarm.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafHarm.java
@@ -53,6 +53,7 @@
 
     @Override
     public void failed(LeafRequest request, LeafOutcome outcome) {
+        guard.broke(request.arrival(), clock.nowNanos());
         if (lines.admit()) {
             EVENTS.info("call_broken")
                     .with("request", request.requestId())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -11,6 +11,7 @@
 import org.bramblerack.request.routed.Attempt;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.PartReply;
+import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.request.routed.RoutedAction;
 import org.bramblerack.request.routed.ScatterQuery;
 import org.bramblerack.request.routed.StageAttempt;
@@ -31,6 +32,7 @@
     private final StageEvents stageTaker = new StageEvents();
     private Runnable onStillAtWork = () -> {};
     private LongConsumer onSealedAtGoal = writtenNanos -> {};
+    private Runnable onLostWhole = () -> {};
 
     ScatterRun(
             RoutedCall call,
@@ -61,6 +63,11 @@
         onSealedAtGoal = taker;
     }
 
+    /** Sets what to do if the query was sent, broke, and no leaf of any shard has answered it. */
+    void onLostWhole(Runnable task) {
+        onLostWhole = task;
+    }
+
     void start() {
         carryOut(query.start(clock.nowNanos()));
         if (query.waitsForOthers()) {
@@ -190,6 +197,9 @@
                 sender.finish();
                 sayWhatWasAskedTwice();
                 explain(refuse.reason().name(), query.shardsMissing());
+                if (refuse.reason() == RefusalReason.TOO_FEW_SHARDS && query.hasNothing()) {
+                    onLostWhole.run();
+                }
                 sink.refuse(refuse.reason());
             } else if (action instanceof RoutedAction.Count count) {
                 metrics.count(count.counter());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
@@ -1,5 +1,6 @@
 package org.bramblerack.daemon.holder;
 
+import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -23,6 +24,8 @@
  * comes after the query's, and completions run on a worker without it.
  */
 final class HeldUpstream {
+    private static final Logger LOGGER = System.getLogger(HeldUpstream.class.getName());
+
     private final Upstream upstream;
     private final UpstreamProtocol protocol;
     private final Workers workers;
@@ -152,18 +155,27 @@
             return;
         }
         boolean alreadyAsked = ends.isInDoubt();
-        ends.broke(call.request());
+        long nowNanos = clock.nowNanos();
+        ends.broke(call.request(), nowNanos);
         if (!alreadyAsked) {
-            protocol.takesConnections().subscribe().with(takes -> workers.run(() -> found(takes)), failure -> {});
+            protocol.takesConnections()
+                    .subscribe()
+                    .with(
+                            takes -> workers.run(() -> found(takes, nowNanos)),
+                            failure -> LOGGER.log(
+                                    Logger.Level.DEBUG,
+                                    "whether {0} has ended was not found out: {1}",
+                                    upstream.name(),
+                                    failure.getMessage()));
         }
     }
 
-    private void found(boolean takesConnections) {
+    private void found(boolean takesConnections, long askedNanos) {
         List<LeafRequest> onIt = List.of();
         lock.lock();
         try {
             if (takesConnections) {
-                ends.isUp();
+                ends.isUp(askedNanos);
             } else {
                 onIt = ends.isDown(clock.nowNanos());
             }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
@@ -27,6 +27,7 @@
     private static final int LEAST_REDIRECT = 300;
     private static final int MISDIRECTED = 421;
     private static final int LEAST_SERVER_FAILURE = 500;
+    private static final int TIME_UP = 504;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
     private static final String CONTENT_ENCODING = "content-encoding";
@@ -43,6 +44,14 @@
         return signature.isPresent() && (outcome == LeafOutcome.SUCCEEDED || outcome == LeafOutcome.FAILED);
     }
 
+    /**
+     * Returns true if the leaf has run the request and outlived it. One that says that its time was up may still be at
+     * work on it.
+     */
+    public boolean showsSurvival() {
+        return status != TIME_UP && (outcome == LeafOutcome.SUCCEEDED || outcome == LeafOutcome.FAILED);
+    }
+
     private static LeafOutcome outcomeOf(
             int status, HttpHeaders headers, Optional<String> signature, CallHeaders names) {
         if (status == MISDIRECTED) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -146,17 +146,17 @@
         if (reason == ConnectionEvent.ENDED_WHILE_IDLE) {
             calls.idleEnded(clock.nowNanos());
         }
-        if (isToBeConfirmed()) {
-            connect(ConnectionEvent.MADE_TO_CONFIRM);
-        }
+        confirm();
         if (!waiting.isEmpty()) {
             connectIfAllowed();
         }
     }
 
-    /** Returns true if it is to be found out whether the leaf has ended, and no connection is being made anyway. */
-    private boolean isToBeConfirmed() {
-        return calls.isInDoubt() && connecting == 0 && leaf.acceptsWork();
+    /** Finds out whether the leaf has ended, if that is in doubt, unless a connection is being made anyway. */
+    private void confirm() {
+        if (calls.isInDoubt() && connecting == 0 && leaf.acceptsWork()) {
+            connect(ConnectionEvent.MADE_TO_CONFIRM);
+        }
     }
 
     private @Nullable LeafConnection takeIdle(String requestId) {
@@ -190,6 +190,7 @@
     private void connect(ConnectionEvent reason) {
         connecting++;
         observer.accept(reason);
+        long begunNanos = clock.nowNanos();
         LeafConnection connection = new LeafConnection(this, names, clock);
         HostAndPort address = HostAndPort.fromString(leaf.address());
         new Bootstrap()
@@ -204,16 +205,17 @@
                     }
                 })
                 .connect(new InetSocketAddress(address.getHost(), address.getPort()))
-                .addListener((ChannelFuture future) -> connected(future, connection));
+                .addListener((ChannelFuture future) -> connected(future, connection, begunNanos));
     }
 
-    private void connected(ChannelFuture future, LeafConnection connection) {
+    private void connected(ChannelFuture future, LeafConnection connection, long begunNanos) {
         connecting--;
         if (future.isSuccess()) {
-            calls.isUp();
+            calls.isUp(begunNanos);
             connection.opened(future.channel());
             open.add(connection);
             idle(connection);
+            confirm();
             return;
         }
         observer.accept(ConnectionEvent.NOT_MADE);
@@ -279,7 +281,7 @@
                 public void answered(LeafAnswer answer) {
                     done = true;
                     calls.answered(request);
-                    if (!answer.outcome().isNotRun()) {
+                    if (answer.showsSurvival()) {
                         watch.answered(request);
                     }
                     taker.answered(answer);
@@ -300,7 +302,7 @@
             }
             watch.failed(request, outcome);
             if (outcome == LeafOutcome.BROKEN) {
-                calls.broke(request);
+                calls.broke(request, clock.nowNanos());
             } else {
                 calls.answered(request);
             }
