Tell callers of the own interface when a request is refused because it ends upstreams

Cause: a query whose every shard was refused at its holder as harmful ended as "no shard answered in time; send it again", may have run, after it had been tried at the other replicas as well; a once-only request as refused by the upstream, after a second one had been tried. Neither was true to its cause, and both had callers come back at once.

Ruled out: a check at the host that the caller asks. It holds no evidence of upstreams; their holders do, and every call passes one.

Change: a refusal "harmful", 503, not run, to come back in a minute, at once and without a second upstream; counters refusal.harmful and query.denied-harmful; a line when what is held back changes.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -65,6 +65,11 @@
         return agreedRestricted + ownRestricted > 0;
     }
 
+    /** Returns how many requests are barred or on trial by the evidence that this host has, for a log line. */
+    public int heldBackAloneCount() {
+        return ownRestricted;
+    }
+
     /** Returns how many requests are barred or on trial by agreement, for a log line. */
     public int restrictedCount() {
         return agreedRestricted;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/Attempt.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/Attempt.java
@@ -39,6 +39,10 @@
         return hedgeNotBeforeNanos - dueNanos > 0 ? hedgeNotBeforeNanos : dueNanos;
     }
 
+    boolean isHarmful() {
+        return failure == LeafFailure.HARMFUL;
+    }
+
     boolean foundVersionGone() {
         return failure == LeafFailure.VERSION_GONE || failure == LeafFailure.WRONG_VERSION;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/OnceOnlyRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/OnceOnlyRequest.java
@@ -139,6 +139,10 @@
             recordUnknown("the call ended with " + failure.code() + " after it was handed over", actions);
             return actions;
         }
+        if (failure == LeafFailure.HARMFUL) {
+            recordNotRun(RefusalKind.HARMFUL, "requests like it ended the upstreams that ran them", actions);
+            return actions;
+        }
         if (upstream != null) {
             refused.add(upstream);
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/Query.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/Query.java
@@ -197,6 +197,11 @@
         if (shard.hasAttemptInFlight()) {
             return;
         }
+        if (failure == LeafFailure.HARMFUL) {
+            // No other upstream may have it either.
+            giveUp(attempt.shard, QueryCounter.DENIED_HARMFUL, nowNanos, actions);
+            return;
+        }
         retry(attempt.shard, nowNanos, actions);
     }
 
@@ -324,6 +329,11 @@
         Coverage coverage = answer.coverage();
         if (coverage.isWhole() || (spec.preference() == Preference.TIME && coverage.coveredCount() > 0)) {
             actions.add(new QueryAction.Deliver(answer.build()));
+        } else if (!attempts.isEmpty() && attempts.stream().allMatch(Attempt::isHarmful)) {
+            actions.add(new QueryAction.Refuse(Refusal.of(
+                    RefusalKind.HARMFUL,
+                    "not run: queries like this one ended the upstreams of " + spec.service()
+                            + " that ran them; ask the operator")));
         } else if (coverage.coveredCount() == 0) {
             actions.add(new QueryAction.Refuse(Refusal.of(
                     RefusalKind.NO_ANSWER,
--- a/bramblerack-core/src/main/java/org/bramblerack/request/QueryCounter.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/QueryCounter.java
@@ -24,6 +24,8 @@
     RETRY_DENIED_NO_REPLICA,
     /** A failed shard that was given up because the time was too short. */
     RETRY_DENIED_TIME,
+    /** A shard that was given up because requests like the query end upstreams. */
+    DENIED_HARMFUL,
     /** A query begun again on a newer index version. */
     RESTART,
     /** A reply dropped because it came after the answer was sealed, or for a shard that was covered. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/Refusal.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/Refusal.java
@@ -16,6 +16,11 @@
  */
 public record Refusal(RefusalKind kind, String message, Optional<Duration> retryAfter) {
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(250);
+    /**
+     * When to come back with a request that is sent to no upstream: it stays so for an hour, unless it was taken for
+     * another, which shows within seconds.
+     */
+    private static final Duration HARMFUL_RETRY_AFTER = Duration.ofMinutes(1);
 
     /** Refuses an empty message. */
     public Refusal {
@@ -24,7 +29,8 @@
 
     /** Creates a refusal with the usual time to come back, if its kind is worth retrying. */
     public static Refusal of(RefusalKind kind, String message) {
-        return new Refusal(kind, message, kind.isWorthRetrying() ? Optional.of(DEFAULT_RETRY_AFTER) : Optional.empty());
+        Duration usual = kind == RefusalKind.HARMFUL ? HARMFUL_RETRY_AFTER : DEFAULT_RETRY_AFTER;
+        return new Refusal(kind, message, kind.isWorthRetrying() ? Optional.of(usual) : Optional.empty());
     }
 
     /** Creates a refusal with a time to come back. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/RefusalKind.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/RefusalKind.java
@@ -34,6 +34,8 @@
     NO_ANSWER(504, RunState.MAY_HAVE_RUN, true),
     /** No quorum of control hosts confirmed the claim. */
     NO_QUORUM(503, RunState.NOT_RUN, true),
+    /** Requests like it ended the upstreams that ran them, so that it was sent to none. */
+    HARMFUL(503, RunState.NOT_RUN, true),
     /** The upstream refused the once-only request truthfully. */
     UPSTREAM_REFUSED(503, RunState.NOT_RUN, true),
     /** The request was handed to an upstream and its outcome is not known. */
--- a/bramblerack-core/src/test/java/org/bramblerack/request/QueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/QueryTest.java
@@ -89,6 +89,16 @@
         assertThat(run.refusal.orElseThrow().retryAfter()).isPresent();
     }
 
+    @Test
+    void aQueryThatEndsUpstreamsIsRefusedAtOnceAsNotRun() {
+        QueryRun run = run(Preference.TIME);
+        for (QueryAction.SendLeaf send : List.copyOf(run.sent)) {
+            run.fail(send, LeafFailure.HARMFUL, MILLI);
+        }
+        assertThat(run.sent).hasSize(SHARDS);
+        assertThat(run.refusal.orElseThrow().kind()).isEqualTo(RefusalKind.HARMFUL);
+    }
+
     @Test
     void restartsOnceOnANewerVersionWhenThePinnedOneVanishes() {
         QueryRun run = run(Preference.TIME);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/UpstreamHarm.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/UpstreamHarm.java
@@ -63,7 +63,9 @@
                 .map(request -> Arrival.of(fingerprints(request), request.requestId()))
                 .distinct()
                 .toList();
+        int before = guard.heldBackAloneCount();
         guard.ended(upstreamStart, arrivals, clock.nowNanos());
+        sayWhatIsHeldBack(before);
         LOGGER.log(
                 Logger.Level.INFO,
                 "{0} ended with {1} requests on it; one asks for {2}",
@@ -75,7 +77,21 @@
     /** Takes what another holder tells. */
     public synchronized void hear(HarmReport report) {
         if (report.getEndedCount() + report.getSurvivedCount() > 0) {
+            int before = guard.heldBackAloneCount();
             guard.hear(report, clock.nowNanos());
+            sayWhatIsHeldBack(before);
+        }
+    }
+
+    private void sayWhatIsHeldBack(int before) {
+        int now = guard.heldBackAloneCount();
+        if (now != before) {
+            LOGGER.log(
+                    Logger.Level.INFO,
+                    "{0} requests, {1} before, may end upstreams; those that ended three are sent to no upstream from"
+                            + " now on",
+                    now,
+                    before);
         }
     }
 
