Give accused requests and what is not told yet classes of their own; keep a lost query's evidence

Cause: HarmRecords and HarmGuard held two jobs each. Taking them apart showed a fault: a query that was lost whole, with nothing else against it, got a record without a time, which was forgotten at the next report.

Change: AccusedRequest holds what speaks against one request, UntoldEvidence what waits for the next report; all evidence sets the time. No other decision is meant to change.

--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/AccusedRequest.java
@@ -0,0 +1,237 @@
+package org.bramblerack.process.harm;
+
+import com.google.common.collect.Sets;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.bramblerack.wire.HarmEvidence;
+import org.bramblerack.wire.HarmRecord;
+
+/**
+ * What speaks against one request, the verdict that was told of it, and whose trial is under way.
+ *
+ * <p>Invariants: once it is cleared, nothing speaks against it until new evidence comes. What is kept is bounded. Not
+ * safe for use by several threads.
+ */
+final class AccusedRequest {
+    private static final long NOT_SEEN = -1;
+
+    private final long number;
+    private final Set<Long> leafStarts = new LinkedHashSet<>();
+    private final Set<Long> arrivals = new LinkedHashSet<>(2);
+    private final Set<Long> brokenArrivals = new LinkedHashSet<>(2);
+    private HarmRecord.Verdict verdict = HarmRecord.Verdict.VERDICT_UNSPECIFIED;
+    private boolean barred;
+    private boolean onTrial;
+    private boolean cleared;
+    private boolean lostWhole;
+    private long trialUntilMillis;
+    private long trialArrival;
+    private long changedRevision;
+    private long firstMillis = NOT_SEEN;
+    private long seenMillis;
+
+    /**
+     * Creates a record that holds nothing against the request.
+     *
+     * @param number orders the records by when they were made
+     */
+    AccusedRequest(long number) {
+        this.number = number;
+    }
+
+    /** Returns the record that a snapshot holds. */
+    static AccusedRequest of(HarmRecord record) {
+        AccusedRequest request = new AccusedRequest(record.getNumber());
+        request.leafStarts.addAll(record.getLeafStartsList());
+        request.arrivals.addAll(record.getArrivalsList());
+        request.brokenArrivals.addAll(record.getBrokenArrivalsList());
+        request.verdict = record.getVerdict();
+        request.barred = record.getVerdict() == HarmRecord.Verdict.BARRED;
+        request.onTrial = record.getVerdict() == HarmRecord.Verdict.ON_TRIAL;
+        request.cleared = record.getVerdict() == HarmRecord.Verdict.CLEARED;
+        request.lostWhole = record.getLostWhole();
+        request.trialUntilMillis = record.getTrialUntilMillis();
+        request.trialArrival = record.getTrialArrival();
+        request.changedRevision = record.getChangedRevision();
+        request.firstMillis = record.getFirstMillis();
+        request.seenMillis = record.getSeenMillis();
+        return request;
+    }
+
+    /** Adds what a host saw, as far as there is room for it. */
+    void add(HarmEvidence evidence, long nowMillis) {
+        boolean isNew = evidence.getLostWhole() && !lostWhole;
+        lostWhole |= evidence.getLostWhole();
+        isNew |= addUpTo(HarmRecords.MAX_ENDS, evidence.getLeafStartsList(), leafStarts);
+        isNew |= addUpTo(HarmRecords.MAX_ARRIVALS, evidence.getArrivalsList(), arrivals);
+        isNew |= addUpTo(HarmRecords.MAX_ARRIVALS, evidence.getBrokenArrivalsList(), brokenArrivals);
+        if (isNew) {
+            firstMillis = firstMillis == NOT_SEEN ? nowMillis : firstMillis;
+            seenMillis = nowMillis;
+            cleared = false;
+        }
+    }
+
+    private static boolean addUpTo(int bound, List<Long> more, Set<Long> known) {
+        boolean isNew = false;
+        for (long each : more) {
+            isNew |= known.size() < bound && known.add(each);
+        }
+        return isNew;
+    }
+
+    /** Returns true if evidence says anything that is not held and that there is room for. */
+    boolean isNews(HarmEvidence evidence) {
+        return (evidence.getLostWhole() && !lostWhole)
+                || !leafStarts.containsAll(evidence.getLeafStartsList())
+                || lacks(arrivals, evidence.getArrivalsList())
+                || lacks(brokenArrivals, evidence.getBrokenArrivalsList());
+    }
+
+    private static boolean lacks(Set<Long> known, List<Long> more) {
+        return known.size() < HarmRecords.MAX_ARRIVALS && !known.containsAll(more);
+    }
+
+    /** Lets go of everything that speaks against the request. */
+    void clear(long nowMillis) {
+        leafStarts.clear();
+        arrivals.clear();
+        brokenArrivals.clear();
+        lostWhole = false;
+        barred = false;
+        onTrial = false;
+        cleared = true;
+        firstMillis = NOT_SEEN;
+        seenMillis = nowMillis;
+    }
+
+    /** Sets what is to become of the request. */
+    void judge(boolean isBarred, boolean isOnTrial) {
+        barred = isBarred;
+        onTrial = isOnTrial;
+    }
+
+    /** Takes over the verdict that is to be told; returns true if it is another one than before. */
+    boolean markChanged(long revision) {
+        HarmRecord.Verdict now = judged();
+        if (now == verdict) {
+            return false;
+        }
+        verdict = now;
+        changedRevision = revision;
+        return true;
+    }
+
+    private HarmRecord.Verdict judged() {
+        if (cleared) {
+            return HarmRecord.Verdict.CLEARED;
+        }
+        if (barred) {
+            return HarmRecord.Verdict.BARRED;
+        }
+        return onTrial ? HarmRecord.Verdict.ON_TRIAL : HarmRecord.Verdict.SUSPECTED;
+    }
+
+    /** Notes which arrival is tried, and until when no other one may be. */
+    void grantTrial(long arrival, long untilMillis) {
+        trialArrival = arrival;
+        trialUntilMillis = untilMillis;
+    }
+
+    /** Ends the trial of an arrival, if it is the one that is tried. */
+    void giveBackTrial(long arrival) {
+        if (trialArrival == arrival) {
+            trialUntilMillis = 0;
+        }
+    }
+
+    boolean isTried(long nowMillis) {
+        return nowMillis < trialUntilMillis;
+    }
+
+    boolean isBarred() {
+        return barred;
+    }
+
+    boolean isOnTrial() {
+        return onTrial;
+    }
+
+    boolean isCleared() {
+        return cleared;
+    }
+
+    /** Returns true if a query broke before a leaf of any shard had answered it. */
+    boolean wasLostWhole() {
+        return lostWhole;
+    }
+
+    long number() {
+        return number;
+    }
+
+    long changedRevision() {
+        return changedRevision;
+    }
+
+    HarmRecord.Verdict verdict() {
+        return verdict;
+    }
+
+    /** Returns the starts of leafs that ended with the request on them. */
+    Set<Long> leafStarts() {
+        return Collections.unmodifiableSet(leafStarts);
+    }
+
+    int endCount() {
+        return leafStarts.size();
+    }
+
+    /** Returns how many arrivals were on leafs that ended. */
+    int arrivalCount() {
+        return arrivals.size();
+    }
+
+    /** Returns how many arrivals were on leafs that ended, or had a call that broke. */
+    int lostArrivalCount() {
+        return Sets.union(arrivals, brokenArrivals).size();
+    }
+
+    long seenMillis() {
+        return seenMillis;
+    }
+
+    /** Returns how far apart in time what speaks against the request was seen. */
+    long spreadMillis() {
+        return seenMillis - firstMillis;
+    }
+
+    /** Returns what hosts that follow the tables are told. */
+    HarmRecord toRecord(Fingerprint fingerprint) {
+        return record(fingerprint).build();
+    }
+
+    /** Returns all of it. */
+    HarmRecord toSnapshot(Fingerprint fingerprint) {
+        return record(fingerprint)
+                .addAllLeafStarts(leafStarts)
+                .addAllArrivals(arrivals)
+                .addAllBrokenArrivals(brokenArrivals)
+                .setLostWhole(lostWhole)
+                .setTrialArrival(trialArrival)
+                .build();
+    }
+
+    private HarmRecord.Builder record(Fingerprint fingerprint) {
+        return HarmRecord.newBuilder()
+                .setFingerprint(fingerprint.toBytes())
+                .setVerdict(verdict)
+                .setChangedRevision(changedRevision)
+                .setSeenMillis(seenMillis)
+                .setFirstMillis(firstMillis)
+                .setTrialUntilMillis(trialUntilMillis)
+                .setNumber(number);
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -4,11 +4,9 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.bramblerack.wire.HarmEvidence;
@@ -34,18 +32,12 @@
     private static final int MAX_SURVIVED = 4_096;
     /** How many requests are remembered that were tried by the word of this host alone: as many as are on trial. */
     private static final int MAX_TRIED_ALONE = HarmRecords.MAX_RECORDS;
-    /** How many ends wait to be told; beyond that, what is new is left to other hosts, that see it as well. */
-    private static final int MAX_PENDING_ENDS = 4_096;
-    /** How many ends and fingerprints go into one report: about 10 KB. */
-    private static final int MAX_REPORTED = 512;
 
     private final Map<Fingerprint, HarmRecord.Verdict> agreed = new HashMap<>();
     private final HarmRecords own = new HarmRecords();
     private final Map<Fingerprint, Long> survived = new LinkedHashMap<>();
     private final Map<Fingerprint, Long> triedAlone = new LinkedHashMap<>();
-    private final Map<Fingerprint, Untold> pendingEnds = new LinkedHashMap<>();
-    private final Set<Fingerprint> pendingSurvived = new LinkedHashSet<>();
-    private int pendingEndCount;
+    private final UntoldEvidence untold = new UntoldEvidence();
     private int agreedRestricted;
     private int ownRestricted;
 
@@ -85,7 +77,7 @@
         for (Arrival arrival : onIt) {
             for (Fingerprint fingerprint : arrival.fingerprints().all()) {
                 if (!survivedOfLate(fingerprint, nowNanos)) {
-                    tellEnd(fingerprint, leafStart, arrival.digest());
+                    untold.ended(fingerprint, leafStart, arrival.digest());
                     seen.addEnded(HarmEvidence.newBuilder()
                             .setFingerprint(fingerprint.toBytes())
                             .addLeafStarts(leafStart)
@@ -104,7 +96,7 @@
         HarmReport.Builder seen = HarmReport.newBuilder().setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos));
         for (Fingerprint fingerprint : arrival.fingerprints().all()) {
             if (!survivedOfLate(fingerprint, nowNanos)) {
-                tellBroken(fingerprint, List.of(arrival.digest()));
+                untold.broke(fingerprint, List.of(arrival.digest()));
                 seen.addEnded(HarmEvidence.newBuilder()
                         .setFingerprint(fingerprint.toBytes())
                         .addBrokenArrivals(arrival.digest()));
@@ -113,17 +105,12 @@
         takeOwn(seen.build());
     }
 
-    private boolean isAccused(Fingerprint fingerprint) {
-        return agreed.containsKey(fingerprint)
-                || own.verdict(fingerprint).filter(HarmGuard::accuses).isPresent();
-    }
-
     /** Notes that a query over several shards broke and was given up before a leaf of any shard had answered it. */
     public void lostWhole(Arrival arrival, long nowNanos) {
         HarmReport.Builder seen = HarmReport.newBuilder().setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos));
         for (Fingerprint fingerprint : arrival.fingerprints().all()) {
-            if (!survivedOfLate(fingerprint, nowNanos) && pendingEnds.size() < MAX_PENDING_ENDS) {
-                untold(fingerprint).lostWhole = true;
+            if (!survivedOfLate(fingerprint, nowNanos)) {
+                untold.lostWhole(fingerprint);
                 seen.addEnded(HarmEvidence.newBuilder()
                         .setFingerprint(fingerprint.toBytes())
                         .setLostWhole(true));
@@ -213,12 +200,8 @@
     private static void noteLast(Map<Fingerprint, Long> times, Fingerprint fingerprint, long nowNanos, int bound) {
         times.remove(fingerprint);
         times.put(fingerprint, nowNanos);
-        forgetFirst(times, bound);
-    }
-
-    private static void forgetFirst(Map<Fingerprint, ?> noted, int bound) {
-        Iterator<Fingerprint> firstNoted = noted.keySet().iterator();
-        for (int excess = noted.size() - bound; excess > 0; excess--) {
+        Iterator<Fingerprint> firstNoted = times.keySet().iterator();
+        for (int excess = times.size() - bound; excess > 0; excess--) {
             firstNoted.next();
             firstNoted.remove();
         }
@@ -226,40 +209,12 @@
 
     /** Takes what is to be told, if anything is; it counts as told unless it is handed back. */
     public Optional<HarmReport> takeReport() {
-        if (pendingEnds.isEmpty() && pendingSurvived.isEmpty()) {
-            return Optional.empty();
-        }
-        HarmReport.Builder report = HarmReport.newBuilder();
-        int size = 0;
-        Iterator<Fingerprint> acquitted = pendingSurvived.iterator();
-        while (acquitted.hasNext() && size < MAX_REPORTED) {
-            report.addSurvived(acquitted.next().toBytes());
-            acquitted.remove();
-            size++;
-        }
-        Iterator<Map.Entry<Fingerprint, Untold>> accused =
-                pendingEnds.entrySet().iterator();
-        while (accused.hasNext() && size < MAX_REPORTED) {
-            Map.Entry<Fingerprint, Untold> next = accused.next();
-            report.addEnded(HarmEvidence.newBuilder()
-                    .setFingerprint(next.getKey().toBytes())
-                    .addAllLeafStarts(next.getValue().leafStarts)
-                    .addAllArrivals(next.getValue().arrivals)
-                    .setLostWhole(next.getValue().lostWhole)
-                    .addAllBrokenArrivals(next.getValue().brokenArrivals));
-            size += next.getValue().leafStarts.size() + 1;
-            pendingEndCount -= next.getValue().leafStarts.size();
-            accused.remove();
-        }
-        return Optional.of(report.build());
+        return untold.takeReport();
     }
 
     /** Takes back a report that was not agreed on, to make it again. */
     public void handBack(HarmReport report) {
-        for (HarmEvidence evidence : report.getEndedList()) {
-            Fingerprint.fromBytes(evidence.getFingerprint()).ifPresent(fingerprint -> tellAgain(fingerprint, evidence));
-        }
-        report.getSurvivedList().forEach(bytes -> Fingerprint.fromBytes(bytes).ifPresent(pendingSurvived::add));
+        untold.handBack(report);
     }
 
     private Permission permission(Fingerprint fingerprint) {
@@ -286,6 +241,11 @@
         }
     }
 
+    private boolean isAccused(Fingerprint fingerprint) {
+        return agreed.containsKey(fingerprint)
+                || own.verdict(fingerprint).filter(HarmGuard::accuses).isPresent();
+    }
+
     private static boolean accuses(HarmRecord.Verdict verdict) {
         return switch (verdict) {
             case SUSPECTED, ON_TRIAL, BARRED -> true;
@@ -299,51 +259,10 @@
     }
 
     private void acquit(Fingerprint fingerprint) {
-        pendingSurvived.add(fingerprint);
-        Untold untold = pendingEnds.remove(fingerprint);
-        pendingEndCount -= untold == null ? 0 : untold.leafStarts.size();
+        untold.survived(fingerprint);
         takeOwn(HarmReport.newBuilder().addSurvived(fingerprint.toBytes()).build());
     }
 
-    private void tellEnd(Fingerprint fingerprint, long leafStart, long arrival) {
-        if (pendingEndCount >= MAX_PENDING_ENDS) {
-            return;
-        }
-        Untold untold = untold(fingerprint);
-        untold.arrivals.add(arrival);
-        if (untold.leafStarts.add(leafStart)) {
-            pendingEndCount++;
-        }
-    }
-
-    private void tellBroken(Fingerprint fingerprint, List<Long> arrivals) {
-        if (!arrivals.isEmpty() && pendingEnds.size() < MAX_PENDING_ENDS) {
-            untold(fingerprint).brokenArrivals.addAll(arrivals);
-        }
-    }
-
-    private Untold untold(Fingerprint fingerprint) {
-        return pendingEnds.computeIfAbsent(fingerprint, unused -> new Untold());
-    }
-
-    private void tellAgain(Fingerprint fingerprint, HarmEvidence evidence) {
-        tellBroken(fingerprint, evidence.getBrokenArrivalsList());
-        if (evidence.getLostWhole()) {
-            untold(fingerprint).lostWhole = true;
-        }
-        for (long arrival : evidence.getArrivalsList()) {
-            evidence.getLeafStartsList().forEach(leafStart -> tellEnd(fingerprint, leafStart, arrival));
-        }
-    }
-
-    /** What is still to be told of one request. */
-    private static final class Untold {
-        private final Set<Long> leafStarts = new LinkedHashSet<>();
-        private final Set<Long> arrivals = new LinkedHashSet<>(2);
-        private final Set<Long> brokenArrivals = new LinkedHashSet<>(2);
-        private boolean lostWhole;
-    }
-
     private void takeOwn(HarmReport report) {
         own.take(report, 0);
         ownRestricted = own.restrictedCount();
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
@@ -1,13 +1,11 @@
 package org.bramblerack.process.harm;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.Sets;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,12 +18,13 @@
 /**
  * What is known of requests under which leafs ended, and which of them are sent to no leaf any more.
  *
- * <p>Invariants: a request is barred only while {@link #ENDS_TO_BAR} leafs ended with it on them and no leaf has
- * survived it since. That much happens to bystanders as well, when all leafs end at once or next to a harmful request.
- * What tells them apart: a harmful request comes again and ends leafs again, and the ends of a bystander are explained
- * by another one. Until that shows, a request is on trial: of all arrivals at all hosts one at a time is let through.
- * The verdicts follow from all that was reported, anew after each report. The number of records and of ends is bounded.
- * No clock is read: reports carry the time. Not safe for use by several threads.
+ * <p>Invariants: a request is barred only while a leaf ended with it on it and no leaf has survived it since; either
+ * {@link #ENDS_TO_BAR} leafs ended, or it came {@link #ARRIVALS_OF_HARM} times and broke each time. That much happens
+ * to bystanders as well, when all leafs end at once or next to a harmful request. What tells them apart: a harmful
+ * request comes again later and ends leafs again, and the ends of a bystander are explained by another one. Until that
+ * shows, a request is on trial: of all arrivals at all hosts one at a time is let through. The verdicts follow from all
+ * that was reported, anew after each report. The number of records and of ends is bounded. No clock is read: reports
+ * carry the time. Not safe for use by several threads.
  */
 public final class HarmRecords {
     /**
@@ -70,7 +69,7 @@
     /** How long a request is barred after the last leaf that ended with it: leafs are repaired meanwhile, or it is. */
     static final long KEEP_BARRED_MILLIS = 60L * 60 * 1_000;
 
-    private final Map<Fingerprint, Held> records = new LinkedHashMap<>();
+    private final Map<Fingerprint, AccusedRequest> records = new LinkedHashMap<>();
     private long clockMillis;
     private long lastNumber;
 
@@ -95,13 +94,13 @@
     /** Has an arrival of a request tried, unless another is; returns true if it may be sent to leafs. */
     public boolean tryOnce(TakeTrial trial) {
         clockMillis = Math.max(clockMillis, trial.getAtMillis());
-        List<Held> onTrial = new ArrayList<>(2);
+        List<AccusedRequest> onTrial = new ArrayList<>(2);
         for (ByteString bytes : trial.getFingerprintsList()) {
             Fingerprint.fromBytes(bytes).map(records::get).ifPresent(onTrial::add);
         }
-        boolean free = onTrial.stream().noneMatch(held -> held.isBarred() || clockMillis < held.trialUntilMillis);
+        boolean free = onTrial.stream().noneMatch(request -> request.isBarred() || request.isTried(clockMillis));
         if (free) {
-            onTrial.forEach(held -> held.grantTrial(trial.getArrival(), clockMillis + TRIAL_MILLIS));
+            onTrial.forEach(request -> request.grantTrial(trial.getArrival(), clockMillis + TRIAL_MILLIS));
         }
         return free;
     }
@@ -111,8 +110,7 @@
         for (ByteString bytes : trial.getFingerprintsList()) {
             Fingerprint.fromBytes(bytes)
                     .map(records::get)
-                    .filter(held -> held.trialArrival == trial.getArrival())
-                    .ifPresent(held -> held.trialUntilMillis = 0);
+                    .ifPresent(request -> request.giveBackTrial(trial.getArrival()));
         }
     }
 
@@ -122,41 +120,34 @@
                 || report.getSurvivedList().stream()
                         .anyMatch(bytes -> Fingerprint.fromBytes(bytes)
                                 .map(records::get)
-                                .filter(held -> held.verdict != HarmRecord.Verdict.CLEARED)
+                                .filter(request -> request.verdict() != HarmRecord.Verdict.CLEARED)
                                 .isPresent());
     }
 
     /** Returns what is held of a request, if anything is. */
     public Optional<HarmRecord.Verdict> verdict(Fingerprint fingerprint) {
-        return Optional.ofNullable(records.get(fingerprint)).map(held -> held.verdict);
+        return Optional.ofNullable(records.get(fingerprint)).map(AccusedRequest::verdict);
     }
 
     /** Returns how many requests are barred or on trial. */
     public int restrictedCount() {
         return (int) records.values().stream()
-                .filter(held -> held.barred || held.onTrial)
+                .filter(request -> request.isBarred() || request.isOnTrial())
                 .count();
     }
 
     /** Returns the records that changed after a revision, without their ends, for hosts that follow. */
     public ImmutableList<HarmRecord> changedSince(long revision) {
         return records.entrySet().stream()
-                .filter(entry -> entry.getValue().changedRevision > revision)
-                .map(entry -> entry.getValue().toRecord(entry.getKey()).build())
+                .filter(entry -> entry.getValue().changedRevision() > revision)
+                .map(entry -> entry.getValue().toRecord(entry.getKey()))
                 .collect(ImmutableList.toImmutableList());
     }
 
     /** Returns the records whole, for a snapshot. */
     public ImmutableList<HarmRecord> all() {
         return records.entrySet().stream()
-                .map(entry -> entry.getValue()
-                        .toRecord(entry.getKey())
-                        .addAllLeafStarts(entry.getValue().leafStarts)
-                        .addAllArrivals(entry.getValue().arrivals)
-                        .setLostWhole(entry.getValue().lostWhole)
-                        .setTrialArrival(entry.getValue().trialArrival)
-                        .addAllBrokenArrivals(entry.getValue().brokenArrivals)
-                        .build())
+                .map(entry -> entry.getValue().toSnapshot(entry.getKey()))
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -177,49 +168,26 @@
         lastNumber = snapshotLastNumber;
         for (HarmRecord record : snapshot) {
             Fingerprint.fromBytes(record.getFingerprint())
-                    .ifPresent(fingerprint -> records.put(fingerprint, Held.of(record)));
+                    .ifPresent(fingerprint -> records.put(fingerprint, AccusedRequest.of(record)));
         }
     }
 
     private boolean isNews(HarmEvidence evidence) {
-        Held held = Fingerprint.fromBytes(evidence.getFingerprint())
+        return Fingerprint.fromBytes(evidence.getFingerprint())
                 .map(records::get)
-                .orElse(null);
-        return held == null
-                || !held.leafStarts.containsAll(evidence.getLeafStartsList())
-                || (held.arrivals.size() < MAX_ARRIVALS && !held.arrivals.containsAll(evidence.getArrivalsList()))
-                || (evidence.getLostWhole() && !held.lostWhole)
-                || (held.brokenArrivals.size() < MAX_ARRIVALS
-                        && !held.brokenArrivals.containsAll(evidence.getBrokenArrivalsList()));
+                .map(request -> request.isNews(evidence))
+                .orElse(true);
     }
 
     private void add(Fingerprint fingerprint, HarmEvidence evidence) {
-        Held held = records.computeIfAbsent(fingerprint, unused -> new Held(++lastNumber));
-        for (long leafStart : evidence.getLeafStartsList()) {
-            if (held.leafStarts.size() < MAX_ENDS && held.leafStarts.add(leafStart)) {
-                held.accuse(clockMillis);
-            }
-        }
-        held.lostWhole |= evidence.getLostWhole();
-        boolean isNew = addSome(evidence.getArrivalsList(), held.arrivals);
-        if (addSome(evidence.getBrokenArrivalsList(), held.brokenArrivals) || isNew) {
-            held.accuse(clockMillis);
-        }
-    }
-
-    /** Adds arrivals up to the bound and returns true if any of them is new. */
-    private static boolean addSome(List<Long> arrivals, Set<Long> known) {
-        boolean isNew = false;
-        for (long arrival : arrivals) {
-            isNew |= known.size() < MAX_ARRIVALS && known.add(arrival);
-        }
-        return isNew;
+        records.computeIfAbsent(fingerprint, unused -> new AccusedRequest(++lastNumber))
+                .add(evidence, clockMillis);
     }
 
     private void clear(Fingerprint fingerprint) {
-        Held held = records.get(fingerprint);
-        if (held != null) {
-            held.clear(clockMillis);
+        AccusedRequest request = records.get(fingerprint);
+        if (request != null) {
+            request.clear(clockMillis);
         }
     }
 
@@ -229,48 +197,52 @@
      */
     private void judge() {
         Set<Long> explained = new HashSet<>();
-        List<Held> candidates = new ArrayList<>();
-        for (Held held : records.values()) {
-            held.barred = false;
-            held.onTrial = held.leafStarts.size() >= ENDS_TO_TRY
-                    || held.lostArrivals() >= ENDS_TO_TRY
-                    || (held.lostWhole && !held.leafStarts.isEmpty());
-            if (!held.leafStarts.isEmpty()) {
-                candidates.add(held);
+        List<AccusedRequest> candidates = new ArrayList<>();
+        for (AccusedRequest request : records.values()) {
+            request.judge(false, mayBeHarmful(request));
+            if (request.endCount() > 0) {
+                candidates.add(request);
             }
         }
-        candidates.sort(
-                Comparator.comparingInt((Held held) -> -held.leafStarts.size()).thenComparingLong(held -> held.number));
-        for (Held held : candidates) {
-            if (isHarmful(held, explained)) {
-                held.barred = true;
-                explained.addAll(held.leafStarts);
+        candidates.sort(Comparator.comparingInt((AccusedRequest request) -> -request.endCount())
+                .thenComparingLong(AccusedRequest::number));
+        for (AccusedRequest request : candidates) {
+            if (isHarmful(request, explained)) {
+                request.judge(true, true);
+                explained.addAll(request.leafStarts());
             }
         }
     }
 
+    private static boolean mayBeHarmful(AccusedRequest request) {
+        return request.endCount() >= ENDS_TO_TRY
+                || request.lostArrivalCount() >= ENDS_TO_TRY
+                || (request.wasLostWhole() && request.endCount() > 0);
+    }
+
     /** Returns true if a request ends leafs itself, as far as that can be told. */
-    private static boolean isHarmful(Held held, Set<Long> explained) {
-        if (held.seenMillis - held.firstMillis < LEAST_SPREAD_MILLIS) {
+    private static boolean isHarmful(AccusedRequest request, Set<Long> explained) {
+        if (request.spreadMillis() < LEAST_SPREAD_MILLIS) {
             return false;
         }
-        if (held.lostArrivals() >= ARRIVALS_OF_HARM) {
+        if (request.lostArrivalCount() >= ARRIVALS_OF_HARM) {
             return true;
         }
-        long unexplained = held.leafStarts.stream()
+        long unexplained = request.leafStarts().stream()
                 .filter(leafStart -> !explained.contains(leafStart))
                 .count();
-        return unexplained >= ENDS_TO_BAR && held.arrivals.size() > 1;
+        return unexplained >= ENDS_TO_BAR && request.arrivalCount() > 1;
     }
 
     private void forgetOld() {
-        for (Held held : records.values()) {
-            long keptMillis = held.isBarred() ? KEEP_BARRED_MILLIS : KEEP_SUSPECTED_MILLIS;
-            if (!held.cleared && clockMillis - held.seenMillis > keptMillis) {
-                held.clear(clockMillis);
+        for (AccusedRequest request : records.values()) {
+            long keptMillis = request.isBarred() ? KEEP_BARRED_MILLIS : KEEP_SUSPECTED_MILLIS;
+            if (!request.isCleared() && clockMillis - request.seenMillis() > keptMillis) {
+                request.clear(clockMillis);
             }
         }
-        records.values().removeIf(held -> held.cleared && clockMillis - held.seenMillis > KEEP_SUSPECTED_MILLIS);
+        records.values()
+                .removeIf(request -> request.isCleared() && clockMillis - request.seenMillis() > KEEP_SUSPECTED_MILLIS);
     }
 
     /**
@@ -279,132 +251,32 @@
      */
     private void boundSize() {
         long ends = records.values().stream()
-                .mapToLong(held -> held.leafStarts.size())
+                .mapToLong(request -> request.endCount())
                 .sum();
         if (records.size() <= MAX_RECORDS && ends <= MAX_ENDS_IN_ALL) {
             return;
         }
-        List<Map.Entry<Fingerprint, Held>> leastFirst = new ArrayList<>(records.entrySet());
-        leastFirst.sort(Comparator.comparing(
-                        (Map.Entry<Fingerprint, Held> entry) -> entry.getValue().isBarred())
-                .thenComparing(entry -> !entry.getValue().cleared)
-                .thenComparing(entry -> !entry.getValue().leafStarts.isEmpty())
-                .thenComparing(entry -> entry.getValue().seenMillis)
-                .thenComparing(entry -> entry.getValue().number));
-        for (Map.Entry<Fingerprint, Held> entry : leastFirst) {
+        List<Map.Entry<Fingerprint, AccusedRequest>> leastFirst = new ArrayList<>(records.entrySet());
+        leastFirst.sort(Comparator.comparing((Map.Entry<Fingerprint, AccusedRequest> entry) ->
+                        entry.getValue().isBarred())
+                .thenComparing(entry -> !entry.getValue().isCleared())
+                .thenComparing(entry -> entry.getValue().endCount() > 0)
+                .thenComparing(entry -> entry.getValue().seenMillis())
+                .thenComparing(entry -> entry.getValue().number()));
+        for (Map.Entry<Fingerprint, AccusedRequest> entry : leastFirst) {
             if (records.size() <= MAX_RECORDS && ends <= MAX_ENDS_IN_ALL) {
                 return;
             }
-            ends -= entry.getValue().leafStarts.size();
+            ends -= entry.getValue().endCount();
             records.remove(entry.getKey());
         }
     }
 
     private boolean markChanged(long revision) {
         boolean changed = false;
-        for (Held held : records.values()) {
-            HarmRecord.Verdict now = held.judged();
-            if (now != held.verdict) {
-                held.verdict = now;
-                held.changedRevision = revision;
-                changed = true;
-            }
+        for (AccusedRequest request : records.values()) {
+            changed |= request.markChanged(revision);
         }
         return changed;
     }
-
-    /** One request's record. */
-    private static final class Held {
-        private static final long NOT_SEEN = -1;
-
-        private final long number;
-        private final Set<Long> leafStarts = new LinkedHashSet<>();
-        private final Set<Long> arrivals = new LinkedHashSet<>(2);
-        private final Set<Long> brokenArrivals = new LinkedHashSet<>(0);
-        private HarmRecord.Verdict verdict = HarmRecord.Verdict.VERDICT_UNSPECIFIED;
-        private boolean barred;
-        private boolean onTrial;
-        private boolean lostWhole;
-        private long trialUntilMillis;
-        private long trialArrival;
-        private boolean cleared;
-        private long changedRevision;
-        private long firstMillis = NOT_SEEN;
-        private long seenMillis;
-
-        Held(long number) {
-            this.number = number;
-        }
-
-        static Held of(HarmRecord record) {
-            Held held = new Held(record.getNumber());
-            held.leafStarts.addAll(record.getLeafStartsList());
-            held.arrivals.addAll(record.getArrivalsList());
-            held.brokenArrivals.addAll(record.getBrokenArrivalsList());
-            held.verdict = record.getVerdict();
-            held.barred = record.getVerdict() == HarmRecord.Verdict.BARRED;
-            held.cleared = record.getVerdict() == HarmRecord.Verdict.CLEARED;
-            held.changedRevision = record.getChangedRevision();
-            held.seenMillis = record.getSeenMillis();
-            held.firstMillis = record.getFirstMillis();
-            held.onTrial = record.getVerdict() == HarmRecord.Verdict.ON_TRIAL;
-            held.trialUntilMillis = record.getTrialUntilMillis();
-            held.lostWhole = record.getLostWhole();
-            held.trialArrival = record.getTrialArrival();
-            return held;
-        }
-
-        void grantTrial(long arrival, long untilMillis) {
-            trialArrival = arrival;
-            trialUntilMillis = untilMillis;
-        }
-
-        /** Returns how many arrivals are known that were on a leaf that ended, or whose call broke. */
-        int lostArrivals() {
-            return Sets.union(arrivals, brokenArrivals).size();
-        }
-
-        boolean isBarred() {
-            return barred;
-        }
-
-        void accuse(long nowMillis) {
-            firstMillis = firstMillis == NOT_SEEN ? nowMillis : firstMillis;
-            seenMillis = nowMillis;
-            cleared = false;
-        }
-
-        void clear(long nowMillis) {
-            firstMillis = NOT_SEEN;
-            leafStarts.clear();
-            arrivals.clear();
-            brokenArrivals.clear();
-            lostWhole = false;
-            cleared = true;
-            barred = false;
-            onTrial = false;
-            seenMillis = nowMillis;
-        }
-
-        HarmRecord.Verdict judged() {
-            if (cleared) {
-                return HarmRecord.Verdict.CLEARED;
-            }
-            if (barred) {
-                return HarmRecord.Verdict.BARRED;
-            }
-            return onTrial ? HarmRecord.Verdict.ON_TRIAL : HarmRecord.Verdict.SUSPECTED;
-        }
-
-        HarmRecord.Builder toRecord(Fingerprint fingerprint) {
-            return HarmRecord.newBuilder()
-                    .setFingerprint(fingerprint.toBytes())
-                    .setVerdict(verdict)
-                    .setChangedRevision(changedRevision)
-                    .setSeenMillis(seenMillis)
-                    .setFirstMillis(firstMillis)
-                    .setTrialUntilMillis(trialUntilMillis)
-                    .setNumber(number);
-        }
-    }
 }
