Have other entry hosts tell what a host saw that is cut off from control

Change: a report that control does not take goes to another entry host every other time, which tells it in its own place. Planted fault: nothing told by others.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -212,6 +212,12 @@
         return untold.takeReport();
     }
 
+    /** Takes over what a host saw to which control gives no answer, to tell it in that host's place. */
+    public void takeOver(HarmReport report, long nowNanos) {
+        untold.handBack(report);
+        hear(report, nowNanos);
+    }
+
     /** Takes back a report that was not agreed on, to make it again. */
     public void handBack(HarmReport report) {
         untold.handBack(report);
--- a/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmScheduleTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmScheduleTest.java
@@ -114,6 +114,18 @@
         return schedules;
     }
 
+    /** The only host that saw the ends is cut off from control; then the request comes to all hosts at once. */
+    @Test
+    void whatAHostThatIsCutOffSawIsToldByOthers() {
+        int seed = 518;
+        assertThat(mostSentOn(seed, HarmWorld.Plant.NONE)).isAtMost(MOST_SENT_ON);
+        assertThat(mostSentOn(seed, HarmWorld.Plant.NOTHING_TOLD_BY_OTHERS)).isGreaterThan(MOST_SENT_ON);
+    }
+
+    private static int mostSentOn(int seed, HarmWorld.Plant plant) {
+        return new HarmWorld(seed, drawn(seed), 1 + seed % 3, plant).play().mostSentOn();
+    }
+
     @Test
     void answersThatCountForNothingAreFound() {
         assertThat(refusedWith(HarmWorld.Plant.ANSWERS_IGNORED, HarmWorld.Trouble.MANY_LEAFS_END))
@@ -129,7 +141,7 @@
     }
 
     /** Returns troubles that may come together; any of them may be left out. */
-    private static EnumSet<HarmWorld.Trouble> drawn(long seed) {
+    static EnumSet<HarmWorld.Trouble> drawn(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         EnumSet<HarmWorld.Trouble> troubles = EnumSet.noneOf(HarmWorld.Trouble.class);
         EnumSet<HarmWorld.Trouble> all = EnumSet.complementOf(EnumSet.of(HarmWorld.Trouble.LEAFS_SOON_BACK));
--- a/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmWorld.java
@@ -61,6 +61,8 @@
         ANSWERS_IGNORED,
         /** A call that broke counts for nothing unless its leaf was found to have ended. */
         BREAKS_IGNORED,
+        /** What a host saw that is cut off from control is told by no other host. */
+        NOTHING_TOLD_BY_OTHERS,
         /** A query that was lost whole counts for nothing but the ends that were seen. */
         LOST_QUERIES_IGNORED
     }
@@ -586,8 +588,10 @@
                         if (reachesControl()) {
                             tables.report(
                                     report.toBuilder().setAtMillis(nowMillis).build());
-                        } else {
+                        } else if (plant == Plant.NOTHING_TOLD_BY_OTHERS || random.nextBoolean()) {
                             teller.handBack(report);
+                        } else {
+                            anyHost().guard.takeOver(report, nowNanos());
                         }
                     }));
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.gateway;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -92,7 +93,8 @@
                 clock,
                 loop,
                 random);
-        this.harmReporter = new HarmReporter(view.harm(), network, follower::controlHost, loop);
+        this.harmReporter = new HarmReporter(
+                view.harm(), network, follower::controlHost, () -> otherEntryHosts(settings), loop, random);
         this.peers = new PeerServer(settings.peerAddress(), gateway, group, LinkPolicy.OPEN, traffic);
         this.warmUp = new WarmUp(
                 names,
@@ -200,6 +202,13 @@
         network.stop();
     }
 
+    private ImmutableList<String> otherEntryHosts(EntrySettings settings) {
+        return view.entryHosts().stream()
+                .map(HostRecord::getPeerAddress)
+                .filter(address -> !address.equals(settings.peerAddress().toString()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     private long sinceNanos(long beganNanos) {
         return clock.nowNanos() - beganNanos;
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.HarmReportResult;
 import org.bramblerack.wire.StageCall;
 
 /**
@@ -150,6 +151,10 @@
             stageServer.handle(message.getSender(), message.getStageCall(), reply);
         } else if (message.hasStageCancel()) {
             stageServer.cancel(message.getSender(), message.getStageCancel());
+        } else if (message.hasHarmReport()) {
+            loop.execute(() -> view.harm().takeOver(message.getHarmReport(), clock.nowNanos()));
+            reply.accept(Envelope.newBuilder()
+                    .setHarmReportResult(HarmReportResult.newBuilder().setTaken(true)));
         }
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmReporter.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmReporter.java
@@ -1,10 +1,12 @@
 package org.bramblerack.daemon.gateway;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.harm.HarmGuard;
 import org.bramblerack.wire.Envelope;
@@ -12,7 +14,8 @@
 
 /**
  * Tells the control host that this host follows what it saw of harmful requests, and tells it again until it is agreed
- * on. Owned by the event loop.
+ * on. If control does not take it, every other time another entry host is asked to tell it: a host that is cut off from
+ * control may be the only one that saw leafs end. Owned by the event loop.
  */
 final class HarmReporter {
     private static final Logger LOGGER = System.getLogger(HarmReporter.class.getName());
@@ -22,19 +25,31 @@
     private static final Duration REPLY_WAIT = Duration.ofMillis(1_100);
 
     private final HarmGuard guard;
+    private final Supplier<ImmutableList<String>> otherHosts;
+    private final RandomGenerator random;
     private final PeerNetwork network;
     private final Supplier<String> controlHost;
     private final EventLoop loop;
     private boolean underWay;
+    private int failures;
     private boolean stopped;
 
     /**
      * Creates a reporter that does nothing yet.
      *
      * @param controlHost tells which control host is followed at the moment
+     * @param otherHosts tells the peer addresses of the other entry hosts
      */
-    HarmReporter(HarmGuard guard, PeerNetwork network, Supplier<String> controlHost, EventLoop loop) {
+    HarmReporter(
+            HarmGuard guard,
+            PeerNetwork network,
+            Supplier<String> controlHost,
+            Supplier<ImmutableList<String>> otherHosts,
+            EventLoop loop,
+            RandomGenerator random) {
         this.guard = guard;
+        this.otherHosts = otherHosts;
+        this.random = random;
         this.network = network;
         this.controlHost = controlHost;
         this.loop = loop;
@@ -56,7 +71,7 @@
 
     private void send(HarmReport report) {
         underWay = true;
-        network.request(controlHost.get(), Envelope.newBuilder().setHarmReport(report), REPLY_WAIT)
+        network.request(nextTaker(), Envelope.newBuilder().setHarmReport(report), REPLY_WAIT)
                 .subscribe()
                 .with(
                         reply -> loop.execute(
@@ -64,8 +79,16 @@
                         failure -> loop.execute(() -> ended(report, false, String.valueOf(failure.getMessage()))));
     }
 
+    /** Returns the control host, but another entry host after each odd number of failures in a row. */
+    private String nextTaker() {
+        ImmutableList<String> others = otherHosts.get();
+        boolean asksAnother = failures % 2 == 1 && !others.isEmpty();
+        return asksAnother ? others.get(random.nextInt(others.size())) : controlHost.get();
+    }
+
     private void ended(HarmReport report, boolean taken, String reason) {
         underWay = false;
+        failures = taken ? 0 : failures + 1;
         if (!taken) {
             LOGGER.log(Logger.Level.DEBUG, "a report of harmful requests is made again: {0}", reason);
             guard.handBack(report);
