Give a trial back whose caller has gone, and count trials that are given back apart

Cause: an arrival that waits for its trial may lose its caller meanwhile; the trial it is then granted reached no leaf and kept others away for 1.5 s. And control counted a trial that was given back as one more that was granted.

Change: it is given back; a counter fleet_trial_given_back.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -155,12 +155,20 @@
                         : Optional.<Boolean>empty())
                 .onFailure()
                 .recoverWithItem(Optional.<Boolean>empty())
-                .invoke(granted -> metrics.counter("fleet_trial_"
-                                + granted.map(yes -> yes ? "granted" : "refused")
-                                        .orElse("undecided"))
+                .invoke(granted -> metrics.counter("fleet_trial_" + trialOutcome(trial, granted))
                         .inc());
     }
 
+    private static String trialOutcome(TakeTrial trial, Optional<Boolean> granted) {
+        if (granted.isEmpty()) {
+            return "undecided";
+        }
+        if (trial.getGivenBack()) {
+            return "given_back";
+        }
+        return granted.get() ? "granted" : "refused";
+    }
+
     /** Has the leafs of an availability zone get no work, or takes that back; either may be said again. */
     public Uni<FleetOutcome> drainZone(String zone, boolean drained) {
         Command command = Command.newBuilder()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -208,6 +208,7 @@
     private void tryOut(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
         trials.tryOut(call, () -> stageCall(exchange, call), result -> {
             if (exchange.isCallerGone()) {
+                trials.giveBack(call);
                 return;
             }
             switch (result) {
