Show what lost queries are worth, set up the gateway's tests once, and claim less

A planted fault (lost queries ignored) was used by no test. The set-up of a FleetView stood four times. Comments and pages claimed what no run has shown: that looking again saves bystanders, that a trial's length follows from leafs' work, how much memory records take. A failure in ControlPeers left no line.

Ruled out: the seed that led to counting lost queries (719) as their test. It holds without them by now.

Decisions do not change.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -28,7 +28,10 @@
      * most a few seconds.
      */
     private static final long SURVIVED_NANOS = Duration.ofSeconds(10).toNanos();
-    /** How many survived requests are remembered: some seconds' worth of the most that a host is planned for. */
+    /**
+     * How many survived requests are remembered: 25 s' worth of the 160 queries a second of an entry host of the
+     * planned size. One that holds leafs for others answers more, and remembers less than the time above.
+     */
     private static final int MAX_SURVIVED = 4_096;
     /** How many requests are remembered that were tried by the word of this host alone: as many as are on trial. */
     private static final int MAX_TRIED_ALONE = HarmRecords.MAX_RECORDS;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
@@ -46,8 +46,9 @@
      */
     static final int ARRIVALS_OF_HARM = 3;
     /**
-     * For how long nobody else may try a request: the work of a leaf, mostly under 200 ms, and word of what came of it,
-     * another 500. A trial that takes longer still counts, as an arrival that broke or an end.
+     * For how long nobody else may try a request: the longest mean work of a leaf on the users' sheets, 163 ms, several
+     * times over, a report's 100 ms and up to 300 ms until it is agreed on. Half as long made no difference in 1,000
+     * schedules.
      */
     static final long TRIAL_MILLIS = 1_500;
     /**
@@ -58,7 +59,7 @@
     static final long LEAST_SPREAD_MILLIS = 1_000;
     /** How many arrivals of a request are told apart. */
     static final int MAX_ARRIVALS = 8;
-    /** How many records are kept: with the ends below, about a megabyte and a half. */
+    /** How many records are kept: with the ends below, a megabyte and a half by estimate. */
     static final int MAX_RECORDS = 1_024;
     /** How many ends are kept for one request: those of every leaf of the largest index, twice over. */
     static final int MAX_ENDS = 1_024;
--- a/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmScheduleTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/harm/HarmScheduleTest.java
@@ -122,6 +122,14 @@
         assertThat(mostSentOn(seed, HarmWorld.Plant.NOTHING_TOLD_BY_OTHERS)).isGreaterThan(MOST_SENT_ON);
     }
 
+    /** The host gave the other calls of the query up, so it saw only one of the ends; then another one starts again. */
+    @Test
+    void lostQueriesThatCountForNothingAreFound() {
+        int seed = 2208;
+        assertThat(mostSentOn(seed, HarmWorld.Plant.NONE)).isAtMost(MOST_SENT_ON);
+        assertThat(mostSentOn(seed, HarmWorld.Plant.LOST_QUERIES_IGNORED)).isGreaterThan(MOST_SENT_ON);
+    }
+
     private static int mostSentOn(int seed, HarmWorld.Plant plant) {
         return new HarmWorld(seed, drawn(seed), 1 + seed % 3, plant).play().mostSentOn();
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -48,9 +48,14 @@
             case TABLE_PULL ->
                 fleet.pull(message.getTablePull())
                         .subscribe()
-                        .with(delta -> reply.accept(Envelope.newBuilder().setTableDelta(delta)), failure -> {
-                            // The role has stopped; the other host asks elsewhere once it hears nothing.
-                        });
+                        .with(
+                                delta -> reply.accept(Envelope.newBuilder().setTableDelta(delta)),
+                                failure ->
+                                        // The other host asks elsewhere once it hears nothing.
+                                        LOGGER.log(
+                                                Logger.Level.DEBUG,
+                                                "tables are not told, the role has stopped: {0}",
+                                                failure.getMessage()));
             case TAKE_TRIAL ->
                 fleet.takeTrial(message.getTakeTrial())
                         .subscribe()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -30,8 +30,8 @@
     private static final String RETRY_BUSY_SECONDS = "0.1";
 
     /**
-     * When to come back with a request of which another is being tried: a bystander is cleared well before the 1.5 s
-     * are over for which nobody else may be tried.
+     * When to come back with a request of which another is being tried: a third of the time for which nobody else may
+     * be tried, since an answer to that one lets others through at once.
      */
     private static final String RETRY_ON_TRIAL_SECONDS = "0.5";
     /**
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -35,11 +35,11 @@
     /** How long a caller is kept waiting for the grant: agreement takes some tens of milliseconds. */
     private static final Duration GRANT_WAIT = Duration.ofMillis(300);
     /**
-     * How long an arrival waits while another one is tried, before it looks again. A bystander is cleared by the first
-     * answer, so that it is served a moment later instead of being sent away.
+     * How long an arrival waits while another one is tried, before it looks again, so that a bystander that is cleared
+     * meanwhile is served instead of being sent away. By itself it showed no difference in 400 schedules.
      */
     private static final Duration OTHER_TRIAL_WAIT = Duration.ofMillis(80);
-    /** How often it asks: a trial that has brought nothing by then is rather of a harmful request. */
+    /** How often it asks; that bounds how long a request that may be harmful is kept here. */
     private static final int ASKS = 3;
 
     private final FleetView view;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/UpstreamHarm.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/UpstreamHarm.java
@@ -88,7 +88,7 @@
         if (now != before) {
             LOGGER.log(
                     Logger.Level.INFO,
-                    "{0} requests, {1} before, may end upstreams; those that ended three are sent to no upstream from"
+                    "{0} requests, {1} before, may end upstreams; those that are barred are sent to no upstream from"
                             + " now on",
                     now,
                     before);
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
@@ -10,14 +10,9 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.bramblerack.daemon.leaf.CallHeaders;
-import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.leaf.ColdBound;
-import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.RequestLimits;
@@ -32,7 +27,6 @@
 
 /** Connections are made ahead once to each new leaf, not at every change of the tables. */
 final class FleetViewTest {
-    private static final CallHeaders NAMES = new CallHeaders("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
     /** Longer than a host waits before it looks at which connections to make. */
     private static final long LOOKED_MILLIS = 2_300;
 
@@ -50,16 +44,7 @@
             Thread thread = new Thread(() -> closeAtOnce(leaf, accepted), "leaf");
             thread.setDaemon(true);
             thread.start();
-            FleetView view = new FleetView(
-                    "127.0.0.1:1",
-                    new Place("z", "r", ImmutableMap.of("z", "r")),
-                    new FleetBudget(20, 50, Duration.ofSeconds(10)),
-                    ColdBound.NONE,
-                    RoutingPolicy.DEFAULT,
-                    NAMES,
-                    group,
-                    MonotonicClock.system(),
-                    new SplittableRandom(1));
+            FleetView view = GatewayFixture.view(group, MonotonicClock.system());
             apply(view, tables(leaf.getLocalPort()), Optional.of(configuration()));
             Thread.sleep(LOOKED_MILLIS);
             assertThat(accepted.get()).isEqualTo(1);
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/GatewayFixture.java
@@ -0,0 +1,45 @@
+package org.bramblerack.daemon.gateway;
+
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.bramblerack.daemon.leaf.CallHeaders;
+import org.bramblerack.process.FleetBudget;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.ColdBound;
+import org.bramblerack.process.leaf.RoutingPolicy;
+
+/** What the tests of the gateway set up alike. */
+final class GatewayFixture {
+    /** Names of header fields by what they mean. */
+    static final CallHeaders NAMES = new CallHeaders(
+            "request-id",
+            "deadline-ms",
+            "leaf",
+            "leaf-id",
+            "signature",
+            "load",
+            "not-run",
+            "retry",
+            "parts",
+            "missing");
+
+    private static final FleetBudget BUDGET = new FleetBudget(20, 50, Duration.ofSeconds(10));
+
+    private GatewayFixture() {}
+
+    /** Returns the view of a host in zone z, without tables yet. */
+    static FleetView view(EventLoopGroup group, MonotonicClock clock) {
+        return new FleetView(
+                "127.0.0.1:1",
+                new Place("z", "r", ImmutableMap.of("z", "r", "z2", "r")),
+                BUDGET,
+                ColdBound.NONE,
+                RoutingPolicy.DEFAULT,
+                NAMES,
+                group,
+                clock,
+                new SplittableRandom(1));
+    }
+}
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
@@ -22,15 +22,11 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.http.HttpListener;
-import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
-import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.leaf.ColdBound;
-import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.RequestLimits;
@@ -52,17 +48,6 @@
  * connection of every host a leaf that takes 69 would get 94.
  */
 final class HeldSinglesTest {
-    private static final CallHeaders NAMES = new CallHeaders(
-            "request-id",
-            "deadline-ms",
-            "leaf",
-            "leaf-id",
-            "signature",
-            "load",
-            "not-run",
-            "retry",
-            "parts",
-            "missing");
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final MonotonicClock clock = MonotonicClock.system();
@@ -79,22 +64,13 @@
         HostAndPort callerAddress = HostAndPort.fromParts("127.0.0.1", freePort());
         holder = new PeerServer(holderAddress, this::answerAsHolder, group, LinkPolicy.OPEN, new PeerTraffic());
         holder.start();
-        view = new FleetView(
-                "127.0.0.1:1",
-                new Place("z", "r", ImmutableMap.of("z", "r", "z2", "r")),
-                new FleetBudget(20, 50, Duration.ofSeconds(10)),
-                ColdBound.NONE,
-                RoutingPolicy.DEFAULT,
-                NAMES,
-                group,
-                clock,
-                new SplittableRandom(1));
+        view = GatewayFixture.view(group, clock);
         Gateway gateway = new Gateway(
                 view,
                 () -> true,
                 () -> "",
                 PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
-                NAMES,
+                GatewayFixture.NAMES,
                 new GatewayMetrics(new MetricRegistry(), clock),
                 clock,
                 group.next(),
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -21,16 +21,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpListener;
-import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerTraffic;
-import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.LeafOutcome;
-import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
@@ -54,17 +50,6 @@
  * spreads, and while hosts are cut off from control, as 40 of 100 are in a recorded load.
  */
 final class StageServerTest {
-    private static final CallHeaders NAMES = new CallHeaders(
-            "request-id",
-            "deadline-ms",
-            "leaf",
-            "leaf-id",
-            "signature",
-            "load",
-            "not-run",
-            "retry",
-            "parts",
-            "missing");
     private static final int VERSION_HERE = 5;
     private static final long NANOS_A_MICRO = 1_000;
     private static final long MICROS_A_SECOND = Duration.ofSeconds(1).toNanos() / 1_000;
@@ -83,23 +68,13 @@
         HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
         leaf = new HttpListener(address, group, this::answerAsLeaf, () -> RequestLimits.DEFAULT, clock);
         leaf.start();
-        Place place = new Place("z", "r", ImmutableMap.of("z", "r", "z2", "r"));
-        view = new FleetView(
-                "127.0.0.1:1",
-                place,
-                new FleetBudget(20, 50, Duration.ofSeconds(10)),
-                ColdBound.NONE,
-                RoutingPolicy.DEFAULT,
-                NAMES,
-                group,
-                clock,
-                new SplittableRandom(1));
+        view = GatewayFixture.view(group, clock);
         gateway = new Gateway(
                 view,
                 () -> true,
                 () -> "",
                 PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
-                NAMES,
+                GatewayFixture.NAMES,
                 new GatewayMetrics(new MetricRegistry(), clock),
                 clock,
                 group.next(),
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TableFollowerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TableFollowerTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Range;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -17,15 +16,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
-import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
-import org.bramblerack.process.leaf.ColdBound;
-import org.bramblerack.process.leaf.RoutingPolicy;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
 import org.bramblerack.wire.TableDelta;
@@ -36,7 +31,6 @@
 
 /** When other hosts learn that a host takes part, or no longer does: a control host that holds requests back. */
 final class TableFollowerTest {
-    private static final CallHeaders NAMES = new CallHeaders("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
     private static final HostRecord READY = HostRecord.newBuilder()
             .setName("h")
             .setPhase(HostRecord.Phase.READY)
@@ -67,16 +61,7 @@
         HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
         control = new PeerServer(address, this::note, group, LinkPolicy.OPEN, new PeerTraffic());
         control.start();
-        FleetView view = new FleetView(
-                "127.0.0.1:1",
-                new Place("z", "r", ImmutableMap.of("z", "r")),
-                new FleetBudget(20, 50, Duration.ofSeconds(10)),
-                ColdBound.NONE,
-                RoutingPolicy.DEFAULT,
-                NAMES,
-                group,
-                MonotonicClock.system(),
-                new SplittableRandom(1));
+        FleetView view = GatewayFixture.view(group, MonotonicClock.system());
         follower = new TableFollower(
                 view,
                 document -> {
