Agree on the team of a request, its permission and its rank before the parts are built

Cause: four parts are to be built side by side (callers by key, limits over all hosts, who is served, where work goes), and each of them touches the way of a request through the gateway.

Change: the types that they share. A configuration may hold teams (Team, Teams, KeyDigest, RateLimit) and public routes; nothing reads them from documents yet. CallerCheck decides in whose name a request is made, once, where its caller came in; CallerIdentity goes with the call and says its rank and homes. SpendingLimits is what is asked for a permission, and permits everything so far. Between hosts a call names its team and rank; the key stays with the host that the caller reached.

Ruled out: a key that is not known is refused for good only by a host that hears a leader; one that does not may have missed the version that added it.

Measured: the modules compile and are formatted; no test was run on this commit.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/PathCost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/PathCost.java
@@ -33,7 +33,8 @@
             "Not-Run",
             "Retry-After",
             "Signatures",
-            "Missing");
+            "Missing",
+            "Team");
 
     /**
      * Serves queries one after the other and measures.
--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/CallerIdentity.java
@@ -0,0 +1,33 @@
+package org.bramblerack.request.routed;
+
+import java.util.Optional;
+import org.bramblerack.version.routing.Homes;
+import org.bramblerack.version.routing.Route;
+import org.bramblerack.version.routing.Team;
+
+/**
+ * In whose name a request is made, decided once where its caller came in.
+ *
+ * <p>Immutable and safe for use by many threads.
+ *
+ * @param team the team whose key the caller showed; empty if the request needs none
+ */
+public record CallerIdentity(Optional<Team> team) {
+    /** A caller that needs no key. */
+    public static final CallerIdentity ANONYMOUS = new CallerIdentity(Optional.empty());
+
+    /** Returns the rank of a request on a route; 0 is the highest. */
+    public int priority(Route route) {
+        return team.isPresent() ? team.get().priority().orElse(route.priority()) : route.priority();
+    }
+
+    /** Returns the regions that may serve a request on a route. */
+    public Homes homes(Route route) {
+        return team.map(known -> known.homes().and(route.homes())).orElse(route.homes());
+    }
+
+    /** Returns the name of the team, empty if there is none. */
+    public String teamName() {
+        return team.map(Team::name).orElse("");
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
@@ -12,6 +12,14 @@
     HARMFUL(true),
     /** Requests like it may have ended leafs, and another of them is being tried; it was sent to none. */
     ON_TRIAL(true),
+    /** Its caller showed no key of a team; it was sent to none. */
+    UNKNOWN_KEY(true),
+    /** Its caller showed a key that this host, which hears no leader, does not know; it was sent to none. */
+    KEY_UNDECIDED(true),
+    /** Its team has made as many requests as it may; it was sent to none. */
+    OVER_LIMIT(true),
+    /** It could not be answered in time by what this host and the leafs have to do; it was sent to none. */
+    NO_ROOM(true),
     /** Its time was up before any leaf was asked. */
     EXPIRED(true),
     /** Too few shards answered. */
--- a/bramblerack-core/src/main/java/org/bramblerack/version/routing/Route.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/version/routing/Route.java
@@ -20,6 +20,7 @@
  * @param maxAttempts how many leafs a request may be sent to, for a fan-out at each shard
  * @param target where its requests go
  * @param homes the regions that may serve its requests
+ * @param isPublic true if its callers need no key although the configuration has teams
  */
 public record Route(
         String name,
@@ -31,7 +32,8 @@
         int priority,
         int maxAttempts,
         RouteTarget target,
-        Homes homes) {
+        Homes homes,
+        boolean isPublic) {
     /** Refuses what no request could be served by. */
     public Route {
         requireNonNull(kind);
@@ -47,6 +49,21 @@
         checkArgument(maxAttempts >= 1, "route %s allows %s attempts; allow 1 at least", name, maxAttempts);
     }
 
+    /** Creates a route whose callers need a key if the configuration has teams. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration goal,
+            int priority,
+            int maxAttempts,
+            RouteTarget target,
+            Homes homes) {
+        this(name, host, prefix, kind, timeout, goal, priority, maxAttempts, target, homes, false);
+    }
+
     /** Creates a route whose requests every region may serve. */
     public Route(
             String name,
--- a/bramblerack-core/src/main/java/org/bramblerack/version/routing/RoutingConfiguration.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/version/routing/RoutingConfiguration.java
@@ -18,12 +18,13 @@
 public final class RoutingConfiguration {
     /** What a host holds before it has heard of any; no request finds a route in it. */
     public static final RoutingConfiguration NONE =
-            new RoutingConfiguration(0, ImmutableList.of(), ImmutableMap.of(), RequestLimits.DEFAULT);
+            new RoutingConfiguration(0, ImmutableList.of(), ImmutableMap.of(), RequestLimits.DEFAULT, Teams.NONE);
 
     private final long version;
     private final ImmutableList<Route> routes;
     private final ImmutableMap<String, LeafService> services;
     private final RequestLimits limits;
+    private final Teams teams;
     private final Map<String, Map<String, Route>> routesByHostAndPrefix = new HashMap<>();
     private final Map<String, Route> routesByName = new HashMap<>();
 
@@ -31,18 +32,20 @@
             long version,
             ImmutableList<Route> routes,
             ImmutableMap<String, LeafService> services,
-            RequestLimits limits) {
+            RequestLimits limits,
+            Teams teams) {
         this.version = version;
         this.routes = routes;
         this.services = services;
         this.limits = limits;
+        this.teams = teams;
         for (Route route : routes) {
             index(route);
         }
     }
 
     /**
-     * Creates a configuration.
+     * Creates a configuration without teams.
      *
      * @throws IllegalArgumentException if the parts do not fit together; the message names the remedy
      */
@@ -51,8 +54,22 @@
             ImmutableList<Route> routes,
             ImmutableMap<String, LeafService> services,
             RequestLimits limits) {
+        return create(version, routes, services, limits, Teams.NONE);
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @throws IllegalArgumentException if the parts do not fit together; the message names the remedy
+     */
+    public static RoutingConfiguration create(
+            long version,
+            ImmutableList<Route> routes,
+            ImmutableMap<String, LeafService> services,
+            RequestLimits limits,
+            Teams teams) {
         checkArgument(version > 0, "the version %s is not above 0", version);
-        return new RoutingConfiguration(version, routes, services, limits);
+        return new RoutingConfiguration(version, routes, services, limits, teams);
     }
 
     /** Returns the version; 0 means that no configuration is known. */
@@ -75,6 +92,11 @@
         return limits;
     }
 
+    /** Returns the teams whose callers show their keys. */
+    public Teams teams() {
+        return teams;
+    }
+
     /** Returns the route of a request: of those of its host, the one with the longest prefix that begins the path. */
     public Optional<Route> find(String host, String path) {
         Map<String, Route> byPrefix = routesByHostAndPrefix.get(normalize(host));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -3,7 +3,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafAnswer;
@@ -14,9 +17,13 @@
 /** Writes the answer to one caller. Owned by the event loop. */
 final class CallerAnswers implements AnswerSink {
     private static final int OK = 200;
+    private static final int UNAUTHORIZED = 401;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
+    /** How many digits of a second tell milliseconds. */
+    private static final int MILLIS_DIGITS = 3;
     /** When to come back if no leaf takes work: a registration takes about this long to be known. */
     private static final String RETRY_SOON_SECONDS = "0.3";
     /**
@@ -75,13 +82,26 @@
         exchange.respond(response);
     }
 
-    /** Sets what to do if the request turns out not to have run. */
+    /** Adds what to do if the request turns out not to have run. */
     void onNotRun(Runnable task) {
-        onNotRun = task;
+        Runnable before = onNotRun;
+        onNotRun = () -> {
+            before.run();
+            task.run();
+        };
+    }
+
+    /** Refuses a request and says when to come back. */
+    void refuse(RefusalReason reason, Duration retryAfter) {
+        refuse(reason, Optional.of(retryAfter));
     }
 
     @Override
     public void refuse(RefusalReason reason) {
+        refuse(reason, Optional.empty());
+    }
+
+    private void refuse(RefusalReason reason, Optional<Duration> retryAfter) {
         metrics.refused(reason);
         if (reason.isNotRun()) {
             onNotRun.run();
@@ -102,13 +122,23 @@
                                 UNAVAILABLE,
                                 RETRY_ON_TRIAL_SECONDS,
                                 "not run: leafs ended with requests like this one, and another one is being tried");
+                    case UNKNOWN_KEY ->
+                        new Told(UNAUTHORIZED, RETRY_SOON_SECONDS, "this key is of no team; ask the operator for one");
+                    case KEY_UNDECIDED ->
+                        new Told(
+                                UNAVAILABLE, RETRY_ELSEWHERE_SECONDS, "this host cannot tell whether the key is known");
+                    case OVER_LIMIT ->
+                        new Told(TOO_MANY_REQUESTS, RETRY_BUSY_SECONDS, "the team has made as many requests as it may");
+                    case NO_ROOM ->
+                        new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "not run: there is no room for it in time");
                     case EXPIRED ->
                         new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
                     case TIME_UP -> new Told(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
                     case TOO_FEW_SHARDS, OUTCOME_UNKNOWN ->
                         new Told(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
                 };
-        refuse(told.status(), told.retryAfterSeconds(), told.text());
+        String seconds = retryAfter.map(CallerAnswers::seconds).orElse(told.retryAfterSeconds());
+        refuse(told.status(), seconds, told.text());
     }
 
     /** Tells the caller that the request was not looked at and when to come back. */
@@ -131,6 +161,10 @@
         exchange.respond(response);
     }
 
+    private static String seconds(Duration time) {
+        return BigDecimal.valueOf(time.toMillis(), MILLIS_DIGITS).toPlainString();
+    }
+
     /** What a caller is told of a refusal. */
     private record Told(int status, String retryAfterSeconds, String text) {}
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -86,6 +86,8 @@
         this.gateway = new Gateway(
                 view,
                 follower::isSynchronized,
+                follower::isCurrent,
+                SpendingLimits.NONE,
                 follower::controlHost,
                 network,
                 names,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -20,6 +21,8 @@
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.Mechanism;
+import org.bramblerack.request.routed.CallerCheck;
+import org.bramblerack.request.routed.CallerIdentity;
 import org.bramblerack.request.routed.CallerWaits;
 import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.version.routing.Route;
@@ -51,6 +54,8 @@
 
     private final FleetView view;
     private final BooleanSupplier tablesKnown;
+    private final BooleanSupplier tablesCurrent;
+    private final SpendingLimits limits;
     private final CallHeaders names;
     private final GatewayMetrics metrics;
     private final MonotonicClock clock;
@@ -72,10 +77,14 @@
      *
      * @param controlHost tells which control host is followed at the moment
      * @param tablesKnown true once the view is that of a control host that is in touch with a leader
+     * @param tablesCurrent true while the control host that is followed is in touch with a leader
+     * @param limits bounds how many requests a team makes
      */
     public Gateway(
             FleetView view,
             BooleanSupplier tablesKnown,
+            BooleanSupplier tablesCurrent,
+            SpendingLimits limits,
             Supplier<String> controlHost,
             PeerNetwork network,
             CallHeaders names,
@@ -85,6 +94,8 @@
             RandomGenerator random) {
         this.view = view;
         this.tablesKnown = tablesKnown;
+        this.tablesCurrent = tablesCurrent;
+        this.limits = limits;
         this.names = names;
         this.metrics = metrics;
         this.clock = clock;
@@ -160,14 +171,14 @@
 
     @Override
     public void handle(HttpExchange exchange) {
-        CallerAnswers caller = new CallerAnswers(exchange, names, metrics);
+        CallerAnswers answers = new CallerAnswers(exchange, names, metrics);
         if (refusesCallers) {
-            caller.stopping();
+            answers.stopping();
             refusedUnrouted(exchange, "STOPPING");
             return;
         }
         if (!tablesKnown.getAsBoolean() || view.configuration().version() == 0) {
-            caller.notReady();
+            answers.notReady();
             refusedUnrouted(exchange, "NOT_READY");
             return;
         }
@@ -183,25 +194,51 @@
             refusedUnrouted(exchange, "NO_ROUTE");
             return;
         }
+        Optional<String> credentials = Optional.ofNullable(exchange.headers().get(HttpHeaderNames.AUTHORIZATION));
+        CallerCheck.Result check =
+                CallerCheck.check(view.configuration().teams(), route.get(), credentials, tablesCurrent.getAsBoolean());
+        if (check instanceof CallerCheck.Result.Known known) {
+            permit(exchange, route.get(), known.caller(), answers);
+        } else if (check instanceof CallerCheck.Result.Refused refused) {
+            answers.refuse(refused.reason());
+            refusedUnrouted(exchange, refused.reason().name());
+        }
+    }
+
+    /** Asks whether the team may make one more request. */
+    private void permit(HttpExchange exchange, Route route, CallerIdentity caller, CallerAnswers answers) {
         LeafRequest request = LeafRequest.create(
                 exchange.method(),
                 exchange.uri(),
                 exchange.headers(),
                 exchange.body(),
-                route.get().homes(),
+                caller.homes(route),
+                caller.teamName(),
                 names);
-        RequestTimes times = times(exchange, route.get());
+        RequestTimes times = times(exchange, route);
         if (times.deadlineNanos() - clock.nowNanos() <= 0) {
-            caller.refuse(RefusalReason.EXPIRED);
+            answers.refuse(RefusalReason.EXPIRED);
             refusedUnrouted(exchange, RefusalReason.EXPIRED.name());
             return;
         }
         RoutedCall call =
-                new RoutedCall(route.get(), view.configuration().version(), request, exchange.receivedNanos(), times);
-        switch (view.harm().permission(request::fingerprints)) {
-            case FREE -> serve(exchange, call, caller);
-            case ON_TRIAL -> tryOut(exchange, call, caller);
-            default -> refuse(call, caller, RefusalReason.HARMFUL);
+                new RoutedCall(route, caller, view.configuration().version(), request, exchange.receivedNanos(), times);
+        limits.spend(caller, spending -> {
+            if (spending instanceof SpendingLimits.Spending.Permitted permitted) {
+                answers.onNotRun(permitted.giveBack());
+                begin(exchange, call, answers);
+            } else if (spending instanceof SpendingLimits.Spending.Refused refused) {
+                answers.refuse(RefusalReason.OVER_LIMIT, refused.retryAfter());
+                log.imperfect(call, RefusalReason.OVER_LIMIT.name(), line -> {});
+            }
+        });
+    }
+
+    private void begin(HttpExchange exchange, RoutedCall call, CallerAnswers answers) {
+        switch (view.harm().permission(call.request()::fingerprints)) {
+            case FREE -> serve(exchange, call, answers);
+            case ON_TRIAL -> tryOut(exchange, call, answers);
+            default -> refuse(call, answers, RefusalReason.HARMFUL);
         }
     }
 
@@ -292,9 +329,12 @@
                 .setMethod(exchange.method())
                 .setUri(exchange.uri())
                 .setBody(ByteString.copyFrom(exchange.body()))
-                .addAllHomeRegions(route.homes().regions());
+                .addAllHomeRegions(routed.homes().regions())
+                .setTeam(routed.caller().teamName())
+                .setPriority(routed.priority());
+        boolean hasTeam = routed.caller().team().isPresent();
         exchange.headers().forEach(header -> {
-            if (!LeafRequest.isOfOneConnection(header.getKey())) {
+            if (LeafRequest.isToldToHosts(header.getKey(), hasTeam, names)) {
                 call.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
             }
         });
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -158,7 +158,7 @@
         long nowNanos = clock.nowNanos();
         long expectedNanos = view.latency(call.route()).medianNanos();
         String shard = services.get(random.nextInt(services.size()));
-        PermittedLeaves pool = view.pool(shard).permitted(call.route().homes());
+        PermittedLeaves pool = view.pool(shard).permitted(call.homes());
         Optional<Leaf> leaf = pool.choose(candidate -> true, expectedNanos, random, nowNanos);
         // One leaf more than the query needs, so it is paid for like a retry.
         if (leaf.isEmpty() || !pool.budget().tryWithdraw(nowNanos)) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -110,9 +110,7 @@
     private ImmutableList<PermittedLeaves> pools(RoutedCall call, RouteTarget.Scatter target) {
         ImmutableList.Builder<PermittedLeaves> pools =
                 ImmutableList.builderWithExpectedSize(target.shards().size());
-        target.shards()
-                .forEach(shard ->
-                        pools.add(view.pool(shard).permitted(call.route().homes())));
+        target.shards().forEach(shard -> pools.add(view.pool(shard).permitted(call.homes())));
         return pools.build();
     }
 
@@ -129,7 +127,7 @@
         boolean repeatable = call.route().kind() == RequestKind.IDEMPOTENT;
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
         ForwardedRequest forwarded =
-                new ForwardedRequest(view.pool(service).permitted(call.route().homes()), repeatable, bounds, random);
+                new ForwardedRequest(view.pool(service).permitted(call.homes()), repeatable, bounds, random);
         LeafPath path = view.isHeld(service)
                 ? holderPath(query.get().toBuilder().setWholeAnswer(true).build())
                 : (leaf, request, deadlineNanos, taker) ->
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/SpendingLimits.java
@@ -0,0 +1,38 @@
+package org.bramblerack.daemon.gateway;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.bramblerack.request.routed.CallerIdentity;
+
+/** Bounds how many requests a team makes on all hosts together. Owned by the event loop. */
+interface SpendingLimits {
+    /** Every request is permitted. */
+    SpendingLimits NONE = (caller, taker) -> taker.accept(Spending.FREE);
+
+    /**
+     * Asks for the permission to make one request, which is decided at once as a rule.
+     *
+     * @param taker takes the decision, once, now or later
+     */
+    void spend(CallerIdentity caller, Consumer<Spending> taker);
+
+    /** What is decided about a request. */
+    sealed interface Spending {
+        /** A permission that was taken from no limit. */
+        Permitted FREE = new Permitted(() -> {});
+
+        /**
+         * The request may be made.
+         *
+         * @param giveBack to be called once if it turns out not to have run
+         */
+        record Permitted(Runnable giveBack) implements Spending {}
+
+        /**
+         * The team has spent what it may.
+         *
+         * @param retryAfter when there will be a permission for this caller
+         */
+        record Refused(Duration retryAfter) implements Spending {}
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -16,6 +16,7 @@
 import org.bramblerack.daemon.leaf.LeafRequest;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.harm.Permission;
+import org.bramblerack.request.routed.CallerIdentity;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.request.routed.StageTiming;
@@ -77,7 +78,13 @@
         };
         Homes homes = homes(call);
         LeafRequest request = LeafRequest.create(
-                call.getMethod(), call.getUri(), headers(call), call.getBody().toByteArray(), homes, names);
+                call.getMethod(),
+                call.getUri(),
+                headers(call),
+                call.getBody().toByteArray(),
+                homes,
+                call.getTeam(),
+                names);
         // Its times count from when it came, so that no leaf is given more time than the caller has left.
         long arrivedNanos = view.routing().hostLag().arrivedNanos(clock.nowNanos());
         if (call.getLeaf().isEmpty()) {
@@ -129,6 +136,7 @@
         ScatterRun run = runs.scatterHere(
                 new RoutedCall(
                         route(call, target, homes, maxAttempts),
+                        CallerIdentity.ANONYMOUS,
                         call.getConfigurationVersion(),
                         request,
                         arrivedNanos,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/TableFollower.java
@@ -101,6 +101,11 @@
         return synchronizedOnce;
     }
 
+    /** Returns true while the control host that is followed is in touch with a leader, by its last answer. */
+    public boolean isCurrent() {
+        return synchronizedOnce && !lost;
+    }
+
     /** Returns the control host that is asked at present. */
     String controlHost() {
         return source;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -148,6 +148,8 @@
         Gateway gateway = new Gateway(
                 view,
                 () -> true,
+                () -> true,
+                SpendingLimits.NONE,
                 () -> "",
                 network,
                 names,
@@ -270,7 +272,7 @@
                     .set(names.requestId(), "warm-up-" + sent)
                     .set(names.deadlineMillis(), ROUTE_TIME.toMillis());
             String uri = sent % 5 == 0 ? "/single/query" : "/scatter/query";
-            LeafRequest request = LeafRequest.create("GET", uri, headers, new byte[0], Homes.ANYWHERE, names);
+            LeafRequest request = LeafRequest.create("GET", uri, headers, new byte[0], Homes.ANYWHERE, "", names);
             connections.send(request, clock.nowNanos() + ROUTE_TIME.toNanos(), this);
         }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/CallHeaders.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/CallHeaders.java
@@ -17,6 +17,7 @@
  * @param retryAfterSeconds when to come back
  * @param partSignatures the signatures of the parts of a merged answer
  * @param missingParts how many shards a merged answer lacks
+ * @param team the team in whose name a request is made, as leafs are told
  */
 public record CallHeaders(
         String requestId,
@@ -28,7 +29,8 @@
         String notRun,
         String retryAfterSeconds,
         String partSignatures,
-        String missingParts) {
+        String missingParts,
+        String team) {
     /** Refuses missing names. */
     public CallHeaders {
         requireNonNull(requestId);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
@@ -69,6 +69,7 @@
      * Creates the request that leafs get from that of a caller.
      *
      * @param homes the regions whose leafs may get it
+     * @param team the team in whose name it is made, empty if there is none; what the caller says of it is left out
      */
     public static LeafRequest create(
             String method,
@@ -76,6 +77,7 @@
             Iterable<Map.Entry<String, String>> headers,
             byte[] body,
             Homes homes,
+            String team,
             CallHeaders names) {
         StringBuilder text = new StringBuilder(256);
         text.append(method).append(' ').append(uri).append(" HTTP/1.1").append(LINE_END);
@@ -91,19 +93,22 @@
             } else if (header.getKey().equalsIgnoreCase(CREDENTIALS)) {
                 credentials = header.getValue();
             }
-            if (isPassedOn(header.getKey(), nominated, names)) {
+            if (isPassedOn(header.getKey(), nominated, !team.isEmpty(), names)) {
                 text.append(header.getKey())
                         .append(": ")
                         .append(header.getValue())
                         .append(LINE_END);
             }
         }
+        if (!team.isEmpty()) {
+            text.append(names.team()).append(": ").append(team).append(LINE_END);
+        }
         boolean mayHaveBody = !method.equals("GET") && !method.equals("HEAD") && !method.equals("DELETE");
         if (body.length > 0 || mayHaveBody) {
             text.append("Content-Length: ").append(body.length).append(LINE_END);
         }
         String host = authority;
-        String caller = credentials;
+        String caller = team.isEmpty() ? credentials : team;
         return new LeafRequest(
                 names,
                 requestId,
@@ -167,11 +172,27 @@
         return OF_ONE_CONNECTION.contains(name.toLowerCase(Locale.ROOT));
     }
 
-    private static boolean isPassedOn(String name, Set<String> nominated, CallHeaders names) {
+    /**
+     * Returns true if another host that asks leafs on behalf of this one is told a header field of the caller.
+     *
+     * @param hasTeam true if the caller's key was replaced by the name of its team
+     */
+    public static boolean isToldToHosts(String name, boolean hasTeam, CallHeaders names) {
         String lower = name.toLowerCase(Locale.ROOT);
+        return !OF_ONE_CONNECTION.contains(lower)
+                && !(hasTeam && lower.equals(CREDENTIALS))
+                && !name.equalsIgnoreCase(names.team());
+    }
+
+    private static boolean isPassedOn(String name, Set<String> nominated, boolean hasTeam, CallHeaders names) {
+        String lower = name.toLowerCase(Locale.ROOT);
+        if (hasTeam && lower.equals(CREDENTIALS)) {
+            return false;
+        }
         return !OF_ONE_CONNECTION.contains(lower)
                 && !nominated.contains(lower)
                 && !name.equalsIgnoreCase(names.deadlineMillis())
+                && !name.equalsIgnoreCase(names.team())
                 && !name.equalsIgnoreCase(names.expectedLeaf());
     }
 
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/GatewayFixture.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/GatewayFixture.java
@@ -23,7 +23,8 @@
             "not-run",
             "retry",
             "parts",
-            "missing");
+            "missing",
+            "team");
 
     private static final FleetBudget BUDGET = new FleetBudget(20, 50, Duration.ofSeconds(10));
 
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -72,6 +72,8 @@
         gateway = new Gateway(
                 view,
                 () -> true,
+                () -> true,
+                SpendingLimits.NONE,
                 () -> "",
                 PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
                 GatewayFixture.NAMES,
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/WarmUpTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/WarmUpTest.java
@@ -15,7 +15,17 @@
 /** A host that warms up leaves the processor to the first caller that comes. */
 final class WarmUpTest {
     private static final CallHeaders NAMES = new CallHeaders(
-            "Request-Id", "Deadline", "Expected", "Leaf-Id", "Signature", "Load", "Not-Run", "Retry-After", "P", "M");
+            "Request-Id",
+            "Deadline",
+            "Expected",
+            "Leaf-Id",
+            "Signature",
+            "Load",
+            "Not-Run",
+            "Retry-After",
+            "P",
+            "M",
+            "Team");
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -32,7 +32,17 @@
 /** What a leaf may send, byte for byte, and what the request is told. */
 final class LeafConnectionsTest {
     private static final CallHeaders NAMES = new CallHeaders(
-            "Request-Id", "Deadline", "Expected", "Leaf-Id", "Signature", "Load", "Not-Run", "Retry-After", "P", "M");
+            "Request-Id",
+            "Deadline",
+            "Expected",
+            "Leaf-Id",
+            "Signature",
+            "Load",
+            "Not-Run",
+            "Retry-After",
+            "P",
+            "M",
+            "Team");
     private static final String WHOLE =
             "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nSignature: sig\r\nContent-Length: 4\r\n\r\nbody";
     private static final String OTHERS =
@@ -243,6 +253,7 @@
                 new DefaultHttpHeaders().set("Host", "h").set("Request-Id", id).set("Connection", "keep-alive"),
                 new byte[0],
                 homes,
+                "",
                 NAMES);
     }
 
