--- a/bramblerack-core/src/main/java/org/bramblerack/process/document/DocumentParser.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/document/DocumentParser.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Parses JSON with comments into nodes that know their lines.
@@ -35,6 +36,8 @@
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
             .build();
 
+    private static final Pattern UNQUOTED_WORD = Pattern.compile("Unrecognized token '[^']*'");
+
     private final FaultCollector faults;
 
     private DocumentParser(FaultCollector faults) {
@@ -71,7 +74,7 @@
             throw new SyntaxFault(new Fault(
                     lineOf(malformed),
                     "",
-                    "not valid JSON: " + firstLine(malformed.getOriginalMessage()),
+                    "not valid JSON: " + problem(malformed.getOriginalMessage()),
                     "correct the syntax there"));
         } catch (IOException impossible) {
             throw new SyntaxFault(
@@ -135,9 +138,12 @@
                 : Math.max(1, failure.getLocation().getLineNr());
     }
 
-    private static String firstLine(String message) {
+    /** Returns what is wrong, without the words of the document: one that lost its quotes may be a secret. */
+    private static String problem(String message) {
         int end = message.indexOf('\n');
-        return end < 0 ? message : message.substring(0, end);
+        return UNQUOTED_WORD
+                .matcher(end < 0 ? message : message.substring(0, end))
+                .replaceFirst("a word without quotes");
     }
 
     /** Thrown when the text is no JSON document at all; carries the one fault. */
