Warm up fully only on the hosts that call leafs

Three queries load and link the code. Ruled out: no warm-up at all (the first query then pays for loading), and the full one on every host that has no tables yet (after power all would run it while the leader is elected). Change: WarmUpPlan decides by what the agreed tables say: three queries, then it waits for the tables up to the limit of a second as before, and serves the rest where the host calls leafs itself (every host of a small fleet). A host that learns of it later, as before the first traffic, serves the rest then, unless work has come.

--- a/bramblerack-core/src/main/java/org/bramblerack/connection/ZoneHolders.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/connection/ZoneHolders.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedSet;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -77,6 +78,13 @@
         return hostsByService.getOrDefault(requireNonNull(service), ImmutableList.of());
     }
 
+    /** Returns the hosts that hold any shard or stand in for one that does. */
+    public ImmutableSet<String> hosts() {
+        ImmutableSet.Builder<String> all = ImmutableSet.builder();
+        hostsByService.values().forEach(all::addAll);
+        return all.build();
+    }
+
     private static ImmutableList<String> withFirst(String holder, ImmutableList<String> order) {
         ImmutableList.Builder<String> hosts = ImmutableList.<String>builder().add(holder);
         order.stream()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpListener;
@@ -16,6 +17,7 @@
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
 
 /**
@@ -48,7 +50,7 @@
     private final PeerServer peers;
     private final HttpListener callers;
     private final long incarnation;
-    private final WarmUp warmUp;
+    private final HostWarmUp warmUp;
     private volatile boolean warm;
     private volatile boolean stopping;
 
@@ -97,18 +99,23 @@
                 random);
         this.harmReporter = new HarmReporter(
                 view.harm(), network, follower::controlHost, () -> otherEntryHosts(settings), loop, random);
-        this.peers = new PeerServer(settings.peerAddress(), gateway, group, LinkPolicy.OPEN, traffic);
-        this.warmUp = new WarmUp(
-                names,
-                group,
-                settings.peerAddress().getHost(),
-                settings.peerAddress().getPort() + 1,
+        this.warmUp = new HostWarmUp(
+                view,
+                steps -> new WarmUp(
+                        names,
+                        group,
+                        settings.peerAddress().getHost(),
+                        settings.peerAddress().getPort() + 1,
+                        clock,
+                        steps),
+                loop,
                 clock);
+        this.peers = new PeerServer(settings.peerAddress(), this::handle, group, LinkPolicy.OPEN, traffic);
         this.callers = new HttpListener(
                 settings.callerAddress(),
                 group,
                 exchange -> {
-                    warmUp.end();
+                    warmUp.workCame();
                     gateway.handle(exchange);
                 },
                 () -> view.configuration().limits(),
@@ -126,7 +133,7 @@
         follower.start();
         harmReporter.start();
         gateway.start();
-        warmUp.run();
+        warmUp.atStart();
         warm = true;
         follower.announce();
         EVENTS.info("started")
@@ -204,6 +211,13 @@
         network.stop();
     }
 
+    private void handle(Envelope message, Consumer<Envelope.Builder> reply) {
+        if (message.hasStageCall()) {
+            warmUp.workCame();
+        }
+        gateway.handle(message, reply);
+    }
+
     private ImmutableList<String> otherEntryHosts(EntrySettings settings) {
         return view.entryHosts().stream()
                 .map(HostRecord::getPeerAddress)
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -21,6 +21,7 @@
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.WarmUpPlan;
 import org.bramblerack.process.WindowedBudget;
 import org.bramblerack.process.harm.Fingerprint;
 import org.bramblerack.process.harm.HarmGuard;
@@ -195,6 +196,11 @@
         return access().holders();
     }
 
+    /** Says who calls leafs for queries, by the agreed tables. */
+    WarmUpPlan.LeafCalls leafCalls() {
+        return configuration.version() == 0 ? WarmUpPlan.LeafCalls.UNKNOWN : access().leafCalls();
+    }
+
     /** Returns true if the leafs of a service are reached through holders. */
     boolean isHeld(String service) {
         return access().isHeld(service);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -11,6 +11,7 @@
 import org.bramblerack.connection.ConnectionShare;
 import org.bramblerack.connection.ZoneHolders;
 import org.bramblerack.process.FleetBudget;
+import org.bramblerack.process.WarmUpPlan;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
@@ -166,6 +167,32 @@
         return !spenders.isEmpty() && spenders.get(0).equals(self);
     }
 
+    /**
+     * Says who calls leafs for queries, this host counted in its zone whether the tables name it yet or not. Unknown
+     * while no leafs are known, or no hosts: a host that starts first would take itself for the only one.
+     */
+    WarmUpPlan.LeafCalls leafCalls() {
+        if (shardsByZone.isEmpty() || hosts.isEmpty()) {
+            return WarmUpPlan.LeafCalls.UNKNOWN;
+        }
+        for (Map.Entry<ZoneIndex, ImmutableSortedSet<String>> shards : shardsByZone.entrySet()) {
+            if (shards.getValue().stream().anyMatch(shard -> !isHeld(shard))
+                    || wouldHold(shards.getKey().zone(), shards.getValue())) {
+                return WarmUpPlan.LeafCalls.MADE_HERE;
+            }
+        }
+        return WarmUpPlan.LeafCalls.LEFT_TO_OTHERS;
+    }
+
+    private boolean wouldHold(String zone, ImmutableSortedSet<String> shards) {
+        Set<String> candidates = new HashSet<>(candidatesIn(zone));
+        if (zone.equals(place.zone())) {
+            candidates.add(self);
+        }
+        return candidates.contains(self)
+                && ZoneHolders.compute(candidates, shards).hosts().contains(self);
+    }
+
     /** Returns in how many availability zones a shard has a leaf. */
     int zonesOf(String service) {
         return (int) shardsByZone.values().stream()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpListener;
@@ -33,6 +34,7 @@
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.WarmUpPlan;
 import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
@@ -65,12 +67,10 @@
     private static final int SHARDS = 16;
     /** One in this many shards is far, so that the way over another host is used as well. */
     private static final int FAR_EVERY = 3;
-    /** Enough for the compiler to take up the code of a leaf call, which runs once a shard. */
-    private static final int QUERIES = 30;
 
     private static final int PART_BYTES = 512;
     private static final Duration LIMIT = Duration.ofSeconds(1);
-    private static final Size OF_A_START = new Size(SHARDS, QUERIES, LIMIT);
+    private static final Duration LOOK_EVERY = Duration.ofMillis(20);
     private static final Duration ROUTE_TIME = Duration.ofSeconds(2);
     /** Second attempts for the queries of the warm-up; none is needed, but the code that counts them runs. */
     private static final FleetBudget BUDGET = new FleetBudget(10, 10, ROUTE_TIME);
@@ -82,7 +82,9 @@
     private final HostAndPort callerAddress;
     private final HostAndPort peerAddress;
     private final AtomicInteger answers = new AtomicInteger();
-    private final Size size;
+    private final int shards;
+    private final Duration limit;
+    private final Supplier<WarmUpPlan.Step> steps;
     private final CountDownLatch done = new CountDownLatch(1);
 
     /**
@@ -100,13 +102,20 @@
     }
 
     /**
-     * Creates a warm-up of the size of a start that does nothing yet.
+     * Creates a warm-up of a host that does nothing yet.
      *
      * @param address an address of this machine
      * @param firstPort the first of three ports at that address that are free
+     * @param steps says on the event loop whether to serve one more query
      */
-    public WarmUp(CallHeaders names, EventLoopGroup group, String address, int firstPort, MonotonicClock clock) {
-        this(names, group, address, firstPort, clock, OF_A_START);
+    public WarmUp(
+            CallHeaders names,
+            EventLoopGroup group,
+            String address,
+            int firstPort,
+            MonotonicClock clock,
+            Supplier<WarmUpPlan.Step> steps) {
+        this(names, group, address, firstPort, clock, SHARDS, LIMIT, steps);
     }
 
     /**
@@ -117,7 +126,21 @@
      */
     public WarmUp(
             CallHeaders names, EventLoopGroup group, String address, int firstPort, MonotonicClock clock, Size size) {
-        this.size = size;
+        this(names, group, address, firstPort, clock, size.shards(), size.limit(), countDown(size.queries()));
+    }
+
+    private WarmUp(
+            CallHeaders names,
+            EventLoopGroup group,
+            String address,
+            int firstPort,
+            MonotonicClock clock,
+            int shards,
+            Duration limit,
+            Supplier<WarmUpPlan.Step> steps) {
+        this.shards = shards;
+        this.limit = limit;
+        this.steps = steps;
         this.names = names;
         this.group = group;
         this.clock = clock;
@@ -169,7 +192,7 @@
             gateway.probeNow();
             new Caller().next();
         });
-        boolean inTime = done.await(size.limit().toNanos(), TimeUnit.NANOSECONDS);
+        boolean inTime = done.await(limit.toNanos(), TimeUnit.NANOSECONDS);
         callers.stopNow();
         leaves.stopNow();
         peers.stop();
@@ -182,6 +205,11 @@
                 .write();
     }
 
+    private static Supplier<WarmUpPlan.Step> countDown(int queries) {
+        AtomicInteger left = new AtomicInteger(queries);
+        return () -> left.getAndDecrement() > 0 ? WarmUpPlan.Step.SERVE : WarmUpPlan.Step.END;
+    }
+
     /** Ends it early: a real request is the better warm-up, and its caller waits for the processor. */
     public void end() {
         done.countDown();
@@ -209,7 +237,7 @@
 
     private TableDelta tables() {
         TableDelta.Builder tables = TableDelta.newBuilder().setRevision(1).setWhole(true);
-        for (int shard = 0; shard < size.shards(); shard++) {
+        for (int shard = 0; shard < shards; shard++) {
             tables.addLeaves(LeafRecord.newBuilder()
                     .setId("warm-up-" + shard)
                     .setService(service(shard))
@@ -229,13 +257,13 @@
     }
 
     private RoutingConfiguration configuration() {
-        ImmutableList.Builder<String> shards = ImmutableList.builder();
+        ImmutableList.Builder<String> scattered = ImmutableList.builder();
         ImmutableMap.Builder<String, LeafService> services = ImmutableMap.builder();
-        for (int shard = 0; shard < size.shards(); shard++) {
-            shards.add(service(shard));
+        for (int shard = 0; shard < shards; shard++) {
+            scattered.add(service(shard));
             services.put(service(shard), new LeafService(service(shard), "/health", 8));
         }
-        Route scatter = route("scatter", "/scatter/", new RouteTarget.Scatter(shards.build(), 20, 0.5));
+        Route scatter = route("scatter", "/scatter/", new RouteTarget.Scatter(scattered.build(), 20, 0.5));
         Route single = route("single", "/single/", new RouteTarget.Single(service(1)));
         return RoutingConfiguration.create(
                 1, ImmutableList.of(scatter, single), services.buildOrThrow(), RequestLimits.DEFAULT);
@@ -261,11 +289,18 @@
         }
 
         void next() {
-            if (sent >= size.queries() || done.getCount() == 0) {
-                connections.retire();
-                done.countDown();
-                return;
+            WarmUpPlan.Step step = done.getCount() == 0 ? WarmUpPlan.Step.END : steps.get();
+            switch (step) {
+                case SERVE -> send();
+                case WAIT -> group.next().schedule(this::next, LOOK_EVERY.toMillis(), TimeUnit.MILLISECONDS);
+                default -> {
+                    connections.retire();
+                    done.countDown();
+                }
             }
+        }
+
+        private void send() {
             sent++;
             HttpHeaders headers = new DefaultHttpHeaders()
                     .set("Host", HOST)
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
@@ -4,12 +4,14 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Range;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.bramblerack.process.WarmUpPlan;
 import org.bramblerack.version.routing.LeafService;
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.RequestLimits;
@@ -184,6 +186,42 @@
         assertThat(access.holdersOf("s0", "z0")).doesNotContain(first.get(0));
     }
 
+    @Test
+    void holdersAndThoseThatStandInCallLeafsAndOtherHostsDoNot() {
+        List<HostRecord> hosts = hosts(83);
+        int calling = 0;
+        for (HostRecord host : hosts) {
+            LeafAccess access = access(hosts, 64, host.getPeerAddress(), host.getZone());
+            boolean named = false;
+            for (int shard = 0; shard < SHARDS; shard++) {
+                named |= access.isNamedFor("s" + shard, host.getZone());
+            }
+            boolean calls = access.leafCalls() == WarmUpPlan.LeafCalls.MADE_HERE;
+            assertThat(calls).isEqualTo(named || (host.getZone().equals("z0") && access.isNamedFor("to-come", "z0")));
+            calling += calls ? 1 : 0;
+        }
+        assertThat(calling).isIn(Range.closed(ZONES, hosts.size() / 2));
+    }
+
+    /** A host is named by the tables only once it is warm, and must know before what to warm up for. */
+    @Test
+    void aHostThatStartsKnowsWhetherItWillCallLeafs() {
+        List<HostRecord> hosts = hosts(83);
+        for (HostRecord host : hosts) {
+            List<HostRecord> others =
+                    hosts.stream().filter(other -> !other.equals(host)).toList();
+            assertThat(access(others, 64, host.getPeerAddress(), host.getZone()).leafCalls())
+                    .isEqualTo(access(hosts, 64, host.getPeerAddress(), host.getZone())
+                            .leafCalls());
+        }
+    }
+
+    @Test
+    void everyHostOfASmallFleetCallsLeafsAndOneThatKnowsNobodyIsNotSure() {
+        assertThat(access(hosts(7), 26, "10.0.0.0:1", "z0").leafCalls()).isEqualTo(WarmUpPlan.LeafCalls.MADE_HERE);
+        assertThat(access(hosts(0), 26, "10.0.0.0:1", "z0").leafCalls()).isEqualTo(WarmUpPlan.LeafCalls.UNKNOWN);
+    }
+
     private static LeafAccess access(List<HostRecord> hosts, int maxConnections, String self, String zone) {
         return access(hosts, maxConnections, self, zone, SHARDS);
     }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/WarmUpTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/WarmUpTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.WarmUpPlan;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -44,7 +45,8 @@
 
     @Test
     void itEndsWhenACallerComes() throws Exception {
-        WarmUp warmUp = new WarmUp(NAMES, group, "127.0.0.1", freePort(), MonotonicClock.system());
+        WarmUp warmUp =
+                new WarmUp(NAMES, group, "127.0.0.1", freePort(), MonotonicClock.system(), () -> WarmUpPlan.Step.SERVE);
         warmUp.end();
         warmUp.run();
         assertThat(warmUp.leafCalls()).isEqualTo(0);
