Look seldom how far a host without work is behind

Cause: a host of a large fleet has a query in two seconds, and its own regular task every 20 ms. An entry host without work had 115 changes of thread a second on its event loop, 50 of them for that. Change: LagPeriod: 20 ms while there is work and 300 ms after it came, 100 ms otherwise; work that comes to a host at rest is looked at at once, so that what it waited here is known as before. Ruled out: no look at all without work, since a host that was stopped would not know for how long.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/HostLag.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/HostLag.java
@@ -12,7 +12,7 @@
  * threads: the event loop of the entry role owns it.
  */
 public final class HostLag {
-    private final long periodNanos;
+    private long periodNanos;
     private boolean begun;
     private long lastRunNanos;
     private long lastLateNanos;
@@ -36,6 +36,15 @@
         return new HostLag(Long.MAX_VALUE);
     }
 
+    /**
+     * Notes that the regular task runs, and that it will run again after another time than the one before: a host
+     * without work looks seldom.
+     */
+    public void taskRuns(long nowNanos, Duration nextPeriod) {
+        taskRuns(nowNanos);
+        periodNanos = nextPeriod.toNanos();
+    }
+
     /** Notes that the regular task runs. */
     public void taskRuns(long nowNanos) {
         lastLateNanos = begun ? Math.max(0, nowNanos - lastRunNanos - periodNanos) : 0;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -27,6 +27,7 @@
 import org.bramblerack.process.harm.HarmGuard;
 import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.HostLag;
+import org.bramblerack.process.leaf.LagPeriod;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.process.leaf.Mechanism;
@@ -49,9 +50,6 @@
  * from the moment at which the change arrives. Owned by the event loop.
  */
 public final class FleetView {
-    /** How often this host looks how far it is behind: several times in the shortest goal that was seen. */
-    static final Duration LAG_PERIOD = Duration.ofMillis(20);
-
     private static final EventLog EVENTS = EventLog.of(FleetView.class);
     /** How many leafs a line names at the most. */
     private static final int MOST_NAMED = 12;
@@ -96,7 +94,7 @@
         this.hosts = new FleetHosts(place);
         this.startedNanos = clock.nowNanos();
         this.queries = new EventRate(startedNanos);
-        this.routing = new RoutingContext(policy, HostLag.create(LAG_PERIOD));
+        this.routing = new RoutingContext(policy, HostLag.create(LagPeriod.AT_WORK));
         this.access = new LeafAccess(self, place);
         this.budget = budget;
         this.coldBound = coldBound;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -68,6 +68,7 @@
     private final CallerWaits waits = new CallerWaits();
     private final StageLinks stages;
     private final StageServer stageServer;
+    private final LagTimer lagTimer;
     private final HarmTrials trials;
     private final Map<String, SplitCursor> splits = new HashMap<>();
     private boolean refusesCallers;
@@ -108,18 +109,14 @@
         this.runs = new QueryRuns(view, stages, names, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
         this.trials = new HarmTrials(view, runs, network, controlHost, loop, clock, random);
+        this.lagTimer = new LagTimer(view.routing().hostLag(), loop, clock);
         this.stageServer = new StageServer(view, runs, names, clock, loop);
     }
 
     /** Begins to probe the links to other hosts. */
     public void start() {
         stages.start();
-        long periodNanos = FleetView.LAG_PERIOD.toNanos();
-        loop.scheduleWithFixedDelay(
-                () -> view.routing().hostLag().taskRuns(clock.nowNanos()),
-                periodNanos,
-                periodNanos,
-                TimeUnit.NANOSECONDS);
+        lagTimer.start();
         loop.scheduleWithFixedDelay(
                 () -> EVENTS.info("counters")
                         .with("counters", metrics.summary())
@@ -159,6 +156,7 @@
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         // Other kinds are of a newer program: not understood, so not answered.
         if (message.hasStageCall()) {
+            lagTimer.workCame();
             stageServer.handle(message.getSender(), message.getStageCall(), reply);
         } else if (message.hasStageCancel()) {
             stageServer.cancel(message.getSender(), message.getStageCancel());
@@ -171,6 +169,7 @@
 
     @Override
     public void handle(HttpExchange exchange) {
+        lagTimer.workCame();
         CallerAnswers answers = new CallerAnswers(exchange, names, metrics);
         if (refusesCallers) {
             answers.stopping();
--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LagTimer.java
@@ -0,0 +1,49 @@
+package org.bramblerack.daemon.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.HostLag;
+import org.bramblerack.process.leaf.LagPeriod;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs the task by which a host sees how far it is behind, as often as {@link LagPeriod} says. Owned by the event loop.
+ */
+final class LagTimer {
+    private final HostLag lag;
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final LagPeriod period = new LagPeriod();
+    private @Nullable ScheduledFuture<?> next;
+    private boolean atRest;
+
+    LagTimer(HostLag lag, EventLoop loop, MonotonicClock clock) {
+        this.lag = lag;
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    void start() {
+        loop.execute(this::run);
+    }
+
+    /** Notes that work comes; a host at rest looks at once, since the work may have waited here. */
+    void workCame() {
+        period.workCame(clock.nowNanos());
+        if (atRest && next != null) {
+            next.cancel(false);
+            run();
+        }
+    }
+
+    private void run() {
+        long nowNanos = clock.nowNanos();
+        Duration wait = period.next(nowNanos);
+        atRest = wait.equals(LagPeriod.AT_REST);
+        lag.taskRuns(nowNanos, wait);
+        next = loop.schedule(this::run, wait.toNanos(), TimeUnit.NANOSECONDS);
+    }
+}
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -26,6 +26,7 @@
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.HostLag;
+import org.bramblerack.process.leaf.LagPeriod;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.version.routing.LeafService;
@@ -219,7 +220,7 @@
     private void behind(long lateNanos) throws Exception {
         group.submit(() -> {
                     HostLag lag = view.routing().hostLag();
-                    lag.taskRuns(clock.nowNanos() - lateNanos - FleetView.LAG_PERIOD.toNanos());
+                    lag.taskRuns(clock.nowNanos() - lateNanos - LagPeriod.AT_WORK.toNanos());
                 })
                 .get();
     }
