--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -21,11 +21,13 @@
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.WarmUpPlan;
 import org.bramblerack.process.WindowedBudget;
 import org.bramblerack.process.harm.Fingerprint;
 import org.bramblerack.process.harm.HarmGuard;
 import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.HostLag;
+import org.bramblerack.process.leaf.LagPeriod;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafPool;
 import org.bramblerack.process.leaf.Mechanism;
@@ -48,9 +50,6 @@
  * from the moment at which the change arrives. Owned by the event loop.
  */
 public final class FleetView {
-    /** How often this host looks how far it is behind: several times in the shortest goal that was seen. */
-    static final Duration LAG_PERIOD = Duration.ofMillis(20);
-
     private static final EventLog EVENTS = EventLog.of(FleetView.class);
     /** How many leafs a line names at the most. */
     private static final int MOST_NAMED = 12;
@@ -95,7 +94,7 @@
         this.hosts = new FleetHosts(place);
         this.startedNanos = clock.nowNanos();
         this.queries = new EventRate(startedNanos);
-        this.routing = new RoutingContext(policy, HostLag.create(LAG_PERIOD));
+        this.routing = new RoutingContext(policy, HostLag.create(LagPeriod.AT_WORK));
         this.access = new LeafAccess(self, place);
         this.budget = budget;
         this.coldBound = coldBound;
@@ -195,6 +194,11 @@
         return access().holders();
     }
 
+    /** Says who calls leafs for queries, by the agreed tables. */
+    WarmUpPlan.LeafCalls leafCalls() {
+        return configuration.version() == 0 ? WarmUpPlan.LeafCalls.UNKNOWN : access().leafCalls();
+    }
+
     /** Returns true if the leafs of a service are reached through holders. */
     boolean isHeld(String service) {
         return access().isHeld(service);
