Give a trial back at once with what it showed, and end one second leaf of a query at most

And a query whose first calls broke on every shard asked a second leaf of each before any leaf had answered; calls that were given up before they were sent counted as may have run.

Change: the end of a trial says what it showed (answered, broken, no leaf), and the command that takes it back clears the request or counts the break. BreakProbe has one shard ask again while no leaf has answered; others wait for that or for any answer. A refusal is decided again once the calls under way were given up: if none had been sent it says not run. Another host's last word is due before the caller is answered, so that a not run of its counts.

Ruled out: nobody held back after a break (two leafs of each shard end); no second attempt at all (a reset costs a shard).

--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/AccusedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/AccusedRequest.java
@@ -140,11 +140,13 @@
         trialUntilMillis = untilMillis;
     }
 
-    /** Ends the trial of an arrival, if it is the one that is tried. */
-    void giveBackTrial(long arrival) {
-        if (trialArrival == arrival) {
+    /** Ends the trial of an arrival, if it is the one that is tried; returns true if it is. */
+    boolean giveBackTrial(long arrival) {
+        boolean tried = trialArrival == arrival && trialUntilMillis > 0;
+        if (tried) {
             trialUntilMillis = 0;
         }
+        return tried;
     }
 
     boolean isTried(long nowMillis) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmGuard.java
@@ -180,10 +180,31 @@
         return granted;
     }
 
-    /** Takes back a trial by the word of this host alone that reached no leaf. */
-    public void giveBack(Arrival arrival) {
-        arrival.fingerprints().all().forEach(triedAlone::remove);
-        own.giveBack(trialOf(arrival).build());
+    /**
+     * Ends a trial; whether a leaf answered it is known here.
+     *
+     * @param broke true if it reached a leaf and its call broke there
+     * @return what to tell control, without the time
+     */
+    public TakeTrial.Builder giveBack(Arrival arrival, boolean broke, long nowNanos) {
+        List<Fingerprint> request = arrival.fingerprints().all();
+        request.forEach(triedAlone::remove);
+        TakeTrial.Builder trial = trialOf(arrival).setGivenBack(true).setOutcome(outcome(request, broke, nowNanos));
+        own.giveBack(
+                trial.clone()
+                        .setAtMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos))
+                        .build(),
+                0);
+        ownRestricted = own.restrictedCount();
+        return trial;
+    }
+
+    private TakeTrial.Outcome outcome(List<Fingerprint> request, boolean broke, long nowNanos) {
+        if (request.stream().allMatch(fingerprint -> survivedOfLate(fingerprint, nowNanos))) {
+            return TakeTrial.Outcome.ANSWERED;
+        }
+        boolean accuses = broke && request.stream().noneMatch(fingerprint -> survivedOfLate(fingerprint, nowNanos));
+        return accuses ? TakeTrial.Outcome.BROKEN : TakeTrial.Outcome.OUTCOME_UNSPECIFIED;
     }
 
     /** Returns the question whether an arrival may be tried, without the time. */
--- a/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/harm/HarmRecords.java
@@ -97,7 +97,11 @@
         clockMillis = Math.max(clockMillis, trial.getAtMillis());
         List<AccusedRequest> onTrial = new ArrayList<>(2);
         for (ByteString bytes : trial.getFingerprintsList()) {
-            Fingerprint.fromBytes(bytes).map(records::get).ifPresent(onTrial::add);
+            // One that is cleared is served: the host that asks has not heard of it yet.
+            Fingerprint.fromBytes(bytes)
+                    .map(records::get)
+                    .filter(request -> !request.isCleared())
+                    .ifPresent(onTrial::add);
         }
         boolean free = onTrial.stream().noneMatch(request -> request.isBarred() || request.isTried(clockMillis));
         if (free) {
@@ -106,12 +110,35 @@
         return free;
     }
 
-    /** Takes back the trial of an arrival that reached no leaf, so that another one may be tried at once. */
-    public void giveBack(TakeTrial trial) {
+    /**
+     * Ends the trial of an arrival, so that another one may be tried at once, and takes in the same step what it
+     * showed: a harmful request is not tried more often than it takes to bar it, and one that was answered holds nobody
+     * back until its host's next report.
+     *
+     * @param revision what records are marked with whose verdict changes
+     * @return true if hosts need to hear of a change
+     */
+    public boolean giveBack(TakeTrial trial, long revision) {
+        clockMillis = Math.max(clockMillis, trial.getAtMillis());
         for (ByteString bytes : trial.getFingerprintsList()) {
             Fingerprint.fromBytes(bytes)
                     .map(records::get)
-                    .ifPresent(request -> request.giveBackTrial(trial.getArrival()));
+                    .filter(request -> request.giveBackTrial(trial.getArrival()))
+                    .ifPresent(request -> takeOutcome(request, trial));
+        }
+        judge();
+        return markChanged(revision);
+    }
+
+    private void takeOutcome(AccusedRequest request, TakeTrial trial) {
+        if (trial.getOutcome() == TakeTrial.Outcome.ANSWERED) {
+            request.clear(clockMillis);
+        } else if (trial.getOutcome() == TakeTrial.Outcome.BROKEN) {
+            request.add(
+                    HarmEvidence.newBuilder()
+                            .addBrokenArrivals(trial.getArrival())
+                            .build(),
+                    clockMillis);
         }
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafOutcome.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafOutcome.java
@@ -45,6 +45,11 @@
         return notRun;
     }
 
+    /** Returns true if the leaf went on after it had begun to run the request. */
+    public boolean showsSurvival() {
+        return this == SUCCEEDED || this == FAILED;
+    }
+
     /** Returns false if nothing was sent, so that no leaf has seen the request. */
     public boolean isSent() {
         return sent;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/AgreedTables.java
@@ -141,7 +141,9 @@
     /** Has an arrival of a request that is on trial tried, unless another is; or takes that back. */
     public CommandResult take(TakeTrial trial) {
         if (trial.getGivenBack()) {
-            harm.giveBack(trial);
+            if (harm.giveBack(trial, revision + 1)) {
+                revision++;
+            }
             return result(CommandResult.Kind.ACCEPTED);
         }
         return result(harm.tryOnce(trial) ? CommandResult.Kind.ACCEPTED : CommandResult.Kind.CONFLICT);
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
@@ -69,6 +69,13 @@
         return shard;
     }
 
+    /** Notes that this attempt, which was given up, had not been sent. */
+    public void neverSent() {
+        if (state == State.GIVEN_UP) {
+            state = State.NOT_SENT;
+        }
+    }
+
     boolean isFinished() {
         return state != State.UNDER_WAY;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
@@ -22,6 +22,12 @@
     RETRY_DENIED_BUDGET,
     /** The route allows no further attempt, or the request must not run again. */
     RETRY_DENIED_ATTEMPTS,
+    /** Calls of the query broke on other shards too and no leaf has answered it, so that one shard asks again first. */
+    RETRY_HELD_BREAKS,
+    /** The second call of the query broke as well and no leaf has answered it. */
+    RETRY_DENIED_BREAKS,
+    /** A call of the query broke and no leaf has answered it. */
+    HEDGE_DENIED_BREAKS,
     /** Requests like it ended the leafs that ran them. */
     DENIED_HARMFUL,
     /** Another host was asked to ask some shards. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -97,6 +97,14 @@
         return over;
     }
 
+    /**
+     * Returns why the request is refused, by what came of the attempts that were given up with it: if none of them had
+     * been sent, it has not run.
+     */
+    public RefusalReason truthful(RefusalReason decided) {
+        return request.isNotRun() ? request.notRunReason() : decided;
+    }
+
     /** Returns in words what was tried, for a log line. */
     public String describe(long nowNanos) {
         return request.describe(nowNanos);
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -79,13 +79,18 @@
         return numbers(shard -> !shard.wasSent());
     }
 
+    /** Returns true if no leaf has run the query, or will. */
+    boolean areNotRun() {
+        return count(ShardRequest::isNotRun) == shards.length;
+    }
+
     /**
      * Returns why a query that brought too little is refused.
      *
      * @param deadlineCome true if its time is up
      */
     RefusalReason refusalReason(boolean deadlineCome) {
-        if (count(ShardRequest::isNotRun) == shards.length) {
+        if (areNotRun()) {
             if (count(ShardRequest::isBarred) > 0) {
                 return RefusalReason.HARMFUL;
             }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -45,6 +45,7 @@
     private final GatheredParts parts;
     private final Delivery delivery;
     private final RoutingContext context;
+    private final BreakProbe breaks = new BreakProbe();
     private boolean over;
     private long startedNanos;
     private long armedWakeNanos;
@@ -115,6 +116,12 @@
             return failed(attempt, LeafOutcome.GARBLED, nowNanos);
         }
         shard.answered(attempt, actions);
+        if (breaks.isInDoubt()) {
+            breaks.survived();
+            decide(nowNanos, actions);
+            return actions;
+        }
+        breaks.survived();
         decideAfterAnswer(nowNanos, actions);
         return actions;
     }
@@ -123,7 +130,10 @@
     public List<RoutedAction> failed(Attempt attempt, LeafOutcome outcome, long nowNanos) {
         List<RoutedAction> actions = new ArrayList<>(2);
         closeAtGoal(nowNanos, actions);
-        attempt.shard().failed(attempt, outcome, nowNanos, actions);
+        if (outcome.showsSurvival()) {
+            breaks.survived();
+        }
+        attempt.shard().failed(attempt, outcome, breaks::mayAskAgain, nowNanos, actions);
         if (!over) {
             decide(nowNanos, actions);
         }
@@ -154,7 +164,7 @@
         take(stage, reply);
         reply.notSent().stream()
                 .filter(shard -> stage.shards().contains(shard))
-                .forEach(shard -> shards.get(shard).takeBack(true, nowNanos, actions));
+                .forEach(shard -> shards.get(shard).takeBack(true, breaks::mayAskAgain, nowNanos, actions));
         boolean inTime = nowNanos + bounds.expectedNanos() - bounds.goalNanos() < 0;
         if (inTime || !isEnough()) {
             takeBack(stage, false, nowNanos, actions);
@@ -243,6 +253,14 @@
         return shards.askedTwice();
     }
 
+    /**
+     * Returns why the query is refused, by what came of the attempts that were given up with it: if none of them had
+     * been sent, it has not run.
+     */
+    public RefusalReason truthful(RefusalReason decided) {
+        return shards.areNotRun() ? shards.refusalReason(false) : decided;
+    }
+
     /** Returns how many shards are not in. */
     public int shardsMissing() {
         return shards.count() - parts.count();
@@ -263,6 +281,9 @@
         if (lagNanos > bounds.hedgeDelayNanos() / LAG_DIVISOR) {
             return Optional.of(AttemptCounter.HEDGE_DENIED_HOST_LAG);
         }
+        if (breaks.isInDoubt()) {
+            return Optional.of(AttemptCounter.HEDGE_DENIED_BREAKS);
+        }
         boolean slowService =
                 shards.lateCount(nowNanos) > Math.max(LEAST_LATE_TO_SUSPECT, shards.count() / SLOW_SERVICE_DIVISOR);
         return slowService ? Optional.of(AttemptCounter.HEDGE_DENIED_SLOW_SERVICE) : Optional.empty();
@@ -279,6 +300,7 @@
     }
 
     private void decide(long nowNanos, List<RoutedAction> actions) {
+        breaks.advance(shards.waitingCount(), nowNanos, actions);
         if (!sealed(nowNanos, actions)) {
             armWake(nowNanos, actions);
         }
@@ -320,6 +342,9 @@
     /** Adds what another host gathered, if it fits; otherwise its shards stay as they are. */
     private void take(StageAttempt stage, StageReply reply) {
         if (fits(stage, reply)) {
+            if (!reply.shards().isEmpty()) {
+                breaks.survived();
+            }
             reply.shards().forEach(shard -> shards.get(shard).answeredElsewhere());
             parts.addAll(reply);
         }
@@ -342,7 +367,7 @@
 
     private void takeBack(StageAttempt stage, boolean notRun, long nowNanos, List<RoutedAction> actions) {
         for (int shard : stage.shards()) {
-            shards.get(shard).takeBack(notRun, nowNanos, actions);
+            shards.get(shard).takeBack(notRun, breaks::mayAskAgain, nowNanos, actions);
         }
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -47,6 +48,7 @@
     private long hedgeNotBeforeNanos;
     private long retryAtNanos;
     private boolean retryDue;
+    private boolean held;
 
     /**
      * Creates a request that is not yet sent.
@@ -101,8 +103,9 @@
      * Takes the request back from the other host, which is done with it, and makes an attempt here.
      *
      * @param notRun true if the other host has certainly not sent it to any leaf
+     * @param mayAskAgain is asked before an attempt if the other host has sent it; if it says no, the request is held
      */
-    void takeBack(boolean notRun, long nowNanos, List<RoutedAction> actions) {
+    void takeBack(boolean notRun, Predicate<ShardRequest> mayAskAgain, long nowNanos, List<RoutedAction> actions) {
         if (!delegated || finished) {
             return;
         }
@@ -112,7 +115,41 @@
             giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
             return;
         }
-        start(nowNanos, actions);
+        boolean allowed = notRun || spentElsewhere >= bounds.maxAttempts() || mayAskAgain.test(this);
+        if (allowed) {
+            start(nowNanos, actions);
+        } else {
+            hold(AttemptCounter.RETRY_HELD_BREAKS, actions);
+        }
+    }
+
+    /** Makes no further attempt until it is resumed. */
+    void hold(AttemptCounter reason, List<RoutedAction> actions) {
+        held = true;
+        delegated = false;
+        actions.add(new RoutedAction.Count(reason));
+    }
+
+    /** Makes the attempt that was held back. */
+    void resume(long nowNanos, List<RoutedAction> actions) {
+        held = false;
+        if (finished) {
+            return;
+        }
+        if (closed) {
+            giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+        } else if (attempts.isEmpty()) {
+            start(nowNanos, actions);
+        } else {
+            retry(nowNanos, actions);
+        }
+    }
+
+    /** Gives up instead of making the attempt that was held back. */
+    void giveUpHeld(List<RoutedAction> actions) {
+        if (!finished) {
+            giveUp(AttemptCounter.RETRY_DENIED_BREAKS, actions);
+        }
     }
 
     /** Returns true while another host has the request. */
@@ -182,6 +219,20 @@
 
     /** Notes that an attempt failed, and makes another if that is allowed. */
     void failed(Attempt attempt, LeafOutcome outcome, long nowNanos, List<RoutedAction> actions) {
+        failed(attempt, outcome, shard -> true, nowNanos, actions);
+    }
+
+    /**
+     * Notes that an attempt failed, and makes another if that is allowed.
+     *
+     * @param mayAskAgain is asked before the attempt that follows a break; if it says no, the request is held
+     */
+    void failed(
+            Attempt attempt,
+            LeafOutcome outcome,
+            Predicate<ShardRequest> mayAskAgain,
+            long nowNanos,
+            List<RoutedAction> actions) {
         if (attempt.isFinished()) {
             return;
         }
@@ -191,8 +242,14 @@
             giveUp(AttemptCounter.DENIED_HARMFUL, actions);
             return;
         }
-        if (!finished && !hasAttemptInFlight()) {
+        if (finished || hasAttemptInFlight()) {
+            return;
+        }
+        boolean allowed = outcome != LeafOutcome.BROKEN || mayAskAgain.test(this);
+        if (allowed) {
             retry(nowNanos, actions);
+        } else {
+            hold(AttemptCounter.RETRY_HELD_BREAKS, actions);
         }
     }
 
@@ -202,7 +259,7 @@
      * @param denial why no hedge should be made, if there is a reason that holds for the whole query
      */
     void wake(Optional<AttemptCounter> denial, long nowNanos, List<RoutedAction> actions) {
-        if (finished) {
+        if (finished || held) {
             return;
         }
         if (retryDue && nowNanos - retryAtNanos >= 0) {
@@ -217,7 +274,7 @@
 
     /** Returns when this shard wants to be woken next, if it does. */
     Optional<Long> nextWakeNanos() {
-        if (finished || delegated || closed) {
+        if (finished || delegated || closed || held) {
             return Optional.empty();
         }
         if (retryDue) {
@@ -332,7 +389,7 @@
     }
 
     private void retry(long nowNanos, List<RoutedAction> actions) {
-        if (!mayAskAgain()) {
+        if (!mayTryAgain()) {
             giveUp(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
             return;
         }
@@ -387,7 +444,7 @@
         actions.add(new RoutedAction.Count(reason));
     }
 
-    private boolean mayAskAgain() {
+    private boolean mayTryAgain() {
         if (closed || (!repeatable && !isNotRun())) {
             return false;
         }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
@@ -58,6 +58,18 @@
         assertThat(world.delivered.get(0).shards()).containsExactly(1, 2);
     }
 
+    /** All connections to the leafs are in use until the caller's time is up. */
+    @Test
+    void aQueryWhoseCallsWereGivenUpBeforeTheyWereSentHasNotRun() {
+        ScatterQuery query = query(0, ScatterQuery.Delivery.AT_ONCE, ImmutableList.of());
+        world.carryOut(query.wake(RoutedWorld.DEADLINE_NANOS), RoutedWorld.DEADLINE_NANOS);
+        assertThat(world.refused).containsExactly(RefusalReason.TIME_UP);
+        world.givenUp.get(0).neverSent();
+        assertThat(query.truthful(RefusalReason.TIME_UP)).isEqualTo(RefusalReason.TIME_UP);
+        world.givenUp.get(1).neverSent();
+        assertThat(query.truthful(RefusalReason.TIME_UP).isNotRun()).isTrue();
+    }
+
     private ScatterQuery query(int budget, ScatterQuery.Delivery delivery, ImmutableList<StageAttempt> stages) {
         world.service("s0", 2, budget);
         world.service("s1", 2, budget);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -51,6 +51,8 @@
     private final CallHeaders names;
     private final GatewayMetrics metrics;
     private Runnable onNotRun = () -> {};
+    private Runnable onBroken = () -> {};
+    private Runnable onSurvived = () -> {};
 
     CallerAnswers(HttpExchange exchange, CallHeaders names, GatewayMetrics metrics) {
         this.exchange = exchange;
@@ -78,6 +80,9 @@
                 answer.status(), Unpooled.wrappedBuffer(answer.body().asReadOnlyByteBuffer()));
         LeafRequest.copyEndToEnd(answer.headers(), response.headers());
         metrics.passed(answer.status());
+        if (answer.showsSurvival()) {
+            onSurvived.run();
+        }
         metrics.answered(exchange.receivedNanos());
         exchange.respond(response);
     }
@@ -91,6 +96,16 @@
         };
     }
 
+    /** Sets what to do if a leaf has run the request and answered. */
+    void onSurvived(Runnable task) {
+        onSurvived = task;
+    }
+
+    /** Sets what to do if the last call to a leaf broke and the request may have run. */
+    void onBroken(Runnable task) {
+        onBroken = task;
+    }
+
     /** Refuses a request and says when to come back. */
     void refuse(RefusalReason reason, Duration retryAfter) {
         refuse(reason, Optional.of(retryAfter));
@@ -105,6 +120,8 @@
         metrics.refused(reason);
         if (reason.isNotRun()) {
             onNotRun.run();
+        } else if (reason == RefusalReason.OUTCOME_UNKNOWN) {
+            onBroken.run();
         }
         Told told =
                 switch (reason) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ForwardRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ForwardRun.java
@@ -8,6 +8,7 @@
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.request.routed.Attempt;
 import org.bramblerack.request.routed.ForwardedRequest;
+import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.request.routed.RoutedAction;
 
 /** Carries out the decisions of one request to one leaf. Owned by the event loop. */
@@ -99,8 +100,9 @@
                 }
             } else if (action instanceof RoutedAction.Refuse refuse) {
                 sender.finish();
-                caller.refuse(refuse.reason());
-                explain(refuse.reason().name());
+                RefusalReason reason = request.truthful(refuse.reason());
+                caller.refuse(reason);
+                explain(reason.name());
             } else if (action instanceof RoutedAction.Count count) {
                 metrics.count(count.counter());
             }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -245,12 +245,14 @@
     private void tryOut(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
         trials.tryOut(call, () -> stageCall(exchange, call), result -> {
             if (exchange.isCallerGone()) {
-                trials.giveBack(call);
+                trials.giveBack(call, false);
                 return;
             }
             switch (result) {
                 case SERVE -> {
-                    caller.onNotRun(() -> trials.giveBack(call));
+                    caller.onNotRun(() -> trials.giveBack(call, false));
+                    caller.onBroken(() -> trials.giveBack(call, true));
+                    caller.onSurvived(() -> trials.giveBack(call, false));
                     serve(exchange, call, caller);
                 }
                 case NOT_RUN -> refuse(call, caller, RefusalReason.ON_TRIAL);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -75,8 +75,10 @@
         NOT_RUN,
         /** It is sent to no leaf any more. */
         BARRED,
-        /** It was sent to a leaf and may have run. */
-        LOST
+        /** It was sent to a leaf, where its call broke, and may have run. */
+        BROKEN,
+        /** It was sent to a leaf that has not answered in time, and may still run. */
+        SILENT
     }
 
     /**
@@ -109,12 +111,7 @@
                 ? result.getGranted()
                 : view.harm().tryAlone(call.request().arrival(), clock.nowNanos());
         if (granted) {
-            sendFirst(call, query, firstResult -> {
-                if (firstResult == Result.NOT_RUN) {
-                    giveBack(call);
-                }
-                taker.accept(firstResult);
-            });
+            sendFirst(call, query, taker);
         } else if (asksLeft > 0 && hasTimeToWait(call)) {
             loop.schedule(
                     () -> lookAgain(call, query, asksLeft, taker), OTHER_TRIAL_WAIT.toMillis(), TimeUnit.MILLISECONDS);
@@ -135,10 +132,13 @@
         }
     }
 
-    /** Lets another arrival be tried at once, since the one that was granted a trial reached no leaf. */
-    void giveBack(RoutedCall call) {
-        view.harm().giveBack(call.request().arrival());
-        TakeTrial.Builder trial = HarmGuard.trialOf(call.request().arrival()).setGivenBack(true);
+    /**
+     * Lets another arrival be tried at once, since the trial of the one that was granted it is over.
+     *
+     * @param broke true if it reached a leaf and its call broke there
+     */
+    void giveBack(RoutedCall call, boolean broke) {
+        TakeTrial.Builder trial = view.harm().giveBack(call.request().arrival(), broke, clock.nowNanos());
         network.request(controlHost.get(), Envelope.newBuilder().setTakeTrial(trial), GRANT_WAIT)
                 .subscribe()
                 .with(
@@ -162,10 +162,17 @@
         Optional<Leaf> leaf = pool.choose(candidate -> true, expectedNanos, random, nowNanos);
         // One leaf more than the query needs, so it is paid for like a retry.
         if (leaf.isEmpty() || !pool.budget().tryWithdraw(nowNanos)) {
+            giveBack(call, false);
             taker.accept(Result.NOT_RUN);
             return;
         }
-        First first = new First(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), taker);
+        First first = new First(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), result -> {
+            // A leaf that was silent may still end: nobody else is tried until its time is over.
+            if (result != Result.SILENT) {
+                giveBack(call, result == Result.BROKEN);
+            }
+            taker.accept(result);
+        });
         LeafConnections.Ticket ticket = runs.holderPath(query.get())
                 .send(leaf.get(), call.request(), call.times().leafDeadlineNanos(), first);
         // Half of the time that is left: the query itself needs the rest.
@@ -198,14 +205,16 @@
         public void failed(LeafOutcome outcome) {
             if (!over) {
                 leaf.end(call, outcome, Optional.empty(), clock.nowNanos());
-                end(outcome.isNotRun() ? Result.NOT_RUN : Result.LOST);
+                boolean broke = outcome == LeafOutcome.BROKEN || outcome == LeafOutcome.GARBLED;
+                Result sent = broke ? Result.BROKEN : Result.SILENT;
+                end(outcome.isNotRun() ? Result.NOT_RUN : sent);
             }
         }
 
         void giveUp(LeafConnections.Ticket ticket) {
             if (!over) {
                 leaf.abandon(call, clock.nowNanos());
-                end(Result.LOST);
+                end(Result.SILENT);
                 ticket.giveUp();
             }
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
@@ -122,7 +122,9 @@
         Sent sent = underWay.remove(attempt);
         if (sent != null) {
             attempt.leaf().abandon(sent.call(), clock.nowNanos());
-            sent.ticket().giveUp();
+            if (sent.ticket().giveUp()) {
+                attempt.neverSent();
+            }
         }
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -196,11 +196,12 @@
             } else if (action instanceof RoutedAction.Refuse refuse) {
                 sender.finish();
                 sayWhatWasAskedTwice();
-                explain(refuse.reason().name(), query.shardsMissing());
-                if (refuse.reason() == RefusalReason.TOO_FEW_SHARDS && query.hasNothing()) {
+                RefusalReason reason = query.truthful(refuse.reason());
+                explain(reason.name(), query.shardsMissing());
+                if (reason == RefusalReason.TOO_FEW_SHARDS && query.hasNothing()) {
                     onLostWhole.run();
                 }
-                sink.refuse(refuse.reason());
+                sink.refuse(reason);
             } else if (action instanceof RoutedAction.Count count) {
                 metrics.count(count.counter());
             }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -20,6 +20,9 @@
 
 /** Has other hosts ask shards of one query. Owned by the event loop. */
 final class StageCaller {
+    /** What a host takes to write and read the last word about a call that has no answer. */
+    private static final long LAST_WORD_SLACK_NANOS = Duration.ofMillis(5).toNanos();
+
     private final StageCall call;
     private final ImmutableList<String> shardServices;
     private final RequestTimes times;
@@ -102,7 +105,8 @@
         long nowNanos = clock.nowNanos();
         long roundTripNanos = sent.link.roundTripNanos();
         long goalNanos = StageTiming.goalNanos(times.goalNanos() - nowNanos, roundTripNanos);
-        long deadlineNanos = times.leafDeadlineNanos() - nowNanos - roundTripNanos / 2;
+        // Its last word, which may be that it sent nothing, is to be here when the caller is answered.
+        long deadlineNanos = times.deadlineNanos() - nowNanos - roundTripNanos - LAST_WORD_SLACK_NANOS;
         return call.toBuilder()
                 .addAllShards(stage.shards())
                 .addAllServices(Lists.transform(stage.shards(), shardServices::get))
