Teach experiments leafs of several speeds and spells

"unevenness" of a fleet deals speeds out, draws spells anew each so often, from a generator of their own so that every policy meets the same ones, and can have leafs tell them.

Tests: ModelLeafTest (spells take their share and the speed stays), ExperimentsTest (the example, 9 shards).

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReader.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ExperimentReader.java
@@ -23,6 +23,7 @@
     private static final int MOST_SEEDS = 10_000;
     private static final int MOST_COUNT = 100_000;
     private static final double MOST_MILLIS = 3_600_000;
+    private static final double MOST_TIMES = 1_000;
     private static final double NANOS_PER_MILLI = 1e6;
 
     private ExperimentReader() {}
@@ -71,7 +72,20 @@
                 new FleetBudget(
                         fields.integer("extraPercent", 0, 1_000),
                         fields.integer("extraSlack", 0, MOST_COUNT),
-                        millis(fields, "budgetWindowMs")));
+                        millis(fields, "budgetWindowMs")),
+                fields.optionalObject("unevenness", ExperimentReader::unevenness)
+                        .orElse(Unevenness.NONE));
+    }
+
+    private static Unevenness unevenness(Fields fields) {
+        ImmutableList<Double> speeds =
+                fields.objects("speeds", MOST_REPLICAS, speed -> speed.decimal("times", 0.01, MOST_TIMES));
+        return new Unevenness(
+                speeds,
+                fields.decimal("spellShare", 0, 1, 0),
+                fields.decimal("spellTimes", 0.01, MOST_TIMES, 1),
+                fields.has("spellEveryMs") ? millis(fields, "spellEveryMs") : Duration.ZERO,
+                fields.flag("told", false));
     }
 
     private static void checkZones(Fields fields, ImmutableList<Fleet.Zone> zones, ImmutableList<String> replicaZones) {
@@ -141,6 +155,7 @@
                 none,
                 none,
                 none,
-                new FleetBudget(0, 0, Duration.ofSeconds(1)));
+                new FleetBudget(0, 0, Duration.ofSeconds(1)),
+                Unevenness.NONE);
     }
 }
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Fleet.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Fleet.java
@@ -24,6 +24,7 @@
  * @param toCaller the way between a caller and a host, one way
  * @param sealLead how long before the goal a host seals
  * @param budget what all hosts may spend on extra attempts
+ * @param unevenness how leafs differ
  */
 record Fleet(
         ImmutableList<Zone> zones,
@@ -40,7 +41,8 @@
         Duration otherRegion,
         Duration toCaller,
         Duration sealLead,
-        FleetBudget budget) {
+        FleetBudget budget,
+        Unevenness unevenness) {
     /**
      * An availability zone.
      *
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelLeaf.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelLeaf.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.LeafLoad;
 
@@ -21,6 +22,8 @@
     private final RandomGenerator random;
     private final Deque<Job> waiting = new ArrayDeque<>();
     private final List<Job> running = new ArrayList<>(2);
+    private final double speed;
+    private double spellFactor = 1;
     private double slowFactor = 1;
     private double refusedShare;
     private boolean dark;
@@ -28,16 +31,28 @@
     private int connections;
     private int mostConnections;
 
-    ModelLeaf(String id, int shard, String zone, Fleet fleet, SimulatedTime time, RandomGenerator random) {
+    /**
+     * Creates a leaf in no spell, in a phase of its pauses that is drawn.
+     *
+     * @param speed how many times as long as usual work takes
+     */
+    ModelLeaf(
+            String id, int shard, String zone, double speed, Fleet fleet, SimulatedTime time, RandomGenerator random) {
         this.id = id;
         this.shard = shard;
         this.zone = zone;
+        this.speed = speed;
         this.fleet = fleet;
         this.time = time;
         this.random = random;
         if (!fleet.pause().isZero()) {
             time.after(random.nextLong(fleet.pauseEvery().toNanos()), this::pause);
         }
+        if (!fleet.unevenness().spellEvery().isZero()) {
+            // Drawn apart from refusals, so that every policy meets the same spells.
+            RandomGenerator spells = new SplittableRandom(random.nextLong());
+            time.after(spells.nextLong(fleet.unevenness().spellEvery().toNanos()), () -> drawSpell(spells));
+        }
     }
 
     /** What becomes of a call that has reached the leaf. */
@@ -98,7 +113,7 @@
 
     /** Takes a call that needs some work. A dark leaf never answers. */
     Job call(long workNanos, Taker taker) {
-        Job job = new Job((long) (workNanos * slowFactor), taker);
+        Job job = new Job((long) (workNanos * speed * spellFactor * slowFactor), taker);
         if (dark) {
             return job;
         }
@@ -170,6 +185,12 @@
         }
     }
 
+    private void drawSpell(RandomGenerator spells) {
+        Unevenness unevenness = fleet.unevenness();
+        spellFactor = spells.nextDouble() < unevenness.spellShare() ? unevenness.spellFactor() : 1;
+        time.after(unevenness.spellEvery().toNanos(), () -> drawSpell(spells));
+    }
+
     private void pause() {
         paused = true;
         for (Job job : running) {
@@ -188,8 +209,11 @@
         time.after(fleet.pauseEvery().minus(fleet.pause()).toNanos(), this::pause);
     }
 
-    private LeafLoad load() {
-        return new LeafLoad(running.size(), waiting.size(), fleet.slots(), LeafLoad.USUAL_PERCENT);
+    /** Returns what it tells of its load. */
+    LeafLoad load() {
+        double times = fleet.unevenness().told() ? speed * spellFactor * slowFactor : 1;
+        return new LeafLoad(
+                running.size(), waiting.size(), fleet.slots(), (int) Math.round(LeafLoad.USUAL_PERCENT * times));
     }
 
     /** One call or new connection at the leaf. */
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Run.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Run.java
@@ -102,7 +102,8 @@
             List<ModelLeaf> replicas = new ArrayList<>();
             for (String zone : fleet().replicaZones()) {
                 String id = "shard-" + shard + "-" + replicas.size();
-                replicas.add(new ModelLeaf(id, shard, zone, fleet(), time, random.split()));
+                double speed = fleet().unevenness().speedOf(shard, replicas.size());
+                replicas.add(new ModelLeaf(id, shard, zone, speed, fleet(), time, random.split()));
             }
             leafs.addAll(replicas);
             shards.add(replicas);
--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ChecksTest.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ChecksTest.java
@@ -49,8 +49,8 @@
 
     @Test
     void aLeafWithTooManyConnectionsIsFound() {
-        ModelLeaf leaf =
-                new ModelLeaf("leaf", 0, "west", SmallExperiment.FLEET, new SimulatedTime(), new SplittableRandom(1));
+        ModelLeaf leaf = new ModelLeaf(
+                "leaf", 0, "west", 1, SmallExperiment.FLEET, new SimulatedTime(), new SplittableRandom(1));
         for (int connection = 0; connection <= SmallExperiment.FLEET.connections(); connection++) {
             leaf.connected();
         }
--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ExperimentsTest.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ExperimentsTest.java
@@ -17,6 +17,7 @@
 
 final class ExperimentsTest {
     private static final Path EXAMPLE = Path.of("..", "examples", "experiment.json");
+    private static final Path UNEVEN = Path.of("..", "examples", "uneven.json");
 
     @TempDir
     Path folder;
@@ -30,6 +31,18 @@
         assertThat(experiment.fleet().sameZone().toNanos()).isEqualTo(100_000);
     }
 
+    @Test
+    void theExampleOfUnevenLeafsIsReadAndKeepsItsPromises() throws Exception {
+        Experiment experiment = ExperimentReader.read(Files.readString(UNEVEN)
+                        .replace("\"shards\": 90", "\"shards\": 9")
+                        .replace("\"lengthMs\": 25000", "\"lengthMs\": 3000"))
+                .get();
+        Unevenness unevenness = experiment.fleet().unevenness();
+        assertThat(unevenness.speeds()).containsExactly(0.8, 1.0, 1.3).inOrder();
+        assertThat(unevenness.spellEvery().toMillis()).isEqualTo(600);
+        assertThat(Comparison.run(experiment, 2, done -> {}).holds()).isTrue();
+    }
+
     @Test
     void faultsAreToldWithLineAndRemedy() throws Exception {
         String text = Files.readString(EXAMPLE)
--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ModelLeafTest.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/ModelLeafTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Range;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,7 +17,7 @@
 
     private final SimulatedTime time = new SimulatedTime();
     private final ModelLeaf leaf =
-            new ModelLeaf("leaf", 0, "west", SmallExperiment.FLEET, time, new SplittableRandom(4));
+            new ModelLeaf("leaf", 0, "west", 1, SmallExperiment.FLEET, time, new SplittableRandom(4));
     private final List<Long> doneNanos = new ArrayList<>();
     private int refused;
 
@@ -78,6 +81,26 @@
         assertThat(longest).isAtMost(pauseNanos + WORK);
     }
 
+    @Test
+    void spellsTakeTheirShareOfTheTimeAndEndAndTheSpeedStays() {
+        Unevenness unevenness = new Unevenness(ImmutableList.of(0.8, 1.3), 0.15, 2.5, Duration.ofMillis(600), true);
+        ModelLeaf uneven = new ModelLeaf(
+                "uneven",
+                1,
+                "west",
+                unevenness.speedOf(1, 0),
+                SmallExperiment.with(unevenness),
+                time,
+                new SplittableRandom(4));
+        List<Integer> told = new ArrayList<>();
+        for (int draw = 0; draw < 1_000; draw++) {
+            time.runUntil(draw * Duration.ofMillis(600).toNanos());
+            told.add(uneven.load().workPercent());
+        }
+        assertThat(ImmutableSet.copyOf(told)).containsExactly(130, 325);
+        assertThat(told.stream().filter(percent -> percent == 325).count()).isIn(Range.closed(110L, 190L));
+    }
+
     private ModelLeaf.Job call() {
         return leaf.call(WORK, new ModelLeaf.Taker() {
             @Override
--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/SmallExperiment.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/SmallExperiment.java
@@ -10,25 +10,30 @@
 final class SmallExperiment {
     static final Load LOAD = new Load("query", 40, millis(20), 0.3, 0, 1, millis(200), millis(2_000), 0.75, 0.1, 2, 1);
 
-    static final Fleet FLEET = new Fleet(
-            ImmutableList.of(new Fleet.Zone("west", "west", 2), new Fleet.Zone("east", "east", 2)),
-            6,
-            ImmutableList.of("west", "east"),
-            2,
-            12,
-            26,
-            millis(6),
-            millis(250),
-            millis(6_000),
-            millis(0.1),
-            millis(0.5),
-            millis(8),
-            millis(1),
-            millis(10),
-            new FleetBudget(20, 50, millis(10_000)));
+    static final Fleet FLEET = with(Unevenness.NONE);
 
     private SmallExperiment() {}
 
+    static Fleet with(Unevenness unevenness) {
+        return new Fleet(
+                ImmutableList.of(new Fleet.Zone("west", "west", 2), new Fleet.Zone("east", "east", 2)),
+                6,
+                ImmutableList.of("west", "east"),
+                2,
+                12,
+                26,
+                millis(6),
+                millis(250),
+                millis(6_000),
+                millis(0.1),
+                millis(0.5),
+                millis(8),
+                millis(1),
+                millis(10),
+                new FleetBudget(20, 50, millis(10_000)),
+                unevenness);
+    }
+
     static Experiment with(Trouble... troubles) {
         return new Experiment(
                 FLEET,
