Keep a leaf's speed and its spells apart

One average with a factor of 0.3 and a memory of 5 s was to follow spells of 600 ms and to know speeds that hold for as long as a leaf runs; it did neither well. LeafPace has two averages of logarithms: the speed, and what is left over. A spell is forgotten within half a second, a factor above 3 as slowly as before, since each call that looks whether a fault has passed makes a query late.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -31,7 +31,7 @@
     /** Overdue calls in a row that were given up with no answer between them, as a leaf that is dark leaves. */
     private static final int ABANDONED_TO_EJECT = 4;
     /**
-     * How fast old evidence of slowness and of refusals fades: somewhat slower than a leaf gets calls to show either.
+     * How fast old evidence of refusals fades: somewhat slower than a leaf gets calls to show it.
      */
     private static final Duration EVIDENCE_FADE = Duration.ofSeconds(5);
     /**
@@ -49,7 +49,6 @@
     private static final double LEAST_SLOWNESS = 0.3;
     private static final double MOST_SLOWNESS = 10.0;
     private static final double STALLED_AFTER = 3.0;
-    private static final double SLOWNESS_SMOOTHING = 0.3;
     private static final double FAILURE_SMOOTHING = 0.15;
     private static final double REFUSAL_SMOOTHING = 0.15;
 
@@ -64,7 +63,7 @@
     private boolean acceptsWork = true;
     private boolean zoneDrained;
     private long busyUntilNanos;
-    private final FadingAverage slowness;
+    private final LeafPace slowness;
     private final FadingAverage refusalRate;
     private final ToldLoad told;
     private long stalledUntilNanos;
@@ -109,7 +108,7 @@
         this.busyUntilNanos = nowNanos;
         this.ejectedUntilNanos = nowNanos;
         this.stalledUntilNanos = nowNanos;
-        this.slowness = new FadingAverage(1, SLOWNESS_SMOOTHING, EVIDENCE_FADE, nowNanos);
+        this.slowness = new LeafPace(nowNanos);
         this.refusalRate = new FadingAverage(0, REFUSAL_SMOOTHING, EVIDENCE_FADE, nowNanos);
         this.told = new ToldLoad(nowNanos);
     }
