Hedge an attempt that is overdue at its own leaf before the route's calls are late

A query to 90 shards waits for the ones whose leafs pause. They were hedged at the 93rd percentile of the route's calls, at least a third of the goal; by then a pause of 200 ms is nearly over, and the goal of an urgent query too. Now an attempt is hedged when it has taken three times as long as its leaf is expected to need, twice where the rest of a pause would miss the goal, if another leaf is expected to take less than that rest. An early hedge that is denied is considered again at the route's moment. Budget, slow service, host lag: as before. The mechanism leaf-hedges can be switched off; where the leaf's time says nothing, the route's moment holds as today.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -20,7 +20,7 @@
     private static final long LONGEST_EJECTION_NANOS = Duration.ofSeconds(5).toNanos();
     private static final long BUSY_NANOS = Duration.ofMillis(60).toNanos();
     /** A stalled leaf is expected to take about this much longer: between half and the whole of an observed pause. */
-    private static final long STALL_HANDICAP_NANOS = Duration.ofMillis(150).toNanos();
+    public static final long STALL_HANDICAP_NANOS = Duration.ofMillis(150).toNanos();
     /** What one certain failure costs a request, in time lost before the next attempt. */
     private static final long FAILURE_HANDICAP_NANOS = Duration.ofMillis(200).toNanos();
     /** How much slower a leaf is just after its start, as observed of cold leafs. */
@@ -30,9 +30,7 @@
     private static final long STALL_MEMORY_NANOS = Duration.ofMillis(80).toNanos();
     /** Overdue calls in a row that were given up with no answer between them, as a leaf that is dark leaves. */
     private static final int ABANDONED_TO_EJECT = 4;
-    /**
-     * How fast old evidence of refusals fades: somewhat slower than a leaf gets calls to show it.
-     */
+    /** How fast old evidence of refusals fades: somewhat slower than a leaf gets calls to show it. */
     private static final Duration EVIDENCE_FADE = Duration.ofSeconds(5);
     /**
      * The part of what other hosts had under way that the next call is taken to meet. All hosts learn of the same free
@@ -301,11 +299,7 @@
     public double costNanos(long expectedNanos, long nowNanos) {
         double occupancy = occupancy(nowNanos);
         double ahead = Math.max(0, occupancy + 1 - slots);
-        double work = context.uses(Mechanism.SLOWNESS) ? expectedNanos * slowness.at(nowNanos) : expectedNanos;
-        work *= toldWork(nowNanos);
-        if (coldness.isCold(nowNanos)) {
-            work *= COLD_FACTOR;
-        }
+        double work = workNanos(expectedNanos, nowNanos);
         double cost = work * (1 + ahead / slots) + place.distance().handicapNanos();
         cost += occupancy * work / (FREE_SLOT_DIVISOR * slots);
         cost += failureRate * FAILURE_HANDICAP_NANOS;
@@ -315,6 +309,17 @@
         return isStalled(nowNanos) ? cost + STALL_HANDICAP_NANOS : cost;
     }
 
+    /**
+     * Returns the time to expect of one more call that has the leaf to itself.
+     *
+     * @param expectedNanos how long such a call usually takes
+     */
+    public long workNanos(long expectedNanos, long nowNanos) {
+        double work = context.uses(Mechanism.SLOWNESS) ? expectedNanos * slowness.at(nowNanos) : expectedNanos;
+        work *= toldWork(nowNanos);
+        return (long) (coldness.isCold(nowNanos) ? work * COLD_FACTOR : work);
+    }
+
     /** Returns the share of calls that it is expected to refuse; what was seen long ago fades. */
     public double refusalRate(long nowNanos) {
         return refusalRate.at(nowNanos);
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafPool.java
@@ -57,6 +57,11 @@
         return new PermittedLeaves(this, homes);
     }
 
+    /** Returns true if a mechanism takes part. */
+    boolean uses(Mechanism mechanism) {
+        return context.uses(mechanism);
+    }
+
     /** Returns the name of the service. */
     public String service() {
         return service;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
@@ -16,6 +16,8 @@
     EJECTION,
     /** A late attempt is hedged at another leaf. */
     HEDGES,
+    /** An attempt that is long overdue at its own leaf is hedged before it is late among all calls of its route. */
+    LEAF_HEDGES,
     /** A query that cannot reach its least share of shards any more ends at once. */
     EARLY_END,
     /** A host that is behind with what has arrived does not take its leafs for slow. */
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/PermittedLeaves.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/PermittedLeaves.java
@@ -29,6 +29,11 @@
         return pool.service();
     }
 
+    /** Returns true if a mechanism takes part. */
+    public boolean uses(Mechanism mechanism) {
+        return pool.uses(mechanism);
+    }
+
     /** Returns the regions that bind the request. */
     public Homes homes() {
         return homes;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/Attempt.java
@@ -41,13 +41,20 @@
     private final Leaf leaf;
     private final Purpose purpose;
     private final long sentNanos;
+    private final long overdueNanos;
     private State state = State.UNDER_WAY;
 
-    Attempt(ShardRequest shard, Leaf leaf, Purpose purpose, long sentNanos) {
+    /**
+     * Creates an attempt that is being made.
+     *
+     * @param overdueNanos when it has taken so long that its leaf probably pauses
+     */
+    Attempt(ShardRequest shard, Leaf leaf, Purpose purpose, long sentNanos, long overdueNanos) {
         this.shard = shard;
         this.leaf = leaf;
         this.purpose = purpose;
         this.sentNanos = sentNanos;
+        this.overdueNanos = overdueNanos;
     }
 
     /** Returns the leaf that is asked. */
@@ -65,6 +72,10 @@
         return sentNanos;
     }
 
+    long overdueNanos() {
+        return overdueNanos;
+    }
+
     ShardRequest shard() {
         return shard;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
@@ -10,6 +10,8 @@
     RETRY,
     /** No other leaf was free for a hedge. */
     HEDGE_DENIED_NO_LEAF,
+    /** Another leaf was not expected to answer sooner than the one that is overdue. */
+    HEDGE_DENIED_NO_GAIN,
     /** So many shards are late that a hedge would only add to the load. */
     HEDGE_DENIED_SLOW_SERVICE,
     /** This host was behind with what had arrived, so that the answer may have been here already. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/HedgeTiming.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/HedgeTiming.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.bramblerack.process.LatencyTracker;
+import org.bramblerack.process.leaf.Leaf;
 
 /**
  * Decides after how long an attempt is hedged, and from which evidence.
@@ -21,6 +22,17 @@
     /** The quantile of a route's calls after which one is late. */
     private static final double LATE_QUANTILE_PERCENT = 93;
 
+    /**
+     * A call that takes this many times as long as its leaf needs is one in a thousand among those that are just long,
+     * so that its leaf probably pauses.
+     */
+    private static final double OVERDUE_TIMES = 3;
+    /**
+     * The same where the rest of a pause would come after the goal. A third of the hedges is then for calls that are
+     * just long: the goal is worth more than the call.
+     */
+    private static final double OVERDUE_TIMES_NEAR_GOAL = 2;
+
     private static final Duration EXPECTED_WITHOUT_GOAL = Duration.ofMillis(100);
 
     private HedgeTiming() {}
@@ -36,7 +48,22 @@
     }
 
     /**
-     * Returns after how long an attempt is hedged.
+     * Returns after how long an attempt is overdue at its leaf, so that the leaf probably pauses.
+     *
+     * <p>The load that it answers: queries that ask a hundred leafs, some of which pause at any moment. Among all calls
+     * of a route a call is late only after a multiple of this, and the query with it.
+     *
+     * @param callNanos how long a call is expected to take there
+     * @param leftNanos the time that is left until the goal
+     */
+    static long overdueAfterNanos(long callNanos, long leftNanos) {
+        double patient = OVERDUE_TIMES * callNanos;
+        boolean inTime = patient + Leaf.STALL_HANDICAP_NANOS <= leftNanos;
+        return (long) (inTime ? patient : OVERDUE_TIMES_NEAR_GOAL * callNanos);
+    }
+
+    /**
+     * Returns after how long an attempt is hedged, wherever it was sent.
      *
      * @param goal the goal of the route, or zero if it has none
      */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
+import org.bramblerack.process.leaf.Mechanism;
 import org.bramblerack.process.leaf.PermittedLeaves;
 
 /**
@@ -44,6 +45,7 @@
     private boolean finished;
     private boolean closed;
     private int hedgesRefused;
+    private boolean earlyHedgeRefused;
     private long hedgeNotBeforeNanos;
     private long retryAtNanos;
     private boolean retryDue;
@@ -298,13 +300,25 @@
     }
 
     private long hedgeDueNanos() {
-        return hedgesRefused > 0 ? hedgeNotBeforeNanos : attempts.get(0).sentNanos() + bounds.hedgeDelayNanos();
+        return hedgesRefused > 0 || earlyHedgeRefused
+                ? hedgeNotBeforeNanos
+                : Math.min(attempts.get(0).overdueNanos(), lateNanos());
+    }
+
+    /** Returns when the first attempt is late among all calls of the route, whatever its leaf. */
+    private long lateNanos() {
+        return attempts.get(0).sentNanos() + bounds.hedgeDelayNanos();
     }
 
     /** Counts a hedge that is not made; a little later things may look better. */
     private void refuseHedge(AttemptCounter reason, long nowNanos, List<RoutedAction> actions) {
-        hedgesRefused++;
-        hedgeNotBeforeNanos = nowNanos + bounds.hedgeDelayNanos() / HEDGE_AGAIN_DIVISOR;
+        if (nowNanos - lateNanos() < 0) {
+            earlyHedgeRefused = true;
+            hedgeNotBeforeNanos = lateNanos();
+        } else {
+            hedgesRefused++;
+            hedgeNotBeforeNanos = nowNanos + bounds.hedgeDelayNanos() / HEDGE_AGAIN_DIVISOR;
+        }
         actions.add(new RoutedAction.Count(reason));
     }
 
@@ -314,6 +328,8 @@
                 : pool.choose(leaf -> isGoodForHedge(leaf, nowNanos), bounds.expectedNanos(), random, nowNanos);
         if (other.isEmpty()) {
             refuseHedge(AttemptCounter.HEDGE_DENIED_NO_LEAF, nowNanos, actions);
+        } else if (nowNanos - lateNanos() < 0 && !savesTime(other.get(), nowNanos)) {
+            refuseHedge(AttemptCounter.HEDGE_DENIED_NO_GAIN, nowNanos, actions);
         } else if (!pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos)) {
             refuseHedge(AttemptCounter.HEDGE_DENIED_BUDGET, nowNanos, actions);
         } else {
@@ -322,6 +338,11 @@
         }
     }
 
+    /** Returns true if the whole of another attempt is expected to take less than the rest of the overdue one. */
+    private boolean savesTime(Leaf other, long nowNanos) {
+        return other.costNanos(bounds.expectedNanos(), nowNanos) < Leaf.STALL_HANDICAP_NANOS;
+    }
+
     /** A hedge at a leaf that is full, or late itself, makes both worse. */
     private boolean isGoodForHedge(Leaf leaf, long nowNanos) {
         return !wasAsked(leaf)
@@ -370,11 +391,20 @@
     }
 
     private void ask(Leaf leaf, Attempt.Purpose purpose, long nowNanos, List<RoutedAction> actions) {
-        Attempt attempt = new Attempt(this, leaf, purpose, nowNanos);
+        Attempt attempt = new Attempt(this, leaf, purpose, nowNanos, overdueNanos(leaf, nowNanos));
         attempts.add(attempt);
         actions.add(new RoutedAction.Ask(attempt));
     }
 
+    /** Returns when an attempt that is made now will be overdue at its leaf. */
+    private long overdueNanos(Leaf leaf, long nowNanos) {
+        if (!pool.uses(Mechanism.LEAF_HEDGES)) {
+            return Long.MAX_VALUE / 2;
+        }
+        long callNanos = Math.max(bounds.expectedNanos(), leaf.workNanos(bounds.expectedNanos(), nowNanos));
+        return nowNanos + HedgeTiming.overdueAfterNanos(callNanos, bounds.goalNanos() - nowNanos);
+    }
+
     private void end() {
         if (!finished) {
             finished = true;
