Choose how long before the goal an answer is sealed by what callers get, in core

ScatterQuery says whether the clock sealed an answer; one that waited for its least share says nothing of the host. A stage sends what is in earlier by what its host takes beyond its slack.

That an answer which waited for shards changes nothing is now shown by ScatterQueryTest.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -47,6 +47,8 @@
     private final RoutingContext context;
     private final BreakProbe breaks = new BreakProbe();
     private boolean over;
+    private boolean lookedAfterGoal;
+    private boolean sealedByClock;
     private long startedNanos;
     private long armedWakeNanos;
     private boolean wakeArmed;
@@ -243,6 +245,11 @@
         return over;
     }
 
+    /** Returns true if its answer lacks shards because its goal had come, and was enough by then. */
+    public boolean wasSealedByClock() {
+        return sealedByClock;
+    }
+
     /** Returns true while shards of it are left to other hosts. */
     public boolean waitsForOthers() {
         return !over && stages.areAwaited();
@@ -314,6 +321,7 @@
         boolean finished = nothingToWaitFor || deadlineCome;
         if (isEnough() && (finished || (goalCome && delivery == Delivery.AT_ONCE))) {
             ImmutableList<Integer> notSent = shards.notSent();
+            sealedByClock = goalCome && !lookedAfterGoal && !nothingToWaitFor;
             end(actions);
             actions.add(new RoutedAction.DeliverMerged(parts.takeNew(notSent)));
             return true;
@@ -324,6 +332,7 @@
             actions.add(new RoutedAction.Refuse(reason));
             return true;
         }
+        lookedAfterGoal |= goalCome;
         if (goalCome && delivery == Delivery.IN_PIECES && parts.hasNew()) {
             actions.add(new RoutedAction.DeliverPiece(parts.takeNew(ImmutableList.of())));
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageTiming.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageTiming.java
@@ -22,6 +22,17 @@
         return leftNanos - roundTripNanos - GOAL_SLACK_NANOS;
     }
 
+    /**
+     * Returns how much of the time that a host was given it waits: less if it is further behind than the host that
+     * asked allows for.
+     *
+     * @param givenNanos the time until the goal that it was told
+     * @param overrunNanos what it takes beyond the moment at which it means to send what is in
+     */
+    public static long goalNanosHere(long givenNanos, long overrunNanos) {
+        return givenNanos - Math.max(0, overrunNanos - GOAL_SLACK_NANOS);
+    }
+
     /**
      * Returns how long a host may be silent before it counts as lost.
      *
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -89,6 +89,30 @@
         assertThat(world.counts).contains(AttemptCounter.RETRY);
     }
 
+    @Test
+    void anAnswerThatWaitedForMoreShardsWasNotSealedByTheClock() {
+        ScatterQuery waited = query(4, 1, 0, 0.75);
+        world.carryOut(waited.start(0), 0);
+        world.carryOut(waited.wake(RoutedWorld.GOAL_NANOS), RoutedWorld.GOAL_NANOS);
+        for (int shard = 0; shard < 3; shard++) {
+            world.answer(waited, world.asked.get(shard), "sig" + shard, RoutedWorld.GOAL_NANOS + shard * MILLI);
+        }
+        assertThat(world.delivered).hasSize(1);
+        assertThat(waited.wasSealedByClock()).isFalse();
+    }
+
+    @Test
+    void anAnswerThatWasEnoughWhenItsGoalCameWasSealedByTheClock() {
+        ScatterQuery query = query(4, 1, 0, 0.75);
+        world.carryOut(query.start(0), 0);
+        for (int shard = 0; shard < 3; shard++) {
+            world.answer(query, world.asked.get(shard), "sig" + shard, MILLI);
+        }
+        world.carryOut(query.wake(RoutedWorld.GOAL_NANOS + 20 * MILLI), RoutedWorld.GOAL_NANOS + 20 * MILLI);
+        assertThat(world.delivered).hasSize(1);
+        assertThat(query.wasSealedByClock()).isTrue();
+    }
+
     @Test
     void whatIsUnderWayAtTheEndIsGivenUp() {
         ScatterQuery query = query(4, 1, 0, 0.75);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.bramblerack.request.routed.CallerIdentity;
 import org.bramblerack.request.routed.CallerWaits;
 import org.bramblerack.request.routed.RefusalReason;
+import org.bramblerack.request.routed.SealLead;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
 import org.bramblerack.wire.Envelope;
@@ -62,7 +63,7 @@
     private final EventLoop loop;
     private final RandomGenerator random;
     private final DecisionLog log;
-    private final SealLead sealLead = new SealLead();
+    private final SealLead sealLead;
     private final QueryRuns runs;
     private final LateQueries lateQueries;
     private final CallerWaits waits = new CallerWaits();
@@ -101,6 +102,7 @@
         this.clock = clock;
         this.loop = loop;
         this.random = random;
+        this.sealLead = new SealLead(clock.nowNanos());
         this.stages = new StageLinks(view, network, clock, loop, random);
         view.onHostsChanged(stages::hostsChanged);
         view.onConnectionEvent(metrics::count);
@@ -108,18 +110,14 @@
         this.runs = new QueryRuns(view, stages, names, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
         this.trials = new HarmTrials(view, runs, network, controlHost, loop, clock, random);
-        this.stageServer = new StageServer(view, runs, names, clock, loop);
+        this.stageServer = new StageServer(view, runs, names, sealLead, clock, loop);
     }
 
     /** Begins to probe the links to other hosts. */
     public void start() {
         stages.start();
         long periodNanos = FleetView.LAG_PERIOD.toNanos();
-        loop.scheduleWithFixedDelay(
-                () -> view.routing().hostLag().taskRuns(clock.nowNanos()),
-                periodNanos,
-                periodNanos,
-                TimeUnit.NANOSECONDS);
+        loop.scheduleWithFixedDelay(() -> noteLag(periodNanos), periodNanos, periodNanos, TimeUnit.NANOSECONDS);
         loop.scheduleWithFixedDelay(
                 () -> EVENTS.info("counters")
                         .with("counters", metrics.summary())
@@ -129,6 +127,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void noteLag(long periodNanos) {
+        long nowNanos = clock.nowNanos();
+        view.routing().hostLag().taskRuns(nowNanos);
+        sealLead.taskRan(view.routing().hostLag().nanos(nowNanos), periodNanos, nowNanos);
+    }
+
     /** Probes the links to other hosts now, on the event loop. */
     void probeNow() {
         stages.probe();
@@ -350,7 +354,7 @@
         long timeoutNanos = route.timeout().toNanos();
         long callerNanos = callerWaitNanos(exchange);
         long finalNanos = Math.min(timeoutNanos, Math.max(callerNanos / 2, callerNanos - DEADLINE_WAY_NANOS));
-        long goalNanos = route.goal().isZero() ? finalNanos : route.goal().toNanos() - sealLead.nanos();
+        long goalNanos = route.goal().isZero() ? finalNanos : route.goal().toNanos() - sealLead.nanos(route.goal());
         return new RequestTimes(
                 receivedNanos + Math.max(0, goalNanos),
                 arrivedNanos + finalNanos,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -186,9 +186,8 @@
                 sender.finish();
                 sayWhatWasAskedTwice();
                 explain(deliver.answer());
-                boolean waited = clock.nowNanos() - call.times().goalNanos() >= 0;
                 sink.deliver(deliver.answer());
-                if (waited && deliver.answer().missing() > 0) {
+                if (query.wasSealedByClock()) {
                     onSealedAtGoal.accept(clock.nowNanos());
                 }
             } else if (action instanceof RoutedAction.DeliverPiece deliver) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -19,6 +19,7 @@
 import org.bramblerack.request.routed.CallerIdentity;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
+import org.bramblerack.request.routed.SealLead;
 import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.version.routing.Homes;
 import org.bramblerack.version.routing.RequestKind;
@@ -40,16 +41,24 @@
     private final FleetView view;
     private final QueryRuns runs;
     private final CallHeaders names;
+    private final SealLead sealLead;
     private final MonotonicClock clock;
     private final EventLoop loop;
     private final HeldLeafCalls leafCalls;
     private final StageCalls calls = new StageCalls();
     private boolean refusesWork;
 
-    StageServer(FleetView view, QueryRuns runs, CallHeaders names, MonotonicClock clock, EventLoop loop) {
+    StageServer(
+            FleetView view,
+            QueryRuns runs,
+            CallHeaders names,
+            SealLead sealLead,
+            MonotonicClock clock,
+            EventLoop loop) {
         this.view = view;
         this.runs = runs;
         this.names = names;
+        this.sealLead = sealLead;
         this.clock = clock;
         this.loop = loop;
         this.leafCalls = new HeldLeafCalls(view, clock);
@@ -126,7 +135,7 @@
             return;
         }
         RequestTimes times = new RequestTimes(
-                arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()),
+                arrivedNanos + goalNanos(call),
                 arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()),
                 arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()));
         int maxAttempts = maxAttempts(call, arrivedNanos);
@@ -242,6 +251,12 @@
                         homes));
     }
 
+    /** Returns how long after a call came what is in by then is sent; on a host that is behind, earlier. */
+    private long goalNanos(StageCall call) {
+        Duration goal = Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros())));
+        return StageTiming.goalNanosHere(goal.toNanos(), sealLead.overrunNanos(goal));
+    }
+
     /** Turns the numbers of shards of a part into those of the whole. */
     private static ImmutableList<Integer> translate(List<Integer> numbers, List<Integer> shards) {
         return numbers.stream().map(shards::get).collect(ImmutableList.toImmutableList());
