--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LagTimer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LagTimer.java
@@ -7,21 +7,26 @@
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.HostLag;
 import org.bramblerack.process.leaf.LagPeriod;
+import org.bramblerack.request.routed.SealLead;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Runs the task by which a host sees how far it is behind, as often as {@link LagPeriod} says. Owned by the event loop.
+ * Runs the task by which a host sees how far it is behind, and how early to seal its answers, as often as
+ * {@link LagPeriod} says. Owned by the event loop.
  */
 final class LagTimer {
     private final HostLag lag;
+    private final SealLead sealLead;
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final LagPeriod period = new LagPeriod();
     private @Nullable ScheduledFuture<?> next;
     private boolean atRest;
+    private long waitedNanos = LagPeriod.AT_REST.toNanos();
 
-    LagTimer(HostLag lag, EventLoop loop, MonotonicClock clock) {
+    LagTimer(HostLag lag, SealLead sealLead, EventLoop loop, MonotonicClock clock) {
         this.lag = lag;
+        this.sealLead = sealLead;
         this.loop = loop;
         this.clock = clock;
     }
@@ -44,6 +49,8 @@
         Duration wait = period.next(nowNanos);
         atRest = wait.equals(LagPeriod.AT_REST);
         lag.taskRuns(nowNanos, wait);
+        sealLead.taskRan(lag.nanos(nowNanos), waitedNanos, nowNanos);
+        waitedNanos = wait.toNanos();
         next = loop.schedule(this::run, wait.toNanos(), TimeUnit.NANOSECONDS);
     }
 }
