Let nobody but their owner read a voter's files

Change: both are made with mode 0600 where the file system has such modes; one that a crash left half written is made anew. Files of an earlier program keep their mode until the log is compacted.

Ruled out: to change the mode of files that are there: one call more at each start, on file systems that may not have it.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/FileLogStore.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.control;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
@@ -12,6 +13,9 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.FileAttribute;
+import java.nio.file.attribute.PosixFilePermission;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.List;
 import org.bramblerack.process.agreement.RaftAction;
 import org.bramblerack.process.agreement.StoredState;
@@ -38,6 +42,11 @@
     private static final byte[] SNAPSHOT_MARK = "BRSNP001".getBytes(StandardCharsets.US_ASCII);
     private static final long LEAST_FREE_BYTES = 64L * 1024 * 1024;
 
+    private static final ImmutableSet<StandardOpenOption> CREATE_ONLY =
+            ImmutableSet.of(StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+    private static final ImmutableSet<PosixFilePermission> OWNER_ONLY =
+            ImmutableSet.of(PosixFilePermission.OWNER_READ, PosixFilePermission.OWNER_WRITE);
+
     private final FileSync sync;
     private final Path folder;
     private final Path logFile;
@@ -206,8 +215,9 @@
 
     private void replace(Path target, byte[] mark, List<byte[]> records) throws IOException {
         Path temporary = folder.resolve(target.getFileName() + ".new");
-        try (FileChannel channel = FileChannel.open(
-                temporary, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+        // One that a crash left behind may be open to more readers.
+        Files.deleteIfExists(temporary);
+        try (FileChannel channel = FileChannel.open(temporary, CREATE_ONLY, ownerOnly())) {
             writeFully(channel, ByteBuffer.wrap(mark));
             for (byte[] record : records) {
                 writeFully(channel, RecordFrame.frame(record));
@@ -220,6 +230,16 @@
         }
     }
 
+    /**
+     * Returns the rights of new files: what is agreed on may hold secrets. None where the file system has no such
+     * rights.
+     */
+    private FileAttribute<?>[] ownerOnly() {
+        return folder.getFileSystem().supportedFileAttributeViews().contains("posix")
+                ? new FileAttribute<?>[] {PosixFilePermissions.asFileAttribute(OWNER_ONLY)}
+                : new FileAttribute<?>[0];
+    }
+
     private void openLog() throws IOException {
         FileChannel opened = FileChannel.open(logFile, StandardOpenOption.WRITE);
         try {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/control/FileLogStoreTest.java
@@ -9,11 +9,13 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.bramblerack.process.agreement.RaftAction;
 import org.bramblerack.process.agreement.StoredState;
 import org.bramblerack.wire.HardState;
@@ -56,6 +58,24 @@
         assertThat(syncs.get()).isEqualTo(1);
     }
 
+    /** Agreed documents hold the keys of callers. */
+    @Test
+    void onlyTheOwnerReadsWhatIsStored() throws Exception {
+        Files.writeString(folder.resolve("log.new"), "left by a crash");
+        Files.setPosixFilePermissions(folder.resolve("log.new"), PosixFilePermissions.fromString("rw-r--r--"));
+        try (FileLogStore store = new FileLogStore(folder)) {
+            store.load();
+            store.store(List.of(new RaftAction.SaveSnapshot(
+                    9, 3, ByteString.EMPTY, ImmutableSortedSet.of(), HARD_STATE, ImmutableList.of())));
+        }
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(file)))
+                        .isEqualTo("rw-------");
+            }
+        }
+    }
+
     @Test
     void aStoreThatFailedCanBeLoadedAgain() throws DiskFault {
         AtomicBoolean full = new AtomicBoolean();
