Refuse a key for good only once a leader confirms the version, and keep keys on the host that they reach

Cause: that the control host followed heard a leader by its last answer, up to 1.1 s ago or before a suspension, let a host answer 401 to a key of a version that had just been acknowledged. The key of a caller on a public route went to leafs and other hosts; credentials shown twice counted as the first of them; homes of a team and of its route that have none in common were told to other hosts as "anywhere"; another host bound itself by the route's homes alone and ranked by it.

Change: a caller that is not known is refused with 401 only after NewestVersion had a leader's quorum confirm the version, else with 503; SharedReads bounds these questions by hosts. The gateway takes the key out of the header fields as soon as the team is known. Two credentials are none. A request that no region may serve is refused at once. Stages take rank and homes of the team. A 401 says WWW-Authenticate and no time to come back; its line and ./bramblerack explain say what was shown. A known key on a public route names its team and spends none of its limit.

Ruled out: 401 by the follower's state alone (stale, see above); a pause before 401 for each wrong key (state, and a guess at the lag); a question for every key (a round trip a request, and no service where control is not reached).

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/CallerCheck.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/CallerCheck.java
@@ -1,8 +1,6 @@
 package org.bramblerack.request.routed;
 
-import static com.google.common.base.Preconditions.checkArgument;
-
-import java.util.Locale;
+import java.util.List;
 import java.util.Optional;
 import org.bramblerack.version.routing.KeyDigest;
 import org.bramblerack.version.routing.Route;
@@ -12,11 +10,13 @@
 /**
  * Decides in whose name a request is made, by the key that its caller shows.
  *
- * <p>A key that is not known is refused for good only by a host that hears a leader: one that does not may have missed
- * the version that added the key. Stateless and safe for use by many threads.
+ * <p>That a key is of no team is true only by the newest version of the configuration, since that may have added it; so
+ * it is for whoever asks to make sure of the version before the caller is told. Stateless and safe for use by many
+ * threads.
  */
 public final class CallerCheck {
-    private static final String SCHEME = "token ";
+    /** The kind of credentials that hold a key; it stands before the key, in any case. */
+    public static final String SCHEME = "Token";
 
     private CallerCheck() {}
 
@@ -25,33 +25,59 @@
         /** The request is made in this name. */
         record Known(CallerIdentity caller) implements Result {}
 
-        /** The request is refused. */
-        record Refused(RefusalReason reason) implements Result {}
+        /** The caller needs a key and showed none that is known. */
+        record Unknown(Shown shown) implements Result {}
+    }
+
+    /** What a caller shows. */
+    public enum Shown {
+        /** Nothing. */
+        NOTHING,
+        /** Credentials of another kind. */
+        NO_KEY,
+        /** Credentials more than once, which leaves open in whose name it asks. */
+        SEVERAL,
+        /** A key. */
+        A_KEY
     }
 
     /**
      * Decides about a caller.
      *
-     * @param credentials what the caller shows, empty if nothing
-     * @param current true if this host hears a leader, so that it knows the version in force
+     * @param credentials every value that the caller shows as its credentials
      */
-    public static Result check(Teams teams, Route route, Optional<String> credentials, boolean current) {
-        checkArgument(credentials != null, "no credentials are given as empty");
-        if (teams.isEmpty() || route.isPublic()) {
+    public static Result check(Teams teams, Route route, List<String> credentials) {
+        if (teams.isEmpty()) {
             return new Result.Known(CallerIdentity.ANONYMOUS);
         }
-        Optional<Team> team = credentials.flatMap(CallerCheck::key).flatMap(teams::withKey);
-        if (team.isPresent()) {
-            return new Result.Known(new CallerIdentity(team));
+        Shown shown = shown(credentials);
+        Optional<Team> team = shown == Shown.A_KEY ? key(credentials.get(0)).flatMap(teams::withKey) : Optional.empty();
+        return team.isPresent() || route.isPublic()
+                ? new Result.Known(new CallerIdentity(team))
+                : new Result.Unknown(shown);
+    }
+
+    /** Returns true if credentials may hold the key of a team, whether it is known or not. */
+    public static boolean mayHoldKey(String credentials) {
+        return key(credentials).isPresent();
+    }
+
+    private static Shown shown(List<String> credentials) {
+        if (credentials.isEmpty()) {
+            return Shown.NOTHING;
         }
-        return new Result.Refused(current ? RefusalReason.UNKNOWN_KEY : RefusalReason.KEY_UNDECIDED);
+        if (credentials.size() > 1) {
+            return Shown.SEVERAL;
+        }
+        return mayHoldKey(credentials.get(0)) ? Shown.A_KEY : Shown.NO_KEY;
     }
 
     private static Optional<KeyDigest> key(String credentials) {
-        String trimmed = credentials.trim();
-        if (!trimmed.toLowerCase(Locale.ROOT).startsWith(SCHEME)) {
-            return Optional.empty();
-        }
-        return Optional.of(KeyDigest.of(trimmed.substring(SCHEME.length()).trim()));
+        String trimmed = credentials.strip();
+        int end = SCHEME.length();
+        boolean hasScheme = trimmed.regionMatches(true, 0, SCHEME, 0, end)
+                && trimmed.length() > end
+                && Character.isWhitespace(trimmed.charAt(end));
+        return hasScheme ? Optional.of(KeyDigest.of(trimmed.substring(end).strip())) : Optional.empty();
     }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RefusalReason.java
@@ -14,7 +14,7 @@
     ON_TRIAL(true),
     /** Its caller showed no key of a team; it was sent to none. */
     UNKNOWN_KEY(true),
-    /** Its caller showed a key that this host, which hears no leader, does not know; it was sent to none. */
+    /** Its caller showed no key of a team that this host knows, which may not know the newest; it was sent to none. */
     KEY_UNDECIDED(true),
     /** Its team has made as many requests as it may; it was sent to none. */
     OVER_LIMIT(true),
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/AgreedState.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/AgreedState.java
@@ -89,6 +89,7 @@
             case ROUTING ->
                 result.setRoutingVersion(state.tables().configurationVersion())
                         .setRoutingDocument(state.tables().configuration());
+            case ROUTING_VERSION -> result.setRoutingVersion(state.tables().configurationVersion());
             default -> result.addAllInForce(inForce.toList(nowNanos)).addAllDeclarations(state.declarationsAfter(0));
         }
         return result;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
@@ -36,6 +36,16 @@
             .put("TIME_UP", "the deadline or the route's time-out came first")
             .put("OUTCOME_UNKNOWN", "a leaf broke off; the request may have run, so it was not sent again")
             .put("NO_ROUTE", "no route of the configuration named in the line takes this host and path")
+            .put(
+                    "NO_LEAF_AT_HOME",
+                    "not run: no leaf takes work where the route, and the team whose key was shown, let it be served")
+            .put(
+                    "UNKNOWN_KEY",
+                    "not run: the newest configuration, which is the one named in the line, has no team with this key")
+            .put(
+                    "KEY_UNDECIDED",
+                    "not run: the key is not known here, and no leader confirmed in time that this configuration is"
+                            + " the newest; look for tables_lost, and for role_changed on control hosts")
             .put("NOT_READY", "the host did not know the tables yet")
             .put("BODY_TOO_LONG", "the body is longer than the configuration allows")
             .buildOrThrow();
@@ -85,6 +95,9 @@
         }
         lines.add("  route " + ended.field("route") + ", configuration " + ended.field("configuration")
                 + ", tables at revision " + ended.field("revision"));
+        if (!ended.field("shown").isEmpty()) {
+            lines.add("  the caller showed " + ended.field("shown"));
+        }
         for (String tried : ended.field("tried").split("; ", -1)) {
             if (!tried.isBlank()) {
                 lines.add("  tried: " + tried);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -56,6 +56,10 @@
                                                 Logger.Level.DEBUG,
                                                 "tables are not told, the role has stopped: {0}",
                                                 failure.getMessage()));
+            case VERSION_QUERY ->
+                fleet.newestVersion()
+                        .subscribe()
+                        .with(result -> reply.accept(Envelope.newBuilder().setVersionQueryResult(result)));
             case TAKE_TRIAL ->
                 fleet.takeTrial(message.getTakeTrial())
                         .subscribe()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -11,11 +11,13 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.Consumer;
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.ProposalResult;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.SharedReads;
 import org.bramblerack.process.members.AgreedTables;
 import org.bramblerack.process.members.MemberWatch;
 import org.bramblerack.process.members.ShardAccessPolicy;
@@ -34,6 +36,7 @@
 import org.bramblerack.wire.TableDelta;
 import org.bramblerack.wire.TablePull;
 import org.bramblerack.wire.TakeTrial;
+import org.bramblerack.wire.VersionQueryResult;
 
 /**
  * What a control host does for leafs, operators and entry hosts.
@@ -51,6 +54,10 @@
     private static final Duration CHANGE_WAIT = Duration.ofMillis(900);
 
     private static final Duration READ_WAIT = Duration.ofMillis(800);
+    /** A caller waits for the answer, so it comes within a few round trips or not at all. */
+    private static final Duration VERSION_WAIT = Duration.ofMillis(450);
+    /** More than the entry hosts that follow one control host, each of which asks once at a time. */
+    private static final int MAX_VERSION_QUERIES = 10_000;
 
     private final ControlNode node;
     private final ControlClient client;
@@ -61,6 +68,7 @@
     private final ShardAccessPolicy shardAccess = new ShardAccessPolicy();
     private volatile ImmutableList<String> knownControlHosts = ImmutableList.of();
     private volatile ImmutableSet<String> hostsElsewhere = ImmutableSet.of();
+    private final SharedReads<Consumer<VersionQueryResult>> versionReads = new SharedReads<>(MAX_VERSION_QUERIES);
     private boolean wasLeader;
 
     /** Creates the service; nothing happens before it is called. */
@@ -194,6 +202,53 @@
                 .map(result -> result.getCurrent() ? Optional.of(result.getRoutingDocument()) : Optional.empty());
     }
 
+    /** Returns the version of the newest configuration, as confirmed from now on; hosts that ask meanwhile share it. */
+    public Uni<VersionQueryResult> newestVersion() {
+        return Uni.createFrom().emitter(emitter -> {
+            boolean waits;
+            synchronized (versionReads) {
+                waits = versionReads.await(emitter::complete);
+            }
+            if (waits) {
+                readVersionIfAsked();
+            } else {
+                emitter.complete(VersionQueryResult.getDefaultInstance());
+            }
+        });
+    }
+
+    private void readVersionIfAsked() {
+        synchronized (versionReads) {
+            if (!versionReads.begin()) {
+                return;
+            }
+        }
+        client.read(
+                        ControlRead.newBuilder()
+                                .setKind(ControlRead.Kind.ROUTING_VERSION)
+                                .build(),
+                        VERSION_WAIT)
+                .subscribe()
+                .with(result -> versionRead(result.getCurrent(), result.getRoutingVersion()), failure -> {
+                    LOGGER.log(Logger.Level.DEBUG, "the newest version was not read: {0}", failure.getMessage());
+                    versionRead(false, 0);
+                });
+    }
+
+    private void versionRead(boolean current, long version) {
+        ImmutableList<Consumer<VersionQueryResult>> answered;
+        synchronized (versionReads) {
+            answered = versionReads.takeAnswered();
+            versionReads.end();
+        }
+        VersionQueryResult result = VersionQueryResult.newBuilder()
+                .setCurrent(current)
+                .setVersion(version)
+                .build();
+        answered.forEach(taker -> taker.accept(result));
+        readVersionIfAsked();
+    }
+
     /** Answers a host that follows the tables; if it takes part already, notes that it lives. */
     public Uni<TableDelta> pull(TablePull pull) {
         if (!pull.hasSelf()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -11,6 +11,7 @@
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.request.routed.CallerCheck;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
 
@@ -24,7 +25,9 @@
     private static final int GATEWAY_TIMEOUT = 504;
     /** How many digits of a second tell milliseconds. */
     private static final int MILLIS_DIGITS = 3;
-    /** When to come back if no leaf takes work: a registration takes about this long to be known. */
+    /** No use in coming back: the answer will be the same. */
+    private static final String NEVER = "";
+    /** When to come back if no leaf takes work, or keys are not known: a change takes about this long to be known. */
     private static final String RETRY_SOON_SECONDS = "0.3";
     /**
      * When to come back to a fleet whose hosts have just started: a host knows its tables about a second after its
@@ -123,10 +126,12 @@
                                 RETRY_ON_TRIAL_SECONDS,
                                 "not run: leafs ended with requests like this one, and another one is being tried");
                     case UNKNOWN_KEY ->
-                        new Told(UNAUTHORIZED, RETRY_SOON_SECONDS, "this key is of no team; ask the operator for one");
+                        new Told(UNAUTHORIZED, NEVER, "a key of a team is needed; ask the operator for one");
                     case KEY_UNDECIDED ->
                         new Told(
-                                UNAVAILABLE, RETRY_ELSEWHERE_SECONDS, "this host cannot tell whether the key is known");
+                                UNAVAILABLE,
+                                RETRY_SOON_SECONDS,
+                                "not run: this host does not know the key and may not know the newest ones");
                     case OVER_LIMIT ->
                         new Told(TOO_MANY_REQUESTS, RETRY_BUSY_SECONDS, "the team has made as many requests as it may");
                     case NO_ROOM ->
@@ -154,9 +159,13 @@
     private void refuse(int status, String retryAfterSeconds, String text) {
         FullHttpResponse response =
                 HttpExchange.response(status, Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8));
-        response.headers()
-                .set(names.retryAfterSeconds(), retryAfterSeconds)
-                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+        if (!retryAfterSeconds.equals(NEVER)) {
+            response.headers().set(names.retryAfterSeconds(), retryAfterSeconds);
+        }
+        if (status == UNAUTHORIZED) {
+            response.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, CallerCheck.SCHEME);
+        }
         metrics.answered(exchange.receivedNanos());
         exchange.respond(response);
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
@@ -54,18 +54,23 @@
         line.write();
     }
 
-    /** Writes a line about a request that was refused before a route was found. */
-    void refusedUnrouted(String requestId, String host, String path, String outcome) {
+    /**
+     * Writes a line about a request that was refused before a route, or in whose name it is made, was found.
+     *
+     * @param details adds what decided it; called only if the line is written
+     */
+    void refusedUnrouted(String requestId, String host, String path, String outcome, Consumer<EventLog.Line> details) {
         if (imperfect.admits()) {
             sayWhatWasLeftOut();
-            EVENTS.info("request_ended")
+            EventLog.Line line = EVENTS.info("request_ended")
                     .with("request", requestId)
                     .with("outcome", outcome)
                     .with("host", host)
                     .with("path", path)
                     .with("configuration", view.configuration().version())
-                    .with("revision", view.revision())
-                    .write();
+                    .with("revision", view.revision());
+            details.accept(line);
+            line.write();
         }
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -86,7 +86,7 @@
         this.gateway = new Gateway(
                 view,
                 follower::isSynchronized,
-                follower::isCurrent,
+                new NewestVersion(follower::isCurrent, view, network, follower::controlHost, loop),
                 SpendingLimits.NONE,
                 follower::controlHost,
                 network,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,7 @@
 import org.bramblerack.request.routed.RefusalReason;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.version.routing.Teams;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HarmReportResult;
 import org.bramblerack.wire.StageCall;
@@ -54,7 +56,7 @@
 
     private final FleetView view;
     private final BooleanSupplier tablesKnown;
-    private final BooleanSupplier tablesCurrent;
+    private final TableStatus tables;
     private final SpendingLimits limits;
     private final CallHeaders names;
     private final GatewayMetrics metrics;
@@ -77,13 +79,13 @@
      *
      * @param controlHost tells which control host is followed at the moment
      * @param tablesKnown true once the view is that of a control host that is in touch with a leader
-     * @param tablesCurrent true while the control host that is followed is in touch with a leader
+     * @param tables tells whether the configuration in force here is the newest
      * @param limits bounds how many requests a team makes
      */
     public Gateway(
             FleetView view,
             BooleanSupplier tablesKnown,
-            BooleanSupplier tablesCurrent,
+            TableStatus tables,
             SpendingLimits limits,
             Supplier<String> controlHost,
             PeerNetwork network,
@@ -94,7 +96,7 @@
             RandomGenerator random) {
         this.view = view;
         this.tablesKnown = tablesKnown;
-        this.tablesCurrent = tablesCurrent;
+        this.tables = tables;
         this.limits = limits;
         this.names = names;
         this.metrics = metrics;
@@ -188,25 +190,60 @@
             refusedUnrouted(exchange, "BODY_TOO_LONG");
             return;
         }
+        identify(exchange, answers, Newest.NOT_ASKED);
+    }
+
+    /** Finds the route of a request and in whose name it is made, by the configuration in force now. */
+    private void identify(HttpExchange exchange, CallerAnswers answers, Newest newest) {
         Optional<Route> route = view.configuration().find(exchange.headers().get("Host", ""), exchange.path());
         if (route.isEmpty()) {
             exchange.respond(NOT_FOUND, "text/plain", "no route takes this host and path\n");
             refusedUnrouted(exchange, "NO_ROUTE");
             return;
         }
-        Optional<String> credentials = Optional.ofNullable(exchange.headers().get(HttpHeaderNames.AUTHORIZATION));
-        CallerCheck.Result check =
-                CallerCheck.check(view.configuration().teams(), route.get(), credentials, tablesCurrent.getAsBoolean());
+        Teams teams = view.configuration().teams();
+        List<String> credentials = exchange.headers().getAll(HttpHeaderNames.AUTHORIZATION);
+        CallerCheck.Result check = CallerCheck.check(teams, route.get(), credentials);
         if (check instanceof CallerCheck.Result.Known known) {
+            if (!teams.isEmpty() && credentials.stream().anyMatch(CallerCheck::mayHoldKey)) {
+                // From here on nothing can tell it to a leaf or another host.
+                exchange.headers().remove(HttpHeaderNames.AUTHORIZATION);
+            }
             permit(exchange, route.get(), known.caller(), answers);
-        } else if (check instanceof CallerCheck.Result.Refused refused) {
-            answers.refuse(refused.reason());
-            refusedUnrouted(exchange, refused.reason().name());
+        } else if (check instanceof CallerCheck.Result.Unknown unknown) {
+            unknown(exchange, answers, unknown.shown(), newest);
+        }
+    }
+
+    /** Refuses a caller that is not known, once it is certain that no newer version of the configuration knows it. */
+    private void unknown(HttpExchange exchange, CallerAnswers answers, CallerCheck.Shown shown, Newest newest) {
+        if (newest == Newest.NOT_ASKED) {
+            tables.confirmNewest(confirmed -> {
+                if (!exchange.isCallerGone()) {
+                    identify(exchange, answers, confirmed ? Newest.CONFIRMED : Newest.UNCERTAIN);
+                }
+            });
+            return;
         }
+        RefusalReason reason = newest == Newest.CONFIRMED ? RefusalReason.UNKNOWN_KEY : RefusalReason.KEY_UNDECIDED;
+        answers.refuse(reason);
+        logUnrouted(exchange, reason.name(), line -> line.with("shown", shown.name()));
+    }
+
+    /** Whether the configuration in force here is the newest. */
+    private enum Newest {
+        NOT_ASKED,
+        CONFIRMED,
+        UNCERTAIN
     }
 
     /** Asks whether the team may make one more request. */
     private void permit(HttpExchange exchange, Route route, CallerIdentity caller, CallerAnswers answers) {
+        if (caller.homes(route).areNowhere()) {
+            answers.refuse(RefusalReason.NO_LEAF_AT_HOME);
+            logUnrouted(exchange, RefusalReason.NO_LEAF_AT_HOME.name(), line -> {});
+            return;
+        }
         LeafRequest request = LeafRequest.create(
                 exchange.method(),
                 exchange.uri(),
@@ -218,12 +255,12 @@
         RequestTimes times = times(exchange, route);
         if (times.deadlineNanos() - clock.nowNanos() <= 0) {
             answers.refuse(RefusalReason.EXPIRED);
-            refusedUnrouted(exchange, RefusalReason.EXPIRED.name());
+            logUnrouted(exchange, RefusalReason.EXPIRED.name(), line -> {});
             return;
         }
         RoutedCall call =
                 new RoutedCall(route, caller, view.configuration().version(), request, exchange.receivedNanos(), times);
-        limits.spend(caller, spending -> {
+        limits.spend(route.isPublic() ? CallerIdentity.ANONYMOUS : caller, spending -> {
             if (spending instanceof SpendingLimits.Spending.Permitted permitted) {
                 answers.onNotRun(permitted.giveBack());
                 begin(exchange, call, answers);
@@ -304,11 +341,16 @@
 
     private void refusedUnrouted(HttpExchange exchange, String outcome) {
         metrics.refusedUnrouted(outcome);
+        logUnrouted(exchange, outcome, line -> {});
+    }
+
+    private void logUnrouted(HttpExchange exchange, String outcome, Consumer<EventLog.Line> details) {
         log.refusedUnrouted(
                 exchange.headers().get(names.requestId(), ""),
                 exchange.headers().get("Host", ""),
                 exchange.path(),
-                outcome);
+                outcome,
+                details);
     }
 
     /** Returns what other hosts are told of a query. */
@@ -332,9 +374,8 @@
                 .addAllHomeRegions(routed.homes().regions())
                 .setTeam(routed.caller().teamName())
                 .setPriority(routed.priority());
-        boolean hasTeam = routed.caller().team().isPresent();
         exchange.headers().forEach(header -> {
-            if (LeafRequest.isToldToHosts(header.getKey(), hasTeam, names)) {
+            if (LeafRequest.isToldToHosts(header.getKey(), names)) {
                 call.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
             }
         });
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -24,6 +24,8 @@
 import org.bramblerack.version.routing.RequestKind;
 import org.bramblerack.version.routing.Route;
 import org.bramblerack.version.routing.RouteTarget;
+import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.version.routing.Team;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageCancel;
@@ -135,6 +137,7 @@
                 new RouteTarget.Scatter(ImmutableList.copyOf(call.getServicesList()), call.getTopRecords(), 0);
         ScatterRun run = runs.scatterHere(
                 new RoutedCall(
+                        // Says the homes and the rank, also those of the team.
                         route(call, target, homes, maxAttempts),
                         CallerIdentity.ANONYMOUS,
                         call.getConfigurationVersion(),
@@ -178,15 +181,14 @@
     }
 
     /**
-     * Returns the regions that may serve a call: those that the host that asked knows of its route and those that this
-     * host does, since for a moment the two may follow different versions of the configuration.
+     * Returns the regions that may serve a call: those that the host that asked knows of its route and its team and
+     * those that this host does, since for a moment the two may follow different versions of the configuration.
      */
     private Homes homes(StageCall call) {
-        Homes told = Homes.of(call.getHomeRegionsList());
-        return view.configuration()
-                .routeNamed(call.getRoute())
-                .map(route -> told.and(route.homes()))
-                .orElse(told);
+        RoutingConfiguration known = view.configuration();
+        Homes ofRoute = known.routeNamed(call.getRoute()).map(Route::homes).orElse(Homes.ANYWHERE);
+        Homes ofTeam = known.teams().named(call.getTeam()).map(Team::homes).orElse(Homes.ANYWHERE);
+        return Homes.of(call.getHomeRegionsList()).and(ofRoute).and(ofTeam);
     }
 
     /**
@@ -227,8 +229,9 @@
     private Route route(StageCall call, RouteTarget.Scatter target, Homes homes, int maxAttempts) {
         return view.configuration()
                 .routeNamed(call.getRoute())
-                .filter(known ->
-                        known.maxAttempts() == maxAttempts && known.homes().equals(homes))
+                .filter(known -> known.maxAttempts() == maxAttempts
+                        && known.homes().equals(homes)
+                        && known.priority() == call.getPriority())
                 .orElseGet(() -> new Route(
                         call.getRoute(),
                         "",
@@ -236,7 +239,7 @@
                         RequestKind.IDEMPOTENT,
                         Duration.ofNanos(Math.max(1, TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()))),
                         Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()))),
-                        0,
+                        Math.max(0, call.getPriority()),
                         maxAttempts,
                         target,
                         homes));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
@@ -93,7 +93,7 @@
             } else if (header.getKey().equalsIgnoreCase(CREDENTIALS)) {
                 credentials = header.getValue();
             }
-            if (isPassedOn(header.getKey(), nominated, !team.isEmpty(), names)) {
+            if (isPassedOn(header.getKey(), nominated, names)) {
                 text.append(header.getKey())
                         .append(": ")
                         .append(header.getValue())
@@ -172,23 +172,13 @@
         return OF_ONE_CONNECTION.contains(name.toLowerCase(Locale.ROOT));
     }
 
-    /**
-     * Returns true if another host that asks leafs on behalf of this one is told a header field of the caller.
-     *
-     * @param hasTeam true if the caller's key was replaced by the name of its team
-     */
-    public static boolean isToldToHosts(String name, boolean hasTeam, CallHeaders names) {
-        String lower = name.toLowerCase(Locale.ROOT);
-        return !OF_ONE_CONNECTION.contains(lower)
-                && !(hasTeam && lower.equals(CREDENTIALS))
-                && !name.equalsIgnoreCase(names.team());
+    /** Returns true if another host that asks leafs on behalf of this one is told a header field of the caller. */
+    public static boolean isToldToHosts(String name, CallHeaders names) {
+        return !isOfOneConnection(name) && !name.equalsIgnoreCase(names.team());
     }
 
-    private static boolean isPassedOn(String name, Set<String> nominated, boolean hasTeam, CallHeaders names) {
+    private static boolean isPassedOn(String name, Set<String> nominated, CallHeaders names) {
         String lower = name.toLowerCase(Locale.ROOT);
-        if (hasTeam && lower.equals(CREDENTIALS)) {
-            return false;
-        }
         return !OF_ONE_CONNECTION.contains(lower)
                 && !nominated.contains(lower)
                 && !name.equalsIgnoreCase(names.deadlineMillis())
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/TeamFingerprintTest.java
@@ -0,0 +1,42 @@
+package org.bramblerack.daemon.leaf;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.bramblerack.process.harm.Fingerprints;
+import org.bramblerack.version.routing.Homes;
+import org.junit.jupiter.api.Test;
+
+/** Who counts as the same caller where requests are told apart that end leafs. */
+final class TeamFingerprintTest {
+    private static final CallHeaders NAMES =
+            new CallHeaders("request-id", "deadline", "leaf", "id", "sig", "load", "not", "retry", "p", "m", "team");
+
+    /** Also one whose key was taken away meanwhile, and on the host that is told the team instead of the key. */
+    @Test
+    void theCallersOfATeamAreOneWhicheverKeyTheyShow() {
+        Fingerprints first = fingerprints("Token key-1", "ours");
+        assertThat(fingerprints("Token key-2", "ours")).isEqualTo(first);
+        assertThat(fingerprints("", "ours")).isEqualTo(first);
+    }
+
+    @Test
+    void theCallersOfAnotherTeamAreOthers() {
+        assertThat(fingerprints("Token key-1", "theirs")).isNotEqualTo(fingerprints("Token key-1", "ours"));
+    }
+
+    @Test
+    void withoutTeamsCallersAreToldApartByTheirCredentials() {
+        assertThat(fingerprints("Basic a", "")).isNotEqualTo(fingerprints("Basic b", ""));
+    }
+
+    private static Fingerprints fingerprints(String credentials, String team) {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Host", "h").set("request-id", "r");
+        if (!credentials.isEmpty()) {
+            headers.set("Authorization", credentials);
+        }
+        return LeafRequest.create("GET", "/x", headers, new byte[0], Homes.ANYWHERE, team, NAMES)
+                .fingerprints();
+    }
+}
