Keep teams to their limits on entry hosts

Cause: SpendingLimits permitted everything.

A refusal says whose word it was in its line, and explain what it means. FleetView tells several parts of changed hosts.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
@@ -35,6 +35,9 @@
             .put("TOO_FEW_SHARDS", "fewer shards answered than the route demands")
             .put("TIME_UP", "the deadline or the route's time-out came first")
             .put("OUTCOME_UNKNOWN", "a leaf broke off; the request may have run, so it was not sent again")
+            .put(
+                    "OVER_LIMIT",
+                    "not run: the team has made as many requests as it may; 'decidedBy' says whose word it was")
             .put("NO_ROUTE", "no route of the configuration named in the line takes this host and path")
             .put("NOT_READY", "the host did not know the tables yet")
             .put("BODY_TOO_LONG", "the body is longer than the configuration allows")
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
@@ -16,6 +17,7 @@
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.quota.QuotaBound;
 import org.bramblerack.wire.HostRecord;
 
 /**
@@ -43,6 +45,7 @@
     private final FleetView view;
     private final PeerNetwork network;
     private final TableFollower follower;
+    private final SpendingLimits limits;
     private final Gateway gateway;
     private final HarmReporter harmReporter;
     private final PeerServer peers;
@@ -83,11 +86,14 @@
                 new PeerTraffic(metrics, host -> view.otherRegionOf(host).isPresent());
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
         this.follower = new TableFollower(view, codec, network, loop, clock, settings.seeds(), this::self, random);
+        this.limits = settings.quota()
+                .map(bound -> fleetLimits(bound, metrics, loop, random))
+                .orElse(SpendingLimits.NONE);
         this.gateway = new Gateway(
                 view,
                 follower::isSynchronized,
                 follower::isCurrent,
-                SpendingLimits.NONE,
+                limits,
                 follower::controlHost,
                 network,
                 names,
@@ -126,6 +132,7 @@
         follower.start();
         harmReporter.start();
         gateway.start();
+        limits.start();
         warmUp.run();
         warm = true;
         follower.announce();
@@ -184,6 +191,7 @@
         callers.stopListening();
         follower.stop();
         harmReporter.stop();
+        limits.stop();
         gateway.stop();
         peers.stop();
         network.stop();
@@ -199,11 +207,29 @@
         callers.stopNow();
         follower.stop();
         harmReporter.stop();
+        limits.stop();
         gateway.stop();
         peers.stop();
         network.stop();
     }
 
+    private SpendingLimits fleetLimits(
+            QuotaBound bound, MetricRegistry metrics, EventLoop loop, RandomGenerator random) {
+        FleetLimits fleetLimits = new FleetLimits(
+                settings.peerAddress().toString(),
+                bound,
+                view,
+                follower::isCurrent,
+                network,
+                new LimitMetrics(metrics),
+                clock,
+                InstantSource.system(),
+                loop,
+                random);
+        view.onHostsChanged(fleetLimits::hostsChanged);
+        return fleetLimits;
+    }
+
     private ImmutableList<String> otherEntryHosts(EntrySettings settings) {
         return view.entryHosts().stream()
                 .map(HostRecord::getPeerAddress)
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntrySettings.java
@@ -5,9 +5,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
+import java.util.Optional;
 import org.bramblerack.process.FleetBudget;
 import org.bramblerack.process.leaf.ColdBound;
 import org.bramblerack.process.leaf.RoutingPolicy;
+import org.bramblerack.process.quota.QuotaBound;
 
 /**
  * The settings of the entry role.
@@ -21,6 +23,7 @@
  * @param seeds the peer addresses of control hosts that are known beforehand
  * @param budget what all hosts may spend on extra attempts at a service
  * @param coldBound by how much all hosts together may go over what cold leafs are made for
+ * @param quota by how much all hosts together may go beyond the limits of teams; empty if these are not kept
  * @param routing which mechanisms take part in routing
  * @param stopLimit how long a planned stop may take
  */
@@ -32,6 +35,7 @@
         ImmutableList<String> seeds,
         FleetBudget budget,
         ColdBound coldBound,
+        Optional<QuotaBound> quota,
         RoutingPolicy routing,
         Duration stopLimit) {
     /** Refuses settings without a control host to ask. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -128,9 +128,13 @@
         return place;
     }
 
-    /** Sets what to do when entry or control hosts have come or gone. */
+    /** Adds what to do when entry or control hosts have come or gone. */
     void onHostsChanged(Runnable task) {
-        onHostsChanged = task;
+        Runnable before = onHostsChanged;
+        onHostsChanged = () -> {
+            before.run();
+            task.run();
+        };
     }
 
     /** Sets what is told of each connection to a leaf. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -158,6 +158,9 @@
     @Override
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         // Other kinds are of a newer program: not understood, so not answered.
+        if (limits.handle(message, reply)) {
+            return;
+        }
         if (message.hasStageCall()) {
             stageServer.handle(message.getSender(), message.getStageCall(), reply);
         } else if (message.hasStageCancel()) {
@@ -229,7 +232,12 @@
                 begin(exchange, call, answers);
             } else if (spending instanceof SpendingLimits.Spending.Refused refused) {
                 answers.refuse(RefusalReason.OVER_LIMIT, refused.retryAfter());
-                log.imperfect(call, RefusalReason.OVER_LIMIT.name(), line -> {});
+                log.imperfect(
+                        call,
+                        RefusalReason.OVER_LIMIT.name(),
+                        line -> line.with("team", caller.teamName())
+                                .with("decidedBy", refused.decidedBy())
+                                .with("retryAfterMillis", refused.retryAfter().toMillis()));
             }
         });
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/SpendingLimits.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/SpendingLimits.java
@@ -3,12 +3,28 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.bramblerack.request.routed.CallerIdentity;
+import org.bramblerack.wire.Envelope;
 
 /** Bounds how many requests a team makes on all hosts together. Owned by the event loop. */
 interface SpendingLimits {
     /** Every request is permitted. */
     SpendingLimits NONE = (caller, taker) -> taker.accept(Spending.FREE);
 
+    /** Begins to look after what is due. */
+    default void start() {}
+
+    /** Stops looking. */
+    default void stop() {}
+
+    /**
+     * Takes a message of another host.
+     *
+     * @return false if it is not about limits
+     */
+    default boolean handle(Envelope message, Consumer<Envelope.Builder> reply) {
+        return false;
+    }
+
     /**
      * Asks for the permission to make one request, which is decided at once as a rule.
      *
@@ -32,7 +48,8 @@
          * The team has spent what it may.
          *
          * @param retryAfter when there will be a permission for this caller
+         * @param decidedBy which host's word it was, of those that may decide, for the log
          */
-        record Refused(Duration retryAfter) implements Spending {}
+        record Refused(Duration retryAfter, String decidedBy) implements Spending {}
     }
 }
--- /dev/null
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetLimitsTest.java
@@ -0,0 +1,182 @@
+package org.bramblerack.daemon.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PeerServer;
+import org.bramblerack.daemon.peer.PeerTraffic;
+import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.quota.QuotaBound;
+import org.bramblerack.request.routed.CallerIdentity;
+import org.bramblerack.version.routing.Homes;
+import org.bramblerack.version.routing.RateLimit;
+import org.bramblerack.version.routing.RequestLimits;
+import org.bramblerack.version.routing.RoutingConfiguration;
+import org.bramblerack.version.routing.Team;
+import org.bramblerack.version.routing.Teams;
+import org.bramblerack.wire.HostRecord;
+import org.bramblerack.wire.TableDelta;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A team sends six times its limit to five hosts, and the host that keeps account of it ends meanwhile. */
+final class FleetLimitsTest {
+    private static final int HOSTS = 5;
+    private static final long GAP_MILLIS = 16;
+    private static final Duration WINDOW = Duration.ofSeconds(1);
+    private static final QuotaBound BOUND = new QuotaBound(WINDOW, 0.1, 20);
+    private static final RateLimit LIMIT = new RateLimit(50, 10);
+    private static final Team TEAM = new Team("team", ImmutableSet.of(), OptionalInt.empty(), LIMIT, Homes.ANYWHERE);
+    private static final CallerIdentity CALLER = new CallerIdentity(Optional.of(TEAM));
+
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final ConcurrentLinkedQueue<Long> permittedNanos = new ConcurrentLinkedQueue<>();
+    private final List<Host> hosts = new ArrayList<>();
+
+    @AfterEach
+    void stop() {
+        hosts.forEach(Host::kill);
+    }
+
+    @Test
+    void theBoundHoldsAndRequestsAreStillPermittedAfterTheKeeperOfTheAccountEnded() throws Exception {
+        for (int number = 0; number < HOSTS; number++) {
+            hosts.add(new Host());
+        }
+        for (Host host : hosts) {
+            host.start();
+        }
+        // What a host made in an earlier life is over after a window.
+        Thread.sleep(WINDOW.plusMillis(200).toMillis());
+        hosts.forEach(Host::load);
+        Thread.sleep(2 * WINDOW.toMillis());
+        Host keeper = hosts.stream()
+                .filter(host -> host.count("teams_turned_must_ask") > 0)
+                .findFirst()
+                .orElseThrow();
+        keeper.kill();
+        long killedNanos = clock.nowNanos();
+        Thread.sleep(4 * WINDOW.toMillis());
+        long endNanos = clock.nowNanos();
+        hosts.forEach(Host::kill);
+
+        assertThat(mostInAWindow()).isAtMost((int) BOUND.most(LIMIT));
+        assertThat(hosts.stream()
+                        .mapToLong(host -> host.count("accounts_taken_over"))
+                        .sum())
+                .isGreaterThan(0);
+        long inLastWindows = permittedNanos.stream()
+                .filter(at -> at > killedNanos + 2 * WINDOW.toNanos() && at <= endNanos)
+                .count();
+        assertThat(inLastWindows).isAtLeast((long) LIMIT.perSecond());
+    }
+
+    private int mostInAWindow() {
+        List<Long> times = permittedNanos.stream().sorted().toList();
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < times.size(); last++) {
+            while (times.get(last) - times.get(first) >= WINDOW.toNanos()) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    private TableDelta tables() {
+        TableDelta.Builder delta = TableDelta.newBuilder().setRevision(1).setWhole(true);
+        for (Host host : hosts) {
+            delta.addHosts(HostRecord.newBuilder()
+                    .setName(host.address.toString())
+                    .setPeerAddress(host.address.toString())
+                    .setZone("z")
+                    .setRegion("r")
+                    .setEntry(true)
+                    .setPhase(HostRecord.Phase.READY));
+        }
+        return delta.build();
+    }
+
+    /** The part of an entry host that keeps limits, with real connections to the others. */
+    private final class Host {
+        private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+        private final HostAndPort address = HostAndPort.fromParts("127.0.0.1", freePort());
+        private final MetricRegistry metrics = new MetricRegistry();
+        private final FleetView view = GatewayFixture.view(group, clock);
+        private final PeerNetwork network =
+                PeerNetwork.byAddress(address.toString(), group, LinkPolicy.OPEN, new PeerTraffic());
+        private final FleetLimits limits = new FleetLimits(
+                address.toString(),
+                BOUND,
+                view,
+                () -> true,
+                network,
+                new LimitMetrics(metrics),
+                clock,
+                InstantSource.system(),
+                group.next(),
+                new SplittableRandom(1));
+        private final PeerServer server =
+                new PeerServer(address, limits::handle, group, LinkPolicy.OPEN, new PeerTraffic());
+
+        Host() throws Exception {
+            view.onHostsChanged(limits::hostsChanged);
+        }
+
+        void start() throws Exception {
+            server.start();
+            RoutingConfiguration configuration = RoutingConfiguration.create(
+                    1, ImmutableList.of(), ImmutableMap.of(), RequestLimits.DEFAULT, Teams.of(List.of(TEAM)));
+            group.submit(() -> view.apply(tables(), Optional.of(configuration))).get();
+            limits.start();
+        }
+
+        void load() {
+            group.scheduleAtFixedRate(
+                    () -> limits.spend(CALLER, spending -> {
+                        if (spending instanceof SpendingLimits.Spending.Permitted) {
+                            permittedNanos.add(clock.nowNanos());
+                        }
+                    }),
+                    GAP_MILLIS,
+                    GAP_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+
+        long count(String name) {
+            return metrics.counter("limits_" + name).getCount();
+        }
+
+        void kill() {
+            if (!group.isShuttingDown()) {
+                server.stop();
+                network.stop();
+                group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            }
+        }
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket any = new ServerSocket(0)) {
+            return any.getLocalPort();
+        }
+    }
+}
