Check limits that were lowered as soon as they bind

Change: each window is held to the versions that a host which is up held within it or the window before; hosts use the limits that they have learnt.

--- a/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
@@ -75,6 +75,7 @@
     static final QuotaBound BOUND = new QuotaBound(Duration.ofSeconds(5), 0.1, 20);
     private static final long SECOND = 1_000_000;
     private static final long LENGTH = 16 * SECOND;
+    private static final long WINDOW = TimeUnit.MILLISECONDS.toMicros(BOUND.window().toMillis());
     private static final long DROPPED_AFTER = 6 * SECOND;
     private static final long REPLY_WAIT = SECOND * 150 / 1_000;
     private static final long CONTROL_SILENCE = SECOND * 1_100 / 1_000;
@@ -90,7 +91,7 @@
     private final Map<String, List<Long>> runs = new HashMap<>();
     private final Map<String, Integer> asked = new HashMap<>();
     private final Map<String, Integer> refused = new HashMap<>();
-    private final Map<String, RateLimit> mostLimits = new HashMap<>();
+    private final List<LimitsVersion> versions = new ArrayList<>();
     private final Set<Host> listed = new HashSet<>();
     private final Map<String, Double> levels = new HashMap<>();
     private final Map<String, Long> cameAt = new HashMap<>();
@@ -115,7 +116,7 @@
             double perSecond = 28 / Math.pow(number + 1, 1.2);
             limits.put("t" + number, new RateLimit(perSecond, perSecond / 2));
         }
-        mostLimits.putAll(limits);
+        versions.add(new LimitsVersion(-10 * SECOND));
         // Hosts have run for longer than the window before the first request.
         hosts.forEach(host -> host.start(-10 * SECOND));
         hosts.forEach(Host::follow);
@@ -136,7 +137,7 @@
     double worst() {
         double worst = -Double.MAX_VALUE;
         for (String team : limits.keySet()) {
-            worst = Math.max(worst, most(team) - BOUND.most(mostLimits.getOrDefault(team, limit(team))));
+            worst = Math.max(worst, worst(team));
         }
         return worst;
     }
@@ -145,17 +146,49 @@
         return requireNonNull(limits.get(team));
     }
 
-    private int most(String team) {
+    private double worst(String team) {
         List<Long> times = runs.getOrDefault(team, List.of()).stream().sorted().toList();
-        int most = 0;
+        double worst = -Double.MAX_VALUE;
         int first = 0;
         for (int last = 0; last < times.size(); last++) {
-            while (times.get(last) - times.get(first) >= BOUND.window().toMillis() * 1_000) {
+            while (times.get(last) - times.get(first) >= WINDOW) {
                 first++;
             }
-            most = Math.max(most, last - first + 1);
+            worst = Math.max(worst, last - first + 1 - bound(team, times.get(first), times.get(last)));
+        }
+        return worst;
+    }
+
+    /** A limit counts until a window after the last host that is up has learnt of another one. */
+    private double bound(String team, long from, long to) {
+        return versions.stream()
+                .filter(version -> version.since <= to && version.lastHeld() + WINDOW >= from)
+                .mapToDouble(version -> BOUND.most(requireNonNull(version.limits.get(team))))
+                .max()
+                .orElseThrow();
+    }
+
+    /** One version of all limits, and by whom it was held until when. */
+    private final class LimitsVersion {
+        private final long since;
+        private final Map<String, RateLimit> limits = new HashMap<>(QuotaWorld.this.limits);
+        private final Set<Host> holders = new HashSet<>();
+        private long lastLeft;
+
+        LimitsVersion(long since) {
+            this.since = since;
+            this.lastLeft = since;
+        }
+
+        long lastHeld() {
+            return holders.isEmpty() ? lastLeft : Long.MAX_VALUE / 2;
+        }
+
+        void leave(Host host) {
+            if (holders.remove(host)) {
+                lastLeft = now;
+            }
         }
-        return most;
     }
 
     int asked() {
@@ -265,16 +298,19 @@
     }
 
     private void drawLimits(long from, long length) {
-        for (String team : List.copyOf(limits.keySet())) {
-            RateLimit before = limit(team);
+        Map<String, RateLimit> before = new HashMap<>(limits);
+        Map<String, RateLimit> others = new HashMap<>();
+        before.forEach((team, limit) -> {
             double factor = random.nextBoolean() ? 2 : 0.5;
-            RateLimit other = new RateLimit(before.perSecond() * factor, before.burst() * factor);
-            if (factor > 1) {
-                mostLimits.put(team, other);
-            }
-            at(from, () -> limits.put(team, other));
-            at(from + length, () -> limits.put(team, before));
-        }
+            others.put(team, new RateLimit(limit.perSecond() * factor, limit.burst() * factor));
+        });
+        at(from, () -> putLimits(others));
+        at(from + length, () -> putLimits(before));
+    }
+
+    private void putLimits(Map<String, RateLimit> changed) {
+        limits.putAll(changed);
+        versions.add(new LimitsVersion(now));
     }
 
     private void kill(Host host, long from, long length) {
@@ -348,6 +384,7 @@
         private long leftOut;
         private long lastCurrent;
         private ImmutableSet<String> known = ImmutableSet.of();
+        private Map<String, RateLimit> learnt = new HashMap<>();
         private boolean current;
         private long heard;
 
@@ -387,6 +424,7 @@
             up = false;
             ready = false;
             life++;
+            versions.forEach(version -> version.leave(this));
         }
 
         void wakeUp(long length) {
@@ -443,6 +481,9 @@
                             limit.getKey(), ImmutableSet.of(), OptionalInt.empty(), limit.getValue(), Homes.ANYWHERE))
                     .toList();
             keeper.setTeams(Teams.of(teams));
+            versions.forEach(version -> version.leave(this));
+            versions.get(versions.size() - 1).holders.add(this);
+            learnt = new HashMap<>(limits);
             if (!names.equals(known)) {
                 known = names;
                 keeper.setHosts(ImmutableList.copyOf(names), nanos());
@@ -464,7 +505,7 @@
                 owed.add(ticket);
             }
             teamsByTicket.put(ticket, team);
-            spender.request(ticket, team, limit(team), nanos());
+            spender.request(ticket, team, learnt.getOrDefault(team, limit(team)), nanos());
             takeOut();
         }
 
