--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -159,6 +159,9 @@
     @Override
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         // Other kinds are of a newer program: not understood, so not answered.
+        if (limits.handle(message, reply)) {
+            return;
+        }
         if (message.hasStageCall()) {
             lagTimer.workCame();
             stageServer.handle(message.getSender(), message.getStageCall(), reply);
@@ -267,7 +270,12 @@
                 begin(exchange, call, answers);
             } else if (spending instanceof SpendingLimits.Spending.Refused refused) {
                 answers.refuse(RefusalReason.OVER_LIMIT, refused.retryAfter());
-                log.imperfect(call, RefusalReason.OVER_LIMIT.name(), line -> {});
+                log.imperfect(
+                        call,
+                        RefusalReason.OVER_LIMIT.name(),
+                        line -> line.with("team", caller.teamName())
+                                .with("decidedBy", refused.decidedBy())
+                                .with("retryAfterMillis", refused.retryAfter().toMillis()));
             }
         });
     }
