Pass over a holder that says that it is behind, and have its stand-in ask the leafs itself

A host at a fifth of its speed is late with each shard that it holds, while the hosts that stand in for it idle; hosts knew of one another only that they were silent. HostLag averages over 0.3 s, so that one pause for collecting garbage is no slow host. The mechanism host-room switches it off.

On the way a fault was found: a host that stood in for a dead or frozen holder, and had not noticed itself, left the shards to that same holder again in a call that was passed on; if it had noticed, it asked itself over the network. HolderChoice in core decides that now for both: a call tells whom its sender passed over (StageCall.passed_over), and a host that is named for the shard as well then asks the leaf itself. A host that is not named ignores it: it has no connections there.

Ruled out: the holder passing shards on by itself (it reads the call late, and the answer goes through it); telling all by control. Homes: a host that may not see the body is no stand-in, as before.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelHost.java
@@ -191,6 +191,11 @@
         return known == null ? "" : fleet.zone(known.zone()).region();
     }
 
+    @Override
+    public boolean isBehind(String host) {
+        return false;
+    }
+
     @Override
     public Optional<String> leastBusyIn(String region) {
         List<ModelHost> candidates = new ArrayList<>();
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/HostLag.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/HostLag.java
@@ -12,10 +12,14 @@
  * threads: the event loop of the entry role owns it.
  */
 public final class HostLag {
+    /** Over how long a lag is averaged: a few queries of a busy host. */
+    private static final double AVERAGED_NANOS = Duration.ofMillis(300).toNanos();
+
     private final long periodNanos;
     private boolean begun;
     private long lastRunNanos;
     private long lastLateNanos;
+    private double averageNanos;
 
     private HostLag(long periodNanos) {
         this.periodNanos = periodNanos;
@@ -39,6 +43,10 @@
     /** Notes that the regular task runs. */
     public void taskRuns(long nowNanos) {
         lastLateNanos = begun ? Math.max(0, nowNanos - lastRunNanos - periodNanos) : 0;
+        if (begun) {
+            double sinceNanos = Math.max(0, nowNanos - lastRunNanos);
+            averageNanos += sinceNanos / (sinceNanos + AVERAGED_NANOS) * (lastLateNanos - averageNanos);
+        }
         lastRunNanos = nowNanos;
         begun = true;
     }
@@ -48,6 +56,14 @@
         return nowNanos - nanos(nowNanos);
     }
 
+    /**
+     * Returns how far behind the host has been of late on average: at the moment at which it answers it has often just
+     * caught up, and one pause for collecting garbage is no slow host.
+     */
+    public long averageNanos() {
+        return (long) averageNanos;
+    }
+
     /** Returns how long what is read now may have waited here. */
     public long nanos(long nowNanos) {
         if (!begun) {
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Mechanism.java
@@ -22,6 +22,8 @@
     EARLY_END,
     /** A host that is behind with what has arrived does not take its leafs for slow. */
     HOST_LAG,
+    /** Shards of a holder that says that it is behind go to a host that stands in for it. */
+    HOST_ROOM,
     /** A query whose answer will be late in any case starts when the leafs have room for it. */
     LATE_STARTS,
     /** Shards whose best leafs are in another region are left to a host there. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/HedgeTiming.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/HedgeTiming.java
@@ -28,8 +28,8 @@
      */
     private static final double OVERDUE_TIMES = 3;
     /**
-     * The same where the rest of a pause would come after the goal. A third of the hedges is then for calls that are
-     * just long: the goal is worth more than the call.
+     * The same where the rest of a pause would come after the goal. One in forty of the calls that are just long is
+     * hedged as well then: the goal is worth more than the call.
      */
     private static final double OVERDUE_TIMES_NEAR_GOAL = 2;
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/StagePlanner.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StagePlanner.java
@@ -57,6 +57,9 @@
         /** Returns the region of a leaf. */
         String regionOf(Leaf leaf);
 
+        /** Returns true if a host said of late that it is behind with its work. */
+        boolean isBehind(String host);
+
         /** Returns the host of a region that can be asked and has the least under way for this one. */
         Optional<String> leastBusyIn(String region);
 
@@ -125,11 +128,19 @@
         for (List<String> holders : farHolders.values()) {
             List<Integer> joined = new ArrayList<>();
             holders.forEach(holder -> joined.addAll(shardsByHolder.getOrDefault(holder, List.of())));
-            shardsByWay.put(holders.get(random.nextInt(holders.size())), joined);
+            shardsByWay.put(relayOf(holders), joined);
         }
         return shardsByWay;
     }
 
+    /** Draws one of the holders of a region that are not behind, or of all if all are. */
+    private String relayOf(List<String> holders) {
+        List<String> withRoom =
+                holders.stream().filter(holder -> !ways.isBehind(holder)).toList();
+        List<String> drawn = withRoom.isEmpty() ? holders : withRoom;
+        return drawn.get(random.nextInt(drawn.size()));
+    }
+
     private StageAttempt stage(String host, ImmutableList<Integer> shards, long hedgeDelayNanos) {
         return new StageAttempt(host, shards, ways.silenceNanos(host, hedgeDelayNanos));
     }
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/HostLagTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/HostLagTest.java
@@ -34,6 +34,19 @@
         assertThat(lag.nanos(100 * MILLI)).isEqualTo(80 * MILLI);
     }
 
+    @Test
+    void theAverageShowsAHostThatIsSlowAgainAndAgainAndNoSinglePause() {
+        HostLag pausedOnce = HostLag.create(Duration.ofMillis(20));
+        long nowNanos = 0;
+        for (int run = 0; run < 100; run++) {
+            nowNanos += (run % 2 == 0 ? 100 : 20) * MILLI;
+            lag.taskRuns(nowNanos);
+            pausedOnce.taskRuns(run < 50 ? run * 20L * MILLI : run * 20L * MILLI + 60 * MILLI);
+        }
+        assertThat(lag.averageNanos()).isGreaterThan(40 * MILLI);
+        assertThat(pausedOnce.averageNanos()).isLessThan(10 * MILLI);
+    }
+
     @Test
     void aHostThatIsBehindDoesNotTakeItsLeafForStalled() {
         RoutingContext context = new RoutingContext(RoutingPolicy.DEFAULT, lag);
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagePlannerTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagePlannerTest.java
@@ -6,8 +6,10 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
@@ -23,6 +25,7 @@
     private final Map<String, String> hostsByRegion = new HashMap<>();
     private final Map<String, String> holders = new HashMap<>();
     private final Map<String, String> regionsOfHosts = new HashMap<>();
+    private final Set<String> behind = new HashSet<>();
     private final StagePlanner planner = new StagePlanner(new KnownWays(), new SplittableRandom(1));
 
     @Test
@@ -84,6 +87,21 @@
         assertThat(plan(StagePlanner.Relays.NOT_USED, pools)).hasSize(4);
     }
 
+    @Test
+    void aHolderThatIsBehindIsNoRelayUnlessAllAre() {
+        holders.put("shard-0", "west-1");
+        holders.put("shard-1", "west-2");
+        regionsOfHosts.put("west-1", "west");
+        regionsOfHosts.put("west-2", "west");
+        LeafPool[] pools = {far(0, "west"), far(1, "west")};
+        behind.add("west-1");
+        for (int query = 0; query < 20; query++) {
+            assertThat(plan(pools).get(0).host()).isEqualTo("west-2");
+        }
+        behind.add("west-2");
+        assertThat(plan(pools).get(0).shards()).containsExactly(0, 1);
+    }
+
     private ImmutableList<StageAttempt> plan(LeafPool... pools) {
         return plan(StagePlanner.Relays.USED, pools);
     }
@@ -132,6 +150,11 @@
             return Optional.ofNullable(hostsByRegion.get(region));
         }
 
+        @Override
+        public boolean isBehind(String host) {
+            return behind.contains(host);
+        }
+
         @Override
         public long silenceNanos(String host, long hedgeDelayNanos) {
             return 2 * hedgeDelayNanos;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -190,6 +190,11 @@
                 .orElse(ImmutableList.of());
     }
 
+    /** Returns true if a peer address is this host's. */
+    boolean isSelf(String host) {
+        return access.isSelf(host);
+    }
+
     /** Returns the hosts that hold connections to any shard, if shards are reached through holders. */
     ImmutableSet<String> holders() {
         return access().holders();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -49,7 +49,8 @@
 
     @Override
     public LeafConnections.Ticket send(Leaf leaf, LeafRequest request, long deadlineNanos, LeafExchange taker) {
-        Optional<StageLinks.Link> holder = links.firstUsable(view.holdersOf(leaf), leaf.id(), homes);
+        Optional<StageLinks.Link> holder =
+                links.firstUsable(view.holdersOf(leaf), leaf.id(), homes, query.getPassedOverList());
         if (holder.isEmpty()) {
             return view.connectionsTo(leaf).send(request, deadlineNanos, taker);
         }
@@ -107,6 +108,7 @@
             }
             over = true;
             holder.end();
+            holder.told(result.getLagMicros(), clock.nowNanos());
             if (result.getStatusCode() > 0) {
                 LeafAnswer answer = LeafAnswer.of(result.getStatusCode(), headers(result), result.getRecords(), names);
                 if (answer.showsSurvival()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -105,6 +105,11 @@
         holdersByZone.keySet().retainAll(shardsByZone.keySet());
     }
 
+    /** Returns true if a peer address is this host's. */
+    boolean isSelf(String host) {
+        return host.equals(self);
+    }
+
     /** Returns which turn this host has when something is shared out among the entry hosts for one service. */
     FleetBudget.Turn turnAt(String service) {
         int position = hosts.indexOf(self);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -60,7 +60,12 @@
         ImmutableList<PermittedLeaves> pools = pools(call, target);
         RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
         ImmutableList<StageAttempt> stages = view.usesStages()
-                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos(), StagePlanner.Relays.USED)
+                ? links.plan(
+                        pools,
+                        bounds.expectedNanos(),
+                        bounds.hedgeDelayNanos(),
+                        StagePlanner.Relays.USED,
+                        ImmutableList.of())
                 : ImmutableList.of();
         return run(
                 call,
@@ -83,7 +88,12 @@
         RequestBounds bounds = bounds(call, hedgeDelayNanos);
         ImmutableList<PermittedLeaves> pools = pools(call, target);
         ImmutableList<StageAttempt> stages = mayPassOn && view.usesHolders()
-                ? links.plan(pools, bounds.expectedNanos(), bounds.hedgeDelayNanos(), StagePlanner.Relays.NOT_USED)
+                ? links.plan(
+                        pools,
+                        bounds.expectedNanos(),
+                        bounds.hedgeDelayNanos(),
+                        StagePlanner.Relays.NOT_USED,
+                        caller.query().getPassedOverList())
                 : ImmutableList.of();
         ScatterQuery query = new ScatterQuery(
                 target, pools, stages, bounds, ScatterQuery.Delivery.IN_PIECES, view.routing(), random);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -106,6 +106,7 @@
         return call.toBuilder()
                 .addAllShards(stage.shards())
                 .addAllServices(Lists.transform(stage.shards(), shardServices::get))
+                .addAllPassedOver(links.passedOver())
                 .setCall(sent.number)
                 .setGoalMicros(TimeUnit.NANOSECONDS.toMicros(goalNanos))
                 .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(deadlineNanos));
@@ -126,6 +127,7 @@
     }
 
     private void progressed(StageAttempt stage, StageProgress progress, Taker taker) {
+        links.link(stage.host()).told(progress.getLagMicros(), clock.nowNanos());
         taker.progressed(stage, progress.getAskedTwiceList());
         boolean matches = progress.getShardsCount() == progress.getSignaturesCount();
         if (progress.getShardsCount() > 0 && matches) {
@@ -139,6 +141,7 @@
     private void take(StageAttempt stage, StageLinks.Link link, StageResult result, Taker taker) {
         boolean answered = result.getStatus() == StageResult.Status.ANSWERED
                 && result.getShardsCount() == result.getSignaturesCount();
+        link.told(result.getLagMicros(), clock.nowNanos());
         end(stage, link, answered);
         if (answered && result.getShardsCount() > 0) {
             survived.run();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -1,10 +1,12 @@
 package org.bramblerack.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,8 +21,11 @@
 import org.bramblerack.daemon.peer.PeerFailure;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.leaf.HostRoom;
 import org.bramblerack.process.leaf.Leaf;
+import org.bramblerack.process.leaf.Mechanism;
 import org.bramblerack.process.leaf.PermittedLeaves;
+import org.bramblerack.request.routed.HolderChoice;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StagePlanner;
 import org.bramblerack.request.routed.StageTiming;
@@ -38,7 +43,7 @@
  * <p>Links to such hosts are probed, so that a dead one is known soon and its round trip can be counted on. A link that
  * failed is left alone for a while. Owned by the event loop.
  */
-final class StageLinks implements StagePlanner.Ways {
+final class StageLinks {
     private static final EventLog EVENTS = EventLog.of(StageLinks.class);
     private static final Duration PROBE_EVERY = Duration.ofMillis(700);
     /** A round trip between regions, which opening a link takes, and some room for a slow start. */
@@ -55,7 +60,6 @@
     private final MonotonicClock clock;
     private final EventLoop loop;
     private final RandomGenerator random;
-    private final StagePlanner planner;
     private final Map<String, Link> links = new HashMap<>();
     private long lastCall;
     private boolean probesSoon;
@@ -67,7 +71,6 @@
         this.clock = clock;
         this.loop = loop;
         this.random = random;
-        this.planner = new StagePlanner(this, random);
     }
 
     void start() {
@@ -96,55 +99,21 @@
         }
     }
 
-    /** Divides the shards of a query between this host and others; see {@link StagePlanner#plan}. */
+    /**
+     * Divides the shards of a query between this host and others; see {@link StagePlanner#plan}.
+     *
+     * @param passedOver the hosts that whoever asks this one passed over
+     */
     ImmutableList<StageAttempt> plan(
             ImmutableList<PermittedLeaves> pools,
             long expectedNanos,
             long hedgeDelayNanos,
-            StagePlanner.Relays relays) {
+            StagePlanner.Relays relays,
+            Collection<String> passedOver) {
+        StagePlanner planner = new StagePlanner(new KnownWays(ImmutableSet.copyOf(passedOver)), random);
         return planner.plan(pools, expectedNanos, hedgeDelayNanos, relays, clock.nowNanos());
     }
 
-    @Override
-    public Optional<String> holderOf(Leaf leaf, Homes homes) {
-        return firstUsable(view.holdersOf(leaf), leaf.id(), homes).map(Link::host);
-    }
-
-    @Override
-    public Optional<String> otherRegionOf(String host) {
-        return view.otherRegionOf(host);
-    }
-
-    @Override
-    public String regionOf(Leaf leaf) {
-        return view.leafRecord(leaf.id())
-                .map(record -> view.place().regionOf(record.getZone()))
-                .orElse("");
-    }
-
-    @Override
-    public long silenceNanos(String host, long hedgeDelayNanos) {
-        return StageTiming.silenceNanos(hedgeDelayNanos, link(host).roundTripNanos);
-    }
-
-    @Override
-    public Optional<String> leastBusyIn(String region) {
-        ImmutableList<String> hosts = hostsIn(region);
-        if (hosts.isEmpty()) {
-            return Optional.empty();
-        }
-        long nowNanos = clock.nowNanos();
-        Link least = null;
-        int start = random.nextInt(hosts.size());
-        for (int offset = 0; offset < hosts.size(); offset++) {
-            Link link = link(hosts.get((start + offset) % hosts.size()));
-            if (link.isUsable(nowNanos) && (least == null || link.inFlight < least.inFlight)) {
-                least = link;
-            }
-        }
-        return Optional.ofNullable(least).map(Link::host);
-    }
-
     private ImmutableList<String> hostsIn(String region) {
         return view.entryHosts().stream()
                 .filter(host -> host.getRegion().equals(region))
@@ -153,17 +122,47 @@
     }
 
     /**
-     * Returns the way to the first of some hosts that can be asked now. One that was never asked is tried: after a
-     * start of the whole fleet no host is known to answer, and to go round the holders would take connections to every
-     * leaf from every host.
+     * Returns the way to the first of some hosts that can be asked now and is not behind; empty if this host is to ask
+     * the leaf itself, as when it stands in for those before it. One that was never asked is tried: after a start of
+     * the whole fleet no host is known to answer, and to go round the holders would take connections to every leaf from
+     * every host.
+     *
+     * @param passedOver the hosts that whoever asks this one passed over; they count if this one stands in for them
      */
-    Optional<Link> firstUsable(List<String> hosts, String leafId, Homes homes) {
+    Optional<Link> firstUsable(List<String> hosts, String leafId, Homes homes, Collection<String> passedOver) {
+        long nowNanos = clock.nowNanos();
+        return HolderChoice.choose(hosts, passedOver, new HolderChoice.Known() {
+                    @Override
+                    public boolean isSelf(String host) {
+                        return view.isSelf(host);
+                    }
+
+                    @Override
+                    public boolean isUsable(String host) {
+                        return maySee(host, homes)
+                                && link(host).mayBeTried(nowNanos)
+                                && link(host).mayReach(leafId, nowNanos);
+                    }
+
+                    @Override
+                    public boolean isBehind(String host) {
+                        return StageLinks.this.isBehind(link(host), nowNanos);
+                    }
+                })
+                .map(this::link);
+    }
+
+    private boolean isBehind(Link link, long nowNanos) {
+        return view.routing().uses(Mechanism.HOST_ROOM) && link.room.isBehind(nowNanos);
+    }
+
+    /** Returns the hosts that get no shards of this one now, since they are behind or do not answer. */
+    ImmutableSet<String> passedOver() {
         long nowNanos = clock.nowNanos();
-        return hosts.stream()
-                .filter(host -> maySee(host, homes))
-                .map(this::link)
-                .filter(link -> link.mayBeTried(nowNanos) && link.mayReach(leafId, nowNanos))
-                .findFirst();
+        return links.values().stream()
+                .filter(link -> !link.mayBeTried(nowNanos) || isBehind(link, nowNanos))
+                .map(Link::host)
+                .collect(ImmutableSet.toImmutableSet());
     }
 
     /**
@@ -244,6 +243,61 @@
         }
     }
 
+    /** What the planner asks of the links. */
+    private final class KnownWays implements StagePlanner.Ways {
+        private final ImmutableSet<String> passedOver;
+
+        KnownWays(ImmutableSet<String> passedOver) {
+            this.passedOver = passedOver;
+        }
+
+        @Override
+        public Optional<String> holderOf(Leaf leaf, Homes homes) {
+            return firstUsable(view.holdersOf(leaf), leaf.id(), homes, passedOver)
+                    .map(Link::host);
+        }
+
+        @Override
+        public Optional<String> otherRegionOf(String host) {
+            return view.otherRegionOf(host);
+        }
+
+        @Override
+        public String regionOf(Leaf leaf) {
+            return view.leafRecord(leaf.id())
+                    .map(record -> view.place().regionOf(record.getZone()))
+                    .orElse("");
+        }
+
+        @Override
+        public long silenceNanos(String host, long hedgeDelayNanos) {
+            return StageTiming.silenceNanos(hedgeDelayNanos, link(host).roundTripNanos);
+        }
+
+        @Override
+        public boolean isBehind(String host) {
+            return StageLinks.this.isBehind(link(host), clock.nowNanos());
+        }
+
+        @Override
+        public Optional<String> leastBusyIn(String region) {
+            ImmutableList<String> hosts = hostsIn(region);
+            if (hosts.isEmpty()) {
+                return Optional.empty();
+            }
+            long nowNanos = clock.nowNanos();
+            Link least = null;
+            int start = random.nextInt(hosts.size());
+            for (int offset = 0; offset < hosts.size(); offset++) {
+                Link link = link(hosts.get((start + offset) % hosts.size()));
+                if (link.isUsable(nowNanos) && (least == null || link.inFlight < least.inFlight)) {
+                    least = link;
+                }
+            }
+            return Optional.ofNullable(least).map(Link::host);
+        }
+    }
+
     /** What is known of the way to one host. */
     static final class Link {
         private final String host;
@@ -254,6 +308,7 @@
 
         private boolean confirmed;
         private final Map<String, Long> unreachableUntilNanos = new HashMap<>();
+        private final HostRoom room = new HostRoom();
         private int inFlight;
 
         private Link(String host) {
@@ -295,6 +350,18 @@
             inFlight--;
         }
 
+        /** Notes how far the host says that it is behind. */
+        void told(long lagMicros, long nowNanos) {
+            boolean before = room.isBehind(nowNanos);
+            room.told(TimeUnit.MICROSECONDS.toNanos(lagMicros), nowNanos);
+            if (room.isBehind(nowNanos) != before) {
+                EVENTS.info(before ? "host_caught_up" : "host_behind")
+                        .with("host", host)
+                        .with("lagMicros", lagMicros)
+                        .write();
+            }
+        }
+
         void suspect(long nowNanos) {
             if (confirmed) {
                 EVENTS.info("host_suspected").with("host", host).write();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -71,7 +71,8 @@
      * <p>A query begins once everything that has arrived was read: on a host that is behind, as just after a start, the
      * word that nobody waits for it any more is often among that.
      */
-    void handle(String sender, StageCall call, Consumer<Envelope.Builder> reply) {
+    void handle(String sender, StageCall call, Consumer<Envelope.Builder> plainReply) {
+        Consumer<Envelope.Builder> reply = message -> plainReply.accept(withLag(message));
         Consumer<Envelope.Builder> lastReply = message -> {
             calls.end(sender, call.getCall());
             reply.accept(message);
@@ -108,6 +109,17 @@
         }
     }
 
+    /** Adds how far this host is behind, so that others know which host has room. */
+    private Envelope.Builder withLag(Envelope.Builder message) {
+        long lagMicros = TimeUnit.NANOSECONDS.toMicros(view.routing().hostLag().averageNanos());
+        if (message.hasStageResult()) {
+            message.getStageResultBuilder().setLagMicros(lagMicros);
+        } else if (message.hasStageProgress()) {
+            message.getStageProgressBuilder().setLagMicros(lagMicros);
+        }
+        return message;
+    }
+
     /** Runs a query and replies, with word of progress before if shards are asked twice. */
     private void runQuery(
             String sender,
