Compare the last shard of a query with an oracle that knows the leafs' true state

The users' target is the 95th percentile within 1.15 of an oracle's. The experiment tool's model now tells when the last shard would be in if each were asked once at the best of its leafs, by their true speed, spell and pause; its chance is its own, so that runs stay the same.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelLeaf.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelLeaf.java
@@ -28,6 +28,7 @@
     private double refusedShare;
     private boolean dark;
     private boolean paused;
+    private long pauseEndsNanos;
     private int connections;
     private int mostConnections;
 
@@ -125,6 +126,12 @@
         return job;
     }
 
+    /** Returns how long a call that arrives now would take if the leaf did nothing else, by its true state. */
+    long knownNanos(long workNanos) {
+        long pauseNanos = paused ? pauseEndsNanos - time.nowNanos() : 0;
+        return pauseNanos + (long) (workNanos * speed * spellFactor * slowFactor);
+    }
+
     /** Takes a new connection, which holds a slot for a moment. */
     Job connect(Runnable opened) {
         Job job = new Job(fleet.connect().toNanos(), new Taker() {
@@ -193,6 +200,7 @@
 
     private void pause() {
         paused = true;
+        pauseEndsNanos = time.nowNanos() + fleet.pause().toNanos();
         for (Job job : running) {
             job.generation++;
             job.remainingNanos -= time.nowNanos() - job.startedNanos;
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Run.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Run.java
@@ -25,6 +25,9 @@
     private final Experiment experiment;
     private final SimulatedTime time = new SimulatedTime();
     private final RandomGenerator workRandom;
+    /** Of its own, so that runs are the same whether or not the oracle is asked. */
+    private final RandomGenerator oracleRandom;
+
     private final Tally tally;
     private final Checks checks;
     private final List<ModelLeaf> leafs = new ArrayList<>();
@@ -36,6 +39,7 @@
         this.experiment = experiment;
         this.tally = new Tally((int) experiment.length().toSeconds());
         this.checks = new Checks(experiment.fleet());
+        this.oracleRandom = new SplittableRandom(~seed);
         SplittableRandom seeds = new SplittableRandom(seed);
         RandomGenerator placing = seeds.split();
         this.workRandom = seeds.split();
@@ -91,8 +95,12 @@
 
     /** Draws what one call of a kind takes at a leaf. */
     long work(Load load) {
-        double factor = Math.exp(load.spread() * workRandom.nextGaussian() - load.spread() * load.spread() / 2);
-        boolean tail = workRandom.nextDouble() < load.tailShare();
+        return work(load, workRandom);
+    }
+
+    private static long work(Load load, RandomGenerator random) {
+        double factor = Math.exp(load.spread() * random.nextGaussian() - load.spread() * load.spread() / 2);
+        boolean tail = random.nextDouble() < load.tailShare();
         return (long) (load.work().toNanos() * factor * (tail ? load.tailFactor() : 1));
     }
 
@@ -168,10 +176,34 @@
 
     private void send(Arrival arrival, ModelHost host, ModelHost next) {
         long wayNanos = fleet().toCaller().toNanos();
-        time.after(
-                wayNanos,
-                () -> ModelQuery.ofCaller(this, host, arrival, new CallerSink(arrival, next))
-                        .start());
+        time.after(wayNanos, () -> {
+            if (arrival.attempt() == 0) {
+                tally.oracle(arrival.load(), 2 * wayNanos + oracleNanos(arrival.load(), host));
+            }
+            ModelQuery.ofCaller(this, host, arrival, new CallerSink(arrival, next))
+                    .start();
+        });
+    }
+
+    /**
+     * Returns when the last shard of a query would be in if each were asked once, at the best of its leafs by their
+     * true state.
+     */
+    private long oracleNanos(Load load, ModelHost host) {
+        long lastNanos = 0;
+        for (int shard = 0; shard < fleet().shards(); shard++) {
+            long workNanos = work(load, oracleRandom);
+            int number = shard;
+            long bestNanos = leafs.stream()
+                    .skip((long) number * fleet().replicaZones().size())
+                    .limit(fleet().replicaZones().size())
+                    .mapToLong(
+                            leaf -> 2 * fleet().wayNanos(host.zone().name(), leaf.zone()) + leaf.knownNanos(workNanos))
+                    .min()
+                    .orElse(0);
+            lastNanos = Math.max(lastNanos, bestNanos);
+        }
+        return lastNanos;
     }
 
     /** Takes the end of a query as its caller sees it. */
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Tally.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Tally.java
@@ -26,6 +26,7 @@
     static final class Kind {
         static final long HIGHEST_MICROS = 60_000_000L;
         private final Histogram latencyMicros = new Histogram(HIGHEST_MICROS, 3);
+        private final Histogram oracleMicros = new Histogram(HIGHEST_MICROS, 3);
         private long asked;
         private long inGoal;
         private long late;
@@ -67,6 +68,11 @@
         Histogram latencyMicros() {
             return latencyMicros;
         }
+
+        /** Returns the times that an oracle would have needed that asks each shard once. */
+        Histogram oracleMicros() {
+            return oracleMicros;
+        }
     }
 
     Kind kind(Load load) {
@@ -95,6 +101,11 @@
         creditBySecond[second(firstNanos)] += credit;
     }
 
+    /** Notes what the best leafs by their true state would have made of a query. */
+    void oracle(Load load, long tookNanos) {
+        kind(load).oracleMicros.recordValue(Math.min(Kind.HIGHEST_MICROS, tookNanos / 1_000));
+    }
+
     void refused(Load load) {
         kind(load).refused++;
     }
--- /dev/null
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/experiment/UnevenLeafs.java
@@ -0,0 +1,59 @@
+package org.bramblerack.cli.experiment;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.HdrHistogram.Histogram;
+import org.bramblerack.process.leaf.RoutingPolicy;
+
+/** Queries to the uneven leafs of the example, to whose last shard they wait. */
+final class UnevenLeafs {
+    /** The stated target: how many times as long as an oracle that knows the leafs' true state. */
+    static final double TARGET = 1.15;
+
+    private static final int SEEDS = 3;
+    private static final String WITHOUT_PAUSES = "\"pauseMs\": 0";
+    private static final String WITHOUT_SPELLS = "\"spellShare\": 0";
+
+    private UnevenLeafs() {}
+
+    static Experiment ofThreeSpeeds() throws IOException {
+        return read(WITHOUT_PAUSES, WITHOUT_SPELLS);
+    }
+
+    static Experiment inSpells() throws IOException {
+        return read(WITHOUT_PAUSES, "\"spellShare\": 0.15");
+    }
+
+    static Experiment thatPause() throws IOException {
+        return read("\"pauseMs\": 200", WITHOUT_SPELLS);
+    }
+
+    static Experiment ofAllPatterns() throws IOException {
+        return read("\"pauseMs\": 200", "\"spellShare\": 0.15");
+    }
+
+    /** Returns the 95th percentile of the time of a kind of query, as a multiple of the oracle's. */
+    static double p95AgainstOracle(Experiment experiment, RoutingPolicy policy, int load) {
+        Histogram took = new Histogram(Tally.Kind.HIGHEST_MICROS, 3);
+        Histogram oracle = new Histogram(Tally.Kind.HIGHEST_MICROS, 3);
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Tally.Kind kind = Run.of(experiment, policy, seed)
+                    .tally()
+                    .kind(experiment.loads().get(load));
+            took.add(kind.latencyMicros());
+            oracle.add(kind.oracleMicros());
+        }
+        return (double) took.getValueAtPercentile(95) / oracle.getValueAtPercentile(95);
+    }
+
+    private static Experiment read(String pauses, String spells) throws IOException {
+        String text = Files.readString(Path.of("..", "examples", "uneven.json"))
+                .replace("\"lengthMs\": 25000", "\"lengthMs\": 10000")
+                .replace("\"leastShare\": 0.95", "\"leastShare\": 1")
+                .replace("\"leastShare\": 0.85", "\"leastShare\": 1")
+                .replace("\"pauseMs\": 200", pauses)
+                .replace("\"spellShare\": 0.15", spells);
+        return ExperimentReader.read(text).get();
+    }
+}
