Decide who is served when an entry host is behind, and spread when refused callers come back

Cause: a host that is behind began everything at once, in the order of arrival, so that nothing was in time; a route's priority was read by nothing; and all refusals of one kind named the same time, so that those refused together came back together.

Change: request.admission.EntryRoom, a decision without I/O: while the host is 20 ms behind or more it begins requests as it catches up, by rank (a quarter of the room is for lower ranks), by what can still be in time, by turns of teams weighed by their limits; what could not be answered before its caller's limit is refused at once as NO_ROOM. RequestRoom carries it out between permission and plan. A host that is not behind begins everything at once. Retry-After is spread from the earliest useful moment to twice that.

Ruled out, by EntryRoomTest: turns charged on arrival (two teams of weights 30 and 10 got 142 to 1, since refused requests were charged); the expected wait by the cost of calls (a host busy for others took it for much too long).

--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/admission/TeamTurns.java
@@ -0,0 +1,42 @@
+package org.bramblerack.request.admission;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Whose turn it is among teams: start-time fair queueing.
+ *
+ * <p>In a time that counts room given and not seconds, a team's next request begins where its last one ended, or now if
+ * that is past. So a team that asks for more than its share queues behind itself, whether by new requests or by ones
+ * that were refused and come again, and one that asks for less never waits for the others' excess. What a team owes is
+ * bounded by {@link #MOST_OWED_CALLS}. Not safe for use by several threads.
+ */
+final class TeamTurns {
+    /** Some ten queries over the shards of a large index. */
+    private static final double MOST_OWED_CALLS = 2_000;
+    /** As many teams as a configuration may hold; those that asked longest ago are forgotten first. */
+    private static final int MAX_TEAMS = 10_000;
+
+    private final Map<String, Double> endsByTeam = new LinkedHashMap<>();
+    private double now;
+
+    /** Returns when, in room given, the turn of a team's next request comes. */
+    double next(String team, double weight) {
+        double end = endsByTeam.getOrDefault(team, now);
+        return Math.max(now, Math.min(end, now + MOST_OWED_CALLS / weight));
+    }
+
+    /** Notes that the next request of a team begins. */
+    void begin(String team, double weight, int calls) {
+        double start = next(team, weight);
+        now = start;
+        endsByTeam.remove(team);
+        endsByTeam.put(team, start + calls / weight);
+        if (endsByTeam.size() > MAX_TEAMS) {
+            Iterator<String> oldest = endsByTeam.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/event/RequestExplanation.java
@@ -32,6 +32,9 @@
             .put("LATE", "the answer came after the route's goal; 'tried' says what it waited for")
             .put("NO_LEAF", "not run: no leaf of the service takes work; look for leaves and crashes before it")
             .put("ALL_BUSY", "not run: every leaf that was asked said that it is full")
+            .put(
+                    "NO_ROOM",
+                    "not run: it could not be answered in time by what waited at this host; 'room' says what did")
             .put("TOO_FEW_SHARDS", "fewer shards answered than the route demands")
             .put("TIME_UP", "the deadline or the route's time-out came first")
             .put("OUTCOME_UNKNOWN", "a leaf broke off; the request may have run, so it was not sent again")
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -7,10 +7,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.daemon.leaf.LeafRequest;
+import org.bramblerack.request.admission.RetrySpread;
 import org.bramblerack.request.routed.MergedAnswer;
 import org.bramblerack.request.routed.RefusalReason;
 
@@ -24,40 +26,42 @@
     private static final int GATEWAY_TIMEOUT = 504;
     /** How many digits of a second tell milliseconds. */
     private static final int MILLIS_DIGITS = 3;
-    /** When to come back if no leaf takes work: a registration takes about this long to be known. */
-    private static final String RETRY_SOON_SECONDS = "0.3";
+    /** When to come back if no leaf takes work: a registration takes about 0.3 s to be known. */
+    private static final Duration RETRY_SOON = Duration.ofMillis(200);
     /**
      * When to come back to a fleet whose hosts have just started: a host knows its tables about a second after its
-     * start, and a caller that comes back sooner is only refused again.
+     * start, and a caller that comes back much sooner is only refused again.
      */
-    private static final String RETRY_STARTED_SECONDS = "0.9";
+    private static final Duration RETRY_STARTED = Duration.ofMillis(700);
     /** When to try another host: at once, since every answer of this one ends its connection. */
-    private static final String RETRY_ELSEWHERE_SECONDS = "0.05";
+    private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(40);
     /** When to come back after leafs were full or late: a few times the work of one request. */
-    private static final String RETRY_BUSY_SECONDS = "0.1";
+    private static final Duration RETRY_BUSY = Duration.ofMillis(70);
 
     /**
      * When to come back with a request of which another is being tried: a third of the time for which nobody else may
      * be tried, since an answer to that one lets others through at once.
      */
-    private static final String RETRY_ON_TRIAL_SECONDS = "0.5";
+    private static final Duration RETRY_ON_TRIAL = Duration.ofMillis(350);
     /**
      * When to come back with a request that is sent to no leaf: it stays so for an hour, unless it was taken for
      * another, which shows within seconds.
      */
-    private static final String RETRY_HARMFUL_SECONDS = "60";
+    private static final Duration RETRY_HARMFUL = Duration.ofSeconds(60);
 
     private final HttpExchange exchange;
     private final CallHeaders names;
     private final GatewayMetrics metrics;
+    private final RandomGenerator random;
     private Runnable onNotRun = () -> {};
     private Runnable onBroken = () -> {};
     private Runnable onSurvived = () -> {};
 
-    CallerAnswers(HttpExchange exchange, CallHeaders names, GatewayMetrics metrics) {
+    CallerAnswers(HttpExchange exchange, CallHeaders names, GatewayMetrics metrics, RandomGenerator random) {
         this.exchange = exchange;
         this.names = names;
         this.metrics = metrics;
+        this.random = random;
     }
 
     @Override
@@ -125,54 +129,56 @@
         }
         Told told =
                 switch (reason) {
-                    case NO_LEAF -> new Told(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf takes this request now");
+                    case NO_LEAF -> new Told(UNAVAILABLE, RETRY_SOON, "no leaf takes this request now");
                     case NO_LEAF_AT_HOME ->
-                        new Told(UNAVAILABLE, RETRY_SOON_SECONDS, "no leaf where this may be served takes it now");
-                    case ALL_BUSY -> new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "every leaf is full");
+                        new Told(UNAVAILABLE, RETRY_SOON, "no leaf where this may be served takes it now");
+                    case ALL_BUSY -> new Told(UNAVAILABLE, RETRY_BUSY, "every leaf is full");
                     case HARMFUL ->
                         new Told(
                                 UNAVAILABLE,
-                                RETRY_HARMFUL_SECONDS,
+                                RETRY_HARMFUL,
                                 "not run: requests like this one ended the leafs that ran them; ask the operator");
                     case ON_TRIAL ->
                         new Told(
                                 UNAVAILABLE,
-                                RETRY_ON_TRIAL_SECONDS,
+                                RETRY_ON_TRIAL,
                                 "not run: leafs ended with requests like this one, and another one is being tried");
                     case UNKNOWN_KEY ->
-                        new Told(UNAUTHORIZED, RETRY_SOON_SECONDS, "this key is of no team; ask the operator for one");
+                        new Told(UNAUTHORIZED, RETRY_SOON, "this key is of no team; ask the operator for one");
                     case KEY_UNDECIDED ->
-                        new Told(
-                                UNAVAILABLE, RETRY_ELSEWHERE_SECONDS, "this host cannot tell whether the key is known");
+                        new Told(UNAVAILABLE, RETRY_ELSEWHERE, "this host cannot tell whether the key is known");
                     case OVER_LIMIT ->
-                        new Told(TOO_MANY_REQUESTS, RETRY_BUSY_SECONDS, "the team has made as many requests as it may");
-                    case NO_ROOM ->
-                        new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "not run: there is no room for it in time");
-                    case EXPIRED ->
-                        new Told(UNAVAILABLE, RETRY_BUSY_SECONDS, "its time was up before it was looked at");
-                    case TIME_UP -> new Told(GATEWAY_TIMEOUT, RETRY_BUSY_SECONDS, "no answer in time; it may have run");
+                        new Told(TOO_MANY_REQUESTS, RETRY_BUSY, "the team has made as many requests as it may");
+                    case NO_ROOM -> new Told(UNAVAILABLE, RETRY_BUSY, "not run: there is no room for it in time");
+                    case EXPIRED -> new Told(UNAVAILABLE, RETRY_BUSY, "its time was up before it was looked at");
+                    case TIME_UP -> new Told(GATEWAY_TIMEOUT, RETRY_BUSY, "no answer in time; it may have run");
                     case TOO_FEW_SHARDS, OUTCOME_UNKNOWN ->
-                        new Told(BAD_GATEWAY, RETRY_BUSY_SECONDS, "no whole answer came; it may have run");
+                        new Told(BAD_GATEWAY, RETRY_BUSY, "no whole answer came; it may have run");
                 };
-        String seconds = retryAfter.map(CallerAnswers::seconds).orElse(told.retryAfterSeconds());
-        refuse(told.status(), seconds, told.text());
+        refuse(told.status(), retryAfter.orElseGet(() -> RetrySpread.spread(told.retryFrom(), random)), told.text());
     }
 
     /** Tells the caller that the request was not looked at and when to come back. */
     void notReady() {
-        refuse(UNAVAILABLE, RETRY_STARTED_SECONDS, "this host does not know its configuration yet; come back soon");
+        refuse(
+                UNAVAILABLE,
+                RetrySpread.spread(RETRY_STARTED, random),
+                "this host does not know its configuration yet; come back soon");
     }
 
     /** Tells the caller that the request was not looked at, and to try another host. */
     void stopping() {
-        refuse(UNAVAILABLE, RETRY_ELSEWHERE_SECONDS, "this host is stopping; another one takes the request");
+        refuse(
+                UNAVAILABLE,
+                RetrySpread.spread(RETRY_ELSEWHERE, random),
+                "this host is stopping; another one takes the request");
     }
 
-    private void refuse(int status, String retryAfterSeconds, String text) {
+    private void refuse(int status, Duration retryAfter, String text) {
         FullHttpResponse response =
                 HttpExchange.response(status, Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8));
         response.headers()
-                .set(names.retryAfterSeconds(), retryAfterSeconds)
+                .set(names.retryAfterSeconds(), seconds(retryAfter))
                 .set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
         metrics.answered(exchange.receivedNanos());
         exchange.respond(response);
@@ -182,6 +188,10 @@
         return BigDecimal.valueOf(time.toMillis(), MILLIS_DIGITS).toPlainString();
     }
 
-    /** What a caller is told of a refusal. */
-    private record Told(int status, String retryAfterSeconds, String text) {}
+    /**
+     * What a caller is told of a refusal.
+     *
+     * @param retryFrom when it may come back at the earliest; callers are spread from there
+     */
+    private record Told(int status, Duration retryFrom, String text) {}
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -70,6 +70,7 @@
     private final StageLinks stages;
     private final StageServer stageServer;
     private final HarmTrials trials;
+    private final RequestRoom room;
     private final Map<String, SplitCursor> splits = new HashMap<>();
     private boolean refusesCallers;
 
@@ -110,6 +111,7 @@
         this.runs = new QueryRuns(view, stages, names, metrics, clock, loop, random, log);
         this.lateQueries = new LateQueries(view, clock, loop);
         this.trials = new HarmTrials(view, runs, network, controlHost, loop, clock, random);
+        this.room = new RequestRoom(view, metrics, clock, loop, random);
         this.stageServer = new StageServer(view, runs, names, sealLead, clock, loop);
     }
 
@@ -175,7 +177,7 @@
 
     @Override
     public void handle(HttpExchange exchange) {
-        CallerAnswers answers = new CallerAnswers(exchange, names, metrics);
+        CallerAnswers answers = new CallerAnswers(exchange, names, metrics, random);
         if (refusesCallers) {
             answers.stopping();
             refusedUnrouted(exchange, "STOPPING");
@@ -240,7 +242,7 @@
 
     private void begin(HttpExchange exchange, RoutedCall call, CallerAnswers answers) {
         switch (view.harm().permission(call.request()::fingerprints)) {
-            case FREE -> serve(exchange, call, answers);
+            case FREE -> admit(exchange, call, answers);
             case ON_TRIAL -> tryOut(exchange, call, answers);
             default -> refuse(call, answers, RefusalReason.HARMFUL);
         }
@@ -257,7 +259,7 @@
                     caller.onNotRun(() -> trials.giveBack(call, false));
                     caller.onBroken(() -> trials.giveBack(call, true));
                     caller.onSurvived(() -> trials.giveBack(call, false));
-                    serve(exchange, call, caller);
+                    admit(exchange, call, caller);
                 }
                 case NOT_RUN -> refuse(call, caller, RefusalReason.ON_TRIAL);
                 case BARRED -> refuse(call, caller, RefusalReason.HARMFUL);
@@ -271,6 +273,18 @@
         log.imperfect(call, reason.name(), line -> {});
     }
 
+    /** Serves a request once this host has room for it. */
+    private void admit(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
+        int calls = call.route().target() instanceof RouteTarget.Scatter target
+                ? target.shards().size()
+                : 1;
+        Optional<Runnable> withdraw = room.admit(call, calls, () -> serve(exchange, call, caller), retryAfter -> {
+            log.imperfect(call, RefusalReason.NO_ROOM.name(), line -> line.with("room", room.describe()));
+            caller.refuse(RefusalReason.NO_ROOM, retryAfter);
+        });
+        withdraw.ifPresent(exchange::onCallerGone);
+    }
+
     private void serve(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
         Route route = call.route();
         if (route.target() instanceof RouteTarget.Scatter target) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/GatewayMetrics.java
@@ -29,6 +29,7 @@
     private final Counter whole;
     private final Counter partial;
     private final Counter heldBack;
+    private final Counter heldForRoom;
     private final Counter stagesAnswered;
     private final Counter stagesFailed;
 
@@ -40,6 +41,7 @@
         this.whole = registry.counter("gateway_answers_whole");
         this.partial = registry.counter("gateway_answers_partial");
         this.heldBack = registry.counter("gateway_queries_held_back");
+        this.heldForRoom = registry.counter("gateway_requests_held_for_room");
         this.stagesAnswered = registry.counter("gateway_stages_answered");
         this.stagesFailed = registry.counter("gateway_stages_failed");
         for (AttemptCounter counter : AttemptCounter.values()) {
@@ -76,6 +78,11 @@
         heldBack.inc();
     }
 
+    /** Notes a request that waits because this host is behind. */
+    void heldForRoom() {
+        heldForRoom.inc();
+    }
+
     void asked(Attempt.Purpose purpose, Distance distance) {
         registry.counter("gateway_asked_" + lower(purpose) + "_" + lower(distance))
                 .inc();
