Say that a request has not run if its calls to other hosts never left this one

Cause: a call to a holder or a stage that was given up while the link was not there counted as may have run, so that a request whose calls had all waited for links ended with 504 or 502.

Change: what was given up before its message was made says that it was never sent; should the link come up later, the message that goes out then names no shard, or has no time left, so that no leaf is sent it. A trial that was given up before it was sent counts as not run.

Ruled out: taking the call out of what waits for the connection (PeerConnection): it would need a handle through three layers.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -268,6 +268,11 @@
         return shards.areNotRun() ? shards.refusalReason(false) : decided;
     }
 
+    /** Notes that a call to another host, which was given up, had not been sent. */
+    public void neverSent(StageAttempt stage) {
+        stage.shards().forEach(shard -> shards.get(shard).neverSentElsewhere());
+    }
+
     /** Returns how many shards are not in. */
     public int shardsMissing() {
         return shards.count() - parts.count();
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -78,6 +78,11 @@
         spentElsewhere = 1;
     }
 
+    /** Notes that the other host never got the request. */
+    void neverSentElsewhere() {
+        spentElsewhere = 0;
+    }
+
     /** Notes that the other host asked a second leaf. */
     void delegateAskedTwice() {
         spentElsewhere = 2;
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
@@ -70,6 +70,17 @@
         assertThat(query.truthful(RefusalReason.TIME_UP).isNotRun()).isTrue();
     }
 
+    /** The link to the other host did not come up before the caller's time was up. */
+    @Test
+    void aQueryWhoseCallToAnotherHostWasNeverSentHasNotRun() {
+        ScatterQuery query = query(0, ScatterQuery.Delivery.AT_ONCE, ImmutableList.of(stage));
+        world.carryOut(query.wake(RoutedWorld.DEADLINE_NANOS), RoutedWorld.DEADLINE_NANOS);
+        world.givenUp.forEach(Attempt::neverSent);
+        assertThat(query.truthful(RefusalReason.TIME_UP)).isEqualTo(RefusalReason.TIME_UP);
+        query.neverSent(stage);
+        assertThat(query.truthful(RefusalReason.TIME_UP).isNotRun()).isTrue();
+    }
+
     private ScatterQuery query(int budget, ScatterQuery.Delivery delivery, ImmutableList<StageAttempt> stages) {
         world.service("s0", 2, budget);
         world.service("s1", 2, budget);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HarmTrials.java
@@ -214,8 +214,8 @@
         void giveUp(LeafConnections.Ticket ticket) {
             if (!over) {
                 leaf.abandon(call, clock.nowNanos());
-                end(Result.SILENT);
-                ticket.giveUp();
+                over = true;
+                taker.accept(ticket.giveUp() ? Result.NOT_RUN : Result.SILENT);
             }
         }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -66,6 +66,7 @@
         private final LeafExchange taker;
         private final long number = links.nextCall();
         private boolean over;
+        private boolean made;
 
         HeldCall(StageLinks.Link holder, String leafId, LeafRequest request, LeafExchange taker) {
             this.holder = holder;
@@ -83,7 +84,9 @@
         }
 
         private StageCall.Builder message(long deadlineNanos) {
-            long remainingNanos = deadlineNanos - clock.nowNanos() - holder.roundTripNanos() / 2;
+            made = true;
+            // What was given up before there was a link is sent to no leaf any more: its caller may have been told so.
+            long remainingNanos = over ? 0 : deadlineNanos - clock.nowNanos() - holder.roundTripNanos() / 2;
             return query.toBuilder()
                     .clearShards()
                     .setLeaf(leafId)
@@ -93,12 +96,13 @@
 
         @Override
         public boolean giveUp() {
-            if (!over) {
-                over = true;
-                holder.end();
-                links.cancel(holder, number);
+            if (over) {
+                return false;
             }
-            return false;
+            over = true;
+            holder.end();
+            links.cancel(holder, number);
+            return !made;
         }
 
         private void take(StageResult result) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -177,7 +177,9 @@
             } else if (action instanceof RoutedAction.SuspectStage suspect) {
                 stages.suspect(suspect.stage());
             } else if (action instanceof RoutedAction.GiveUpStage giveUp) {
-                stages.giveUp(giveUp.stage());
+                if (stages.giveUp(giveUp.stage())) {
+                    query.neverSent(giveUp.stage());
+                }
             } else if (action instanceof RoutedAction.GiveUp giveUp) {
                 sender.giveUp(giveUp.attempt());
             } else if (action instanceof RoutedAction.Wake wake) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -102,6 +102,11 @@
     }
 
     private StageCall.Builder message(StageAttempt stage, Sent sent) {
+        sent.made = true;
+        if (sent.givenUp) {
+            // Its caller may have been told that it was sent to no leaf: a call without shards is refused.
+            return call.toBuilder().clearShards().clearServices().setCall(sent.number);
+        }
         long nowNanos = clock.nowNanos();
         long roundTripNanos = sent.link.roundTripNanos();
         long goalNanos = StageTiming.goalNanos(times.goalNanos() - nowNanos, roundTripNanos);
@@ -120,13 +125,19 @@
         links.link(stage.host()).suspect(clock.nowNanos());
     }
 
-    /** Tells a host that nobody waits for its reply any more, so that it owes none. */
-    void giveUp(StageAttempt stage) {
+    /**
+     * Tells a host that nobody waits for its reply any more, so that it owes none.
+     *
+     * @return true if the call was never sent, and will not be
+     */
+    boolean giveUp(StageAttempt stage) {
         Sent sent = underWay.get(stage);
-        if (sent != null) {
-            sent.givenUp = true;
-            links.cancel(sent.link, sent.number);
+        if (sent == null) {
+            return false;
         }
+        sent.givenUp = true;
+        links.cancel(sent.link, sent.number);
+        return !sent.made;
     }
 
     private void progressed(StageAttempt stage, StageProgress progress, Taker taker) {
@@ -177,6 +188,7 @@
         private final StageLinks.Link link;
         private final long number;
         private boolean givenUp;
+        private boolean made;
 
         Sent(StageLinks.Link link, long number) {
             this.link = link;
