Measure what a start costs in processor time: bench start

Change: bench start runs the entry role by the words of the deploy file up to warm, if it is built, and a process with the same flags from its first leaf call on to some 4,000.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/Benches.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/Benches.java
@@ -15,6 +15,7 @@
             new ClaimsBench(),
             new CostBench(),
             new PathBench(),
+            new StartBench(),
             new CapacityBench());
 
     private Benches() {}
