--- /dev/null
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/HedgeSchedule.java
@@ -0,0 +1,59 @@
+package org.bramblerack.request.routed;
+
+/**
+ * When the hedge of one request is due, and how often it is considered again after it was not made.
+ *
+ * <p>An attempt that is overdue at its own leaf is hedged before it is late among all calls of its route. If that is
+ * not worth it, the hedge is considered once more when the attempt is late, and then a few times a little later each,
+ * since leafs and the budget may look better. Not safe for use by several threads.
+ */
+final class HedgeSchedule {
+    /** How often a hedge of a late attempt is considered, each time a part of the first delay later. */
+    private static final int MAX_REFUSED = 4;
+
+    private static final int AGAIN_DIVISOR = 4;
+
+    private final long delayNanos;
+    private int refused;
+    private boolean refusedEarly;
+    private long notBeforeNanos;
+
+    /**
+     * Creates a schedule.
+     *
+     * @param delayNanos after how long an attempt is late among all calls of its route
+     */
+    HedgeSchedule(long delayNanos) {
+        this.delayNanos = delayNanos;
+    }
+
+    /** Returns true unless the hedge was refused too often. */
+    boolean isOpen() {
+        return refused < MAX_REFUSED;
+    }
+
+    /** Returns when an attempt is to be hedged. */
+    long dueNanos(Attempt first) {
+        return refused > 0 || refusedEarly ? notBeforeNanos : Math.min(first.overdueNanos(), lateNanos(first));
+    }
+
+    /** Returns true if an attempt is not late among all calls of its route yet. */
+    boolean isEarly(Attempt first, long nowNanos) {
+        return nowNanos - lateNanos(first) < 0;
+    }
+
+    /** Notes that the hedge of an attempt was not made. */
+    void refuse(Attempt first, long nowNanos) {
+        if (isEarly(first, nowNanos)) {
+            refusedEarly = true;
+            notBeforeNanos = lateNanos(first);
+        } else {
+            refused++;
+            notBeforeNanos = nowNanos + delayNanos / AGAIN_DIVISOR;
+        }
+    }
+
+    private long lateNanos(Attempt first) {
+        return first.sentNanos() + delayNanos;
+    }
+}
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -27,10 +27,6 @@
     private static final int RESERVED_FOR_RETRIES_PERCENT = 35;
     /** A hedge at a leaf that refuses more of its calls than this would mostly cost the budget and bring nothing. */
     private static final double MOST_REFUSALS_FOR_HEDGE = 0.3;
-    /** How often a hedge is considered again, each time a part of the first delay later. */
-    private static final int MAX_HEDGES_REFUSED = 4;
-
-    private static final int HEDGE_AGAIN_DIVISOR = 4;
     /** How long to leave a service alone all of whose leafs said that they are full. */
     private static final long BACKOFF_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -41,13 +37,11 @@
     private final RandomGenerator random;
     private final Runnable onFinished;
     private final List<Attempt> attempts = new ArrayList<>(2);
+    private final HedgeSchedule hedgeSchedule;
     private int spentElsewhere;
     private boolean delegated;
     private boolean finished;
     private boolean closed;
-    private int hedgesRefused;
-    private boolean earlyHedgeRefused;
-    private long hedgeNotBeforeNanos;
     private long retryAtNanos;
     private boolean retryDue;
     private boolean held;
@@ -72,6 +66,7 @@
         this.hedged = repeatable && hedged;
         this.random = random;
         this.onFinished = onFinished;
+        this.hedgeSchedule = new HedgeSchedule(bounds.hedgeDelayNanos());
     }
 
     /** Leaves the request to another host. */
@@ -287,8 +282,8 @@
         if (retryDue) {
             return Optional.of(retryAtNanos);
         }
-        boolean mayHedge = hedged && hedgesRefused < MAX_HEDGES_REFUSED && attempts.size() == 1;
-        return mayHedge ? Optional.of(hedgeDueNanos()) : Optional.empty();
+        boolean mayHedge = hedged && hedgeSchedule.isOpen() && attempts.size() == 1;
+        return mayHedge ? Optional.of(hedgeSchedule.dueNanos(attempts.get(0))) : Optional.empty();
     }
 
     boolean isFinished() {
@@ -355,32 +350,15 @@
         return !finished
                 && !closed
                 && hedged
-                && hedgesRefused < MAX_HEDGES_REFUSED
+                && hedgeSchedule.isOpen()
                 && attempts.size() == 1
                 && !attempts.get(0).isFinished()
-                && nowNanos - hedgeDueNanos() >= 0;
-    }
-
-    private long hedgeDueNanos() {
-        return hedgesRefused > 0 || earlyHedgeRefused
-                ? hedgeNotBeforeNanos
-                : Math.min(attempts.get(0).overdueNanos(), lateNanos());
-    }
-
-    /** Returns when the first attempt is late among all calls of the route, whatever its leaf. */
-    private long lateNanos() {
-        return attempts.get(0).sentNanos() + bounds.hedgeDelayNanos();
+                && nowNanos - hedgeSchedule.dueNanos(attempts.get(0)) >= 0;
     }
 
     /** Counts a hedge that is not made; a little later things may look better. */
     private void refuseHedge(AttemptCounter reason, long nowNanos, List<RoutedAction> actions) {
-        if (nowNanos - lateNanos() < 0) {
-            earlyHedgeRefused = true;
-            hedgeNotBeforeNanos = lateNanos();
-        } else {
-            hedgesRefused++;
-            hedgeNotBeforeNanos = nowNanos + bounds.hedgeDelayNanos() / HEDGE_AGAIN_DIVISOR;
-        }
+        hedgeSchedule.refuse(attempts.get(0), nowNanos);
         actions.add(new RoutedAction.Count(reason));
     }
 
@@ -390,7 +368,7 @@
                 : pool.choose(leaf -> isGoodForHedge(leaf, nowNanos), bounds.expectedNanos(), random, nowNanos);
         if (other.isEmpty()) {
             refuseHedge(AttemptCounter.HEDGE_DENIED_NO_LEAF, nowNanos, actions);
-        } else if (nowNanos - lateNanos() < 0 && !savesTime(other.get(), nowNanos)) {
+        } else if (hedgeSchedule.isEarly(attempts.get(0), nowNanos) && !savesTime(other.get(), nowNanos)) {
             refuseHedge(AttemptCounter.HEDGE_DENIED_NO_GAIN, nowNanos, actions);
         } else if (!pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos)) {
             refuseHedge(AttemptCounter.HEDGE_DENIED_BUDGET, nowNanos, actions);
