--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/HeldSinglesTest.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import com.google.protobuf.ByteString;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -16,13 +17,15 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import org.bramblerack.daemon.http.HttpListener;
 import org.bramblerack.daemon.peer.LinkPolicy;
+import org.bramblerack.daemon.peer.PeerHandler;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
@@ -53,6 +56,8 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private final AtomicReference<StageCall> asked = new AtomicReference<>(StageCall.getDefaultInstance());
     private final AtomicReference<StageResult> answer = new AtomicReference<>(StageResult.getDefaultInstance());
+    private final List<String> askedHosts = new CopyOnWriteArrayList<>();
+    private HostAndPort holderAddress = HostAndPort.fromHost("127.0.0.1");
     private FleetView view;
     private HttpListener callers;
     private PeerServer holder;
@@ -60,9 +65,9 @@
 
     @BeforeEach
     void start() throws Exception {
-        HostAndPort holderAddress = HostAndPort.fromParts("127.0.0.1", freePort());
+        holderAddress = HostAndPort.fromParts("127.0.0.1", freePort());
         HostAndPort callerAddress = HostAndPort.fromParts("127.0.0.1", freePort());
-        holder = new PeerServer(holderAddress, this::answerAsHolder, group, LinkPolicy.OPEN, new PeerTraffic());
+        holder = new PeerServer(holderAddress, answersAs("holder"), group, LinkPolicy.OPEN, new PeerTraffic());
         holder.start();
         view = GatewayFixture.view(group, clock);
         Gateway gateway = new Gateway(
@@ -156,6 +161,43 @@
         assertThat(requireNonNull(asked.get()).getLeaf()).isEmpty();
     }
 
+    /** A host at a fifth of its speed is late with each call, while the one that stands in for it idles. */
+    @Test
+    void theCallsOfAHolderThatSaysThatItIsBehindGoToTheHostThatStandsInForIt() throws Exception {
+        HostAndPort otherAddress = HostAndPort.fromParts("127.0.0.1", freePort());
+        PeerServer other = new PeerServer(otherAddress, answersAs("other"), group, LinkPolicy.OPEN, new PeerTraffic());
+        other.start();
+        TableDelta both = tables(holderAddress.toString()).toBuilder()
+                .setRevision(2)
+                .addHosts(HostRecord.newBuilder()
+                        .setName("other")
+                        .setPeerAddress(otherAddress.toString())
+                        .setZone("z2")
+                        .setRegion("r")
+                        .setEntry(true)
+                        .setPhase(HostRecord.Phase.READY))
+                .build();
+        group.submit(() -> view.apply(both, Optional.of(configuration()))).get();
+        StageResult usual = StageResult.newBuilder()
+                .setStatus(StageResult.Status.ANSWERED)
+                .setStatusCode(200)
+                .addHeaderNames("signature")
+                .addHeaderValues("stamp")
+                .build();
+        answer.set(usual.toBuilder()
+                .setLagMicros(TimeUnit.MILLISECONDS.toMicros(80))
+                .build());
+        assertThat(get().statusCode()).isEqualTo(200);
+        answer.set(usual);
+        for (int call = 0; call < 3; call++) {
+            assertThat(get().statusCode()).isEqualTo(200);
+        }
+        other.stop();
+        assertThat(ImmutableSet.copyOf(askedHosts)).hasSize(2);
+        assertThat(ImmutableSet.copyOf(askedHosts.subList(1, 4))).hasSize(1);
+        assertThat(askedHosts.get(0)).isNotEqualTo(askedHosts.get(1));
+    }
+
     /** Makes the host's regular task late, as it is on a processor that has too much to do. */
     private void behind(long lateMillis) throws Exception {
         long lateNanos = TimeUnit.MILLISECONDS.toNanos(lateMillis) + FleetView.LAG_PERIOD.toNanos();
@@ -176,11 +218,14 @@
         return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    private void answerAsHolder(Envelope message, Consumer<Envelope.Builder> reply) {
-        if (message.hasStageCall()) {
-            asked.set(message.getStageCall());
-            reply.accept(Envelope.newBuilder().setStageResult(requireNonNull(answer.get())));
-        }
+    private PeerHandler answersAs(String host) {
+        return (message, reply) -> {
+            if (message.hasStageCall()) {
+                askedHosts.add(host);
+                asked.set(message.getStageCall());
+                reply.accept(Envelope.newBuilder().setStageResult(requireNonNull(answer.get())));
+            }
+        };
     }
 
     private static TableDelta tables(String holderAddress) {
