Keep no connections ahead while the tables name no host

Cause: a host that starts with its whole fleet learns of the leafs before any host is named, took itself for the only one and connected to every leaf ahead of use. Warm-up of a second hid that; a host that is warm sooner reviews its connections sooner. Ruled out: the connections of the first 22 s (some 650 a host against 500), which come with holders agreed on at 9.5 s in place of 6.5 s of traffic. Change: no connections ahead of use while no host is named; calls still open theirs, and hosts that come bring a review. That this was the cause is inferred, not shown.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafAccess.java
@@ -139,9 +139,12 @@
         return !holders.isEmpty() && holders.get(0).equals(self) ? ImmutableList.of() : holders;
     }
 
-    /** Returns true if this host should keep connections to a leaf open ahead of their use. */
+    /**
+     * Returns true if this host should keep connections to a leaf open ahead of their use. While the tables name no
+     * host, as when a whole fleet starts, each would take itself for the only one and connect to every leaf.
+     */
     boolean keepsConnections(String service, String zone) {
-        return holdersOf(service, zone).isEmpty();
+        return !hosts.isEmpty() && holdersOf(service, zone).isEmpty();
     }
 
     /** Returns true if this host may be asked to stand in for the holder of a leaf, or is the holder. */
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/LeafAccessTest.java
@@ -222,6 +222,20 @@
         assertThat(access(hosts(0), 26, "10.0.0.0:1", "z0").leafCalls()).isEqualTo(WarmUpPlan.LeafCalls.UNKNOWN);
     }
 
+    /** After power the leafs are known before any host is. */
+    @Test
+    void aHostThatKnowsNobodyConnectsToNoLeafAheadOfUse() {
+        for (boolean throughHolders : new boolean[] {false, true}) {
+            Tables tables = tables(64, SHARDS);
+            LeafAccess access = new LeafAccess("10.0.0.1:1", new Place("z1", "r1", REGIONS));
+            access.update(hosts(0), tables.leaves(), tables.configuration(), throughHolders);
+            assertThat(access.keepsConnections("s0", "z1")).isFalse();
+            assertThat(access.holdersOf("s0", "z1")).isEmpty();
+            access.update(hosts(7), tables.leaves(), tables.configuration(), false);
+            assertThat(access.keepsConnections("s0", "z1")).isTrue();
+        }
+    }
+
     private static LeafAccess access(List<HostRecord> hosts, int maxConnections, String self, String zone) {
         return access(hosts, maxConnections, self, zone, SHARDS);
     }
