--- a/bramblerack-core/src/main/java/org/bramblerack/process/WarmUpPlan.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/WarmUpPlan.java
@@ -15,8 +15,8 @@
  * <p>Owned by one thread at a time.
  */
 public final class WarmUpPlan {
-    /** As many as it takes until every part of the path has run. */
-    static final int FIRST_QUERIES = 3;
+    /** With one, every part of the path has run. */
+    static final int FIRST_QUERIES = 1;
     /** Enough for the compiler to take up the code of a leaf call. */
     static final int ALL_QUERIES = 30;
     /**
