Answer calls that only ask for those who follow, and tell every turn of a team

Cause: a keeper that only asked whether hosts follow it was followed by all, who did not tell it what they had spent meanwhile; a host that did not follow a caller dropped its accounts all the same. A team that turned to must-ask while an account was reckoned was told to nobody and counted nowhere. FleetLimitsTest failed on that once (5 hosts that had just started beside a load of 25 answered later than 150 ms: 28 times limit_keeper_away and 20 accounts taken over, so that the keeper turned while it reckoned); it finds the keeper by the reports that it takes now, and asks for a takeover after its end.

Change: as above; idle accounts are forgotten every 5 s; tests of TeamAccount and KeeperOrder.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/quota/RateKeeper.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/quota/RateKeeper.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.stream.Stream;
 import org.bramblerack.version.routing.RateLimit;
 import org.bramblerack.version.routing.Team;
 import org.bramblerack.version.routing.Teams;
@@ -177,6 +176,11 @@
         }
     }
 
+    /** Forgets accounts of which nothing was spent within the window. To be called now and then. */
+    public void forgetIdle(long nowNanos) {
+        charges.values().forEach(charge -> charge.accounts.values().removeIf(account -> account.isIdle(nowNanos)));
+    }
+
     /** Returns what is to be done, once. */
     public ImmutableList<QuotaAction> takeActions() {
         ImmutableList<QuotaAction> taken = ImmutableList.copyOf(actions);
@@ -184,15 +188,6 @@
         return taken;
     }
 
-    /** Returns how many requests of a team all hosts made within the window, if this host keeps account of it. */
-    int spentWithinWindow(String team, long nowNanos) {
-        return charges.values().stream()
-                .flatMap(charge -> Stream.ofNullable(charge.accounts.get(team)))
-                .mapToInt(account -> account.spentWithinWindow(nowNanos))
-                .max()
-                .orElse(0);
-    }
-
     private Charge begin(String owner, long nowNanos) {
         Charge charge = new Charge(owner, nowNanos);
         charges.put(owner, charge);
@@ -376,14 +371,13 @@
                 account.addEarlier(spending.getEarlierList(), nowNanos);
                 account.reckon(0, nowNanos);
             }
-            boolean asked = account.mustAsk();
             if (!moved) {
                 account.spent(spending.getSpent(), nowNanos);
             }
             TeamAllowance.Builder allowance = account.ask(spending.getAsked(), inDoubt(nowNanos), nowNanos)
                     .setTeam(spending.getTeam())
                     .setMustAsk(account.mustAsk() || inDoubt(nowNanos));
-            if (asked != account.mustAsk()) {
+            if (account.takeTurn()) {
                 tell(spending.getTeam(), account.mustAsk());
             }
             return allowance;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/quota/RateSpender.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/quota/RateSpender.java
@@ -173,10 +173,13 @@
             return result.build();
         }
         Charge charge = charge(owner);
+        if (!call.getTell() && !charge.following.equals(from)) {
+            return result.build();
+        }
         charge.notBeforeRank = rank;
         charge.notBeforeUntilNanos = nowNanos + AWAY_NANOS;
         awayUntilNanos.remove(from);
-        if (call.getTell() || !charge.following.equals(from)) {
+        if (call.getTell()) {
             charge.following = from;
             charge.calledNanos = nowNanos;
             charge.spendings.forEach(spending -> spending.reportAnew(nowNanos));
--- a/bramblerack-core/src/main/java/org/bramblerack/process/quota/TeamAccount.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/quota/TeamAccount.java
@@ -28,6 +28,7 @@
     private long levelNanos;
     private int grantedInDoubt;
     private boolean mustAsk;
+    private boolean toldMustAsk;
     private long promisedNanos;
 
     /** Creates an account of which nothing was spent. */
@@ -105,13 +106,11 @@
         return mustAsk;
     }
 
-    double level(long nowNanos) {
-        refill(nowNanos);
-        return level;
-    }
-
-    int spentWithinWindow(long nowNanos) {
-        return spent.total(nowNanos);
+    /** Returns true, once, if hosts were told otherwise of whether they must ask. */
+    boolean takeTurn() {
+        boolean turned = mustAsk != toldMustAsk;
+        toldMustAsk = mustAsk;
+        return turned;
     }
 
     /** Returns true if nothing is left to be remembered. */
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/quota/KeeperOrderTest.java
@@ -0,0 +1,53 @@
+package org.bramblerack.process.quota;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Every host finds the same keepers, and hosts that come or go move few teams. */
+final class KeeperOrderTest {
+    private static final int HOSTS = 63;
+    private static final int TEAMS = 630;
+
+    @Test
+    void theOrderOfTheTablesChangesNothing() {
+        List<String> turned = new ArrayList<>(hosts(HOSTS));
+        Collections.reverse(turned);
+        KeeperOrder one = new KeeperOrder(hosts(HOSTS));
+        KeeperOrder other = new KeeperOrder(turned);
+        for (int team = 0; team < TEAMS; team++) {
+            String owner = one.ownerOf("team-" + team);
+            assertThat(other.ownerOf("team-" + team)).isEqualTo(owner);
+            assertThat(other.keepers(owner)).isEqualTo(one.keepers(owner));
+        }
+    }
+
+    @Test
+    void aHostThatLeavesMovesOnlyItsOwnTeams() {
+        KeeperOrder before = new KeeperOrder(hosts(HOSTS));
+        KeeperOrder after = new KeeperOrder(hosts(HOSTS - 1));
+        Map<String, Integer> teams = new HashMap<>();
+        for (int team = 0; team < TEAMS; team++) {
+            String owner = before.ownerOf("team-" + team);
+            teams.merge(owner, 1, Integer::sum);
+            if (!owner.equals("host-" + (HOSTS - 1))) {
+                assertThat(after.ownerOf("team-" + team)).isEqualTo(owner);
+            }
+        }
+        assertThat(Collections.max(teams.values())).isLessThan(4 * TEAMS / HOSTS);
+    }
+
+    private static ImmutableList<String> hosts(int count) {
+        ImmutableList.Builder<String> hosts = ImmutableList.builder();
+        for (int host = 0; host < count; host++) {
+            hosts.add("host-" + host);
+        }
+        return hosts.build();
+    }
+}
--- a/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
@@ -75,7 +75,8 @@
     static final QuotaBound BOUND = new QuotaBound(Duration.ofSeconds(5), 0.1, 20);
     private static final long SECOND = 1_000_000;
     private static final long LENGTH = 16 * SECOND;
-    private static final long WINDOW = TimeUnit.MILLISECONDS.toMicros(BOUND.window().toMillis());
+    private static final long WINDOW =
+            TimeUnit.MILLISECONDS.toMicros(BOUND.window().toMillis());
     private static final long DROPPED_AFTER = 6 * SECOND;
     private static final long REPLY_WAIT = SECOND * 150 / 1_000;
     private static final long CONTROL_SILENCE = SECOND * 1_100 / 1_000;
@@ -634,8 +635,10 @@
                 return;
             }
             sendTo(to, () -> {
-                to.keeper.superseded(call.call().getOwner(), name, to.nanos());
                 RateCallResult told = to.spender.called(name, call.call(), to.nanos());
+                if (told.getFollows()) {
+                    to.keeper.superseded(call.call().getOwner(), name, to.nanos());
+                }
                 RateCallResult result = plant == Plant.NOTHING_TOLD
                         ? told.toBuilder().clearTeams().build()
                         : told;
--- /dev/null
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/quota/TeamAccountTest.java
@@ -0,0 +1,97 @@
+package org.bramblerack.process.quota;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Collections;
+import org.bramblerack.version.routing.RateLimit;
+import org.bramblerack.wire.TeamAllowance;
+import org.junit.jupiter.api.Test;
+
+/** What one account permits: a burst, a steady load above the limit, and what came before it was kept here. */
+final class TeamAccountTest {
+    private static final QuotaBound BOUND = new QuotaBound(Duration.ofSeconds(5), 0.1, 20);
+    private static final RateLimit LIMIT = new RateLimit(10, 20);
+    /** The burst and half of the slack. */
+    private static final int CAPACITY = 30;
+
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final TeamAccount account = new TeamAccount(BOUND, LIMIT, 0);
+
+    @Test
+    void aBurstIsPermittedAndThenAsMuchAsTheRateBrings() {
+        assertThat(granted(100, 0)).isEqualTo(CAPACITY);
+        assertThat(granted(100, SECOND)).isEqualTo(10);
+        assertThat(granted(100, SECOND + SECOND / 2)).isEqualTo(5);
+    }
+
+    @Test
+    void aTeamMustAskOnceTwoThirdsAreSpentAndIsFreeWhenTheyAreBack() {
+        account.spent(CAPACITY * 2 / 3, 0);
+        assertThat(account.mustAsk()).isFalse();
+        account.spent(1, 0);
+        assertThat(account.mustAsk()).isTrue();
+        account.spent(0, SECOND);
+        assertThat(account.mustAsk()).isTrue();
+        account.spent(0, 2 * SECOND);
+        assertThat(account.mustAsk()).isFalse();
+    }
+
+    @Test
+    void whatWasSpentBeyondWhatIsThereIsWaitedFor() {
+        account.spent(CAPACITY + 20, 0);
+        assertThat(granted(1, SECOND)).isEqualTo(0);
+        assertThat(granted(1, 2 * SECOND + SECOND / 5)).isEqualTo(1);
+    }
+
+    @Test
+    void whatIsGivenBackMayBeSpentAgain() {
+        assertThat(granted(CAPACITY, 0)).isEqualTo(CAPACITY);
+        account.spent(-3, 0);
+        assertThat(granted(10, 0)).isEqualTo(3);
+    }
+
+    @Test
+    void refusedCallersAreToldToComeBackOneAfterTheOther() {
+        assertThat(granted(CAPACITY, 0)).isEqualTo(CAPACITY);
+        TeamAllowance first = account.ask(2, false, 0).build();
+        TeamAllowance second = account.ask(1, false, 0).build();
+        assertThat(first.getRetryAfterMillis()).isAtLeast(100);
+        assertThat(first.getRetryStepMicros()).isEqualTo(100_000);
+        assertThat(second.getRetryAfterMillis()).isAtLeast(first.getRetryAfterMillis() + 200);
+    }
+
+    @Test
+    void anAccountThatIsTakenOverGoesByWhatWasSpentBefore() {
+        // The whole limit was spent a moment ago, and what the rate brought before that.
+        account.addEarlier(ImmutableList.of(CAPACITY), 0);
+        account.reckon(0, 0);
+        assertThat(granted(1, 0)).isEqualTo(0);
+        // What was spent at the limit's rate for the whole window leaves nearly all of what may be made at once.
+        TeamAccount steady = new TeamAccount(BOUND, LIMIT, 0);
+        steady.addEarlier(ImmutableList.copyOf(Collections.nCopies(SpentWindow.SLOTS, 2)), 0);
+        steady.reckon(0, 0);
+        assertThat(steady.ask(100, false, 0).getGranted()).isAtLeast(CAPACITY - 3);
+    }
+
+    @Test
+    void whereNobodyTellsOnlyAQuarterOfTheSlackIsPermitted() {
+        account.reckon(1, 0);
+        assertThat(granted(100, 0)).isEqualTo(5);
+    }
+
+    @Test
+    void aRaisedLimitIsThereAtOnceAndALowerOneToo() {
+        assertThat(granted(CAPACITY, 0)).isEqualTo(CAPACITY);
+        account.setLimit(new RateLimit(10, 25), 0);
+        assertThat(granted(100, 0)).isEqualTo(5);
+        account.setLimit(new RateLimit(1, 0), 10 * SECOND);
+        assertThat(granted(100, 20 * SECOND)).isEqualTo(10);
+    }
+
+    private int granted(int asked, long nowNanos) {
+        return account.ask(asked, false, nowNanos).getGranted();
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetLimits.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetLimits.java
@@ -44,6 +44,8 @@
     private static final Duration REPLY_WAIT = Duration.ofMillis(150);
 
     private static final Duration LOOK_EVERY = Duration.ofMillis(100);
+    /** Teams are looked through one by one, so not often. */
+    private static final Duration FORGET_EVERY = Duration.ofSeconds(5);
     /** Shorter suspensions than the time for which a reply is waited for change nothing. */
     private static final Duration LEAST_SUSPENSION = Duration.ofMillis(400);
     /** A team that comes near its limit and goes again gives two lines. */
@@ -65,6 +67,7 @@
     private final Map<Long, Reporter> reporters = new HashMap<>();
     private ImmutableList<String> hosts = ImmutableList.of();
     private long lastTicket;
+    private long forgotNanos;
     private @Nullable ScheduledFuture<?> looking;
 
     /**
@@ -93,6 +96,7 @@
         this.wallClock = wallClock;
         this.loop = loop;
         long nowNanos = clock.nowNanos();
+        this.forgotNanos = nowNanos;
         this.spender = new RateSpender(self, bound, random, nowNanos);
         this.keeper = new RateKeeper(self, bound, nowNanos);
         this.suspendWatch = new SuspendWatch(LEAST_SUSPENSION, nowNanos, wallClock.millis());
@@ -148,14 +152,17 @@
         long nowNanos = refresh();
         long token = ++lastTicket;
         reporters.put(token, reporter);
+        metrics.reportTaken();
         keeper.report(from, token, report, nowNanos);
         carryOut();
     }
 
     private RateCallResult called(String from, RateCall call) {
         long nowNanos = refresh();
-        keeper.superseded(call.getOwner(), from, nowNanos);
         RateCallResult result = spender.called(from, call, nowNanos);
+        if (result.getFollows()) {
+            keeper.superseded(call.getOwner(), from, nowNanos);
+        }
         carryOut();
         return result;
     }
@@ -167,7 +174,11 @@
         long nowNanos = refresh();
         keeper.wake(nowNanos);
         spender.wake(nowNanos);
-        spender.forgetIdle(nowNanos);
+        if (nowNanos - forgotNanos >= FORGET_EVERY.toNanos()) {
+            forgotNanos = nowNanos;
+            keeper.forgetIdle(nowNanos);
+            spender.forgetIdle(nowNanos);
+        }
         carryOut();
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LimitMetrics.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LimitMetrics.java
@@ -45,6 +45,10 @@
         count("reports_failed");
     }
 
+    void reportTaken() {
+        count("reports_taken");
+    }
+
     void called() {
         count("calls");
     }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetLimitsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetLimitsTest.java
@@ -12,7 +12,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
@@ -67,10 +70,13 @@
         Thread.sleep(WINDOW.plusMillis(200).toMillis());
         hosts.forEach(Host::load);
         Thread.sleep(2 * WINDOW.toMillis());
-        Host keeper = hosts.stream()
-                .filter(host -> host.count("teams_turned_must_ask") > 0)
-                .findFirst()
-                .orElseThrow();
+        Map<Host, Long> before = new HashMap<>();
+        hosts.forEach(host -> before.put(host, host.count("reports_taken")));
+        Thread.sleep(WINDOW.toMillis());
+        Comparator<Host> byReports =
+                Comparator.comparingLong(host -> host.count("reports_taken") - before.getOrDefault(host, 0L));
+        Host keeper = hosts.stream().max(byReports).orElseThrow();
+        long takenOver = takenOver();
         keeper.kill();
         long killedNanos = clock.nowNanos();
         Thread.sleep(4 * WINDOW.toMillis());
@@ -78,16 +84,19 @@
         hosts.forEach(Host::kill);
 
         assertThat(mostInAWindow()).isAtMost((int) BOUND.most(LIMIT));
-        assertThat(hosts.stream()
-                        .mapToLong(host -> host.count("accounts_taken_over"))
-                        .sum())
-                .isGreaterThan(0);
+        assertThat(takenOver()).isGreaterThan(takenOver);
         long inLastWindows = permittedNanos.stream()
                 .filter(at -> at > killedNanos + 2 * WINDOW.toNanos() && at <= endNanos)
                 .count();
         assertThat(inLastWindows).isAtLeast((long) LIMIT.perSecond());
     }
 
+    private long takenOver() {
+        return hosts.stream()
+                .mapToLong(host -> host.count("accounts_taken_over"))
+                .sum();
+    }
+
     private int mostInAWindow() {
         List<Long> times = permittedNanos.stream().sorted().toList();
         int most = 0;
