--- a/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
@@ -635,8 +635,10 @@
                 return;
             }
             sendTo(to, () -> {
-                to.keeper.superseded(call.call().getOwner(), name, to.nanos());
                 RateCallResult told = to.spender.called(name, call.call(), to.nanos());
+                if (told.getFollows()) {
+                    to.keeper.superseded(call.call().getOwner(), name, to.nanos());
+                }
                 RateCallResult result = plant == Plant.NOTHING_TOLD
                         ? told.toBuilder().clearTeams().build()
                         : told;
