--- a/bramblerack-core/src/main/java/org/bramblerack/process/quota/QuotaAction.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/quota/QuotaAction.java
@@ -1,5 +1,6 @@
 package org.bramblerack.process.quota;
 
+import java.time.Duration;
 import org.bramblerack.wire.RateCall;
 import org.bramblerack.wire.RateNotice;
 import org.bramblerack.wire.RateReport;
@@ -14,7 +15,18 @@
     record Refuse(long ticket, long retryAfterMillis, Ground ground) implements QuotaAction {}
 
     /** Sends a report to a host, maybe this one, and hands back the verdict, or that none came in time. */
-    record Report(String host, long id, RateReport report) implements QuotaAction {}
+    record Report(String host, long id, RateReport report) implements QuotaAction {
+        /** Several ways there and back between far regions; requests wait for the answer. */
+        private static final Duration ASKING_WAIT = Duration.ofMillis(150);
+        /** Nobody waits, and a host that is behind for a moment is not one that is away. */
+        private static final Duration TELLING_WAIT = Duration.ofMillis(600);
+
+        /** Returns for how long an answer is waited for before another host is asked. */
+        public Duration answerWait() {
+            boolean asks = report.getTeamsList().stream().anyMatch(team -> team.getAsked() > 0);
+            return asks ? ASKING_WAIT : TELLING_WAIT;
+        }
+    }
 
     /** Answers a report. */
     record Answer(long token, RateVerdict verdict) implements QuotaAction {}
--- a/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/quota/QuotaWorld.java
@@ -78,7 +78,6 @@
     private static final long WINDOW =
             TimeUnit.MILLISECONDS.toMicros(BOUND.window().toMillis());
     private static final long DROPPED_AFTER = 6 * SECOND;
-    private static final long REPLY_WAIT = SECOND * 150 / 1_000;
     private static final long CONTROL_SILENCE = SECOND * 1_100 / 1_000;
     private static final int REGIONS = 3;
     /** A team that keeps to this part of its limit is owed every request. */
@@ -606,7 +605,9 @@
                 later(now, () -> spender.failed(report.id(), nanos()));
                 return;
             }
-            later(now + REPLY_WAIT, () -> spender.failed(report.id(), nanos()));
+            later(
+                    now + TimeUnit.NANOSECONDS.toMicros(report.answerWait().toNanos()),
+                    () -> spender.failed(report.id(), nanos()));
             int ofLife = life;
             sendTo(to, () -> {
                 if (life == ofLife) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetLimits.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetLimits.java
@@ -40,13 +40,13 @@
  */
 final class FleetLimits implements SpendingLimits {
     private static final EventLog EVENTS = EventLog.of(FleetLimits.class);
-    /** For how long an answer to a report is waited for: several ways there and back between far regions. */
+    /** For how long an answer to a call is waited for: several ways there and back between far regions. */
     private static final Duration REPLY_WAIT = Duration.ofMillis(150);
 
     private static final Duration LOOK_EVERY = Duration.ofMillis(100);
     /** Teams are looked through one by one, so not often. */
     private static final Duration FORGET_EVERY = Duration.ofSeconds(5);
-    /** Shorter suspensions than the time for which a reply is waited for change nothing. */
+    /** Shorter suspensions are like a moment in which this host is behind. */
     private static final Duration LEAST_SUSPENSION = Duration.ofMillis(400);
     /** A team that comes near its limit and goes again gives two lines. */
     private static final int LINES_A_SECOND = 10;
@@ -274,11 +274,13 @@
         }
         metrics.reported();
         ScheduledFuture<?> giveUp = loop.schedule(
-                () -> reportFailed(id, report.host(), "no answer in time"), REPLY_WAIT.toNanos(), TimeUnit.NANOSECONDS);
+                () -> reportFailed(id, report.host(), "no answer in time"),
+                report.answerWait().toNanos(),
+                TimeUnit.NANOSECONDS);
         network.requestWhenConnected(
                         report.host(),
                         () -> Envelope.newBuilder().setRateReport(report.report()),
-                        REPLY_WAIT,
+                        report.answerWait(),
                         progress -> {})
                 .subscribe()
                 .with(
