Choose a shard's holder without allocating, and look at shards some milliseconds apart

A profile of allocations had 14% of them in HolderChoice, which made streams and lists for each shard, also where no host is named; and hedges by leaf woke a query at a moment of its own for each shard, boxed. Change: HolderChoice is a loop, and is not asked where no host is named. A query looks at its shards at least 3 ms apart, but for its goal and its limit; the next moment is told without a box. Measured: PathCostTest passes; HolderChoiceTest, HostRoomTest, ScatterQueryTest, StagedQueryTest, HeldSinglesTest, LeafAccessTest and StagePlannerTest pass.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -135,9 +135,9 @@
 
     private void armWake(List<RoutedAction> actions) {
         long next = bounds.deadlineNanos();
-        Optional<Long> wake = request.nextWakeNanos();
-        if (wake.isPresent() && wake.get() - next < 0) {
-            next = wake.get();
+        long wakeNanos = request.nextWakeNanos(next);
+        if (wakeNanos - next < 0) {
+            next = wakeNanos;
         }
         if (!wakeArmed || next - armedWakeNanos < 0) {
             wakeArmed = true;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/HolderChoice.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/HolderChoice.java
@@ -1,6 +1,5 @@
 package org.bramblerack.request.routed;
 
-import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -38,15 +37,30 @@
      *     another has no way of its own to the leaf
      */
     public static Optional<String> choose(List<String> named, Collection<String> passedOver, Known known) {
-        boolean standsIn = named.stream().anyMatch(known::isSelf);
-        ImmutableList<String> usable = named.stream()
-                .filter(host -> known.isSelf(host) || known.isUsable(host))
-                .filter(host -> !standsIn || known.isSelf(host) || !passedOver.contains(host))
-                .collect(ImmutableList.toImmutableList());
-        return usable.stream()
-                .filter(host -> known.isSelf(host) || !known.isBehind(host))
-                .findFirst()
-                .or(() -> usable.stream().findFirst())
-                .filter(host -> !known.isSelf(host));
+        // Plain loops: this is decided for each shard of a query.
+        boolean standsIn = isSelfAmong(named, known);
+        Optional<String> behind = Optional.empty();
+        for (String host : named) {
+            if (known.isSelf(host)) {
+                return Optional.empty();
+            }
+            boolean usable = known.isUsable(host) && !(standsIn && passedOver.contains(host));
+            if (usable && !known.isBehind(host)) {
+                return Optional.of(host);
+            }
+            if (usable && behind.isEmpty()) {
+                behind = Optional.of(host);
+            }
+        }
+        return behind;
+    }
+
+    private static boolean isSelfAmong(List<String> named, Known known) {
+        for (String host : named) {
+            if (known.isSelf(host)) {
+                return true;
+            }
+        }
+        return false;
     }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -7,7 +7,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.PermittedLeaves;
@@ -104,9 +103,9 @@
     long earliestWakeNanos(long latestNanos) {
         long next = latestNanos;
         for (ShardRequest shard : shards) {
-            Optional<Long> wake = shard.nextWakeNanos();
-            if (wake.isPresent() && wake.get() - next < 0) {
-                next = wake.get();
+            long wakeNanos = shard.nextWakeNanos(latestNanos);
+            if (wakeNanos - next < 0) {
+                next = wakeNanos;
             }
         }
         return next;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -1,6 +1,7 @@
 package org.bramblerack.request.routed;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -37,6 +38,11 @@
 
     /** A host that is behind by more than this part of the hedge delay cannot tell a late answer from an unread one. */
     private static final int LAG_DIVISOR = 2;
+    /**
+     * The least time between two looks at all shards for what is overdue: each leaf has a moment of its own, and what a
+     * hedge waits until the next look is little beside what it saves.
+     */
+    private static final long BETWEEN_LOOKS_NANOS = Duration.ofMillis(3).toNanos();
 
     private final RouteTarget.Scatter target;
     private final RequestBounds bounds;
@@ -50,6 +56,7 @@
     private boolean lookedAfterGoal;
     private boolean sealedByClock;
     private long startedNanos;
+    private long lastLookNanos;
     private long armedWakeNanos;
     private boolean wakeArmed;
 
@@ -92,6 +99,7 @@
     public List<RoutedAction> start(long nowNanos) {
         List<RoutedAction> actions = new ArrayList<>(2 * shards.count() + 1);
         startedNanos = nowNanos;
+        lastLookNanos = nowNanos - BETWEEN_LOOKS_NANOS;
         for (StageAttempt stage : stages.all()) {
             stage.shards().forEach(shard -> shards.get(shard).delegate());
         }
@@ -211,6 +219,7 @@
             return actions;
         }
         wakeArmed = false;
+        lastLookNanos = nowNanos;
         closeAtGoal(nowNanos, actions);
         long lagNanos = context.lagNanos(nowNanos);
         for (StageAttempt stage : stages.abandonSilent(nowNanos - lagNanos - startedNanos, actions)) {
@@ -403,7 +412,12 @@
 
     private void armWake(long nowNanos, List<RoutedAction> actions) {
         boolean goalAhead = nowNanos - bounds.goalNanos() < 0;
-        long next = shards.earliestWakeNanos(goalAhead ? bounds.goalNanos() : bounds.deadlineNanos());
+        long latest = goalAhead ? bounds.goalNanos() : bounds.deadlineNanos();
+        long next = shards.earliestWakeNanos(latest);
+        long notBefore = lastLookNanos + BETWEEN_LOOKS_NANOS;
+        if (next - notBefore < 0) {
+            next = latest - notBefore < 0 ? latest : notBefore;
+        }
         Optional<Long> silence = stages.nextSilenceNanos(startedNanos, nowNanos);
         if (silence.isPresent() && silence.get() - next < 0) {
             next = silence.get();
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -274,16 +274,16 @@
         }
     }
 
-    /** Returns when this shard wants to be woken next, if it does. */
-    Optional<Long> nextWakeNanos() {
+    /** Returns when this shard wants to be woken next, or the given moment if it does not. */
+    long nextWakeNanos(long otherwiseNanos) {
         if (finished || delegated || closed || held) {
-            return Optional.empty();
+            return otherwiseNanos;
         }
         if (retryDue) {
-            return Optional.of(retryAtNanos);
+            return retryAtNanos;
         }
         boolean mayHedge = hedged && hedgeSchedule.isOpen() && attempts.size() == 1;
-        return mayHedge ? Optional.of(hedgeSchedule.dueNanos(attempts.get(0))) : Optional.empty();
+        return mayHedge ? hedgeSchedule.dueNanos(attempts.get(0)) : otherwiseNanos;
     }
 
     boolean isFinished() {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -130,6 +130,9 @@
      * @param passedOver the hosts that whoever asks this one passed over; they count if this one stands in for them
      */
     Optional<Link> firstUsable(List<String> hosts, String leafId, Homes homes, Collection<String> passedOver) {
+        if (hosts.isEmpty()) {
+            return Optional.empty();
+        }
         long nowNanos = clock.nowNanos();
         return HolderChoice.choose(hosts, passedOver, new HolderChoice.Known() {
                     @Override
