Begin nothing for a caller who left while its permission was asked for

Cause: a request that waited for the word of the host that keeps account was begun although its caller had gone: nobody was told of the leave at that time, and nobody looked. Change: a permission that comes too late is given back. Ruled out: withdrawing the question, since it is under way to another host. Measured: the new test of TeamRequestsTest fails without the change (not given back) and passes with it; FleetLimitsTest passes.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -268,8 +268,7 @@
                 new RoutedCall(route, caller, view.configuration().version(), request, exchange.receivedNanos(), times);
         limits.spend(route.isPublic() ? CallerIdentity.ANONYMOUS : caller, spending -> {
             if (spending instanceof SpendingLimits.Spending.Permitted permitted) {
-                answers.onNotRun(permitted.giveBack());
-                begin(exchange, call, answers);
+                permitted(exchange, call, answers, permitted.giveBack());
             } else if (spending instanceof SpendingLimits.Spending.Refused refused) {
                 answers.refuse(RefusalReason.OVER_LIMIT, refused.retryAfter());
                 log.imperfect(
@@ -282,6 +281,16 @@
         });
     }
 
+    /** Begins a request that may be made, unless its caller left while that was asked for. */
+    private void permitted(HttpExchange exchange, RoutedCall call, CallerAnswers answers, Runnable giveBack) {
+        if (exchange.isCallerGone()) {
+            giveBack.run();
+            return;
+        }
+        answers.onNotRun(giveBack);
+        begin(exchange, call, answers);
+    }
+
     private void begin(HttpExchange exchange, RoutedCall call, CallerAnswers answers) {
         switch (view.harm().permission(call.request()::fingerprints)) {
             case FREE -> admit(exchange, call, answers);
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TeamRequestsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/TeamRequestsTest.java
@@ -22,8 +22,10 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpListener;
@@ -65,6 +67,7 @@
     private final ConcurrentLinkedQueue<StageCall> atHosts = new ConcurrentLinkedQueue<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private Confirmation confirmation = taker -> taker.accept(true);
+    private volatile SpendingLimits limits = SpendingLimits.NONE;
     private FleetView view;
     private HttpListener callers;
     private HttpListener leaf;
@@ -98,7 +101,7 @@
                 view,
                 () -> true,
                 status,
-                SpendingLimits.NONE,
+                (caller, taker) -> limits.spend(caller, taker),
                 () -> "",
                 PeerNetwork.byAddress("127.0.0.1:1", group, LinkPolicy.OPEN, new PeerTraffic()),
                 GatewayFixture.NAMES,
@@ -119,6 +122,29 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
+    @Test
+    void aRequestWhoseCallerLeftBeforeItWasPermittedIsGivenBackAndReachesNoLeaf() throws Exception {
+        CompletableFuture<Consumer<SpendingLimits.Spending>> asked = new CompletableFuture<>();
+        AtomicInteger givenBack = new AtomicInteger();
+        limits = (caller, taker) -> asked.complete(taker);
+        try (Socket socket = new Socket(callerAddress.getHost(), callerAddress.getPort())) {
+            socket.getOutputStream()
+                    .write(("GET /one/x HTTP/1.1\r\nHost: h\r\ndeadline-ms: 5000\r\n" + KEY + "\r\n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            asked.get(5, TimeUnit.SECONDS);
+        }
+        while (callers.connectionCount() > 0) {
+            Thread.onSpinWait();
+        }
+        Consumer<SpendingLimits.Spending> taker = asked.get();
+        group.submit(() -> taker.accept(new SpendingLimits.Spending.Permitted(givenBack::incrementAndGet)))
+                .get();
+        assertThat(givenBack.get()).isEqualTo(1);
+        limits = SpendingLimits.NONE;
+        assertThat(status("/one/x", KEY)).isEqualTo(200);
+        assertThat(atLeaf).hasSize(1);
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
