--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/StartBench.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/StartBench.java
@@ -69,8 +69,9 @@
         int firstPort = FreePorts.next();
         Path settings = folder.resolve("settings.json");
         Files.writeString(settings, SETTINGS.formatted(firstPort, firstPort, firstPort + 6, firstPort + 7));
-        ProcessBuilder builder = new ProcessBuilder(deployedCommand());
-        builder.environment().put("BRAMBLERACK_CONFIG", settings.toString());
+        List<String> command = new ArrayList<>(deployedCommand());
+        command.add(1, "-Dbramblerack.settings=" + settings);
+        ProcessBuilder builder = new ProcessBuilder(command);
         follow(builder, EVENTS.get(EVENTS.size() - 1), (process, line) -> {
             for (String event : EVENTS) {
                 if (line.contains("\"event\":\"" + event + "\"")) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/RequestRoom.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/RequestRoom.java
@@ -17,7 +17,7 @@
 
 /** Begins requests as this host has room for them. Owned by the event loop. */
 final class RequestRoom {
-    /** What a leaf call takes of a host with a third of a core, by {@code bramblerack bench path}. */
+    /** What a leaf call takes of a host with a third of a core. */
     private static final Duration CALL_COST = Duration.ofNanos(300_000);
     /** What a team without a limit weighs: a few requests a second. */
     private static final double USUAL_WEIGHT = 10;
