--- a/bramblerack-core/src/main/java/org/bramblerack/connection/ZoneHolders.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/connection/ZoneHolders.java
@@ -29,14 +29,13 @@
  */
 public final class ZoneHolders {
     /**
-     * How many shards a holder asks for one query: at some 0.15 ms of processor time a leaf call, thirty keep a host
-     * with a third of a core busy for 13 ms, which a goal of 80 ms leaves room for. Code that has run for a thousand
-     * calls is ten times as fast as at the start, so holders are few and make many calls each.
+     * How many shards a holder asks for one query: at some 0.2 ms of processor time a leaf call, a dozen keep a host
+     * with a third of a core busy for 7 ms, which a goal of 80 ms leaves room for.
      */
-    static final int SHARDS_A_HOLDER = 30;
+    static final int SHARDS_A_HOLDER = 12;
 
-    /** The hosts that stand in for a holder are holders as well, so that their code is warm. */
-    static final int LEAST_HOLDERS = 3;
+    /** With one holder alone, its loss would take the whole zone's shards at once. */
+    static final int LEAST_HOLDERS = 2;
 
     /** How many hosts are named for a shard: the holder, and two that stand in for it. */
     static final int NAMED_A_SHARD = 3;
