Count a request on a caller's connection until its answer is written

What callers saw, on the platform's interface: a stop cut off answers to slow readers, requests of which a part was read, pipelined requests that were read, and connections in use; an idle timeout cut off an answer that was being read slowly; a close with unread input reset the connection, and the caller lost an answer that it had not read yet.

Cause: HttpConnection counted a request as answered when its answer was passed to the connection, and closed it then, with bytes unwritten and input unread.

Change: CallerConnections counts on the connection itself, from the first byte read to the last byte passed to the socket. RequestHeadMonitor is absorbed.

--- /dev/null
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
@@ -0,0 +1,165 @@
+package org.bramblerack.daemon.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Counts the requests in flight on one connection, and closes it after the last one while the server stops.
+ *
+ * <p>Invariants: once an answer has announced that the connection closes, no further request is passed on. Requests
+ * that were read before are all answered, up to {@link #MAX_ANSWERS_WHILE_STOPPING}.
+ *
+ * <p>Placed between the HTTP codec and the handler of requests. Owned by the event loop of its channel;
+ * {@link #isIdle}, {@link #closeIfIdle} and {@link #channel} may be called from any thread.
+ */
+public final class CallerConnection extends ChannelDuplexHandler {
+    /** Bounds the stop if a caller sends requests faster than it reads answers. */
+    private static final int MAX_ANSWERS_WHILE_STOPPING = 64;
+
+    private final CallerConnections connections;
+    private final Channel channel;
+    private long lastUsedNanos;
+    private int unanswered;
+    private int answersWhileStopping;
+    private boolean headIncomplete;
+    private boolean receiving;
+    private boolean closing;
+    private volatile long firstByteNanos;
+    private volatile boolean awaitsAnswer;
+    private volatile boolean awaitsRequest;
+
+    CallerConnection(CallerConnections connections, Channel channel) {
+        this.connections = connections;
+        this.channel = channel;
+        this.lastUsedNanos = connections.nowNanos();
+    }
+
+    /** Returns the handler that precedes the HTTP codec. */
+    ChannelInboundHandler byteMonitor() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (!receiving) {
+                    headIncomplete = true;
+                    receiving = true;
+                    firstByteNanos = connections.nowNanos();
+                }
+                publish();
+                context.fireChannelRead(message);
+            }
+        };
+    }
+
+    /** Returns true if no request is in flight. */
+    public boolean isIdle() {
+        return !awaitsAnswer && (!awaitsRequest || connections.isGraceOver(firstByteNanos));
+    }
+
+    /** Returns true if an answer has not been passed to the socket yet. */
+    boolean awaitsAnswer() {
+        return awaitsAnswer;
+    }
+
+    /** Returns when the first byte of the last request was read. */
+    long firstByteNanos() {
+        return firstByteNanos;
+    }
+
+    /** Returns true if part of the head of a request has been read. */
+    boolean isHeadIncomplete() {
+        return headIncomplete;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    /** Closes the connection if no request is in flight and it has not been used for a while. */
+    void closeIfIdle() {
+        channel.eventLoop().execute(() -> {
+            long unusedNanos = connections.nowNanos() - lastUsedNanos;
+            if (isIdle() && unusedNanos >= CallerConnections.UNUSED_BEFORE_CLOSE.toNanos()) {
+                closing = true;
+                channel.close();
+            }
+        });
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (closing && message instanceof HttpObject) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (message instanceof HttpRequest) {
+            headIncomplete = false;
+            unanswered++;
+        }
+        if (message instanceof LastHttpContent) {
+            receiving = false;
+        }
+        publish();
+        context.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (message instanceof HttpResponse response) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                context.write(message, promise);
+                return;
+            }
+            announceCloseIfLast(response);
+        }
+        ChannelPromise writePromise = promise;
+        if (message instanceof LastHttpContent) {
+            writePromise = promise.unvoid();
+            writePromise.addListener(written -> onAnswered(context));
+        }
+        context.write(message, writePromise);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        connections.onClosed(this);
+        context.fireChannelInactive();
+    }
+
+    private void announceCloseIfLast(HttpResponse response) {
+        if (!connections.isStopping()) {
+            return;
+        }
+        answersWhileStopping++;
+        if (unanswered <= 1 || answersWhileStopping >= MAX_ANSWERS_WHILE_STOPPING) {
+            closing = true;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void onAnswered(ChannelHandlerContext context) {
+        unanswered--;
+        lastUsedNanos = connections.nowNanos();
+        publish();
+        if (closing) {
+            context.close();
+        }
+    }
+
+    private void publish() {
+        // A request whose body is incomplete is unanswered, but has not begun to run.
+        awaitsAnswer = unanswered > (receiving && !headIncomplete ? 1 : 0);
+        awaitsRequest = receiving;
+    }
+}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
@@ -2,8 +2,10 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
@@ -32,25 +34,21 @@
     private static final int URI_TOO_LONG = 414;
 
     private final HttpListener listener;
+    private final CallerConnection tracked;
     private final MonotonicClock clock;
     private final Deque<HttpExchange> waiting = new ArrayDeque<>();
     private @Nullable HttpExchange current;
     private @Nullable ChannelHandlerContext context;
     private long lastActivityNanos;
-    private boolean headIncomplete;
-    private boolean closing;
+    private long unwrittenBytes;
 
-    HttpConnection(HttpListener listener, MonotonicClock clock) {
+    HttpConnection(HttpListener listener, CallerConnection tracked, MonotonicClock clock) {
         this.listener = listener;
+        this.tracked = tracked;
         this.clock = clock;
         this.lastActivityNanos = clock.nowNanos();
     }
 
-    static boolean isClosing(ChannelHandlerContext context) {
-        HttpConnection connection = context.pipeline().get(HttpConnection.class);
-        return connection == null || connection.closing || connection.listener.isStopping();
-    }
-
     @Override
     public void channelActive(ChannelHandlerContext handlerContext) {
         context = handlerContext;
@@ -102,41 +100,29 @@
         handlerContext.close();
     }
 
-    /** Called with true when bytes arrive, and with false when a request head is complete. */
-    void onHeadProgress(boolean incomplete) {
-        if (incomplete && !headIncomplete && current == null) {
-            lastActivityNanos = clock.nowNanos();
-        }
-        headIncomplete = incomplete;
-    }
-
-    boolean isIdle() {
-        return current == null && waiting.isEmpty();
-    }
-
-    /** Closes the connection if it has been idle, or its request head incomplete, for longer than the timeout. */
+    /**
+     * Closes the connection if it has been idle, its request head incomplete, or its caller has read nothing of an
+     * answer, for longer than the timeout.
+     */
     void closeIfTimedOut(long nowNanos, long headerTimeoutNanos, long idleTimeoutNanos) {
-        if (!isIdle() || context == null) {
+        if (current != null || context == null) {
             return;
         }
-        long allowedNanos = headIncomplete ? headerTimeoutNanos : idleTimeoutNanos;
-        if (nowNanos - lastActivityNanos > allowedNanos) {
+        recordReadingCaller(nowNanos, context.channel());
+        boolean receivingHead = tracked.isHeadIncomplete() && !tracked.awaitsAnswer();
+        long allowedNanos = receivingHead ? headerTimeoutNanos : idleTimeoutNanos;
+        long sinceNanos = receivingHead ? tracked.firstByteNanos() : lastActivityNanos;
+        if (nowNanos - sinceNanos > allowedNanos) {
             context.close();
         }
     }
 
-    /** Closes the connection once the current request has been answered. */
-    void closeWhenIdle() {
-        closing = true;
-        if (isIdle() && context != null) {
-            context.close();
-        }
-    }
-
-    /** Closes the connection immediately, even if a request is unanswered. */
-    void closeNow() {
-        if (context != null) {
-            context.close();
+    private void recordReadingCaller(long nowNanos, Channel channel) {
+        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+        long bytes = unwritten == null ? 0 : unwritten.totalPendingWriteBytes() - unwritten.currentProgress();
+        if (bytes != unwrittenBytes) {
+            unwrittenBytes = bytes;
+            lastActivityNanos = nowNanos;
         }
     }
 
@@ -148,11 +134,6 @@
     private void onAnswered(HttpExchange exchange) {
         lastActivityNanos = clock.nowNanos();
         current = null;
-        if (closing || listener.isStopping()) {
-            // The answer closes the connection, so pipelined requests are dropped without having been handled.
-            waiting.clear();
-            return;
-        }
         HttpExchange next = waiting.pollFirst();
         if (next != null) {
             handle(next);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
@@ -108,7 +108,7 @@
         respond(response);
     }
 
-    /** Writes the answer, after setting its content length and, if the connection is to be closed, that too. */
+    /** Writes the answer, after setting its content length and, if the caller closes the connection, that too. */
     public void respond(FullHttpResponse response) {
         if (context.executor().inEventLoop()) {
             write(response);
@@ -135,10 +135,9 @@
             return;
         }
         answered = true;
-        boolean close = !keepAlive || HttpConnection.isClosing(context);
         response.headers()
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-        if (close) {
+        if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
         } else {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
@@ -13,10 +13,13 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.bramblerack.daemon.lifecycle.BoundedStop;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.version.routing.RequestLimits;
 import org.jspecify.annotations.Nullable;
@@ -24,23 +27,25 @@
 /**
  * Listens at one address and passes complete requests to a handler.
  *
- * <p>While stopping, it continues to accept and answer requests, but every answer closes its connection. Started once,
- * stopped once. Safe for use by many threads.
+ * <p>While stopping, it continues to accept and answer requests, but the answer to the last request that was read from
+ * a connection closes it. Started once, stopped once. Safe for use by many threads.
  */
 public final class HttpListener {
     private static final int BACKLOG = 1_024;
+    private static final String AGGREGATOR = "aggregator";
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
     private static final long TIMEOUT_CHECK_PERIOD_MILLIS = 500;
+    private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
     private final HostAndPort address;
     private final EventLoopGroup group;
     private final HttpHandler handler;
     private final Supplier<RequestLimits> limits;
     private final MonotonicClock clock;
+    private final CallerConnections callers;
     private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
     private @Nullable Channel serverChannel;
     private @Nullable ScheduledFuture<?> timeoutCheck;
-    private volatile boolean stopping;
 
     /** Creates a listener that is not bound until {@link #start} is called. */
     public HttpListener(
@@ -54,6 +59,7 @@
         this.handler = handler;
         this.limits = limits;
         this.clock = clock;
+        this.callers = new CallerConnections(clock);
     }
 
     /**
@@ -80,30 +86,30 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    /** Begins to stop: from now on, every answer closes its connection. */
+    /** Begins to stop: from now on, the answer to the last request of a connection closes it. */
     public void beginStop() {
-        stopping = true;
+        callers.beginStop();
     }
 
-    /** Closes idle connections, and the others once their requests have been answered. */
+    /** Closes the connections on which no request is in flight and that have not been used for a while. */
     public void closeIdle() {
-        connections.forEach(connection -> group.next().execute(connection::closeWhenIdle));
+        callers.closeIdle();
     }
 
     /** Returns true if no request is in flight. */
     public boolean isIdle() {
-        return connections.stream().allMatch(HttpConnection::isIdle);
+        return callers.isIdle();
     }
 
     /** Returns the number of open connections. */
     public int connectionCount() {
-        return connections.size();
+        return callers.count();
     }
 
     /** Stops listening. Open connections remain open. */
     public synchronized void stopListening() {
         if (serverChannel != null) {
-            serverChannel.close().awaitUninterruptibly();
+            BoundedStop.await(serverChannel.close(), "the listener at " + address);
             serverChannel = null;
         }
         if (timeoutCheck != null) {
@@ -112,14 +118,33 @@
         }
     }
 
-    /** Stops listening and closes all connections, including those with unanswered requests. */
-    public void stopNow() {
+    /**
+     * Stops gracefully: answers the requests in flight and those that still arrive, closes idle connections, stops
+     * listening, and answers the requests on the connections that were accepted last.
+     *
+     * @param limit the maximum time that this takes, after which requests may be unanswered
+     * @throws InterruptedException if the thread is interrupted while waiting
+     */
+    public void drain(Duration limit) throws InterruptedException {
+        long deadlineNanos = clock.nowNanos() + limit.toNanos();
+        beginStop();
+        drainUntil(this::isIdle, deadlineNanos);
         stopListening();
-        connections.forEach(connection -> group.next().execute(connection::closeNow));
+        drainUntil(() -> connectionCount() == 0, deadlineNanos);
     }
 
-    boolean isStopping() {
-        return stopping;
+    private void drainUntil(BooleanSupplier done, long deadlineNanos) throws InterruptedException {
+        closeIdle();
+        while (!done.getAsBoolean() && clock.nowNanos() - deadlineNanos < 0) {
+            Thread.sleep(DRAIN_POLL_INTERVAL_MILLIS);
+            closeIdle();
+        }
+    }
+
+    /** Stops listening and closes all connections, including those with unanswered requests. */
+    public void stopNow() {
+        stopListening();
+        callers.closeNow();
     }
 
     HttpHandler handler() {
@@ -149,13 +174,11 @@
         @Override
         protected void initChannel(SocketChannel channel) {
             RequestLimits current = limits.get();
-            HttpConnection connection = new HttpConnection(HttpListener.this, clock);
             channel.pipeline()
-                    .addLast(new RequestHeadMonitor.BeforeDecoder(connection))
                     .addLast(new HttpServerCodec(current.maxHeaderBytes(), current.maxHeaderBytes(), MAX_CHUNK_BYTES))
-                    .addLast(new RequestHeadMonitor.AfterDecoder(connection))
-                    .addLast(new HttpObjectAggregator(current.maxBodyBytes()))
-                    .addLast(connection);
+                    .addLast(AGGREGATOR, new HttpObjectAggregator(current.maxBodyBytes()));
+            CallerConnection tracked = callers.track(channel.pipeline(), AGGREGATOR);
+            channel.pipeline().addLast(new HttpConnection(HttpListener.this, tracked, clock));
         }
     }
 }
