Stop a host only once all bytes of its answers are written

What callers saw: a planned stop closed or reset connections whose requests were in flight (SystemFaultTest, KNOWN-RED).

Cause: HostProcess asked the parts that run requests. They count one as done once its result is passed on, and know nothing of requests that are read in part or refused; replies to other hosts were not counted; connections were closed with unread input, which resets them; and at the limit, requests in progress were cut off where a refusal is promised.

Change: EntryServer uses CallerConnections; PeerServer closes after writing its replies, and PendingReplies counts calls until their replies are passed on. The host waits for both, stops listening, then answers what was accepted last, and at the limit refuses what is in progress as possibly run. Other hosts' new calls are refused as not run. Each wait of a stop is bounded (BoundedStop): the server, the connections of other hosts and the control thread were awaited without a bound.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlNode.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
+import org.bramblerack.daemon.lifecycle.BoundedStop;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.SuspendDetector;
@@ -146,11 +147,7 @@
             return;
         }
         started.interrupt();
-        try {
-            started.join();
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        BoundedStop.await(started, "the control role");
         thread = null;
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
@@ -1,11 +1,16 @@
 package org.bramblerack.daemon.entry;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.vavr.control.Either;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.net.impl.ConnectionBase;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.core.http.HttpConnection;
 import io.vertx.mutiny.core.http.HttpServer;
 import io.vertx.mutiny.ext.web.Router;
 import io.vertx.mutiny.ext.web.RoutingContext;
@@ -14,8 +19,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.bramblerack.daemon.http.CallerConnections;
+import org.bramblerack.daemon.lifecycle.BoundedStop;
+import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.document.ValidationError;
 import org.bramblerack.request.Refusal;
 import org.bramblerack.request.RefusalKind;
@@ -45,6 +55,11 @@
     private static final int STATUS_METHOD_NOT_ALLOWED = 405;
     private static final String JSON = "application/json";
     private static final Duration OVERDUE_GRACE = Duration.ofSeconds(2);
+    private static final Refusal QUERY_CUT_SHORT = Refusal.of(
+            RefusalKind.INCOMPLETE, "this host stops before all shards have answered; send the query to another");
+    private static final Refusal OPERATION_CUT_SHORT = Refusal.of(
+            RefusalKind.OUTCOME_UNKNOWN,
+            "this host stops before the outcome is known; look it up by its request identifier");
 
     private final Vertx vertx;
     private final HostAndPort address;
@@ -55,6 +70,11 @@
     private final InstantSource wallClock;
     private final Supplier<StoppingState> stopping;
     private final Supplier<Boolean> ready;
+    private final CallerConnections connections;
+    /** The requests in progress, with the refusals of those that the host cannot finish before it stops. */
+    private final Map<RoutingContext, Refusal> inProgress = new ConcurrentHashMap<>();
+
+    private volatile @Nullable Channel listening;
     private @Nullable HttpServer server;
 
     /** Creates a server that does not listen yet. */
@@ -65,6 +85,7 @@
             OnceOnlyRunner operations,
             OperatorApi operators,
             HostMetrics metrics,
+            MonotonicClock clock,
             InstantSource wallClock,
             Supplier<StoppingState> stopping,
             Supplier<Boolean> ready) {
@@ -77,6 +98,7 @@
         this.wallClock = wallClock;
         this.stopping = stopping;
         this.ready = ready;
+        this.connections = new CallerConnections(clock);
     }
 
     /** Starts to listen. */
@@ -88,7 +110,10 @@
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setIdleTimeout(IDLE_SECONDS)
                 .setTcpNoDelay(true);
-        server = vertx.createHttpServer(options).requestHandler(router()).listenAndAwait();
+        server = vertx.createHttpServer(options)
+                .connectionHandler(this::onConnect)
+                .requestHandler(router())
+                .listenAndAwait();
     }
 
     /** Returns the port that the server listens on. */
@@ -96,14 +121,59 @@
         return server == null ? address.getPort() : server.actualPort();
     }
 
-    /** Stops listening and closes every connection. */
+    /** Begins to stop: from now on, the answer to the last request of a connection closes it. */
+    public void beginStop() {
+        connections.beginStop();
+    }
+
+    /** Closes the connections on which no request is in flight and that have not been used for a while. */
+    public void closeIdle() {
+        connections.closeIdle();
+    }
+
+    /** Returns the number of connections with a request that is read in part, in progress or not answered in full. */
+    public int inFlight() {
+        return connections.inFlight();
+    }
+
+    /** Refuses the requests in progress, of which it is not known whether they have run. */
+    public void refuseInProgress() {
+        ImmutableMap.copyOf(inProgress).forEach((context, refusal) -> {
+            if (inProgress.remove(context) != null) {
+                refuse(context, refusal);
+            }
+        });
+    }
+
+    /** Returns the number of open connections. */
+    public int connectionCount() {
+        return connections.count();
+    }
+
+    /** Stops listening; connections that were accepted remain open. */
+    public void stopListening() {
+        Channel channel = listening;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** Stops listening and closes every connection at once. */
     public synchronized void stop() {
+        connections.closeNow();
         if (server != null) {
-            server.closeAndAwait();
+            BoundedStop.await(server.close(), "the server for callers");
             server = null;
         }
     }
 
+    /** Vert.x can close a server only with its connections, so that the channel that listens is closed directly. */
+    private void onConnect(HttpConnection connection) {
+        ChannelHandlerContext handler = ((ConnectionBase) connection.getDelegate()).channelHandlerContext();
+        listening = handler.channel().parent();
+        connections.track(handler.pipeline(), handler.name());
+    }
+
     private Router router() {
         Router router = Router.router(vertx);
         BodyHandler body = BodyHandler.create(false).setBodyLimit(MAX_QUERY_BYTES);
@@ -138,11 +208,18 @@
             refuse(context, query.getLeft());
             return;
         }
+        inProgress.put(context, QUERY_CUT_SHORT);
         QueryRunner.Handle handle = queries.run(query.get(), result -> sendResult(context, query.get(), result));
-        context.request().connection().closeHandler(handle::callerGone);
+        context.request().connection().closeHandler(() -> {
+            inProgress.remove(context);
+            handle.callerGone();
+        });
     }
 
     private void sendResult(RoutingContext context, CallerQuery query, QueryResult result) {
+        if (inProgress.remove(context) == null) {
+            return;
+        }
         if (result instanceof QueryResult.Answered answered) {
             send(context, STATUS_OK, AnswerWriter.answer(query, answered.answer()));
         } else if (result instanceof QueryResult.Refused refused) {
@@ -165,7 +242,11 @@
             refuse(context, operation.getLeft());
             return;
         }
+        inProgress.put(context, OPERATION_CUT_SHORT);
         operations.run(operation.get(), result -> {
+            if (inProgress.remove(context) == null) {
+                return;
+            }
             Optional<String> requestId = Optional.of(operation.get().requestId().value());
             if (result instanceof QueryResult.Ran ran) {
                 send(context, STATUS_OK, AnswerWriter.ran(operation.get(), ran.answer(), ran.replayed()));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
@@ -27,6 +28,7 @@
 import org.bramblerack.daemon.holder.HttpUpstreamProtocol;
 import org.bramblerack.daemon.holder.UpstreamHarm;
 import org.bramblerack.daemon.holder.UpstreamStatusRegistry;
+import org.bramblerack.daemon.lifecycle.BoundedStop;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
@@ -50,9 +52,11 @@
     private static final Logger LOGGER = System.getLogger(HostProcess.class.getName());
     private static final int NETWORK_THREADS = 2;
     private static final Duration DRAIN_POLL_PERIOD = Duration.ofMillis(20);
+    /** How long refusals may take to be written at the end of a stop. */
+    private static final Duration TIME_TO_REFUSE = Duration.ofMillis(500);
 
     private final Settings settings;
-    private final Vertx vertx;
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(NETWORK_THREADS));
     private final EventLoopGroup group = new NioEventLoopGroup(NETWORK_THREADS);
     private final Workers workers;
     private final PeerNetwork network;
@@ -66,6 +70,7 @@
     private final QueryRunner queries;
     private final OnceOnlyRunner operations;
     private final EntryServer entry;
+    private final PeerRouter peerRouter;
     private final PeerTraffic traffic = new PeerTraffic();
     private final ControlClient client;
     private final HostMetrics metrics = new HostMetrics();
@@ -78,7 +83,6 @@
         RandomGenerator random = new ThreadRandom();
         long incarnation = wallClock.millis();
         this.settings = settings;
-        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(NETWORK_THREADS));
         this.workers = new Workers(settings.host(), settings.workers());
         this.network = new PeerNetwork(settings.host(), settings.hosts(), group, links, traffic);
         MembershipTable membership = new MembershipTable();
@@ -135,10 +139,11 @@
                 operations,
                 operators,
                 metrics,
+                clock,
                 wallClock,
                 this::stopping,
                 follower::isReady);
-        PeerRouter peerRouter = new PeerRouter(workers, clock, holders, heartbeats, membership, control, follower);
+        this.peerRouter = new PeerRouter(workers, clock, holders, heartbeats, membership, control, follower);
         this.peers = new PeerServer(settings.peerAddress(), peerRouter, group, links, traffic);
         addGauges();
     }
@@ -167,8 +172,8 @@
     }
 
     /**
-     * Stops gracefully: announces that the host is leaving, serves until the load balancer has noticed, waits for
-     * requests in flight, then stops all components.
+     * Stops gracefully: announces that the host is leaving, serves until the load balancer has noticed, then refuses
+     * new work and waits until everything in flight has been answered in full, and stops all components.
      *
      * @param lag how long the load balancer may continue to send requests
      * @param limit the maximum time to wait for requests in flight after that
@@ -176,29 +181,51 @@
     public void stop(Duration lag, Duration limit) throws InterruptedException {
         stopping = StoppingState.LEAVING;
         LOGGER.log(Logger.Level.INFO, "{0} is leaving", settings.host());
+        entry.beginStop();
         heartbeats.scheduleSend();
         Thread.sleep(lag.toMillis());
         stopping = StoppingState.FINISHING;
+        peerRouter.refuseCalls();
         long deadlineNanos = System.nanoTime() + limit.toNanos();
-        while (inFlight() > 0 && System.nanoTime() - deadlineNanos < 0) {
-            Thread.sleep(DRAIN_POLL_PERIOD.toMillis());
+        drain(deadlineNanos, () -> isWorkDone() && entry.inFlight() == 0);
+        entry.stopListening();
+        // Connections that were accepted last may carry requests, which are refused like the others.
+        drain(deadlineNanos, () -> isWorkDone() && entry.connectionCount() == 0);
+        LOGGER.log(
+                Logger.Level.INFO,
+                "{0} stops with {1} requests and {2} calls of other hosts in flight, {3} callers not answered in full",
+                settings.host(),
+                queries.inFlight() + operations.inFlight(),
+                peerRouter.inFlight(),
+                entry.inFlight());
+        if (entry.inFlight() > 0) {
+            entry.refuseInProgress();
+            drain(System.nanoTime() + TIME_TO_REFUSE.toNanos(), () -> entry.inFlight() == 0);
         }
-        int remaining = inFlight();
-        LOGGER.log(Logger.Level.INFO, "{0} stops with {1} requests in flight", settings.host(), remaining);
         kill();
     }
 
+    /** Closes idle connections of callers until a condition is met or the deadline has passed. */
+    private void drain(long deadlineNanos, BooleanSupplier done) throws InterruptedException {
+        entry.closeIdle();
+        while (!done.getAsBoolean() && System.nanoTime() - deadlineNanos < 0) {
+            Thread.sleep(DRAIN_POLL_PERIOD.toMillis());
+            entry.closeIdle();
+        }
+    }
+
     /** Stops all components immediately, without waiting for requests in flight. */
     public void kill() {
         entry.stop();
         platform.ifPresent(PlatformWatcher::stop);
-        peers.stop();
+        // Before the connections of other hosts, so that they learn which of their proposals are undecided.
         control.ifPresent(ControlNode::stop);
+        peers.stop();
         holders.stop();
         network.stop();
         workers.stop();
-        vertx.closeAndAwait();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        BoundedStop.await(vertx.close(), "the HTTP clients");
+        BoundedStop.await(group.shutdownGracefully(0, 1, TimeUnit.SECONDS), "the connections to other hosts");
     }
 
     /** Returns the revision of the configuration in force. */
@@ -240,14 +267,16 @@
         return stopping != StoppingState.RUNNING;
     }
 
-    private int inFlight() {
-        return queries.inFlight() + operations.inFlight() + holders.inFlight();
+    private boolean isWorkDone() {
+        return queries.inFlight() + operations.inFlight() + holders.inFlight() + peerRouter.inFlight() == 0;
     }
 
     private void addGauges() {
         metrics.gauge("queries.in-flight", queries::inFlight);
         metrics.gauge("once-only.in-flight", operations::inFlight);
         metrics.gauge("holder.in-flight", holders::inFlight);
+        metrics.gauge("callers.in-flight", entry::inFlight);
+        metrics.gauge("peers.in-flight", peerRouter::inFlight);
         metrics.gauge("holder.upstreams", holders::size);
         metrics.gauge("peer.leaf-bytes-sent", traffic::leafBytes);
         metrics.gauge("peer.leaf-messages-sent", traffic::leafMessages);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/PeerRouter.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/PeerRouter.java
@@ -9,9 +9,12 @@
 import org.bramblerack.daemon.holder.HolderService;
 import org.bramblerack.daemon.holder.LeafCodec;
 import org.bramblerack.daemon.peer.PeerHandler;
+import org.bramblerack.daemon.peer.PendingReplies;
 import org.bramblerack.daemon.peer.Workers;
 import org.bramblerack.process.MembershipTable;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.request.LeafFailure;
+import org.bramblerack.request.LeafOutcome;
 import org.bramblerack.request.LeafRequest;
 import org.bramblerack.version.ServiceName;
 import org.bramblerack.version.UpstreamName;
@@ -19,6 +22,7 @@
 import org.bramblerack.wire.ConfigurationPull;
 import org.bramblerack.wire.ControlReadResult;
 import org.bramblerack.wire.Envelope;
+import org.bramblerack.wire.LeafCall;
 import org.bramblerack.wire.LeafCancel;
 import org.bramblerack.wire.ProposeResult;
 
@@ -35,6 +39,8 @@
     private final MembershipTable membership;
     private final Optional<ControlNode> control;
     private final ConfigurationFollower follower;
+    private final PendingReplies pendingReplies = new PendingReplies();
+    private volatile boolean refusingCalls;
 
     PeerRouter(
             Workers workers,
@@ -53,19 +59,24 @@
         this.follower = follower;
     }
 
+    /** Refuses new calls to upstreams as not run; calls in progress are finished. */
+    void refuseCalls() {
+        refusingCalls = true;
+    }
+
+    /** Returns the number of calls and proposals whose replies have not been passed to the connection. */
+    int inFlight() {
+        return pendingReplies.count();
+    }
+
     @Override
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         switch (message.getBodyCase()) {
-            case LEAF_CALL -> {
-                LeafRequest request = LeafCodec.toRequest(message.getLeafCall(), clock.nowNanos());
-                workers.run(() -> holders.submit(
-                        request,
-                        outcome -> reply.accept(Envelope.newBuilder().setLeafResult(LeafCodec.toMessage(outcome)))));
-            }
+            case LEAF_CALL -> handleLeafCall(message.getLeafCall(), reply);
             case LEAF_CANCEL -> workers.run(() -> handleLeafCancel(message.getLeafCancel()));
             case HEARTBEAT -> workers.run(() -> heartbeats.receive(message.getHeartbeat()));
             case RAFT -> control.ifPresent(node -> node.receive(message.getRaft()));
-            case PROPOSE -> handlePropose(message.getPropose().getCommand(), reply);
+            case PROPOSE -> handlePropose(message.getPropose().getCommand(), pendingReplies.track(reply));
             case CONTROL_READ -> handleControlRead(message, reply);
             case CONFIGURATION_PULL -> handleConfigurationPull(message.getConfigurationPull(), reply);
             default -> {
@@ -74,6 +85,18 @@
         }
     }
 
+    private void handleLeafCall(LeafCall call, Consumer<Envelope.Builder> reply) {
+        LeafRequest request = LeafCodec.toRequest(call, clock.nowNanos());
+        Consumer<Envelope.Builder> tracked = pendingReplies.track(reply);
+        Consumer<LeafOutcome> onOutcome =
+                outcome -> tracked.accept(Envelope.newBuilder().setLeafResult(LeafCodec.toMessage(outcome)));
+        if (refusingCalls) {
+            onOutcome.accept(new LeafOutcome.Failed(LeafFailure.HOLDER_UNREACHABLE));
+            return;
+        }
+        workers.run(() -> holders.submit(request, onOutcome));
+    }
+
     private void handleLeafCancel(LeafCancel cancel) {
         holders.cancel(
                 new UpstreamName(ServiceName.parse(cancel.getService()), cancel.getUpstream()), cancel.getCallId());
@@ -96,7 +119,10 @@
         control.get()
                 .propose(command)
                 .subscribe()
-                .with(result -> reply.accept(Envelope.newBuilder().setProposeResult(toMessage(result))));
+                .with(
+                        result -> reply.accept(Envelope.newBuilder().setProposeResult(toMessage(result))),
+                        failure -> reply.accept(Envelope.newBuilder()
+                                .setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.LOST))));
     }
 
     private ProposeResult.Builder toMessage(ProposalResult result) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/peer/PeerServer.java
@@ -12,6 +12,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.bramblerack.daemon.http.LingeringClose;
+import org.bramblerack.daemon.lifecycle.BoundedStop;
 import org.bramblerack.wire.Envelope;
 import org.jspecify.annotations.Nullable;
 
@@ -22,6 +25,8 @@
  */
 public final class PeerServer {
     private static final int BACKLOG = 256;
+    /** Several round trips between regions, in which another host reads the last replies and closes its side. */
+    private static final Duration MAX_LINGER = Duration.ofMillis(300);
 
     private final HostAndPort address;
     private final PeerHandler handler;
@@ -64,19 +69,20 @@
                 .channel();
     }
 
-    /** Stops listening and closes every connection. */
+    /** Stops listening and closes every connection after the replies that were sent on it. */
     public synchronized void stop() {
         if (listening != null) {
-            listening.close().awaitUninterruptibly();
+            BoundedStop.await(listening.close(), "the listener for other hosts");
             listening = null;
         }
-        channels.close().awaitUninterruptibly();
+        BoundedStop.await(channels.close(), "the connections of other hosts");
     }
 
     /** Passes the messages of one connection to the handler and writes the replies to the connection. */
     private final class InboundHandler extends SimpleChannelInboundHandler<Envelope> {
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            context.pipeline().addFirst(new LingeringClose(MAX_LINGER));
             channels.add(context.channel());
         }
 
--- a/bramblerack-standin/src/main/java/org/bramblerack/standin/Behaviour.java
+++ b/bramblerack-standin/src/main/java/org/bramblerack/standin/Behaviour.java
@@ -14,6 +14,7 @@
  * @param draining whether it reports that it is draining and refuses calls
  * @param silent whether it processes calls but never replies
  * @param truncating whether it truncates its payloads
+ * @param itemBytes the minimum size of each item of a payload
  */
 public record Behaviour(
         int serviceMicros,
@@ -22,7 +23,8 @@
         boolean down,
         boolean draining,
         boolean silent,
-        boolean truncating) {
+        boolean truncating,
+        int itemBytes) {
     /** Rejects a service time or straggle factor that is not positive. */
     public Behaviour {
         checkArgument(serviceMicros > 0, "service time %s is not positive", serviceMicros);
@@ -31,27 +33,36 @@
 
     /** Returns the behaviour of a healthy upstream with a mean service time. */
     public static Behaviour healthy(int serviceMicros) {
-        return new Behaviour(serviceMicros, 0, 1, false, false, false, false);
+        return new Behaviour(serviceMicros, 0, 1, false, false, false, false, 0);
     }
 
     /** Returns a copy with the given percentage of straggling calls and their factor. */
     public Behaviour withStragglers(double percent, int factor) {
-        return new Behaviour(serviceMicros, percent, factor, down, draining, silent, truncating);
+        return new Behaviour(serviceMicros, percent, factor, down, draining, silent, truncating, itemBytes);
     }
 
     public Behaviour withDown(boolean isDown) {
-        return new Behaviour(serviceMicros, stragglePercent, straggleFactor, isDown, draining, silent, truncating);
+        return new Behaviour(
+                serviceMicros, stragglePercent, straggleFactor, isDown, draining, silent, truncating, itemBytes);
     }
 
     public Behaviour withDraining(boolean isDraining) {
-        return new Behaviour(serviceMicros, stragglePercent, straggleFactor, down, isDraining, silent, truncating);
+        return new Behaviour(
+                serviceMicros, stragglePercent, straggleFactor, down, isDraining, silent, truncating, itemBytes);
     }
 
     public Behaviour withSilent(boolean isSilent) {
-        return new Behaviour(serviceMicros, stragglePercent, straggleFactor, down, draining, isSilent, truncating);
+        return new Behaviour(
+                serviceMicros, stragglePercent, straggleFactor, down, draining, isSilent, truncating, itemBytes);
     }
 
     public Behaviour withTruncating(boolean isTruncating) {
-        return new Behaviour(serviceMicros, stragglePercent, straggleFactor, down, draining, silent, isTruncating);
+        return new Behaviour(
+                serviceMicros, stragglePercent, straggleFactor, down, draining, silent, isTruncating, itemBytes);
+    }
+
+    /** Returns a copy whose payloads have items of at least the given size. */
+    public Behaviour withItemBytes(int bytes) {
+        return new Behaviour(serviceMicros, stragglePercent, straggleFactor, down, draining, silent, truncating, bytes);
     }
 }
--- a/bramblerack-standin/src/main/java/org/bramblerack/standin/StandInUpstream.java
+++ b/bramblerack-standin/src/main/java/org/bramblerack/standin/StandInUpstream.java
@@ -1,5 +1,6 @@
 package org.bramblerack.standin;
 
+import com.google.common.base.Strings;
 import com.google.protobuf.ByteString;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -283,7 +284,8 @@
         }
         JsonArray items = new JsonArray();
         for (int item = 0; item < ITEMS_PER_SHARD; item++) {
-            items.add("v" + version.indexVersion() + "-s" + version.shard() + "-" + item);
+            String name = "v" + version.indexVersion() + "-s" + version.shard() + "-" + item;
+            items.add(Strings.padEnd(name, behaviour.itemBytes(), '.'));
         }
         return new JsonObject().put("items", items);
     }
