Answer operators, leaves and other hosts before a process ends

What callers saw: a stop of a control host cut off the calls of operators and leaves that it had read, and a stop of an entry host the calls of other hosts that were still in progress.

Cause: ControlProcess stopped without regard to its listener, and EntryProcess waited for the connections of callers only.

Change: a control process drains its listener and the proposals of other hosts, for 2 s at most, before the control role stops. An entry process also waits for calls of other hosts, and answers connections that were accepted just before it stopped listening, within its stop limit.

That calls of other hosts were cut off was found by reading only.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -8,6 +8,7 @@
 import org.bramblerack.daemon.control.ProposalResult;
 import org.bramblerack.daemon.peer.PeerHandler;
 import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.daemon.peer.PendingReplies;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.wire.Command;
 import org.bramblerack.wire.Envelope;
@@ -26,6 +27,7 @@
     private final FleetControl fleet;
     private final PeerNetwork network;
     private final MonotonicClock clock;
+    private final PendingReplies pendingProposals = new PendingReplies();
 
     ControlPeers(ControlNode node, FleetControl fleet, PeerNetwork network, MonotonicClock clock) {
         this.node = node;
@@ -34,13 +36,18 @@
         this.clock = clock;
     }
 
+    /** Returns the number of proposals of other hosts that have not been replied to. */
+    int proposalsInFlight() {
+        return pendingProposals.count();
+    }
+
     @Override
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         switch (message.getBodyCase()) {
             case RAFT -> node.receive(message.getRaft());
             case HEARD_MEMBERS -> fleet.mergeContacts(message.getHeardMembers(), clock.nowNanos());
             case JOIN_REQUEST -> handleJoin(message.getJoinRequest());
-            case PROPOSE -> handlePropose(message.getPropose().getCommand(), reply);
+            case PROPOSE -> handlePropose(message.getPropose().getCommand(), pendingProposals.track(reply));
             case CONTROL_READ ->
                 node.read(message.getControlRead())
                         .subscribe()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSortedSet;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,7 @@
 import org.bramblerack.daemon.control.VoterIdentity;
 import org.bramblerack.daemon.event.CounterSummary;
 import org.bramblerack.daemon.event.EventLog;
+import org.bramblerack.daemon.http.HttpListener;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerServer;
@@ -37,15 +39,20 @@
     private static final long REPORT_CONTACTS_INTERVAL_MILLIS = 1_000;
     private static final long JOIN_RETRY_INTERVAL_MILLIS = 300;
     private static final long LOG_COUNTERS_INTERVAL_MILLIS = 10_000;
+    private static final long DRAIN_POLL_INTERVAL_MILLIS = 10;
+    /** Proposals are decided within a few round trips of the voters unless there is no quorum. */
+    private static final Duration MAX_DRAIN = Duration.ofSeconds(2);
 
     private final ControlSettings settings;
     private final MetricRegistry metrics;
+    private final MonotonicClock clock;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final VoterIdentity identity;
     private final PeerNetwork network;
     private final FileLogStore store;
     private final ControlNode node;
     private final FleetControl fleet;
+    private final ControlPeers peerHandler;
     private final PeerServer peers;
     private final long incarnation;
     private volatile ImmutableSortedSet<String> seeds;
@@ -68,6 +75,7 @@
             throws DiskFault {
         this.settings = settings;
         this.metrics = metrics;
+        this.clock = clock;
         this.seeds = settings.seeds();
         this.incarnation = incarnation;
         this.identity = VoterIdentity.loadOrStore(settings.dataFolder(), newIdentity(settings, random));
@@ -86,8 +94,8 @@
                 random);
         ControlClient client = new ControlClient(identity.name(), settings.seeds(), Optional.of(node), network, clock);
         this.fleet = new FleetControl(node, client, network, metrics, wallClock);
-        this.peers = new PeerServer(
-                settings.peerAddress(), new ControlPeers(node, fleet, network, clock), group, LinkPolicy.OPEN, traffic);
+        this.peerHandler = new ControlPeers(node, fleet, network, clock);
+        this.peers = new PeerServer(settings.peerAddress(), peerHandler, group, LinkPolicy.OPEN, traffic);
     }
 
     /**
@@ -180,7 +188,23 @@
         onRoleEnded = task;
     }
 
-    /** Stops the role, the listener and the connections. */
+    /**
+     * Stops the process after the calls of leaves, operators and other hosts in progress have been answered, for which
+     * it waits for a limited time.
+     *
+     * @param calls receives the calls of leaves and operators
+     * @throws InterruptedException if the thread is interrupted while waiting
+     */
+    public void stop(HttpListener calls) throws InterruptedException {
+        long deadlineNanos = clock.nowNanos() + MAX_DRAIN.toNanos();
+        calls.drain(MAX_DRAIN);
+        while (peerHandler.proposalsInFlight() > 0 && clock.nowNanos() - deadlineNanos < 0) {
+            Thread.sleep(DRAIN_POLL_INTERVAL_MILLIS);
+        }
+        stop();
+    }
+
+    /** Stops the role, the listener and the connections at once. */
     public void stop() {
         stopping = true;
         EVENTS.info("stopping").with("host", settings.name()).write();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -189,15 +189,15 @@
         callers.closeIdle();
         long stopLimitNanos = settings.stopLimit().toNanos();
         long refuseAfterNanos = stopLimitNanos - REFUSE_BEFORE_END.toNanos();
-        while (elapsedNanos(stopStartedNanos) < stopLimitNanos
-                && !(callers.isIdle() && callers.connectionCount() == 0)) {
+        while (elapsedNanos(stopStartedNanos) < stopLimitNanos && !isDrained()) {
             if (elapsedNanos(stopStartedNanos) >= refuseAfterNanos) {
                 gateway.refuseCallers();
             }
             callers.closeIdle();
             Thread.sleep(POLL_INTERVAL.toMillis());
         }
-        callers.stopListening();
+        gateway.refuseCallers();
+        callers.drain(Duration.ofNanos(Math.max(0, stopLimitNanos - elapsedNanos(stopStartedNanos))));
         follower.stop();
         harmReporter.stop();
         limits.stop();
@@ -210,6 +210,10 @@
                 .write();
     }
 
+    private boolean isDrained() {
+        return callers.isIdle() && callers.connectionCount() == 0 && gateway.callsOfOtherHosts() == 0;
+    }
+
     /** Stops at once without waiting for requests in progress. */
     public void stopNow() {
         stopping = true;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -146,6 +146,11 @@
         loop.execute(() -> refusingCallers = true);
     }
 
+    /** Returns the number of calls of other hosts in flight; may be called from any thread. */
+    int callsOfOtherHosts() {
+        return stageServer.inFlight();
+    }
+
     /** Stops probing. */
     public void stop() {
         loop.execute(stages::stop);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
@@ -10,6 +10,7 @@
  */
 final class StageCalls {
     private final Map<Key, Runnable> underWay = new HashMap<>();
+    private volatile int count;
 
     /**
      * Records the start of a call.
@@ -18,23 +19,27 @@
      */
     void begin(String sender, long number, Runnable onCancel) {
         underWay.put(new Key(sender, number), onCancel);
+        count = underWay.size();
     }
 
     /** Records that the reply of a call was sent. */
     void end(String sender, long number) {
         underWay.remove(new Key(sender, number));
+        count = underWay.size();
     }
 
     /** Cancels a call; no effect if it has ended or never started. */
     void cancel(String sender, long number) {
         Runnable onCancel = underWay.remove(new Key(sender, number));
+        count = underWay.size();
         if (onCancel != null) {
             onCancel.run();
         }
     }
 
+    /** Returns the number of calls; may be called from any thread. */
     int count() {
-        return underWay.size();
+        return count;
     }
 
     private record Key(String sender, long number) {}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -72,6 +72,11 @@
         refusingWork = true;
     }
 
+    /** Returns the number of calls in flight; may be called from any thread. */
+    int inFlight() {
+        return calls.count();
+    }
+
     /** Cancels a call of another host whose result is no longer needed. */
     void cancel(String sender, StageCancel cancel) {
         calls.cancel(sender, cancel.getCall());
