Close the connections to a released upstream only while no call can start

Cause, by reading only: HolderService checked that no call is in flight and closed the connections afterwards. A call submitted in between was sent on closed connections and ended as possibly run.

Change: the check and the close hold the lock under which calls are submitted, and a later call fails as not run.

Measured: HeldUpstreamTest passed; it has no counterpart on the code before.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HeldUpstream.java
@@ -35,6 +35,7 @@
     private final UpstreamHarm harm;
     private final LeafEndDetector<LeafRequest> endDetector = new LeafEndDetector<>();
     private final Map<String, Call> calls = new HashMap<>();
+    private boolean closed;
 
     HeldUpstream(
             Upstream upstream,
@@ -62,6 +63,10 @@
     void submit(LeafRequest request, Consumer<LeafOutcome> onOutcome) {
         lock.lock();
         try {
+            if (closed) {
+                workers.run(() -> onOutcome.accept(new LeafOutcome.Failed(LeafFailure.HOLDER_UNREACHABLE)));
+                return;
+            }
             calls.put(request.callId(), new Call(request, onOutcome));
             execute(limiter.submit(request.callId(), request.priority(), request.deadlineNanos(), clock.nowNanos()));
         } finally {
@@ -96,6 +101,23 @@
         }
     }
 
+    /**
+     * Closes the connections if no call is queued or in flight, and returns whether it has. Calls that are submitted
+     * later fail as not run.
+     */
+    boolean closeIfIdle() {
+        lock.lock();
+        try {
+            closed |= limiter.running() + limiter.waiting() == 0;
+            if (closed) {
+                protocol.close();
+            }
+            return closed;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void execute(List<LimiterAction> actions) {
         for (LimiterAction action : actions) {
             if (action instanceof LimiterAction.Dispatch dispatch) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HolderService.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HolderService.java
@@ -174,8 +174,7 @@
     }
 
     private void closeWhenIdle(HeldUpstream upstream) {
-        if (upstream.inFlight() == 0) {
-            upstream.protocol().close();
+        if (upstream.closeIfIdle()) {
             closingAddresses.remove(upstream.upstream().address());
             workers.run(this::configure);
         } else {
