Show that a leaf's signed 404 counts as a part of a query's answer

A tenth of the leaves fail 4 in 10 of their requests with a signed 404 for 6 s, while their health check is good.

It shows that the rule MIXED is broken: the success names the signature of a failure among its parts, and takes the failure's text for records.

--- a/review/standin/FailedParts.java
+++ b/review/standin/FailedParts.java
@@ -6,7 +6,7 @@
 
 /** Case: a tenth of the leaves fail part of their requests with a signed 404, while their health check is good. */
 final class FailedParts {
-    private static final int QUERIES = 200;
+    private static final int SPELL_MILLIS = 6_000;
     private static final int LEAVES_PER_FAILING_ONE = 10;
     /** The share of its requests that a failing leaf fails. */
     private static final double FAILED_SHARE = 0.4;
@@ -27,7 +27,7 @@
                 record.line("leaf %s fails %.1f of its requests from now on", failing.id(), FAILED_SHARE);
             }
         }
-        return search.query(QUERIES);
+        return search.query(SPELL_MILLIS);
     }
 
     private static void answer(Leaf.Request request, Record record, boolean failing) throws IOException {
--- a/review/standin/Search.java
+++ b/review/standin/Search.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Queries over 20 shards of two leaves each, and the check of their answers by the rule MIXED. */
 final class Search {
@@ -19,6 +20,7 @@
     private static final int TOP = 10;
     private static final double LEAST = 0.75;
     private static final int EDGES = 2;
+    private static final int PAUSE_MILLIS = 20;
 
     private final Rig rig;
     private final Record record;
@@ -46,14 +48,16 @@
     }
 
     /** Sends queries one after the other on kept connections, and checks each success; returns the exit code. */
-    int query(int count) throws IOException, InterruptedException {
+    int query(int millis) throws IOException, InterruptedException {
         List<Http.Connection> connections = new ArrayList<>();
         for (int edge = 0; edge < EDGES; edge++) {
             connections.add(rig.connect(rig.deployment().edge().get(edge)));
         }
         int broken = 0;
         int served = 0;
-        for (int number = 0; number < count; number++) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        int number = 0;
+        for (; System.nanoTime() - endNanos < 0; number++) {
             int edge = number % EDGES;
             String id = String.format("%016x", 0x5eed0000L + number);
             Map<String, String> fields = new LinkedHashMap<>();
@@ -78,10 +82,10 @@
                     answer.status(),
                     answer.head().field("Missing-Parts"),
                     fault.isEmpty() ? "" : "; MIXED: " + fault);
-            Thread.sleep(20);
+            Thread.sleep(PAUSE_MILLIS);
         }
         connections.forEach(Http.Connection::close);
-        record.line("%d requests, %d answered with success, %d of these break MIXED", count, served, broken);
+        record.line("%d requests, %d answered with success, %d of these break MIXED", number, served, broken);
         return served == 0 ? Rig.COULD_NOT_RUN : broken > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
