--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -1,6 +1,8 @@
 package review;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +26,12 @@
 final class Deployment implements AutoCloseable {
     static final List<String> ZONES = List.of("ktm-hall-a", "pkr-hall-b", "brt-hall-c");
     private static final Map<String, Object> ZONE_REGIONS = regions();
+    /** The ports of all machines, counted from the first one; the first 16 are for traffic between machines. */
+    private static final int FRONT_PORT = 24;
+
+    private static final int CONTROL_PORT = 26;
+    private static final int READY_PORT = 28;
+    private static final int LEAF_PORT = 40;
 
     private final Path root;
     private final Path folder;
@@ -39,8 +47,7 @@
         this.folder = Files.createTempDirectory("bramblerack-review-");
         ThreadLocalRandom random = ThreadLocalRandom.current();
         this.network = "127." + random.nextInt(16, 250) + "." + random.nextInt(1, 250) + ".";
-        // Below the range from which the system takes the ports of outgoing connections.
-        this.firstPort = random.nextInt(20_000, 30_000);
+        this.firstPort = findFreePorts(network + "10", random);
         for (int number = 0; number < ZONES.size(); number++) {
             core.add(new Machine("core-" + number, "control", network + (10 + number), ZONES.get(number)));
         }
@@ -49,6 +56,28 @@
         }
     }
 
+    /** Returns the first of some ports that are free, below the range of the ports of outgoing connections. */
+    private static int findFreePorts(String address, ThreadLocalRandom random) throws IOException {
+        for (int attempt = 0; attempt < 50; attempt++) {
+            int first = random.nextInt(20_000, 30_000);
+            if (isFree(address, first)) {
+                return first;
+            }
+        }
+        throw new IOException("no free ports at " + address);
+    }
+
+    private static boolean isFree(String address, int first) {
+        for (int port = first; port <= first + LEAF_PORT; port++) {
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(address))) {
+                probe.getLocalPort();
+            } catch (IOException inUse) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static Map<String, Object> regions() {
         Map<String, Object> regions = new LinkedHashMap<>();
         regions.put(ZONES.get(0), "bagmati");
@@ -71,19 +100,19 @@
     }
 
     int frontPort() {
-        return firstPort + 24;
+        return firstPort + FRONT_PORT;
     }
 
     int readyPort() {
-        return firstPort + 28;
+        return firstPort + READY_PORT;
     }
 
     int controlPort() {
-        return firstPort + 26;
+        return firstPort + CONTROL_PORT;
     }
 
     int leafPort() {
-        return firstPort + 40;
+        return firstPort + LEAF_PORT;
     }
 
     void startAll() throws IOException {
