--- a/review/standin/DoubledHolds.java
+++ b/review/standin/DoubledHolds.java
@@ -92,14 +92,14 @@
             served += each.getValue() / 100 == 2 ? 1 : 0;
             if (ran.size() > 1) {
                 twice++;
-                record.line("TWICE: request %s ran at %s; its client got %d", each.getKey(), ran, each.getValue());
+                record.summary("TWICE: request %s ran at %s; its client got %d", each.getKey(), ran, each.getValue());
             }
             if (PROMISES.contains(each.getValue()) && !ran.isEmpty()) {
                 refused++;
-                record.line("also REFUSED: request %s ran at %s, yet got %d", each.getKey(), ran, each.getValue());
+                record.summary("also REFUSED: request %s ran at %s, yet got %d", each.getKey(), ran, each.getValue());
             }
         }
-        record.line(
+        record.summary(
                 "%d requests, %d answered with success; %d answers were followed by more bytes; "
                         + "TWICE was broken %d times, REFUSED %d times",
                 statuses.size(), served, garbled.get(), twice, refused);
@@ -119,6 +119,7 @@
                 fields.put("Request-Id", id);
                 fields.put("Deadline-Ms", "2000");
                 byte[] body = ("hold copy " + id).getBytes(StandardCharsets.US_ASCII);
+                record.line("client %d sends request %s to %s", client, id, machine.name());
                 connection.send("POST", "/hold/" + id, fields, body);
                 answer = connection.receive(3_000);
                 Thread.sleep(PAUSE_MILLIS);
--- a/review/standin/FailedParts.java
+++ b/review/standin/FailedParts.java
@@ -34,9 +34,10 @@
         request.readBody();
         byte[] draw = Leaf.sha256(request.id() + request.leaf());
         if (failing && (draw[0] & 0xff) < 256 * FAILED_SHARE) {
-            record.line("leaf %s fails request %s with 404, signed", request.leaf(), request.id());
+            record.line("leaf %s runs request %s and fails it: 404, stamp %s", request.leaf(), request.id(), request.stamp(404));
             request.answerSigned(404, "this shard's segment is not open\n".getBytes(StandardCharsets.US_ASCII));
         } else {
+            record.line("leaf %s runs request %s and answers 200", request.leaf(), request.id());
             request.answerSigned(200, Leaf.recordsOf(request.stamp(200), Search.RECORDS));
         }
     }
--- a/review/standin/LateStop.java
+++ b/review/standin/LateStop.java
@@ -74,7 +74,7 @@
                 boolean passedOn = runs.containsKey(id);
                 if (answer.status() == 0 && passedOn && waited < DEADLINE_SECONDS) {
                     cut[number] = 1;
-                    record.line("LOST: request %s was passed on to %s, and its connection closed without an answer", id, runs.get(id));
+                    record.summary("LOST: request %s was passed on to %s, and its connection closed without an answer", id, runs.get(id));
                 }
             });
             waiter.start();
@@ -85,13 +85,13 @@
         }
         if (trouble) {
             stopped.process().waitFor();
-            record.line("%s ended %.3f s after the SIGTERM", stopped.name(), (System.nanoTime() - startNanos) / 1e9);
+            record.summary("%s ended %.3f s after the SIGTERM", stopped.name(), (System.nanoTime() - startNanos) / 1e9);
         }
         int broken = 0;
         for (int each : cut) {
             broken += each;
         }
-        record.line("%d requests, %d of them break LOST", CLIENTS, broken);
+        record.summary("%d requests, %d of them break LOST", CLIENTS, broken);
         return broken > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
--- a/review/standin/Record.java
+++ b/review/standin/Record.java
@@ -6,7 +6,7 @@
 import java.nio.file.Path;
 import java.util.Locale;
 
-/** Writes what was sent, answered and run to {@code record.txt}, with the seconds since the start. Thread-safe. */
+/** Writes what was sent, run and answered to {@code record.txt}, with the seconds since the start. Thread-safe. */
 final class Record implements AutoCloseable {
     private final long startNanos = System.nanoTime();
     private final PrintWriter out;
@@ -19,10 +19,19 @@
         return (System.nanoTime() - startNanos) / 1e9;
     }
 
-    synchronized void line(String format, Object... values) {
+    void line(String format, Object... values) {
+        write(format, values);
+    }
+
+    /** Writes a line, and prints it as well. */
+    void summary(String format, Object... values) {
+        System.out.println(write(format, values));
+    }
+
+    private synchronized String write(String format, Object... values) {
         String text = String.format(Locale.ROOT, "%8.3f ", seconds()) + String.format(Locale.ROOT, format, values);
         out.println(text);
-        System.out.println(text);
+        return text;
     }
 
     @Override
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -50,14 +50,14 @@
             Runtime.getRuntime().addShutdownHook(new Thread(deployment::close));
             limitTime(record);
             try (Rig rig = new Rig(record, deployment)) {
-                record.line(trouble ? "with the disruption" : "TROUBLE=0: without the disruption");
+                record.summary(trouble ? "with the disruption" : "TROUBLE=0: without the disruption");
                 deployment.startAll();
                 code = steps.run(rig, record, trouble);
             } catch (Exception failure) {
-                record.line("the case could not run: %s", failure);
+                record.summary("the case could not run: %s", failure);
                 failure.printStackTrace();
             }
-            record.line("exit %d: %s", code, meaningOf(code));
+            record.summary("exit %d: %s", code, meaningOf(code));
         }
         System.exit(code);
     }
@@ -74,7 +74,7 @@
         Thread limit = daemon(() -> {
             try {
                 TimeUnit.SECONDS.sleep(LIMIT_SECONDS);
-                record.line("exit %d: out of time", COULD_NOT_RUN);
+                record.summary("exit %d: out of time", COULD_NOT_RUN);
                 System.exit(COULD_NOT_RUN);
             } catch (InterruptedException ended) {
                 Thread.currentThread().interrupt();
--- a/review/standin/Search.java
+++ b/review/standin/Search.java
@@ -64,6 +64,7 @@
             fields.put("Host", "search.example");
             fields.put("Request-Id", id);
             fields.put("Deadline-Ms", "2000");
+            record.line("request %s sent to %s", id, rig.deployment().edge().get(edge).name());
             connections.get(edge).send("GET", "/all/" + number, fields, new byte[0]);
             Http.Answer answer = connections.get(edge).receive(3_000);
             if (answer.status() == 0) {
@@ -85,7 +86,7 @@
             Thread.sleep(PAUSE_MILLIS);
         }
         connections.forEach(Http.Connection::close);
-        record.line("%d requests, %d answered with success, %d of these break MIXED", number, served, broken);
+        record.summary("%d requests, %d answered with success, %d of these break MIXED", number, served, broken);
         return served == 0 ? Rig.COULD_NOT_RUN : broken > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
