Accept while stopping only what ends in time, and answer what does not

Cause: the host compared the time that a request may need with its own time by one constant, 1.5 s before its end, and never for calls of other hosts to single leaves. At its limit nothing ended the requests in flight, and that limit was 0.9 s before the platform's. With a limit below 3.2 s it ran over it. Requests whose body was read in part were closed without an answer.

The time for the load balancer is bounded by the limit.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -87,6 +87,15 @@
         return actions;
     }
 
+    /** Ends the request as if its deadline had passed, because this host is about to end. */
+    public List<RoutedAction> endNow() {
+        List<RoutedAction> actions = new ArrayList<>(2);
+        if (!over) {
+            finishOrScheduleWake(bounds.deadlineNanos(), actions);
+        }
+        return actions;
+    }
+
     /** Ends the request after its caller disconnected. */
     public void callerGone() {
         over = true;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -241,6 +241,15 @@
         return actions;
     }
 
+    /** Ends the query as if its deadline had passed, because this host is about to end. */
+    public List<RoutedAction> endNow() {
+        List<RoutedAction> actions = new ArrayList<>();
+        if (!over) {
+            finalizeIfDue(bounds.deadlineNanos(), actions);
+        }
+        return actions;
+    }
+
     /** Ends the query after its caller disconnected. */
     public List<RoutedAction> callerGone() {
         List<RoutedAction> actions = new ArrayList<>();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/CallerAnswers.java
@@ -53,6 +53,7 @@
     private Runnable onNotRun = () -> {};
     private Runnable onDisconnected = () -> {};
     private Runnable onSurvival = () -> {};
+    private Runnable onRun = () -> {};
 
     CallerAnswers(HttpExchange exchange, CallHeaders names, GatewayMetrics metrics, RandomGenerator random) {
         this.exchange = exchange;
@@ -70,6 +71,7 @@
             response.headers().setInt(names.missingParts(), answer.missing());
         }
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream");
+        onRun.run();
         metrics.recordMergedAnswer(answer.missing());
         metrics.recordAnswer(exchange.receivedNanos());
         exchange.respond(response);
@@ -80,6 +82,7 @@
         FullHttpResponse response = HttpExchange.response(
                 answer.status(), Unpooled.wrappedBuffer(answer.body().asReadOnlyByteBuffer()));
         LeafRequest.copyEndToEnd(answer.headers(), response.headers());
+        onRun.run();
         metrics.recordForwardedAnswer(answer.status());
         if (answer.showsSurvival()) {
             onSurvival.run();
@@ -97,6 +100,11 @@
         };
     }
 
+    /** Sets the task to run when the request is answered, unless it has certainly not run. */
+    void onRun(Runnable task) {
+        onRun = task;
+    }
+
     /** Sets the task to run if a leaf has run the request and answered. */
     void onSurvival(Runnable task) {
         onSurvival = task;
@@ -121,7 +129,10 @@
         metrics.recordRefusal(reason);
         if (reason.isNotRun()) {
             onNotRun.run();
-        } else if (reason == RefusalReason.OUTCOME_UNKNOWN) {
+        } else {
+            onRun.run();
+        }
+        if (reason == RefusalReason.OUTCOME_UNKNOWN) {
             onDisconnected.run();
         }
         RefusalResponse response =
@@ -178,6 +189,7 @@
 
     /** Refuses a request because this host is stopping; the caller should use another host. */
     void refuseStopping() {
+        onNotRun.run();
         refuse(
                 UNAVAILABLE,
                 RetryAfterJitter.spread(RETRY_STOPPING, random),
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DeferredQueries.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DeferredQueries.java
@@ -26,21 +26,39 @@
         this.loop = loop;
     }
 
+    /** A deferred query. */
+    interface Handle {
+        /** Ends the query because its caller has left. */
+        void callerGone();
+
+        /** Ends the query with the parts that are in. */
+        void endNow();
+    }
+
     private record DeferredQuery(ScatterRun run, RouteTarget.Scatter target) {}
 
     /**
      * Starts a query when its leaves have capacity.
      *
      * @param startByNanos when it starts at the latest
-     * @return a task to run if its caller leaves
+     * @return a handle to end it early
      */
-    Runnable defer(ScatterRun run, RouteTarget.Scatter target, long startByNanos) {
+    Handle defer(ScatterRun run, RouteTarget.Scatter target, long startByNanos) {
         DeferredQuery query = new DeferredQuery(run, target);
         starts.defer(query, startByNanos);
         startDue();
-        return () -> {
-            starts.remove(query);
-            run.callerGone();
+        return new Handle() {
+            @Override
+            public void callerGone() {
+                starts.remove(query);
+                run.callerGone();
+            }
+
+            @Override
+            public void endNow() {
+                starts.remove(query);
+                run.endNow();
+            }
         };
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -8,6 +8,8 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
@@ -18,6 +20,7 @@
 import org.bramblerack.daemon.peer.PeerServer;
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopWindow;
 import org.bramblerack.process.quota.QuotaBound;
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.HostRecord;
@@ -31,15 +34,14 @@
     private static final EventLog EVENTS = EventLog.of(EntryProcess.class);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
     /**
-     * How long a stopping host still accepts requests: until the load balancer has failed two readiness checks and the
-     * other hosts have received the change of the tables.
+     * How long a stopping host keeps unused connections open: until the load balancer has failed two readiness checks
+     * and the other hosts have received the change of the tables.
      */
-    private static final Duration ACCEPT_AFTER_STOP = Duration.ofMillis(3_200);
-    /**
-     * How long before its end a stopping host refuses new requests; covers the longest single request and its network
-     * paths.
-     */
-    private static final Duration REFUSE_BEFORE_END = Duration.ofMillis(1_500);
+    private static final Duration KEEP_IDLE_AFTER_STOP = Duration.ofMillis(3_200);
+    /** The part of the stop limit in which unused connections are kept open at most. */
+    private static final double MAX_SHARE_KEEPING_IDLE = 0.6;
+    /** How long before the stop limit the requests in flight are ended, so that their answers can be written. */
+    private static final Duration TIME_TO_ANSWER = Duration.ofMillis(200);
 
     private final EntrySettings settings;
     private final MonotonicClock clock;
@@ -171,33 +173,34 @@
 
     /**
      * Stops the process within the stop limit of the settings. First reports not ready and keeps serving callers and
-     * other hosts, so that they can detect the stop and switch to backups; then finishes the requests in progress, and
-     * refuses those that it could not finish in time.
+     * other hosts, so that they can detect the stop and switch to backups; then closes unused connections and finishes
+     * the requests in flight. Throughout, a request is accepted only if it will be answered before the process ends.
+     * Requests that have no answer shortly before the stop limit are answered with what is known of them.
      *
      * @throws InterruptedException if the thread is interrupted while waiting
      */
     public void stop() throws InterruptedException {
-        long stopStartedNanos = clock.nowNanos();
+        long limitNanos = settings.stopLimit().toNanos();
+        long startedNanos = clock.nowNanos();
+        long stopLimitNanos = startedNanos + limitNanos;
+        long lastAnswerNanos = stopLimitNanos - Math.min(TIME_TO_ANSWER.toNanos(), limitNanos / 2);
+        long closeIdleNanos =
+                startedNanos + Math.min(KEEP_IDLE_AFTER_STOP.toNanos(), (long) (MAX_SHARE_KEEPING_IDLE * limitNanos));
         stopping = true;
+        gateway.beginStop(StopWindow.closingAt(lastAnswerNanos));
         callers.beginStop();
         follower.announce();
         EVENTS.info("stopping").with("host", settings.name()).write();
-        while (elapsedNanos(stopStartedNanos) < ACCEPT_AFTER_STOP.toNanos()) {
-            Thread.sleep(POLL_INTERVAL.toMillis());
-        }
-        gateway.beginStop();
-        callers.closeIdle();
-        long stopLimitNanos = settings.stopLimit().toNanos();
-        long refuseAfterNanos = stopLimitNanos - REFUSE_BEFORE_END.toNanos();
-        while (elapsedNanos(stopStartedNanos) < stopLimitNanos && !isDrained()) {
-            if (elapsedNanos(stopStartedNanos) >= refuseAfterNanos) {
-                gateway.refuseCallers();
-            }
+        await(closeIdleNanos, () -> false);
+        gateway.refuseQueriesOfHosts();
+        await(lastAnswerNanos, () -> {
             callers.closeIdle();
-            Thread.sleep(POLL_INTERVAL.toMillis());
-        }
-        gateway.refuseCallers();
-        callers.drain(Duration.ofNanos(Math.max(0, stopLimitNanos - elapsedNanos(stopStartedNanos))));
+            return isDrained();
+        });
+        callers.drain(remaining(lastAnswerNanos));
+        await(lastAnswerNanos, () -> gateway.callsOfOtherHosts() == 0);
+        endRequests();
+        callers.drain(remaining(stopLimitNanos));
         follower.stop();
         harmReporter.stop();
         limits.stop();
@@ -210,6 +213,32 @@
                 .write();
     }
 
+    /** Answers what has no answer yet, and refuses what still arrives. */
+    private void endRequests() {
+        int callersInFlight = callers.inFlight();
+        int callsInFlight = gateway.callsOfOtherHosts();
+        if (callersInFlight + callsInFlight > 0) {
+            EVENTS.warning("ended_unfinished")
+                    .with("host", settings.name())
+                    .with("callers", callersInFlight)
+                    .with("callsOfHosts", callsInFlight)
+                    .write();
+        }
+        gateway.endRequests();
+        callers.endRequests();
+    }
+
+    private void await(long deadlineNanos, BooleanSupplier done) throws InterruptedException {
+        while (!done.getAsBoolean() && clock.nowNanos() - deadlineNanos < 0) {
+            long sleepNanos = Math.min(POLL_INTERVAL.toNanos(), deadlineNanos - clock.nowNanos());
+            TimeUnit.NANOSECONDS.sleep(Math.max(0, sleepNanos));
+        }
+    }
+
+    private Duration remaining(long deadlineNanos) {
+        return Duration.ofNanos(Math.max(0, deadlineNanos - clock.nowNanos()));
+    }
+
     private boolean isDrained() {
         return callers.isIdle() && callers.connectionCount() == 0 && gateway.callsOfOtherHosts() == 0;
     }
@@ -257,10 +286,6 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    private long elapsedNanos(long sinceNanos) {
-        return clock.nowNanos() - sinceNanos;
-    }
-
     /**
      * Returns the record of this host for the tables; empty during the warm-up, since other hosts would otherwise call
      * it while its code is not loaded and its processor is busy.
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ForwardRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ForwardRun.java
@@ -45,6 +45,11 @@
         execute(request.start(clock.nowNanos()));
     }
 
+    /** Answers the caller with what is known now. */
+    void endNow() {
+        execute(request.endNow());
+    }
+
     void callerGone() {
         request.callerGone();
         sender.callerGone();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -21,6 +21,8 @@
 import org.bramblerack.daemon.peer.PeerHandler;
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopAdmission;
+import org.bramblerack.process.StopWindow;
 import org.bramblerack.process.leaf.RoutingFeature;
 import org.bramblerack.request.routed.CallerCheck;
 import org.bramblerack.request.routed.CallerElapsedTime;
@@ -43,13 +45,9 @@
     private static final EventLog EVENTS = EventLog.of(Gateway.class);
     private static final Duration COUNTERS_LOG_INTERVAL = Duration.ofSeconds(10);
     private static final long SECOND_PROBE_DELAY_MILLIS = 30;
+    private static final String STOPPING = "STOPPING";
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
-    /** Applies to callers that send no deadline; the timeout of the route still bounds it. */
-    private static final long DEFAULT_CALLER_WAIT_NANOS = Duration.ofDays(1).toNanos();
-    /** The final answer is sent this long before the deadline of the caller. */
-    private static final long ANSWER_TRANSIT_NANOS = Duration.ofMillis(15).toNanos();
-
     /** A deferred query starts at the latest this many goals before its deadline, the time that most queries need. */
     private static final int DEFERRED_START_GOALS = 2;
 
@@ -73,7 +71,9 @@
     private final HarmTrials trials;
     private final RequestCapacity capacity;
     private final Map<String, SplitCursor> splitCursors = new HashMap<>();
-    private boolean refusingCallers;
+    private final CallerDeadlines deadlines;
+    private final StopAdmission stopAdmission;
+    private boolean ending;
 
     /**
      * Creates a gateway, which serves requests at once.
@@ -114,7 +114,10 @@
         this.trials = new HarmTrials(view, runs, network, controlHost, loop, clock, random);
         this.lagTimer = new LagTimer(view.routing().eventLoopLag(), finalizeLead, loop, clock);
         this.capacity = new RequestCapacity(view, metrics, clock, loop, random);
-        this.stageServer = new StageServer(view, runs, names, finalizeLead, clock, loop);
+        this.stopAdmission = new StopAdmission(
+                route -> view.configuration().routeNamed(route).isPresent(), clock);
+        this.deadlines = new CallerDeadlines(view, names, metrics, finalizeLead);
+        this.stageServer = new StageServer(view, runs, names, finalizeLead, stopAdmission, clock, loop);
     }
 
     /** Starts probing the links to other hosts and logging the counters. */
@@ -136,14 +139,25 @@
         loop.schedule(stages::probe, SECOND_PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Refuses new work from other hosts; requests of callers are still served. */
-    public void beginStop() {
-        loop.execute(stageServer::refuseWork);
+    /** Begins a stop: from now on, only requests and calls of other hosts that fit into the window are accepted. */
+    public void beginStop(StopWindow window) {
+        stopAdmission.beginStop(window);
     }
 
-    /** Refuses new requests of callers; requests in flight are finished. */
-    public void refuseCallers() {
-        loop.execute(() -> refusingCallers = true);
+    /** Refuses new queries of other hosts; requests of callers are still served. */
+    public void refuseQueriesOfHosts() {
+        loop.execute(stageServer::refuseQueries);
+    }
+
+    /**
+     * Refuses everything that arrives from now on, and replies to the calls of other hosts that are in flight. Requests
+     * of callers that are in flight are ended by their {@link HttpExchange#onStopLimit} tasks.
+     */
+    public void endRequests() {
+        loop.execute(() -> {
+            ending = true;
+            stageServer.endCalls();
+        });
     }
 
     /** Returns the number of calls of other hosts in flight; may be called from any thread. */
@@ -183,11 +197,11 @@
     public void handle(HttpExchange exchange) {
         lagTimer.onWork();
         CallerAnswers answers = new CallerAnswers(exchange, names, metrics, random);
-        if (refusingCallers) {
-            answers.refuseStopping();
-            refusedUnrouted(exchange, "STOPPING");
+        if (ending) {
+            refuseStopping(exchange, answers);
             return;
         }
+        exchange.onStopLimit(() -> refuseStopping(exchange, answers));
         if (!tablesKnown.getAsBoolean() || view.configuration().version() == 0) {
             answers.refuseNotReady();
             refusedUnrouted(exchange, "NOT_READY");
@@ -232,7 +246,7 @@
             VersionCheck check) {
         if (check == VersionCheck.NOT_CHECKED) {
             tables.confirmNewest(confirmed -> {
-                if (!exchange.isCallerGone()) {
+                if (!exchange.isOver()) {
                     identify(exchange, answers, confirmed ? VersionCheck.CONFIRMED : VersionCheck.UNCERTAIN);
                 }
             });
@@ -266,18 +280,22 @@
                 caller.homes(route),
                 caller.teamName(),
                 names);
-        RequestTimes times = times(exchange, route);
+        RequestTimes times = deadlines.times(exchange, route);
         if (times.deadlineNanos() - clock.nowNanos() <= 0) {
             answers.refuse(RefusalReason.EXPIRED);
             logUnrouted(exchange, RefusalReason.EXPIRED.name(), line -> {});
             return;
         }
+        if (!mayAccept(route, times)) {
+            refuseTooLong(exchange, answers, route);
+            return;
+        }
         RoutedCall call =
                 new RoutedCall(route, caller, view.configuration().version(), request, exchange.receivedNanos(), times);
         limits.spend(route.isPublic() ? CallerIdentity.ANONYMOUS : caller, spending -> {
             if (spending instanceof TeamRateLimits.Decision.Permitted permitted) {
                 onPermitted(exchange, call, answers, permitted.refund());
-            } else if (spending instanceof TeamRateLimits.Decision.Refused refused) {
+            } else if (spending instanceof TeamRateLimits.Decision.Refused refused && !exchange.isOver()) {
                 answers.refuse(RefusalReason.OVER_LIMIT, refused.retryAfter());
                 log.logDegraded(
                         call,
@@ -289,13 +307,14 @@
         });
     }
 
-    /** Starts a permitted request, or refunds the permit if the caller has left. */
+    /** Starts a permitted request, or refunds the permit if the request is over. */
     private void onPermitted(HttpExchange exchange, RoutedCall call, CallerAnswers answers, Runnable refund) {
-        if (exchange.isCallerGone()) {
+        if (exchange.isOver()) {
             refund.run();
             return;
         }
         answers.onNotRun(refund);
+        answers.onRun(() -> stopAdmission.recordDuration(call.route().name(), clock.nowNanos() - call.arrivedNanos()));
         begin(exchange, call, answers);
     }
 
@@ -308,8 +327,9 @@
     }
 
     private void runTrial(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
+        exchange.onStopLimit(() -> refuse(call, caller, RefusalReason.TIME_UP));
         trials.start(call, () -> stageCall(exchange, call), result -> {
-            if (exchange.isCallerGone()) {
+            if (exchange.isOver()) {
                 trials.release(call, false);
                 return;
             }
@@ -337,11 +357,24 @@
         int calls = call.route().target() instanceof RouteTarget.Scatter target
                 ? target.shards().size()
                 : 1;
-        Optional<Runnable> withdraw = capacity.admit(call, calls, () -> serve(exchange, call, caller), retryAfter -> {
+        Runnable start = () -> {
+            if (mayAccept(call.route(), call.times())) {
+                serve(exchange, call, caller);
+            } else {
+                refuseTooLong(exchange, caller, call.route());
+            }
+        };
+        Optional<Runnable> withdraw = capacity.admit(call, calls, start, retryAfter -> {
             log.logDegraded(call, RefusalReason.NO_ROOM.name(), line -> line.with("room", capacity.describe()));
             caller.refuse(RefusalReason.NO_ROOM, retryAfter);
         });
-        withdraw.ifPresent(exchange::onCallerGone);
+        withdraw.ifPresent(task -> {
+            exchange.onCallerGone(task);
+            exchange.onStopLimit(() -> {
+                task.run();
+                refuseStopping(exchange, caller);
+            });
+        });
     }
 
     private void serve(HttpExchange exchange, RoutedCall call, CallerAnswers caller) {
@@ -359,6 +392,7 @@
         } else {
             ForwardRun run = runs.forward(call, chooseService(route), () -> stageCall(exchange, call), caller);
             exchange.onCallerGone(run::callerGone);
+            exchange.onStopLimit(run::endNow);
             run.start();
         }
     }
@@ -375,12 +409,34 @@
         boolean late = goalNanos > 0 && usedNanos > goalNanos && view.routing().uses(RoutingFeature.LATE_STARTS);
         if (!late) {
             exchange.onCallerGone(run::callerGone);
+            exchange.onStopLimit(run::endNow);
             run.start();
             return;
         }
         long startByNanos = Math.max(arrivedNanos, call.times().deadlineNanos() - DEFERRED_START_GOALS * goalNanos);
         metrics.recordDeferredQuery();
-        exchange.onCallerGone(deferredQueries.defer(run, target, startByNanos));
+        DeferredQueries.Handle deferred = deferredQueries.defer(run, target, startByNanos);
+        exchange.onCallerGone(deferred::callerGone);
+        exchange.onStopLimit(deferred::endNow);
+    }
+
+    private boolean mayAccept(Route route, RequestTimes times) {
+        return stopAdmission.mayAccept(route.name(), route.goal(), times.deadlineNanos());
+    }
+
+    private void refuseTooLong(HttpExchange exchange, CallerAnswers answers, Route route) {
+        answers.refuseStopping();
+        metrics.recordUnroutedRefusal(STOPPING);
+        logUnrouted(
+                exchange,
+                STOPPING,
+                line -> line.with("route", route.name())
+                        .with("time", stopAdmission.describe(route.name(), route.goal())));
+    }
+
+    private void refuseStopping(HttpExchange exchange, CallerAnswers answers) {
+        answers.refuseStopping();
+        refusedUnrouted(exchange, STOPPING);
     }
 
     private void refusedUnrouted(HttpExchange exchange, String outcome) {
@@ -426,36 +482,6 @@
         return call.build();
     }
 
-    /**
-     * Returns the deadlines of a request. Time that it waited on this host before it was read counts against the
-     * deadline of the caller.
-     */
-    private RequestTimes times(HttpExchange exchange, Route route) {
-        long receivedNanos = exchange.receivedNanos();
-        long arrivedNanos = view.routing().eventLoopLag().arrivalNanos(receivedNanos);
-        long timeoutNanos = route.timeout().toNanos();
-        long callerNanos = readCallerWaitNanos(exchange);
-        long finalNanos = Math.min(timeoutNanos, Math.max(callerNanos / 2, callerNanos - ANSWER_TRANSIT_NANOS));
-        long goalNanos = route.goal().isZero() ? finalNanos : route.goal().toNanos() - finalizeLead.nanos(route.goal());
-        return new RequestTimes(
-                receivedNanos + Math.max(0, goalNanos),
-                arrivedNanos + finalNanos,
-                arrivedNanos + Math.min(callerNanos, timeoutNanos));
-    }
-
-    private long readCallerWaitNanos(HttpExchange exchange) {
-        String text = exchange.headers().get(names.deadlineMillis());
-        if (text == null) {
-            return DEFAULT_CALLER_WAIT_NANOS;
-        }
-        try {
-            return TimeUnit.MILLISECONDS.toNanos(Math.max(0, Long.parseLong(text.trim())));
-        } catch (NumberFormatException malformed) {
-            metrics.recordMalformedDeadline();
-            return DEFAULT_CALLER_WAIT_NANOS;
-        }
-    }
-
     private String chooseService(Route route) {
         if (route.target() instanceof RouteTarget.Split split) {
             SplitCursor cursor = splitCursors.get(route.name());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -33,29 +33,30 @@
      * Sends a call to the leaf that it names and replies with the result.
      *
      * @param arrivedNanos when the call arrived on this host, from which its time limit counts
-     * @return a task that abandons the call
+     * @return the call; empty if it was replied to already
      */
-    Runnable call(StageCall call, long arrivedNanos, LeafRequest request, Consumer<Envelope.Builder> reply) {
+    Optional<StageCalls.Call> call(
+            StageCall call, long arrivedNanos, LeafRequest request, Consumer<Envelope.Builder> reply) {
         Optional<Leaf> leaf = view.leaf(call.getLeaf()).filter(Leaf::acceptsWork);
         if (leaf.isEmpty()) {
             // The tables of this host may be outdated: an unknown leaf is not evidence that the leaf has ended.
             reply.accept(failure(LeafOutcome.NO_CONNECTION));
-            return () -> {};
+            return Optional.empty();
         }
         long nowNanos = clock.nowNanos();
         long deadlineNanos = arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros());
         if (nowNanos - deadlineNanos >= 0) {
             reply.accept(failure(LeafOutcome.NO_CONNECTION));
-            return () -> {};
+            return Optional.empty();
         }
         long expectedNanos = view.configuration()
                 .routeNamed(call.getRoute())
                 .map(route -> view.latency(route).medianNanos())
                 .orElse(TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()));
-        Exchange exchange =
-                new Exchange(leaf.get(), leaf.get().begin(expectedNanos, nowNanos), call.getWholeAnswer(), reply);
+        Leaf.Call leafCall = leaf.get().begin(expectedNanos, nowNanos);
+        Exchange exchange = new Exchange(leaf.get(), leafCall, call.getWholeAnswer(), reply);
         exchange.handle = Optional.of(view.connectionsTo(leaf.get()).send(request, deadlineNanos, exchange));
-        return exchange::abandon;
+        return leaf.get().isUnderWay(leafCall) ? Optional.of(exchange) : Optional.empty();
     }
 
     private static Envelope.Builder failure(LeafOutcome outcome) {
@@ -79,7 +80,7 @@
     }
 
     /** One call in flight. */
-    private final class Exchange implements LeafCallback {
+    private final class Exchange implements LeafCallback, StageCalls.Call {
         private final Leaf leaf;
         private final Leaf.Call call;
         private final boolean wholeAnswer;
@@ -120,11 +121,26 @@
             }
         }
 
-        void abandon() {
+        @Override
+        public void cancel() {
+            abandon();
+        }
+
+        @Override
+        public void endNow() {
             if (leaf.isUnderWay(call)) {
-                leaf.abandon(call, clock.nowNanos());
-                handle.ifPresent(LeafConnections.CallHandle::abandon);
+                boolean neverSent = abandon();
+                reply.accept(failure(neverSent ? LeafOutcome.NO_CONNECTION : LeafOutcome.BROKEN));
+            }
+        }
+
+        /** Abandons the call, and returns true if it was never sent. */
+        private boolean abandon() {
+            if (!leaf.isUnderWay(call)) {
+                return false;
             }
+            leaf.abandon(call, clock.nowNanos());
+            return handle.map(LeafConnections.CallHandle::abandon).orElse(false);
         }
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -84,6 +84,11 @@
         }
     }
 
+    /** Ends the query with the parts that are in. */
+    void endNow() {
+        execute(query.endNow());
+    }
+
     void callerGone() {
         execute(query.callerGone());
         sender.callerGone();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -9,16 +10,16 @@
  * <p>Invariant: a call is listed from its start until its reply is sent or it is cancelled. Owned by the event loop.
  */
 final class StageCalls {
-    private final Map<Key, Runnable> underWay = new HashMap<>();
+    private final Map<Key, Call> underWay = new HashMap<>();
     private volatile int count;
 
     /**
      * Records the start of a call.
      *
-     * @param onCancel runs if the call is cancelled
+     * @param call ends the call early
      */
-    void begin(String sender, long number, Runnable onCancel) {
-        underWay.put(new Key(sender, number), onCancel);
+    void begin(String sender, long number, Call call) {
+        underWay.put(new Key(sender, number), call);
         count = underWay.size();
     }
 
@@ -30,17 +31,31 @@
 
     /** Cancels a call; no effect if it has ended or never started. */
     void cancel(String sender, long number) {
-        Runnable onCancel = underWay.remove(new Key(sender, number));
+        Call call = underWay.remove(new Key(sender, number));
         count = underWay.size();
-        if (onCancel != null) {
-            onCancel.run();
+        if (call != null) {
+            call.cancel();
         }
     }
 
+    /** Replies to all calls now, because this host is about to end. */
+    void endAll() {
+        List.copyOf(underWay.values()).forEach(Call::endNow);
+    }
+
     /** Returns the number of calls; may be called from any thread. */
     int count() {
         return count;
     }
 
+    /** A call in flight. */
+    interface Call {
+        /** Ends the call without a reply, which is no longer needed. */
+        void cancel();
+
+        /** Ends the call and replies with what is known now. */
+        void endNow();
+    }
+
     private record Key(String sender, long number) {}
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -15,6 +15,7 @@
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafRequest;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopAdmission;
 import org.bramblerack.process.harm.Permission;
 import org.bramblerack.request.routed.CallerIdentity;
 import org.bramblerack.request.routed.FinalizeLead;
@@ -41,6 +42,8 @@
  * loop.
  */
 final class StageServer {
+    private static final String STOPPING = "this host is stopping";
+
     private final FleetView view;
     private final QueryRuns runs;
     private final CallHeaders names;
@@ -49,27 +52,37 @@
     private final EventLoop loop;
     private final HeldLeafCalls leafCalls;
     private final StageCalls calls = new StageCalls();
-    private boolean refusingWork;
+    private final StopAdmission stopAdmission;
+    private boolean refusingQueries;
+    private boolean ending;
 
     StageServer(
             FleetView view,
             QueryRuns runs,
             CallHeaders names,
             FinalizeLead sealLead,
+            StopAdmission stopAdmission,
             MonotonicClock clock,
             EventLoop loop) {
         this.view = view;
         this.runs = runs;
         this.names = names;
         this.finalizeLead = sealLead;
+        this.stopAdmission = stopAdmission;
         this.clock = clock;
         this.loop = loop;
         this.leafCalls = new HeldLeafCalls(view, clock);
     }
 
     /** Refuses new queries; queries in flight are finished. */
-    void refuseWork() {
-        refusingWork = true;
+    void refuseQueries() {
+        refusingQueries = true;
+    }
+
+    /** Replies to the calls in flight with what is known of them, and refuses all that arrive from now on. */
+    void endCalls() {
+        ending = true;
+        calls.endAll();
     }
 
     /** Returns the number of calls in flight; may be called from any thread. */
@@ -90,10 +103,6 @@
      */
     void handle(String sender, StageCall call, Consumer<Envelope.Builder> sendReply) {
         Consumer<Envelope.Builder> reply = message -> sendReply.accept(withLag(message));
-        Consumer<Envelope.Builder> lastReply = message -> {
-            calls.end(sender, call.getCall());
-            reply.accept(message);
-        };
         HomeRegions homes = homes(call);
         LeafRequest request = LeafRequest.create(
                 call.getMethod(),
@@ -105,9 +114,26 @@
                 names);
         // Time limits count from the arrival of the call, so that no leaf gets more time than the caller has left.
         long arrivedNanos = view.routing().eventLoopLag().arrivalNanos(clock.nowNanos());
+        Consumer<Envelope.Builder> lastReply = message -> {
+            calls.end(sender, call.getCall());
+            if (message.getStageResult().getStatus() != StageResult.Status.NOT_RUN) {
+                stopAdmission.recordDuration(call.getRoute(), clock.nowNanos() - arrivedNanos);
+            }
+            reply.accept(message);
+        };
         if (call.getLeaf().isEmpty()) {
             AtomicBoolean cancelled = new AtomicBoolean();
-            calls.begin(sender, call.getCall(), () -> cancelled.set(true));
+            calls.begin(sender, call.getCall(), new StageCalls.Call() {
+                @Override
+                public void cancel() {
+                    cancelled.set(true);
+                }
+
+                @Override
+                public void endNow() {
+                    // The query is refused when its turn comes.
+                }
+            });
             loop.execute(() -> {
                 if (!cancelled.get()) {
                     calls.end(sender, call.getCall());
@@ -115,17 +141,42 @@
                 }
             });
         } else {
-            AtomicBoolean ended = new AtomicBoolean();
-            Runnable cancelTask = leafCalls.call(call, arrivedNanos, request, message -> {
-                ended.set(true);
-                lastReply.accept(message);
-            });
-            if (!ended.get()) {
-                calls.begin(sender, call.getCall(), cancelTask);
-            }
+            callLeaf(sender, call, arrivedNanos, request, lastReply);
         }
     }
 
+    private void callLeaf(
+            String sender,
+            StageCall call,
+            long arrivedNanos,
+            LeafRequest request,
+            Consumer<Envelope.Builder> lastReply) {
+        if (isTooLateToFinish(call, arrivedNanos)) {
+            lastReply.accept(notRun(STOPPING));
+            return;
+        }
+        leafCalls
+                .call(call, arrivedNanos, request, lastReply)
+                .ifPresent(underWay -> calls.begin(sender, call.getCall(), underWay));
+    }
+
+    private static Envelope.Builder notRun(String reason) {
+        return Envelope.newBuilder()
+                .setStageResult(StageResult.newBuilder()
+                        .setStatus(StageResult.Status.NOT_RUN)
+                        .setReason(reason));
+    }
+
+    /** Returns true if this host is stopping and would end before the call. */
+    private boolean isTooLateToFinish(StageCall call, long arrivedNanos) {
+        Duration goal = view.configuration()
+                .routeNamed(call.getRoute())
+                .map(Route::goal)
+                .orElseGet(() -> Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()))));
+        long deadlineNanos = arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros());
+        return ending || !stopAdmission.mayAccept(call.getRoute(), goal, deadlineNanos);
+    }
+
     /** Adds the event-loop lag of this host, by which other hosts avoid lagging hosts. */
     private Envelope.Builder withLag(Envelope.Builder message) {
         long lagMicros =
@@ -149,10 +200,7 @@
             Consumer<Envelope.Builder> lastReply) {
         Optional<String> refusal = refusalReason(call, homes, request, arrivedNanos);
         if (refusal.isPresent()) {
-            reply.accept(Envelope.newBuilder()
-                    .setStageResult(StageResult.newBuilder()
-                            .setStatus(StageResult.Status.NOT_RUN)
-                            .setReason(refusal.get())));
+            reply.accept(notRun(refusal.get()));
             return;
         }
         RequestTimes times = new RequestTimes(
@@ -182,7 +230,17 @@
                         .addAllAskedTwice(toQueryShards(run.hedgedShards(), call.getShardsList())))));
         run.start();
         if (!run.isOver()) {
-            calls.begin(sender, call.getCall(), run::callerGone);
+            calls.begin(sender, call.getCall(), new StageCalls.Call() {
+                @Override
+                public void cancel() {
+                    run.callerGone();
+                }
+
+                @Override
+                public void endNow() {
+                    run.endNow();
+                }
+            });
         }
     }
 
@@ -192,8 +250,8 @@
      * the attempts of the route.
      */
     private Optional<String> refusalReason(StageCall call, HomeRegions homes, LeafRequest request, long arrivedNanos) {
-        if (refusingWork) {
-            return Optional.of("this host is stopping");
+        if (refusingQueries || isTooLateToFinish(call, arrivedNanos)) {
+            return Optional.of(STOPPING);
         }
         if (!namesShards(call)) {
             return Optional.of("the call names no shards");
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
@@ -1,19 +1,25 @@
 package org.bramblerack.daemon.http;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Counts the requests in flight on one connection, and closes it after the last one while the server stops.
@@ -30,6 +36,7 @@
 
     private final CallerConnections connections;
     private final Channel channel;
+    private @Nullable ChannelHandlerContext context;
     private long lastUsedNanos;
     private int unanswered;
     private int answersWhileStopping;
@@ -90,13 +97,36 @@
     void closeIfIdle() {
         channel.eventLoop().execute(() -> {
             long unusedNanos = connections.nowNanos() - lastUsedNanos;
-            if (isIdle() && unusedNanos >= CallerConnections.UNUSED_BEFORE_CLOSE.toNanos()) {
-                closing = true;
-                channel.close();
+            boolean unused = unusedNanos >= CallerConnections.UNUSED_BEFORE_CLOSE.toNanos();
+            if (isIdle() && (unused || connections.isEnding())) {
+                close();
             }
         });
     }
 
+    /**
+     * Closes the connection. A request that was read in part is refused first: its caller may have sent the rest, and
+     * could not tell otherwise whether it has run.
+     */
+    private void close() {
+        boolean incomplete = receiving && !closing;
+        closing = true;
+        if (incomplete && context != null) {
+            FullHttpResponse refusal = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_TIMEOUT, Unpooled.EMPTY_BUFFER);
+            refusal.headers()
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            context.writeAndFlush(refusal);
+        }
+        channel.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (closing && message instanceof HttpObject) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnections.java
@@ -28,6 +28,7 @@
     private final MonotonicClock clock;
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean stopping;
+    private volatile boolean ending;
 
     /** Creates an empty set of connections. */
     public CallerConnections(MonotonicClock clock) {
@@ -61,6 +62,14 @@
         connections.forEach(CallerConnection::closeIfIdle);
     }
 
+    /**
+     * Stops waiting for the rest of requests that were read in part, and closes connections as soon as they are idle.
+     */
+    public void endWaiting() {
+        ending = true;
+        closeIdle();
+    }
+
     /** Closes all connections at once, including those on which requests are in flight. */
     public void closeNow() {
         connections.forEach(connection -> LingeringClose.closeNow(connection.channel()));
@@ -86,9 +95,13 @@
         return stopping;
     }
 
+    boolean isEnding() {
+        return ending;
+    }
+
     /** Returns true if the rest of a request is no longer waited for. */
     boolean isGraceOver(long firstByteNanos) {
-        return stopping && clock.nowNanos() - firstByteNanos > INCOMPLETE_REQUEST_GRACE.toNanos();
+        return ending || (stopping && clock.nowNanos() - firstByteNanos > INCOMPLETE_REQUEST_GRACE.toNanos());
     }
 
     long nowNanos() {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
@@ -117,6 +117,19 @@
         }
     }
 
+    /** Answers the request that is being handled; those that wait for their turn are handled after it. */
+    void endRequest() {
+        ChannelHandlerContext open = context;
+        if (open != null) {
+            open.executor().execute(() -> {
+                HttpExchange exchange = current;
+                if (exchange != null) {
+                    exchange.end();
+                }
+            });
+        }
+    }
+
     private void recordReadingCaller(long nowNanos, Channel channel) {
         ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
         long bytes = unwritten == null ? 0 : unwritten.totalPendingWriteBytes() - unwritten.currentProgress();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
@@ -22,6 +22,8 @@
  * after the answer. {@link #respond} may be called from any thread; all other methods from the event loop only.
  */
 public final class HttpExchange {
+    private static final int UNAVAILABLE = 503;
+
     private final ChannelHandlerContext context;
     private final HttpMethod method;
     private final String uri;
@@ -31,6 +33,7 @@
     private final long receivedNanos;
     private final Consumer<HttpExchange> onAnswered;
     private Runnable onCallerGone = () -> {};
+    private Runnable onStopLimit = () -> respond(UNAVAILABLE, "text/plain", "this host is stopping\n");
     private boolean answered;
     private boolean callerGone;
 
@@ -99,6 +102,19 @@
         return callerGone;
     }
 
+    /**
+     * Sets a task that answers the request at once because the server is about to end. Until it is set, the request is
+     * refused as not handled.
+     */
+    public void onStopLimit(Runnable task) {
+        onStopLimit = task;
+    }
+
+    /** Returns true if the request was answered or its caller disconnected. */
+    public boolean isOver() {
+        return answered || callerGone;
+    }
+
     /** Answers with text of the given content type, encoded as UTF-8. */
     public void respond(int status, String contentType, String text) {
         FullHttpResponse response = response(status, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
@@ -129,8 +145,15 @@
         }
     }
 
+    /** Answers the request now, unless it is over. */
+    void end() {
+        if (!isOver()) {
+            onStopLimit.run();
+        }
+    }
+
     private void write(FullHttpResponse response) {
-        if (answered || callerGone) {
+        if (isOver()) {
             response.release();
             return;
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
@@ -101,6 +101,11 @@
         return callers.isIdle();
     }
 
+    /** Returns the number of connections on which a request is in flight. */
+    public int inFlight() {
+        return callers.inFlight();
+    }
+
     /** Returns the number of open connections. */
     public int connectionCount() {
         return callers.count();
@@ -133,6 +138,15 @@
         drainUntil(() -> connectionCount() == 0, deadlineNanos);
     }
 
+    /**
+     * Ends the requests in flight, because this process is about to end: those that are being handled are answered by
+     * their {@link HttpExchange#onStopLimit} tasks, and those that were read in part are refused.
+     */
+    public void endRequests() {
+        connections.forEach(HttpConnection::endRequest);
+        callers.endWaiting();
+    }
+
     private void drainUntil(BooleanSupplier done, long deadlineNanos) throws InterruptedException {
         closeIdle();
         while (!done.getAsBoolean() && clock.nowNanos() - deadlineNanos < 0) {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -25,6 +25,7 @@
 import org.bramblerack.daemon.peer.PeerNetwork;
 import org.bramblerack.daemon.peer.PeerTraffic;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopWindow;
 import org.bramblerack.process.leaf.EventLoopLag;
 import org.bramblerack.process.leaf.LagSamplingPeriod;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -60,6 +61,7 @@
     private HttpListener leaf;
     private final AtomicInteger leafRequests = new AtomicInteger();
     private final AtomicBoolean failing = new AtomicBoolean();
+    private final AtomicBoolean silent = new AtomicBoolean();
     private final AtomicLong leafMillis = new AtomicLong();
     private FleetView view;
     private Gateway gateway;
@@ -179,6 +181,35 @@
         assertThat(leafRequests.get()).isEqualTo(1);
     }
 
+    /** A call that a stopping host would cut off is refused as not run, so that the calling host calls another. */
+    @Test
+    void aCallThatOutlastsAStoppingHostIsNotRun() throws Exception {
+        gateway.beginStop(
+                StopWindow.closingAt(clock.nowNanos() + Duration.ofSeconds(3).toNanos()));
+        StageCall.Builder call =
+                query().setRoute("unknown").clearGoalMicros().setDeadlineMicros(20 * MICROS_PER_SECOND);
+        assertThat(call(call).getStatus()).isEqualTo(StageResult.Status.NOT_RUN);
+        assertThat(call(call.setLeaf("i-1")).getStatus()).isEqualTo(StageResult.Status.NOT_RUN);
+        assertThat(leafRequests.get()).isEqualTo(0);
+        assertThat(call(query().setDeadlineMicros(MICROS_PER_SECOND)).getStatus())
+                .isEqualTo(StageResult.Status.ANSWERED);
+    }
+
+    /** The calling host would learn only from the lost connection that its calls may have run. */
+    @Test
+    void callsInFlightAreRepliedToBeforeTheHostEnds() throws Exception {
+        silent.set(true);
+        CompletableFuture<StageResult> ofQuery = start(query().setCall(1).setMaxAttempts(1));
+        CompletableFuture<StageResult> ofLeafCall = start(query().setCall(2).setLeaf("i-1"));
+        while (leafRequests.get() < 2) {
+            Thread.sleep(5);
+        }
+        gateway.endRequests();
+        assertThat(ofQuery.get(5, TimeUnit.SECONDS).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        assertThat(ofLeafCall.get(5, TimeUnit.SECONDS).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        assertThat(call(query().setCall(3)).getStatus()).isEqualTo(StageResult.Status.NOT_RUN);
+    }
+
     /** Otherwise a lagging host sends calls after their deadline or as an additional attempt. */
     @Test
     void aCallThatWaitedLongerThanTheHedgeDelayIsNotRun() throws Exception {
@@ -220,6 +251,10 @@
     }
 
     private StageResult call(StageCall.Builder call) throws Exception {
+        return start(call).get(5, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<StageResult> start(StageCall.Builder call) {
         CompletableFuture<StageResult> result = new CompletableFuture<>();
         Envelope message = Envelope.newBuilder()
                 .setSender("127.0.0.1:2")
@@ -230,7 +265,7 @@
                 result.complete(reply.getStageResult());
             }
         }));
-        return result.get(5, TimeUnit.SECONDS);
+        return result;
     }
 
     private static StageCall.Builder query() {
@@ -252,6 +287,9 @@
 
     private void answerAsLeaf(HttpExchange exchange) {
         leafRequests.incrementAndGet();
+        if (silent.get()) {
+            return;
+        }
         leafMillis.set(Long.parseLong(exchange.headers().get("deadline-ms", "0")));
         int status = failing.get() ? 500 : 200;
         FullHttpResponse response = HttpExchange.response(status, Unpooled.wrappedBuffer(new byte[16]));
