Compare the time that is left with that of a request in HostProcess too

What callers saw: a host of our own interface that stops accepts requests while the load balancer lags, also if they may take longer than the limit of the stop, runs them, and refuses them at the limit as possibly run. A request of which the body was read in part is closed without an answer.

By reading: calls of other hosts, proposals, look-ups and changes of operators that were in flight at the limit were cut off.

Change: QueryRunner, OnceOnlyRunner and PeerRouter ask StopAdmission. PendingReplies replies to what is in flight at the limit: calls as possibly run, proposals as undecided. EntryServer records what look-ups and changes are refused with, and half-read requests get 408.

--- a/bramblerack-cli/src/test/java/org/bramblerack/cli/bench/PlannedStopTest.java
+++ b/bramblerack-cli/src/test/java/org/bramblerack/cli/bench/PlannedStopTest.java
@@ -12,12 +12,14 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.bramblerack.daemon.entry.StoppingState;
 import org.bramblerack.daemon.host.HostProcess;
 import org.bramblerack.standin.Ledger;
 import org.junit.jupiter.api.Test;
@@ -77,25 +79,92 @@
         try (BenchSystem system = startSystem(4, 0);
                 RawCaller queryCaller = new RawCaller(system.address(0), 0);
                 RawCaller operationCaller = new RawCaller(system.address(0), 0)) {
-            system.fleet()
-                    .matching("")
-                    .forEach(upstream ->
-                            upstream.setBehaviour(upstream.behaviour().withSilent(true)));
+            silence(system);
             queryCaller.send(query("unfinished"));
             operationCaller.send(operation("unfinished"));
             while (system.fleet().ledger().runCount("unfinished") == 0) {
                 Thread.sleep(5);
             }
             system.hosts().remove(0).stop(Duration.ZERO, Duration.ofMillis(500));
-            assertRefused(queryCaller.read(), "incomplete");
-            assertRefused(operationCaller.read(), "outcome-unknown");
+            assertRefused(queryCaller.read(), "incomplete", "may-have-run");
+            assertRefused(operationCaller.read(), "outcome-unknown", "may-have-run");
         }
     }
 
-    private static void assertRefused(RawCaller.Response response, String code) {
+    /**
+     * A request that may outlast the host is refused as not run, instead of being run and then refused at the limit.
+     */
+    @Test
+    void aRequestThatOutlastsTheStopIsNotRun() throws Exception {
+        try (BenchSystem system = startSystem(5, 0);
+                RawCaller queryCaller = new RawCaller(system.address(0), 0);
+                RawCaller operationCaller = new RawCaller(system.address(0), 0)) {
+            silence(system);
+            CompletableFuture<Void> stopped = beginStop(system, Duration.ofSeconds(2), Duration.ofMillis(300));
+            queryCaller.send(query("outlasting"));
+            operationCaller.send(operation("outlasting"));
+            assertRefused(queryCaller.read(), "stopping", "not-run");
+            assertRefused(operationCaller.read(), "stopping", "not-run");
+            assertThat(system.fleet().ledger().runCount("outlasting")).isEqualTo(0);
+            stopped.get(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** The deadline of a request does not count while requests like it are short. */
+    @Test
+    void aShortRequestIsServedWhileTheLoadBalancerLags() throws Exception {
+        try (BenchSystem system = startSystem(6, 0);
+                RawCaller first = new RawCaller(system.address(0), 0);
+                RawCaller second = new RawCaller(system.address(0), 0)) {
+            first.send(query("before"));
+            assertAnswered(first.read());
+            CompletableFuture<Void> stopped = beginStop(system, Duration.ofSeconds(15), Duration.ofMillis(300));
+            second.send(query("short"));
+            assertAnswered(second.read());
+            stopped.cancel(true);
+        }
+    }
+
+    /** The caller may have sent the rest of its body, which the host then reads and discards. */
+    @Test
+    void aRequestThatIsReadInPartIsRefusedAtTheLimit() throws Exception {
+        try (BenchSystem system = startSystem(7, 0);
+                RawCaller caller = new RawCaller(system.address(0), 0)) {
+            byte[] query = query("part");
+            caller.send(query, 0, query.length - 5);
+            Thread.sleep(100);
+            system.hosts().remove(0).stop(Duration.ZERO, Duration.ofMillis(500));
+            assertThat(caller.read().status()).isEqualTo(408);
+        }
+    }
+
+    private static void silence(BenchSystem system) {
+        system.fleet()
+                .matching("")
+                .forEach(upstream -> upstream.setBehaviour(upstream.behaviour().withSilent(true)));
+    }
+
+    /** Begins to stop the first host, and returns once it has announced that it leaves. */
+    private static CompletableFuture<Void> beginStop(BenchSystem system, Duration lag, Duration limit)
+            throws InterruptedException {
+        HostProcess host = system.hosts().remove(0);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
+            try {
+                host.stop(lag, limit);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        while (host.stopping() == StoppingState.RUNNING) {
+            Thread.sleep(5);
+        }
+        return stopped;
+    }
+
+    private static void assertRefused(RawCaller.Response response, String code, String ran) {
         JsonObject refusal = new JsonObject(response.body()).getJsonObject("refusal");
         assertThat(refusal.getString("code")).isEqualTo(code);
-        assertThat(refusal.getString("ran")).isEqualTo("may-have-run");
+        assertThat(refusal.getString("ran")).isEqualTo(ran);
     }
 
     /** Callers that neither send the rest of a request nor read their answer do not hold up the stop past its limit. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
@@ -57,6 +57,12 @@
     private static final Duration OVERDUE_GRACE = Duration.ofSeconds(2);
     private static final Refusal QUERY_CUT_SHORT = Refusal.of(
             RefusalKind.INCOMPLETE, "this host stops before all shards have answered; send the query to another");
+    private static final Refusal READ_CUT_SHORT =
+            Refusal.of(RefusalKind.READ_UNAVAILABLE, "this host stops before the answer is known; ask another");
+    private static final Refusal CHANGE_CUT_SHORT = Refusal.of(
+            RefusalKind.CHANGE_UNKNOWN,
+            "this host stops before it is known whether the change was accepted; send it to another with the same "
+                    + OperatorApi.CHANGE_ID_HEADER);
     private static final Refusal OPERATION_CUT_SHORT = Refusal.of(
             RefusalKind.OUTCOME_UNKNOWN,
             "this host stops before the outcome is known; look it up by its request identifier");
@@ -136,13 +142,14 @@
         return connections.inFlight();
     }
 
-    /** Refuses the requests in progress, of which it is not known whether they have run. */
+    /** Refuses the requests in progress, of which it is not known whether they have run, and those read in part. */
     public void refuseInProgress() {
         ImmutableMap.copyOf(inProgress).forEach((context, refusal) -> {
             if (inProgress.remove(context) != null) {
                 refuse(context, refusal);
             }
         });
+        connections.endWaiting();
     }
 
     /** Returns the number of open connections. */
@@ -183,11 +190,15 @@
         router.get("/metrics").handler(this::sendMetrics);
         router.post("/v1/query/:partner/:service").handler(body).handler(this::handleQuery);
         router.post("/v1/operation/:partner/:service/:operation").handler(body).handler(this::handleOperation);
+        router.get("/v1/*").handler(context -> track(context, READ_CUT_SHORT));
         router.get("/v1/operation/:partner/:service/:requestId").handler(this::handleLookUp);
         router.get("/v1/status").handler(operators::status);
         router.get("/v1/history").handler(operators::history);
         router.get("/v1/declaration/:partner").handler(operators::declaration);
-        router.put("/v1/declaration/:partner").handler(largeBody).handler(operators::apply);
+        router.put("/v1/declaration/:partner")
+                .handler(largeBody)
+                .handler(context -> track(context, CHANGE_CUT_SHORT))
+                .handler(operators::apply);
         router.errorHandler(STATUS_NOT_FOUND, this::refuseUnknownPath);
         router.errorHandler(STATUS_METHOD_NOT_ALLOWED, this::refuseUnknownPath);
         router.errorHandler(STATUS_TOO_LARGE, this::refuseTooLarge);
@@ -195,6 +206,15 @@
         return router;
     }
 
+    /** Passes a request on after recording the refusal that it gets if the host ends before the answer. */
+    private void track(RoutingContext context, Refusal refusal) {
+        inProgress.put(context, refusal);
+        context.addEndHandler()
+                .subscribe()
+                .with(ended -> inProgress.remove(context), failure -> inProgress.remove(context));
+        context.next();
+    }
+
     private void handleQuery(RoutingContext context) {
         if (refuseIfStopping(context)) {
             return;
@@ -315,7 +335,7 @@
 
     private boolean refuseIfStopping(RoutingContext context) {
         if (stopping.get() == StoppingState.FINISHING) {
-            refuse(context, Refusal.of(RefusalKind.STOPPING, "this host is stopping; send the request to another"));
+            refuse(context, Refusals.STOPPING);
             return true;
         }
         return false;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/OnceOnlyRunner.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/OnceOnlyRunner.java
@@ -12,6 +12,7 @@
 import org.bramblerack.daemon.control.ProposalResult;
 import org.bramblerack.daemon.peer.Workers;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopAdmission;
 import org.bramblerack.process.agreement.Digests;
 import org.bramblerack.process.directory.ServiceDirectory;
 import org.bramblerack.process.directory.ServiceView;
@@ -48,6 +49,7 @@
     private final RandomGenerator random;
     private final HostMetrics metrics;
     private final RequestIds ids;
+    private final StopAdmission stopAdmission;
     private final OutcomeRecorder recorder;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -61,7 +63,8 @@
             InstantSource wallClock,
             RandomGenerator random,
             HostMetrics metrics,
-            RequestIds ids) {
+            RequestIds ids,
+            StopAdmission stopAdmission) {
         this.directory = directory;
         this.router = router;
         this.control = control;
@@ -71,6 +74,7 @@
         this.random = random;
         this.metrics = metrics;
         this.ids = ids;
+        this.stopAdmission = stopAdmission;
         this.recorder = new OutcomeRecorder(control, wallClock, metrics);
     }
 
@@ -123,8 +127,14 @@
                 .deadline()
                 .filter(deadline -> deadline.compareTo(operation.deadline()) < 0)
                 .orElse(operation.deadline());
-        String attempt = ids.next();
         long nowNanos = clock.nowNanos();
+        String kind = "operation " + callerOperation.service() + " " + operation.name();
+        if (!stopAdmission.mayAccept(kind, Duration.ZERO, nowNanos + timeout.toNanos())) {
+            metrics.count(RefusalKind.STOPPING);
+            done.accept(new QueryResult.Refused(Refusals.STOPPING));
+            return;
+        }
+        String attempt = ids.next();
         ImmutableList<UpstreamName> pool =
                 view.service().upstreams().stream().map(Upstream::name).collect(ImmutableList.toImmutableList());
         OnceOnlyRequest request =
@@ -132,6 +142,7 @@
         inFlight.incrementAndGet();
         Consumer<QueryResult> release = result -> {
             inFlight.decrementAndGet();
+            stopAdmission.recordDuration(kind, clock.nowNanos() - nowNanos);
             if (result instanceof QueryResult.Refused refused) {
                 metrics.count(refused.refusal().kind());
             }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/QueryRunner.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/QueryRunner.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.peer.Workers;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopAdmission;
 import org.bramblerack.process.directory.ServiceDirectory;
 import org.bramblerack.process.directory.ServiceView;
 import org.bramblerack.request.Admission;
@@ -39,6 +40,7 @@
     private final RandomGenerator random;
     private final HostMetrics metrics;
     private final RequestIds ids;
+    private final StopAdmission stopAdmission;
     private final Admission admission;
     private final ReentrantLock admissionLock = new ReentrantLock();
     private final Map<String, QueryCall> calls = new ConcurrentHashMap<>();
@@ -52,6 +54,7 @@
             RandomGenerator random,
             HostMetrics metrics,
             RequestIds ids,
+            StopAdmission stopAdmission,
             int maxQueries) {
         this.directory = directory;
         this.router = router;
@@ -60,6 +63,7 @@
         this.random = random;
         this.metrics = metrics;
         this.ids = ids;
+        this.stopAdmission = stopAdmission;
         this.admission = new Admission(maxQueries);
     }
 
@@ -94,6 +98,10 @@
         long nowNanos = clock.nowNanos();
         long marginNanos = Math.min(MAX_FINALIZE_MARGIN_NANOS, timeout.toNanos() / FINALIZE_MARGIN_DIVISOR);
         long finalizeNanos = nowNanos + timeout.toNanos() - marginNanos;
+        if (!stopAdmission.mayAccept(kindOf(callerQuery), Duration.ZERO, finalizeNanos)) {
+            refuse(done, Refusals.STOPPING);
+            return () -> {};
+        }
         Admission.Ticket ticket =
                 new Admission.Ticket(ids.next(), callerQuery.service(), requestClass.priority(), finalizeNanos);
         QueryCall call = new QueryCall(callerQuery, requestClass, ticket, nowNanos, done);
@@ -164,6 +172,7 @@
     private void end(QueryCall call, QueryResult result) {
         if (call.tryEnd()) {
             long tookNanos = clock.nowNanos() - call.receivedNanos();
+            stopAdmission.recordDuration(kindOf(call.query()), tookNanos);
             metrics.timer("query.time").update(tookNanos, TimeUnit.NANOSECONDS);
             deliver(call::deliver, result);
             release(call.ticket(), clock.nowNanos() - call.admittedNanos());
@@ -178,6 +187,10 @@
         }
     }
 
+    private static String kindOf(CallerQuery query) {
+        return "query " + query.service() + " " + query.requestClass();
+    }
+
     private void release(Admission.Ticket ticket, long tookNanos) {
         updateAdmission(() -> admission.onFinished(ticket, tookNanos, clock.nowNanos()));
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlPeers.java
@@ -41,13 +41,24 @@
         return pendingProposals.count();
     }
 
+    /** Replies to the proposals in flight as undecided. */
+    void endProposals() {
+        pendingProposals.endAll();
+    }
+
+    private static Envelope.Builder undecided() {
+        return Envelope.newBuilder().setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.LOST));
+    }
+
     @Override
     public void handle(Envelope message, Consumer<Envelope.Builder> reply) {
         switch (message.getBodyCase()) {
             case RAFT -> node.receive(message.getRaft());
             case HEARD_MEMBERS -> fleet.mergeContacts(message.getHeardMembers(), clock.nowNanos());
             case JOIN_REQUEST -> handleJoin(message.getJoinRequest());
-            case PROPOSE -> handlePropose(message.getPropose().getCommand(), pendingProposals.track(reply));
+            case PROPOSE ->
+                handlePropose(
+                        message.getPropose().getCommand(), pendingProposals.track(reply, ControlPeers::undecided));
             case CONTROL_READ ->
                 node.read(message.getControlRead())
                         .subscribe()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/HostProcess.java
@@ -39,6 +39,8 @@
 import org.bramblerack.daemon.settings.Settings;
 import org.bramblerack.process.MembershipTable;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopAdmission;
+import org.bramblerack.process.StopWindow;
 import org.bramblerack.process.agreement.RaftTimings;
 import org.bramblerack.process.directory.ServiceDirectory;
 
@@ -74,18 +76,19 @@
     private final PeerTraffic traffic = new PeerTraffic();
     private final ControlClient client;
     private final HostMetrics metrics = new HostMetrics();
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final MembershipTable membership = new MembershipTable();
+    private final StopAdmission stopAdmission = new StopAdmission(kind -> true, clock);
     private volatile StoppingState stopping = StoppingState.RUNNING;
 
     /** Creates a process that serves nothing until {@link #start} is called. */
     public HostProcess(Settings settings, LinkPolicy links) {
-        MonotonicClock clock = MonotonicClock.system();
         InstantSource wallClock = InstantSource.system();
         RandomGenerator random = new ThreadRandom();
         long incarnation = wallClock.millis();
         this.settings = settings;
         this.workers = new Workers(settings.host(), settings.workers());
         this.network = new PeerNetwork(settings.host(), settings.hosts(), group, links, traffic);
-        MembershipTable membership = new MembershipTable();
         this.directory = new ServiceDirectory(settings.zone(), settings::hostsInZone);
         UpstreamStatusRegistry statusRegistry = new UpstreamStatusRegistry(settings.host(), directory);
         UpstreamHarm harm = new UpstreamHarm(clock, wallClock);
@@ -127,9 +130,10 @@
                 .map(list -> new PlatformWatcher(list, directory, workers, metrics));
         RequestIds ids = new RequestIds(settings.host(), incarnation);
         LeafRouter router = new LeafRouter(settings.host(), directory, holders, membership, network, workers, clock);
-        this.queries = new QueryRunner(directory, router, workers, clock, random, metrics, ids, settings.maxQueries());
-        this.operations =
-                new OnceOnlyRunner(directory, router, client, workers, clock, wallClock, random, metrics, ids);
+        this.queries = new QueryRunner(
+                directory, router, workers, clock, random, metrics, ids, stopAdmission, settings.maxQueries());
+        this.operations = new OnceOnlyRunner(
+                directory, router, client, workers, clock, wallClock, random, metrics, ids, stopAdmission);
         OperatorApi operators = new OperatorApi(
                 settings, directory, client, wallClock, metrics, follower::timeSinceConfirmation, this::stopping);
         this.entry = new EntryServer(
@@ -143,7 +147,8 @@
                 wallClock,
                 this::stopping,
                 follower::isReady);
-        this.peerRouter = new PeerRouter(workers, clock, holders, heartbeats, membership, control, follower);
+        this.peerRouter =
+                new PeerRouter(workers, clock, holders, heartbeats, membership, control, follower, stopAdmission);
         this.peers = new PeerServer(settings.peerAddress(), peerRouter, group, links, traffic);
         addGauges();
     }
@@ -173,12 +178,15 @@
 
     /**
      * Stops gracefully: announces that the host is leaving, serves until the load balancer has noticed, then refuses
-     * new work and waits until everything in flight has been answered in full, and stops all components.
+     * new work and waits until everything in flight has been answered in full, and stops all components. Meanwhile it
+     * accepts only requests that will be answered within the limit. What has no answer at the limit is refused.
      *
      * @param lag how long the load balancer may continue to send requests
      * @param limit the maximum time to wait for requests in flight after that
      */
     public void stop(Duration lag, Duration limit) throws InterruptedException {
+        long startedNanos = clock.nowNanos();
+        stopAdmission.beginStop(StopWindow.closingAt(startedNanos + lag.toNanos() + limit.toNanos()));
         stopping = StoppingState.LEAVING;
         LOGGER.log(Logger.Level.INFO, "{0} is leaving", settings.host());
         entry.beginStop();
@@ -186,7 +194,7 @@
         Thread.sleep(lag.toMillis());
         stopping = StoppingState.FINISHING;
         peerRouter.refuseCalls();
-        long deadlineNanos = System.nanoTime() + limit.toNanos();
+        long deadlineNanos = clock.nowNanos() + limit.toNanos();
         drain(deadlineNanos, () -> isWorkDone() && entry.inFlight() == 0);
         entry.stopListening();
         // Connections that were accepted last may carry requests, which are refused like the others.
@@ -198,9 +206,10 @@
                 queries.inFlight() + operations.inFlight(),
                 peerRouter.inFlight(),
                 entry.inFlight());
-        if (entry.inFlight() > 0) {
+        if (entry.inFlight() + peerRouter.inFlight() > 0) {
+            peerRouter.endCalls();
             entry.refuseInProgress();
-            drain(System.nanoTime() + TIME_TO_REFUSE.toNanos(), () -> entry.inFlight() == 0);
+            drain(clock.nowNanos() + TIME_TO_REFUSE.toNanos(), () -> entry.inFlight() == 0);
         }
         kill();
     }
@@ -208,7 +217,7 @@
     /** Closes idle connections of callers until a condition is met or the deadline has passed. */
     private void drain(long deadlineNanos, BooleanSupplier done) throws InterruptedException {
         entry.closeIdle();
-        while (!done.getAsBoolean() && System.nanoTime() - deadlineNanos < 0) {
+        while (!done.getAsBoolean() && clock.nowNanos() - deadlineNanos < 0) {
             Thread.sleep(DRAIN_POLL_PERIOD.toMillis());
             entry.closeIdle();
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/PeerRouter.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/host/PeerRouter.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.control.ControlNode;
@@ -13,6 +14,7 @@
 import org.bramblerack.daemon.peer.Workers;
 import org.bramblerack.process.MembershipTable;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopAdmission;
 import org.bramblerack.request.LeafFailure;
 import org.bramblerack.request.LeafOutcome;
 import org.bramblerack.request.LeafRequest;
@@ -40,6 +42,7 @@
     private final Optional<ControlNode> control;
     private final ConfigurationFollower follower;
     private final PendingReplies pendingReplies = new PendingReplies();
+    private final StopAdmission stopAdmission;
     private volatile boolean refusingCalls;
 
     PeerRouter(
@@ -49,7 +52,8 @@
             Heartbeats heartbeats,
             MembershipTable membership,
             Optional<ControlNode> control,
-            ConfigurationFollower follower) {
+            ConfigurationFollower follower,
+            StopAdmission stopAdmission) {
         this.workers = workers;
         this.clock = clock;
         this.holders = holders;
@@ -57,6 +61,7 @@
         this.membership = membership;
         this.control = control;
         this.follower = follower;
+        this.stopAdmission = stopAdmission;
     }
 
     /** Refuses new calls to upstreams as not run; calls in progress are finished. */
@@ -64,6 +69,11 @@
         refusingCalls = true;
     }
 
+    /** Replies to the calls and proposals in flight, of which it is not known whether they have run. */
+    void endCalls() {
+        pendingReplies.endAll();
+    }
+
     /** Returns the number of calls and proposals whose replies have not been passed to the connection. */
     int inFlight() {
         return pendingReplies.count();
@@ -76,7 +86,8 @@
             case LEAF_CANCEL -> workers.run(() -> handleLeafCancel(message.getLeafCancel()));
             case HEARTBEAT -> workers.run(() -> heartbeats.receive(message.getHeartbeat()));
             case RAFT -> control.ifPresent(node -> node.receive(message.getRaft()));
-            case PROPOSE -> handlePropose(message.getPropose().getCommand(), pendingReplies.track(reply));
+            case PROPOSE ->
+                handlePropose(message.getPropose().getCommand(), pendingReplies.track(reply, PeerRouter::undecided));
             case CONTROL_READ -> handleControlRead(message, reply);
             case CONFIGURATION_PULL -> handleConfigurationPull(message.getConfigurationPull(), reply);
             default -> {
@@ -87,14 +98,26 @@
 
     private void handleLeafCall(LeafCall call, Consumer<Envelope.Builder> reply) {
         LeafRequest request = LeafCodec.toRequest(call, clock.nowNanos());
-        Consumer<Envelope.Builder> tracked = pendingReplies.track(reply);
-        Consumer<LeafOutcome> onOutcome =
-                outcome -> tracked.accept(Envelope.newBuilder().setLeafResult(LeafCodec.toMessage(outcome)));
-        if (refusingCalls) {
-            onOutcome.accept(new LeafOutcome.Failed(LeafFailure.HOLDER_UNREACHABLE));
+        String kind = "call " + request.upstream().service();
+        if (refusingCalls || !stopAdmission.mayAccept(kind, Duration.ZERO, request.deadlineNanos())) {
+            reply.accept(toMessage(new LeafOutcome.Failed(LeafFailure.HOLDER_UNREACHABLE)));
             return;
         }
-        workers.run(() -> holders.submit(request, onOutcome));
+        Consumer<Envelope.Builder> tracked =
+                pendingReplies.track(reply, () -> toMessage(new LeafOutcome.Failed(LeafFailure.HOLDER_LOST)));
+        long receivedNanos = clock.nowNanos();
+        workers.run(() -> holders.submit(request, outcome -> {
+            stopAdmission.recordDuration(kind, clock.nowNanos() - receivedNanos);
+            tracked.accept(toMessage(outcome));
+        }));
+    }
+
+    private static Envelope.Builder toMessage(LeafOutcome outcome) {
+        return Envelope.newBuilder().setLeafResult(LeafCodec.toMessage(outcome));
+    }
+
+    private static Envelope.Builder undecided() {
+        return Envelope.newBuilder().setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.LOST));
     }
 
     private void handleLeafCancel(LeafCancel cancel) {
@@ -121,8 +144,7 @@
                 .subscribe()
                 .with(
                         result -> reply.accept(Envelope.newBuilder().setProposeResult(toMessage(result))),
-                        failure -> reply.accept(Envelope.newBuilder()
-                                .setProposeResult(ProposeResult.newBuilder().setStatus(ProposeResult.Status.LOST))));
+                        failure -> reply.accept(undecided()));
     }
 
     private ProposeResult.Builder toMessage(ProposalResult result) {
