Refuse calls that a stopping control host cannot finish

Cause, by reading: a control host that stops accepted calls of leaves and operators until its end, 2 s after the signal, while a call may take 0.9 s, and closed the connections of those that were still in flight.

Change: it accepts calls for 1 s at most, then refuses new ones with 503 and gives the others another second, which is longer than any of their time limits.

HttpListenerTest.requestsInFlightAreAnsweredBeforeTheServerEnds checks the part that both listeners use; ControlStopTest passes as before.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -40,8 +40,12 @@
     private static final long JOIN_RETRY_INTERVAL_MILLIS = 300;
     private static final long LOG_COUNTERS_INTERVAL_MILLIS = 10_000;
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 10;
-    /** Proposals are decided within a few round trips of the voters unless there is no quorum. */
-    private static final Duration MAX_DRAIN = Duration.ofSeconds(2);
+    /** How long a stopping host accepts calls at most. */
+    private static final Duration MAX_ACCEPT = Duration.ofSeconds(1);
+    /** How long the calls in flight may take after that; longer than the time limit of every call. */
+    private static final Duration MAX_DRAIN = Duration.ofSeconds(1);
+    /** How long the refusals of calls that are still in flight may take to be written. */
+    private static final Duration TIME_TO_REFUSE = Duration.ofMillis(200);
 
     private final ControlSettings settings;
     private final MetricRegistry metrics;
@@ -190,17 +194,22 @@
 
     /**
      * Stops the process after the calls of leaves, operators and other hosts in progress have been answered, for which
-     * it waits for a limited time.
+     * it waits for a limited time. Calls that arrive when there is no time left for them are refused at once.
      *
      * @param calls receives the calls of leaves and operators
      * @throws InterruptedException if the thread is interrupted while waiting
      */
     public void stop(HttpListener calls) throws InterruptedException {
+        calls.drain(MAX_ACCEPT);
+        calls.refuseNew();
         long deadlineNanos = clock.nowNanos() + MAX_DRAIN.toNanos();
         calls.drain(MAX_DRAIN);
         while (peerHandler.proposalsInFlight() > 0 && clock.nowNanos() - deadlineNanos < 0) {
             Thread.sleep(DRAIN_POLL_INTERVAL_MILLIS);
         }
+        peerHandler.endProposals();
+        calls.endRequests();
+        calls.drain(TIME_TO_REFUSE);
         stop();
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
@@ -141,7 +141,7 @@
 
     private void handle(HttpExchange exchange) {
         current = exchange;
-        listener.handler().handle(exchange);
+        listener.handle(exchange);
     }
 
     private void onAnswered(HttpExchange exchange) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
@@ -33,7 +33,7 @@
     private final long receivedNanos;
     private final Consumer<HttpExchange> onAnswered;
     private Runnable onCallerGone = () -> {};
-    private Runnable onStopLimit = () -> respond(UNAVAILABLE, "text/plain", "this host is stopping\n");
+    private Runnable onStopLimit = () -> respond(UNAVAILABLE, "text/plain", "this host is stopping; ask another\n");
     private boolean answered;
     private boolean callerGone;
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
@@ -44,6 +44,7 @@
     private final MonotonicClock clock;
     private final CallerConnections callers;
     private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
+    private volatile boolean refusing;
     private @Nullable Channel serverChannel;
     private @Nullable ScheduledFuture<?> timeoutCheck;
 
@@ -91,6 +92,11 @@
         callers.beginStop();
     }
 
+    /** Refuses the requests that arrive from now on, without passing them to the handler. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     /** Closes the connections on which no request is in flight and that have not been used for a while. */
     public void closeIdle() {
         callers.closeIdle();
@@ -161,8 +167,13 @@
         callers.closeNow();
     }
 
-    HttpHandler handler() {
-        return handler;
+    /** Passes a request to the handler, or refuses it. */
+    void handle(HttpExchange exchange) {
+        if (refusing) {
+            exchange.end();
+        } else {
+            handler.handle(exchange);
+        }
     }
 
     void onOpened(HttpConnection connection) {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/http/HttpListenerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/http/HttpListenerTest.java
@@ -139,6 +139,31 @@
         }
     }
 
+    /** The handler of a request says how it is ended; otherwise it is refused, like those that wait behind it. */
+    @Test
+    void requestsInFlightAreAnsweredBeforeTheServerEnds() throws Exception {
+        try (Socket handled = connect(0);
+                Socket unhandled = connect(0);
+                Socket readInPart = connect(0)) {
+            send(handled, REQUEST + REQUEST);
+            HttpExchange exchange = take();
+            exchange.onStopLimit(() -> exchange.respond(504, "text/plain", "unfinished"));
+            send(unhandled, REQUEST);
+            take();
+            send(readInPart, REQUEST.substring(0, 10));
+            sleepMillis(100);
+            listener.beginStop();
+            listener.refuseNew();
+            listener.endRequests();
+            String answers = readToEnd(handled);
+            assertThat(answers).startsWith("HTTP/1.1 504");
+            assertThat(answers).contains("HTTP/1.1 503");
+            assertThat(readToEnd(unhandled)).startsWith("HTTP/1.1 503");
+            assertThat(readToEnd(readInPart)).startsWith("HTTP/1.1 408");
+            assertThat(exchanges).isEmpty();
+        }
+    }
+
     /** A close with unread input would reset the connection, and the caller would lose the answer. */
     @Test
     void aCloseWithUnreadInputDoesNotResetTheConnection() throws Exception {
