Never send a request on a connection with bytes of no request

Cause: bytes after a leaf's whole answer that are less than a line or a head stayed in the decoder of the connection, and the next answer was decoded as their rest, for example as a refusal without running. The same holds for bytes that are still in the socket when the next request is sent, for a refusal that is broken off before the answer, and for refusals of upstreams of our own protocol.

Change: the decoder decodes only while an answer is expected and reports what is left at its end; the socket is looked into before a connection is used again; a head that contains another status line is malformed, so that the request may have run; a refusal of an upstream counts only with the identifier of the call and without the checksum of a reply.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
@@ -74,7 +74,7 @@
             call.putHeader(UpstreamHeaders.OPERATION, request.operation());
         }
         return call.sendBuffer(Buffer.buffer(request.body().toByteArray()))
-                .map(HttpUpstreamProtocol::toOutcome)
+                .map(response -> toOutcome(request, response))
                 .onFailure()
                 .recoverWithItem(failure -> new LeafOutcome.Failed(classify(failure)));
     }
@@ -142,10 +142,11 @@
         return options;
     }
 
-    private static LeafOutcome toOutcome(HttpResponse<Buffer> response) {
+    private static LeafOutcome toOutcome(LeafRequest request, HttpResponse<Buffer> response) {
         String refusal = response.getHeader(UpstreamHeaders.REFUSAL);
         if (refusal != null) {
-            return new LeafOutcome.Failed(parseRefusal(refusal));
+            return new LeafOutcome.Failed(
+                    isRefusalOf(request, response) ? parseRefusal(refusal) : LeafFailure.MISDIRECTED);
         }
         if (response.statusCode() != STATUS_OK) {
             return new LeafOutcome.Failed(LeafFailure.UPSTREAM_ERROR);
@@ -157,6 +158,15 @@
         }
     }
 
+    /**
+     * Returns false for a refusal of another call, and for one that is mixed up with a reply, as when an upstream
+     * breaks off a refusal and then replies to the next call on the same connection: that call has run.
+     */
+    private static boolean isRefusalOf(LeafRequest request, HttpResponse<Buffer> response) {
+        return request.callId().equals(response.getHeader(UpstreamHeaders.CALL_ID))
+                && response.getHeader(UpstreamHeaders.CHECKSUM) == null;
+    }
+
     private static LeafReply toReply(HttpResponse<Buffer> response) {
         Buffer body = response.body();
         ByteString payload = body == null ? ByteString.EMPTY : ByteString.copyFrom(body.getBytes());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -23,9 +22,10 @@
 /**
  * A connection to a leaf, which carries one request at a time.
  *
- * <p>Invariants: bytes that do not belong to the answer of the current request are discarded and close the connection.
- * An answer to another request is skipped, and the connection is not reused. An answer without a length is complete
- * only if the connection was closed cleanly. Owned by its event loop.
+ * <p>Invariants: bytes that do not belong to the answer of the current request are discarded and close the connection,
+ * whether or not they form a message, and a request is never sent on a connection on which such bytes have arrived. An
+ * answer to another request is skipped, and the connection is not reused. An answer without a length is complete only
+ * if the connection was closed cleanly. Owned by its event loop.
  */
 final class LeafConnection extends ChannelInboundHandlerAdapter {
     /** The maximum number of answers to earlier requests that are skipped before the expected one. */
@@ -37,7 +37,8 @@
     private final LeafConnections owner;
     private final CallHeaders headerNames;
     private final MonotonicClock clock;
-    private @Nullable Channel channel;
+    private final LeafResponseDecoder decoder = new LeafResponseDecoder(this::onStrayBytes);
+    private @Nullable LeafChannel channel;
     private @Nullable LeafCallback callback;
     private String requestId = "";
     private @Nullable HttpResponse response;
@@ -55,14 +56,19 @@
         this.clock = clock;
     }
 
-    void onOpened(Channel openChannel) {
+    /** Returns the handler that precedes this one. */
+    LeafResponseDecoder decoder() {
+        return decoder;
+    }
+
+    void onOpened(LeafChannel openChannel) {
         channel = openChannel;
         idleSinceNanos = clock.nowNanos();
     }
 
     /** Sends a request. The connection must be idle. */
     void send(LeafRequest request, String leafId, long remainingMillis, LeafCallback newCallback) {
-        Channel open = channel;
+        LeafChannel open = channel;
         if (open == null || !open.isActive()) {
             newCallback.onFailure(LeafOutcome.UNREACHABLE);
             return;
@@ -70,7 +76,7 @@
         callback = newCallback;
         requestId = request.requestId();
         staleAnswers = 0;
-        open.pipeline().get(LeafResponseDecoder.class).setWithoutBody(request.isHeadRequest());
+        decoder.expectAnswer(request.isHeadRequest());
         open.writeAndFlush(request.encode(open.alloc(), leafId, remainingMillis), open.voidPromise());
     }
 
@@ -82,20 +88,24 @@
     void close(ConnectionEvent reason) {
         reusable = false;
         endReason = endReason == null ? reason : endReason;
-        Channel open = channel;
+        LeafChannel open = channel;
         if (open != null) {
             open.close();
         }
     }
 
-    /** Returns true if the connection is open, idle and reusable. */
-    boolean isUsable(long nowNanos) {
-        Channel open = channel;
-        return reusable
-                && callback == null
-                && open != null
-                && open.isActive()
-                && nowNanos - idleSinceNanos < maxIdleNanos;
+    /** Returns why the connection cannot carry a request now and has to be closed; empty if it can. */
+    Optional<ConnectionEvent> unusableReason(long nowNanos) {
+        LeafChannel open = channel;
+        boolean isIdle = reusable && callback == null && open != null && open.isActive();
+        if (open == null || !isIdle || nowNanos - idleSinceNanos >= maxIdleNanos) {
+            return Optional.of(ConnectionEvent.ENDED_RESTED);
+        }
+        return switch (open.unreadInput()) {
+            case NOTHING -> Optional.empty();
+            case BYTES -> Optional.of(ConnectionEvent.ENDED_GARBLED);
+            case END -> Optional.of(ConnectionEvent.ENDED_WHILE_IDLE);
+        };
     }
 
     /** Returns true if the last request on this connection had the given identifier. */
@@ -107,8 +117,8 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (callback == null) {
-                // No request is in flight: a duplicate answer or stray bytes.
-                close(ConnectionEvent.ENDED_GARBLED);
+                // No request is in flight: the rest of a message after the answer.
+                onStrayBytes();
                 return;
             }
             if (message instanceof HttpResponse head) {
@@ -137,12 +147,16 @@
         owner.onClosed(this, reason);
     }
 
+    private void onStrayBytes() {
+        close(ConnectionEvent.ENDED_GARBLED);
+    }
+
     private ConnectionEvent remoteCloseReason() {
         return callback == null ? ConnectionEvent.ENDED_WHILE_IDLE : ConnectionEvent.ENDED_WHILE_CALLED;
     }
 
     private void onHead(HttpResponse head) {
-        if (head.decoderResult().isFailure()) {
+        if (head.decoderResult().isFailure() || SplicedHead.isSpliced(head)) {
             failMalformed();
             return;
         }
@@ -212,7 +226,10 @@
         LeafCallback completed = callback;
         callback = null;
         idleSinceNanos = clock.nowNanos();
-        if (reusable) {
+        boolean bytesLeft = decoder.endAnswer();
+        if (bytesLeft) {
+            onStrayBytes();
+        } else if (reusable) {
             owner.onIdle(this);
         } else {
             close(ConnectionEvent.ENDED_BY_ANSWER);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -8,12 +8,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.bramblerack.process.MonotonicClock;
@@ -131,6 +131,16 @@
             failWaiting(LeafOutcome.NO_CONNECTION);
             return;
         }
+        if (waiting.isEmpty()) {
+            idle.addFirst(connection);
+            return;
+        }
+        Optional<ConnectionEvent> unusable = connection.unusableReason(clock.nowNanos());
+        if (unusable.isPresent()) {
+            // Another connection is opened for the waiting requests once this one is closed.
+            connection.close(unusable.get());
+            return;
+        }
         PendingRequest next = nextWaiting();
         if (next == null) {
             idle.addFirst(connection);
@@ -163,11 +173,11 @@
         long nowNanos = clock.nowNanos();
         while (!idle.isEmpty()) {
             LeafConnection candidate = idle.pollFirst();
-            boolean usable = candidate.isUsable(nowNanos);
-            if (usable && !candidate.lastCarriedRequest(requestId)) {
+            Optional<ConnectionEvent> unusable = candidate.unusableReason(nowNanos);
+            if (unusable.isEmpty() && !candidate.lastCarriedRequest(requestId)) {
                 return candidate;
             }
-            candidate.close(usable ? ConnectionEvent.ENDED_SAME_REQUEST : ConnectionEvent.ENDED_RESTED);
+            candidate.close(unusable.orElse(ConnectionEvent.ENDED_SAME_REQUEST));
         }
         return null;
     }
@@ -195,13 +205,13 @@
         HostAndPort address = HostAndPort.fromString(leaf.address());
         new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channel(LeafChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new LeafResponseDecoder()).addLast(connection);
+                        channel.pipeline().addLast(connection.decoder()).addLast(connection);
                     }
                 })
                 .connect(new InetSocketAddress(address.getHost(), address.getPort()))
@@ -212,7 +222,7 @@
         connecting--;
         if (future.isSuccess()) {
             endDetector.onConnected(startNanos);
-            connection.onOpened(future.channel());
+            connection.onOpened((LeafChannel) future.channel());
             open.add(connection);
             onIdle(connection);
             probeIfEndSuspected();
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -15,6 +16,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -28,6 +31,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against malformed, incomplete or unrelated bytes of a leaf being taken for an answer. */
 final class LeafConnectionsTest {
@@ -58,6 +62,11 @@
     private LeafConnections connections;
     private volatile HomeRegions homes = HomeRegions.ANY;
     private volatile String answer = COMPLETE_ANSWER;
+    /** Sent some time after the answer. */
+    private volatile String lateBytes = "";
+
+    private final CountDownLatch lateBytesSent = new CountDownLatch(1);
+
     private volatile AfterAnswer afterAnswer = AfterAnswer.STAY;
 
     /** What the leaf does with the connection after its answer. */
@@ -176,6 +185,73 @@
         assertThat(accepted.get()).isEqualTo(2);
     }
 
+    /** Guards against the next answer being read as the rest of such bytes and taken for a refusal. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "H",
+                "HTTP/1.1 503 Unav",
+                "HTTP/1.1 503 X\r\n",
+                "HTTP/1.1 503 X\r\nNot-Run: ",
+                "HTTP/1.1 503 X\r\nNot-Run: 1\r\nRetry-After: 0.",
+                "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 999\r\n\r\n",
+                "\r\n"
+            })
+    void bytesAfterAnAnswerThatAreNoWholeMessageAreDiscarded(String bytes) throws Exception {
+        answer = COMPLETE_ANSWER + bytes;
+        success(send("r-1"));
+        answer = COMPLETE_ANSWER.replace("r-1", "r-2");
+        assertThat(success(send("r-2")).signature().orElse("")).isEqualTo("sig");
+        assertThat(accepted.get()).isEqualTo(2);
+    }
+
+    /** The bytes may arrive when the connection is idle already. */
+    @Test
+    void bytesOnAnIdleConnectionThatAreNoWholeMessageAreDiscarded() throws Exception {
+        lateBytes = "HTTP/1.1 503 X\r\nNot-Run: ";
+        success(send("r-1"));
+        assertThat(lateBytesSent.await(5, TimeUnit.SECONDS)).isTrue();
+        Thread.sleep(50);
+        lateBytes = "";
+        answer = COMPLETE_ANSWER.replace("r-1", "r-2");
+        assertThat(success(send("r-2")).signature().orElse("")).isEqualTo("sig");
+        assertThat(accepted.get()).isEqualTo(2);
+    }
+
+    /** The event loop may send the next request before it reads bytes that have arrived already. */
+    @Test
+    void bytesThatTheEventLoopHasNotReadYetAreDiscarded() throws Exception {
+        lateBytes = "HTTP/1.1 503 X\r\nNot-Run: ";
+        success(send("r-1"));
+        CompletableFuture<Boolean> arrived = new CompletableFuture<>();
+        group.next().execute(() -> {
+            // Blocks the event loop until the bytes are in the socket.
+            arrived.complete(Uninterruptibles.awaitUninterruptibly(lateBytesSent, Duration.ofSeconds(5)));
+            Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(50));
+            lateBytes = "";
+            answer = COMPLETE_ANSWER.replace("r-1", "r-2");
+            connections.send(request("r-2"), deadline(), new RecordingCallback());
+        });
+        assertThat(arrived.get(10, TimeUnit.SECONDS)).isTrue();
+        Object second = results.poll(5, TimeUnit.SECONDS);
+        assertThat(success(second).signature().orElse("")).isEqualTo("sig");
+        assertThat(accepted.get()).isEqualTo(2);
+    }
+
+    /** The rest of a broken-off refusal and an answer form a head that states both that the request ran and not. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 Unav",
+                "HTTP/1.1 503 X\r\nNot-Run: ",
+                "HTTP/1.1 503 X\r\nNot-Run: 1\r\nRetry-After: 0.",
+                "HTTP/1.1 503 X\r\nNot-Run: 1\r\nRetr"
+            })
+    void aBrokenOffRefusalBeforeAnAnswerDoesNotMeanThatTheRequestHasNotRun(String bytes) throws Exception {
+        answer = bytes + COMPLETE_ANSWER;
+        assertThat(send("r-1")).isEqualTo(LeafOutcome.GARBLED);
+    }
+
     @Test
     void aSuccessWithoutASignatureOrWithAnEncodingIsRejected() throws Exception {
         answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
@@ -289,6 +365,11 @@
                     receivedHeads.add(head.toString());
                     head.setLength(0);
                     socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    if (!lateBytes.isEmpty()) {
+                        Thread.sleep(100);
+                        socket.getOutputStream().write(lateBytes.getBytes(StandardCharsets.ISO_8859_1));
+                        lateBytesSent.countDown();
+                    }
                     if (afterAnswer != AfterAnswer.STAY) {
                         Thread.sleep(50);
                         socket.setSoLinger(afterAnswer == AfterAnswer.RESET, 0);
