Count only signed successes of leaves as parts of a query

Cause: whether an answer may be passed on unchanged, which is true of a signed 404, stood for the question whether it is a part, in ScatterRun and in HeldLeafCalls.

Change: LeafAnswer.isPart requires a 2xx with a signature. Any other answer is a failure of the shard, so that another leaf is asked.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -101,15 +101,14 @@
                 reply.accept(Envelope.newBuilder().setStageResult(wholeAnswer(answer)));
                 return;
             }
-            if (answer.outcome() != LeafOutcome.SUCCEEDED || answer.signature().isEmpty()) {
-                reply.accept(
-                        failure(answer.outcome() == LeafOutcome.SUCCEEDED ? LeafOutcome.FAILED : answer.outcome()));
+            if (!answer.isPart()) {
+                reply.accept(failure(answer.outcomeWithoutPart()));
                 return;
             }
             reply.accept(Envelope.newBuilder()
                     .setStageResult(StageResult.newBuilder()
                             .setStatus(StageResult.Status.ANSWERED)
-                            .addSignatures(answer.signature().get())
+                            .addSignatures(answer.signature().orElseThrow())
                             .setRecords(answer.body())));
         }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.LongConsumer;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.process.MonotonicClock;
@@ -104,13 +103,11 @@
 
     @Override
     public void onAnswer(Attempt attempt, LeafAnswer answer) {
-        Optional<String> signature = answer.signature();
-        if (answer.outcome() == LeafOutcome.SUCCEEDED && signature.isPresent()) {
-            PartReply part = new PartReply(signature.get(), answer.body());
+        if (answer.isPart()) {
+            PartReply part = new PartReply(answer.signature().orElseThrow(), answer.body());
             execute(query.onAnswer(attempt, part, clock.nowNanos()));
         } else {
-            LeafOutcome outcome = answer.outcome() == LeafOutcome.SUCCEEDED ? LeafOutcome.FAILED : answer.outcome();
-            onFailure(attempt, outcome);
+            onFailure(attempt, answer.outcomeWithoutPart());
         }
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
@@ -46,6 +46,18 @@
         return signature.isPresent() && (outcome == LeafOutcome.SUCCEEDED || outcome == LeafOutcome.FAILED);
     }
 
+    /** Returns true if the answer is a part of a query's answer: a success with a signature. */
+    public boolean isPart() {
+        return outcome == LeafOutcome.SUCCEEDED && isSuccess(status) && signature.isPresent();
+    }
+
+    /**
+     * Returns the outcome for a query of an answer that is no part: one that a single request would get is a failure.
+     */
+    public LeafOutcome outcomeWithoutPart() {
+        return outcome == LeafOutcome.SUCCEEDED ? LeafOutcome.FAILED : outcome;
+    }
+
     /**
      * Returns true if the leaf ran the request to its end and survived. After a gateway timeout it may still be running
      * the request.
@@ -54,6 +66,10 @@
         return status != GATEWAY_TIMEOUT && (outcome == LeafOutcome.SUCCEEDED || outcome == LeafOutcome.FAILED);
     }
 
+    private static boolean isSuccess(int status) {
+        return status >= OK && status < MIN_REDIRECT;
+    }
+
     private static LeafOutcome outcomeOf(
             int status, HttpHeaders headers, Optional<String> signature, CallHeaders headerNames) {
         if (status == MISDIRECTED) {
@@ -66,8 +82,7 @@
         if (status >= MIN_SERVER_ERROR || notRun) {
             return LeafOutcome.FAILED;
         }
-        boolean success = status >= OK && status < MIN_REDIRECT;
-        if (success && (signature.isEmpty() || headers.contains(CONTENT_ENCODING))) {
+        if (isSuccess(status) && (signature.isEmpty() || headers.contains(CONTENT_ENCODING))) {
             return LeafOutcome.GARBLED;
         }
         return LeafOutcome.SUCCEEDED;
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -46,6 +46,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a host refusing or misdirecting calls from hosts with another version of the configuration, and
@@ -61,6 +63,7 @@
     private HttpListener leaf;
     private final AtomicInteger leafRequests = new AtomicInteger();
     private final AtomicBoolean failing = new AtomicBoolean();
+    private final AtomicInteger failureStatus = new AtomicInteger(500);
     private final AtomicBoolean silent = new AtomicBoolean();
     private final AtomicLong leafMillis = new AtomicLong();
     private FleetView view;
@@ -181,6 +184,19 @@
         assertThat(leafRequests.get()).isEqualTo(1);
     }
 
+    /** Guards against a leaf's failure counting as a part because it is signed and no 5xx. */
+    @ParameterizedTest
+    @ValueSource(ints = {300, 304, 404, 422, 429, 503})
+    void aSignedFailureIsNoPart(int status) throws Exception {
+        failing.set(true);
+        failureStatus.set(status);
+        assertThat(call(query()).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        assertThat(leafRequests.get()).isEqualTo(2);
+        StageResult ofLeafCall = call(query().setLeaf("i-1"));
+        assertThat(ofLeafCall.getStatus()).isEqualTo(StageResult.Status.FAILED);
+        assertThat(ofLeafCall.getSignaturesList()).isEmpty();
+    }
+
     /** A call that a stopping host would cut off is refused as not run, so that the calling host calls another. */
     @Test
     void aCallThatOutlastsAStoppingHostIsNotRun() throws Exception {
@@ -291,7 +307,7 @@
             return;
         }
         leafMillis.set(Long.parseLong(exchange.headers().get("deadline-ms", "0")));
-        int status = failing.get() ? 500 : 200;
+        int status = failing.get() ? failureStatus.get() : 200;
         FullHttpResponse response = HttpExchange.response(status, Unpooled.wrappedBuffer(new byte[16]));
         response.headers().set("request-id", "r-1").set("signature", "stamp");
         exchange.respond(response);
