Let TeamFieldTest expect folded fields as HTTP defines them

TeamFieldTest#theCallersOwnFieldsAreKept failed once with the lines "X-Own:ours" and "<tab>team:ours": a line that begins with a tab continues the field before it, and the test left out only lines that begin with a blank. The product passes on one field, which is right.

The test was wrong; it now joins such lines to the field before them. It is stricter than before: lines that begin with a blank are no longer left out.

--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/TeamFieldTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/TeamFieldTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -24,6 +25,7 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.statistics.Statistics;
 import org.bramblerack.version.routing.HomeRegions;
+import org.junit.jupiter.api.Test;
 
 /** Guards against callers smuggling a team field to a leaf through malformed header fields. */
 final class TeamFieldTest {
@@ -51,7 +53,7 @@
     void theCallersOwnFieldsAreKept(@ForAll("heads") List<String> fields) {
         Optional<String> head = headAtLeaf(fields);
         if (head.isPresent() && fields.stream().noneMatch(TeamFieldTest::isUnusual)) {
-            List<String> ownFields = fields.stream()
+            List<String> ownFields = unfold(fields).stream()
                     .filter(field -> field.startsWith("X-Own:"))
                     .map(field -> "X-Own: " + field.substring("X-Own:".length()).strip())
                     .toList();
@@ -65,6 +67,29 @@
         }
     }
 
+    /** A line that begins with a blank or a tab continues the field before it. */
+    @Test
+    void aFoldedFieldIsKeptAsOne() {
+        Optional<String> head = headAtLeaf(List.of("X-Own:ours", "\tteam:ours", "X-Own: b", "  c"));
+        assertThat(head.orElse("")).contains("\r\nX-Own: ours team:ours\r\nX-Own: b c\r\n");
+    }
+
+    /** Joins lines that begin with a blank or a tab to the field before them, as HTTP says. */
+    private static List<String> unfold(List<String> lines) {
+        List<String> fields = new ArrayList<>();
+        // The first line may continue a field that precedes them all.
+        fields.add("");
+        for (String line : lines) {
+            if (line.startsWith(" ") || line.startsWith("\t")) {
+                int last = fields.size() - 1;
+                fields.set(last, fields.get(last) + " " + line.strip());
+            } else {
+                fields.add(line.stripTrailing());
+            }
+        }
+        return fields;
+    }
+
     @Provide
     Arbitrary<List<String>> heads() {
         Arbitrary<String> names = Arbitraries.of(
@@ -113,7 +138,6 @@
     }
 
     private static boolean isUnusual(String field) {
-        return field.startsWith(" ")
-                || field.chars().anyMatch(letter -> (letter < ' ' && letter != '\t') || letter > '~');
+        return field.chars().anyMatch(letter -> (letter < ' ' && letter != '\t') || letter > '~');
     }
 }
