Judge repeatable requests by what is expected of them during a stop

Cause: one slow request of a route within the last minute made a stopping host refuse all short ones of the route whose deadlines were later than its end.

Change: the slowest recent request counts only for routes whose requests may not be repeated, since their callers could do nothing if it is not finished. Others are judged by the goal of the route and the median of its calls, with the same margin.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/StopAdmission.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/StopAdmission.java
@@ -11,6 +11,9 @@
  * Decides which requests a stopping process still accepts: those that will be answered before it ends, judged by their
  * deadline, the expected duration of their kind, and how long recent requests of the kind took.
  *
+ * <p>A request that may not be repeated is judged by the slowest recent one, since its caller could do nothing if it is
+ * not finished.
+ *
  * <p>Safe for use by many threads.
  */
 public final class StopAdmission {
@@ -46,10 +49,24 @@
         durations.computeIfAbsent(kind, unused -> new RecentMaximum()).record(durationNanos, clock.nowNanos());
     }
 
+    /**
+     * Returns true if a request that may be repeated may be accepted. If it takes longer than expected, its caller can
+     * send it to another process; therefore slow requests before it do not count if an expectation exists.
+     *
+     * @param expected the duration that is expected of the kind; zero if unknown
+     * @param deadlineNanos when the request is answered at the latest
+     */
+    public boolean mayAcceptRepeatable(String kind, Duration expected, long deadlineNanos) {
+        if (expected.isZero()) {
+            return mayAccept(kind, expected, deadlineNanos);
+        }
+        return window.fits(deadlineNanos, OptionalLong.of(expected.toNanos()), clock.nowNanos());
+    }
+
     /**
      * Returns true if a request may be accepted.
      *
-     * @param expected the duration that the operator expects of the kind; zero if unknown
+     * @param expected the duration that is expected of the kind; zero if unknown
      * @param deadlineNanos when the request is answered at the latest
      */
     public boolean mayAccept(String kind, Duration expected, long deadlineNanos) {
--- a/bramblerack-core/src/test/java/org/bramblerack/process/StopAdmissionTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/StopAdmissionTest.java
@@ -49,6 +49,20 @@
         assertThat(accepts(Duration.ofSeconds(3), 60)).isFalse();
     }
 
+    /** Its caller may send it again, so that a single slow request does not keep all others from being served. */
+    @Test
+    void aRepeatableRequestIsJudgedByWhatIsExpectedOfIt() {
+        admission.recordDuration(KIND, seconds(4));
+        stopIn(5);
+        long deadlineNanos = nowNanos + seconds(60);
+        assertThat(admission.mayAcceptRepeatable(KIND, Duration.ofSeconds(2), deadlineNanos))
+                .isTrue();
+        assertThat(admission.mayAcceptRepeatable(KIND, Duration.ofSeconds(3), deadlineNanos))
+                .isFalse();
+        assertThat(admission.mayAcceptRepeatable(KIND, UNKNOWN, deadlineNanos)).isFalse();
+        assertThat(accepts(Duration.ofSeconds(2), 60)).isFalse();
+    }
+
     @Test
     void longRequestsAreForgotten() {
         admission.recordDuration(KIND, seconds(4));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -421,7 +421,7 @@
     }
 
     private boolean mayAccept(Route route, RequestTimes times) {
-        return stopAdmission.mayAccept(route.name(), route.goal(), times.deadlineNanos());
+        return runs.mayAccept(stopAdmission, route, times.deadlineNanos());
     }
 
     private void refuseTooLong(HttpExchange exchange, CallerAnswers answers, Route route) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -2,12 +2,14 @@
 
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafRequest;
 import org.bramblerack.process.LatencyTracker;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.process.StopAdmission;
 import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.request.routed.ForwardedRequest;
 import org.bramblerack.request.routed.HedgeTiming;
@@ -55,6 +57,17 @@
         return HedgeTiming.hedgeDelayNanos(view.latency(route), route.goal());
     }
 
+    /** Returns true if a request may be accepted by a host that may be stopping. */
+    boolean mayAccept(StopAdmission admission, Route route, long deadlineNanos) {
+        Duration expected = route.goal().isZero()
+                ? Duration.ZERO
+                : Duration.ofNanos(
+                        Math.max(route.goal().toNanos(), view.latency(route).medianNanos()));
+        return route.kind() == RequestKind.IDEMPOTENT
+                ? admission.mayAcceptRepeatable(route.name(), expected, deadlineNanos)
+                : admission.mayAccept(route.name(), expected, deadlineNanos);
+    }
+
     /** Creates the run of a query of a caller, which may delegate shards to other hosts. */
     ScatterRun scatter(RoutedCall call, RouteTarget.Scatter target, StageCaller caller, AnswerSink sink) {
         ImmutableList<PermittedLeaves> pools = permittedPools(call, target);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -169,12 +169,12 @@
 
     /** Returns true if this host is stopping and would end before the call. */
     private boolean isTooLateToFinish(StageCall call, long arrivedNanos) {
-        Duration goal = view.configuration()
-                .routeNamed(call.getRoute())
-                .map(Route::goal)
-                .orElseGet(() -> Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()))));
         long deadlineNanos = arrivedNanos + TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros());
-        return ending || !stopAdmission.mayAccept(call.getRoute(), goal, deadlineNanos);
+        Optional<Route> known = view.configuration().routeNamed(call.getRoute());
+        boolean mayAccept = known.isPresent()
+                ? runs.mayAccept(stopAdmission, known.get(), deadlineNanos)
+                : stopAdmission.mayAccept(call.getRoute(), Duration.ZERO, deadlineNanos);
+        return ending || !mayAccept;
     }
 
     /** Adds the event-loop lag of this host, by which other hosts avoid lagging hosts. */
