--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/PathBench.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/bench/PathBench.java
@@ -9,8 +9,8 @@
     private static final int CALLS_PER_ROUND = 20_000;
     private static final int ROUNDS = 3;
     /**
-     * The bound on the bytes allocated for a leaf call, stand-in leaf included; 8,340 were measured at 225 shards. Code
-     * that visits all shards on each reply exceeds it.
+     * The bound on the bytes allocated for a leaf call, stand-in leaf included. Code that visits all shards on each
+     * reply exceeds it.
      */
     static final int MAX_BYTES_PER_CALL = 9_500;
 
