Count rejections of a query that other leaves accept as failures

Cause: the answer was judged in several places. ScatterRun and HeldLeafCalls took a signed 4xx for no part, but LeafSender recorded it as a success of its leaf and its time as the route's latency. So the leaf was never ejected and the retries spent the budget.

Change: LeafAnswer.outcomeOf alone judges, knowing whether the answer is forwarded or merged. A signed 3xx or 4xx to a query is REJECTED, which QueryRejections counts against its leaf once any leaf accepts the same query; a query that all reject ejects none. A signature that another part has already counts against its leaf too.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -219,11 +219,16 @@
             case FAILED, BROKEN, GARBLED -> failed(1, nowNanos);
             default -> {
                 // NO_CONNECTION results from the connection limit of this host and BARRED from the request: neither
-                // concerns the leaf.
+                // concerns the leaf. REJECTED is evidence only together with the answers of other leaves.
             }
         }
     }
 
+    /** Records that an answer, whose call has ended, turned out to be a failure of the leaf. */
+    public void recordFailure(long nowNanos) {
+        failed(1, nowNanos);
+    }
+
     /** Returns the factor by which work at the leaf currently takes longer than usual, according to the leaf itself. */
     private double reportedWorkFactor(long nowNanos) {
         return context.uses(RoutingFeature.TOLD_WORK) ? reportedLoad.workFactor(nowNanos) : 1;
--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafOutcome.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/LeafOutcome.java
@@ -8,6 +8,12 @@
     /** The leaf ran the request and answered with an error of its own. */
     FAILED(false, true),
 
+    /**
+     * The leaf ran a query and answered with an error that may be the query's fault or the leaf's own. It is a failure
+     * of the leaf if another leaf accepts the same query.
+     */
+    REJECTED(false, true),
+
     /** The leaf was full and did not run the request. */
     REFUSED_BUSY(true, true),
 
@@ -47,7 +53,7 @@
 
     /** Returns true if the leaf was still up after it had run the request. */
     public boolean showsSurvival() {
-        return this == SUCCEEDED || this == FAILED;
+        return this == SUCCEEDED || this == FAILED || this == REJECTED;
     }
 
     /** Returns false if no part of the request was sent. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
@@ -8,6 +8,9 @@
     /** Abandons an attempt that is no longer needed, so that its leaf can drop the request. */
     record AbandonAttempt(Attempt attempt) implements RoutedAction {}
 
+    /** Records that the answer of an attempt turned out to be a failure of its leaf. */
+    record RecordLeafFailure(Attempt attempt) implements RoutedAction {}
+
     /** Delegates the shards of a stage to its host. */
     record CallStage(StageAttempt stage) implements RoutedAction {}
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -55,6 +55,7 @@
     private final Delivery delivery;
     private final RoutingContext context;
     private final DisconnectProbe disconnectProbe = new DisconnectProbe();
+    private final QueryRejections rejections = new QueryRejections();
     private boolean over;
     private boolean checkedAfterGoal;
     private boolean finalizedAtGoal;
@@ -121,13 +122,17 @@
         List<RoutedAction> actions = new ArrayList<>(2);
         ShardRequest shard = attempt.shard();
         if (over || shard.isFinished()) {
+            rejections.onAccepted(actions);
             attempt.finish(Attempt.State.ANSWERED);
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
         }
         if (!parts.add(shards.numberOf(shard), reply)) {
-            return onFailure(attempt, LeafOutcome.GARBLED, nowNanos);
+            actions.add(new RoutedAction.RecordLeafFailure(attempt));
+            actions.addAll(onFailure(attempt, LeafOutcome.GARBLED, nowNanos));
+            return actions;
         }
+        rejections.onAccepted(actions);
         shard.onAnswer(attempt, actions);
         if (disconnectProbe.isHarmPossible()) {
             disconnectProbe.leafSurvived();
@@ -146,6 +151,9 @@
         if (outcome.showsSurvival()) {
             disconnectProbe.leafSurvived();
         }
+        if (outcome == LeafOutcome.REJECTED) {
+            rejections.onRejected(attempt, actions);
+        }
         attempt.shard().onFailure(attempt, outcome, disconnectProbe::mayRetry, nowNanos, actions);
         if (!over) {
             finalizeOrScheduleWake(nowNanos, actions);
@@ -161,7 +169,7 @@
             return actions;
         }
         stage.recordResponse();
-        mergeStageReply(stage, partial);
+        mergeStageReply(stage, partial, actions);
         finalizeOrScheduleWake(nowNanos, actions);
         return actions;
     }
@@ -174,7 +182,7 @@
             return actions;
         }
         stage.finish();
-        mergeStageReply(stage, reply);
+        mergeStageReply(stage, reply, actions);
         reply.notSent().stream()
                 .filter(shard -> stage.shards().contains(shard))
                 .forEach(shard -> shards.get(shard).reclaim(true, disconnectProbe::mayRetry, nowNanos, actions));
@@ -380,10 +388,11 @@
     }
 
     /** Merges the reply of another host if it is valid; otherwise ignores it. */
-    private void mergeStageReply(StageAttempt stage, StageReply reply) {
+    private void mergeStageReply(StageAttempt stage, StageReply reply, List<RoutedAction> actions) {
         if (canMerge(stage, reply)) {
             if (!reply.shards().isEmpty()) {
                 disconnectProbe.leafSurvived();
+                rejections.onAccepted(actions);
             }
             reply.shards().forEach(shard -> shards.get(shard).onAnswerElsewhere());
             parts.addAll(reply);
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
@@ -72,6 +72,22 @@
         assertThat(choose(Duration.ofMinutes(2).toNanos())).isEqualTo(slow);
     }
 
+    /** A rejection neither counts as a failure nor ends a series of failures. */
+    @Test
+    void aRejectionAloneIsNoEvidence() {
+        Leaf rejecting = leaf("rejecting", Distance.SAME_ZONE);
+        for (int call = 0; call < 20; call++) {
+            rejecting.end(rejecting.begin(EXPECTED, 0), LeafOutcome.REJECTED, Optional.empty(), MILLI);
+        }
+        assertThat(rejecting.isEjected(MILLI)).isFalse();
+        assertThat(rejecting.inFlight()).isEqualTo(0);
+        rejecting.recordFailure(MILLI);
+        rejecting.recordFailure(MILLI);
+        rejecting.end(rejecting.begin(EXPECTED, 0), LeafOutcome.REJECTED, Optional.empty(), MILLI);
+        rejecting.recordFailure(MILLI);
+        assertThat(rejecting.isEjected(MILLI)).isTrue();
+    }
+
     @Test
     void aLeafWithRepeatedFailuresIsUsedOnlyIfThereIsNoOther() {
         Leaf bad = leaf("bad", Distance.SAME_ZONE);
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedRequestHarness.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/RoutedRequestHarness.java
@@ -31,6 +31,7 @@
     final List<MergedAnswer> partials = new ArrayList<>();
     final List<MergedAnswer> delivered = new ArrayList<>();
     final List<Attempt> abandoned = new ArrayList<>();
+    final List<Attempt> leafFailures = new ArrayList<>();
     final List<Attempt> deliveredAnswers = new ArrayList<>();
     final List<RefusalReason> refused = new ArrayList<>();
     final List<AttemptCounter> counts = new ArrayList<>();
@@ -82,6 +83,9 @@
                 refused.add(refuse.reason());
             } else if (action instanceof RoutedAction.Count count) {
                 counts.add(count.counter());
+            } else if (action instanceof RoutedAction.RecordLeafFailure failure) {
+                failure.attempt().leaf().recordFailure(nowNanos);
+                leafFailures.add(failure.attempt());
             } else if (action instanceof RoutedAction.Wake wake) {
                 wakes.add(wake.atNanos());
             }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/ScatterQueryTest.java
@@ -46,6 +46,43 @@
         assertThat(harness.abandoned).containsExactly(harness.attempts.get(0));
     }
 
+    /** Guards against a leaf that fails queries with a client error keeping its share of them. */
+    @Test
+    void aRejectionIsAFailureOfTheLeafOnceAnotherAcceptsTheQuery() {
+        ScatterQuery query = query(2, 2, 5, 1);
+        harness.execute(query.start(0), 0);
+        Attempt rejected = harness.attempts.get(0);
+        harness.fail(query, rejected, LeafOutcome.REJECTED, MILLI);
+        assertThat(harness.leafFailures).isEmpty();
+        assertThat(harness.attempts).hasSize(3);
+        harness.answer(query, harness.attempts.get(2), "sig0", 2 * MILLI);
+        assertThat(harness.leafFailures).containsExactly(rejected);
+        harness.fail(query, harness.attempts.get(1), LeafOutcome.REJECTED, 3 * MILLI);
+        assertThat(harness.leafFailures).containsExactly(rejected, harness.attempts.get(1));
+    }
+
+    @Test
+    void aQueryThatAllLeavesRejectIsAFailureOfNone() {
+        ScatterQuery query = query(2, 2, 5, 1);
+        harness.execute(query.start(0), 0);
+        for (int attempt = 0; attempt < harness.attempts.size(); attempt++) {
+            harness.fail(query, harness.attempts.get(attempt), LeafOutcome.REJECTED, MILLI);
+        }
+        assertThat(harness.refused).hasSize(1);
+        assertThat(harness.leafFailures).isEmpty();
+    }
+
+    /** Guards against a leaf that repeats the signature of another answer counting as sound. */
+    @Test
+    void aSignatureThatIsKnownAlreadyIsAFailureOfTheLeaf() {
+        ScatterQuery query = query(2, 1, 0, 1);
+        harness.execute(query.start(0), 0);
+        harness.answer(query, harness.attempts.get(0), "sig", MILLI);
+        harness.answer(query, harness.attempts.get(1), "sig", MILLI);
+        assertThat(harness.delivered).isEmpty();
+        assertThat(harness.leafFailures).containsExactly(harness.attempts.get(1));
+    }
+
     @Test
     void noHedgeToAFullLeafUntilItHasCapacity() {
         Map<Leaf.Call, Leaf> calls = new HashMap<>();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -272,7 +272,7 @@
             logUnrouted(exchange, RefusalReason.NO_LEAF_AT_HOME.name(), line -> {});
             return;
         }
-        LeafRequest request = LeafRequest.create(
+        LeafRequest single = LeafRequest.create(
                 exchange.method(),
                 exchange.uri(),
                 exchange.headers(),
@@ -280,6 +280,7 @@
                 caller.homes(route),
                 caller.teamName(),
                 names);
+        LeafRequest request = route.target() instanceof RouteTarget.Scatter ? single.forQuery() : single;
         RequestTimes times = deadlines.times(exchange, route);
         if (times.deadlineNanos() - clock.nowNanos() <= 0) {
             answers.refuse(RefusalReason.EXPIRED);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -60,10 +60,13 @@
     }
 
     private static Envelope.Builder failure(LeafOutcome outcome) {
+        boolean rejected = outcome == LeafOutcome.REJECTED;
         return Envelope.newBuilder()
                 .setStageResult(StageResult.newBuilder()
                         .setStatus(outcome.isNotRun() ? StageResult.Status.NOT_RUN : StageResult.Status.FAILED)
-                        .setLeafOutcome(outcome.name()));
+                        // Hosts of older versions do not know that a call can be rejected.
+                        .setLeafOutcome((rejected ? LeafOutcome.FAILED : outcome).name())
+                        .setRejected(rejected));
     }
 
     private static StageResult.Builder wholeAnswer(LeafAnswer answer) {
@@ -101,8 +104,8 @@
                 reply.accept(Envelope.newBuilder().setStageResult(wholeAnswer(answer)));
                 return;
             }
-            if (!answer.isPart()) {
-                reply.accept(failure(answer.outcomeWithoutPart()));
+            if (answer.outcome() != LeafOutcome.SUCCEEDED) {
+                reply.accept(failure(answer.outcome()));
                 return;
             }
             reply.accept(Envelope.newBuilder()
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -1,7 +1,6 @@
 package org.bramblerack.daemon.gateway;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
@@ -24,8 +23,6 @@
  * this host for leaves without holders, and if no holder is available. Owned by the event loop.
  */
 final class HolderPath implements LeafPath {
-    private static final int OK = 200;
-
     private final StageCall query;
     private final FleetView view;
     private final StageLinks links;
@@ -120,20 +117,15 @@
             holder.onCallEnded();
             holder.recordLag(result.getLagMicros(), clock.nowNanos());
             if (result.getStatusCode() > 0) {
-                LeafAnswer answer = LeafAnswer.of(result.getStatusCode(), headers(result), result.getRecords(), names);
+                LeafAnswer answer = LeafAnswer.of(
+                        result.getStatusCode(), headers(result), result.getRecords(), request.answerKind(), names);
                 if (answer.showsSurvival()) {
                     recordSurvival();
                 }
                 callback.onAnswer(answer);
             } else if (result.getStatus() == StageResult.Status.ANSWERED && result.getSignaturesCount() == 1) {
                 recordSurvival();
-                callback.onAnswer(new LeafAnswer(
-                        OK,
-                        EmptyHttpHeaders.INSTANCE,
-                        result.getRecords(),
-                        LeafOutcome.SUCCEEDED,
-                        Optional.of(result.getSignatures(0)),
-                        Optional.empty()));
+                callback.onAnswer(LeafAnswer.part(result.getSignatures(0), result.getRecords()));
             } else {
                 LeafOutcome outcome = outcomeOf(result);
                 if (!outcome.isSent() && outcome != LeafOutcome.BARRED) {
@@ -172,6 +164,9 @@
          * counts as a failure that may have run unless the status says that it has not.
          */
         private LeafOutcome outcomeOf(StageResult result) {
+            if (result.getRejected()) {
+                return LeafOutcome.REJECTED;
+            }
             for (LeafOutcome outcome : LeafOutcome.values()) {
                 if (outcome.name().equals(result.getLeafOutcome()) && outcome != LeafOutcome.SUCCEEDED) {
                     return outcome;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
@@ -101,10 +101,21 @@
         }
     }
 
-    /** Records the result of a call, and logs it if the leaf was ejected or restored by it. */
+    /** Records that the answer of an attempt, which has ended, turned out to be a failure of its leaf. */
+    void recordLeafFailure(Attempt attempt) {
+        Leaf leaf = attempt.leaf();
+        long nowNanos = clock.nowNanos();
+        logEjection(leaf, LeafOutcome.FAILED, nowNanos, () -> leaf.recordFailure(nowNanos));
+    }
+
     private void endCall(Leaf leaf, Leaf.Call call, LeafOutcome outcome, Optional<LeafLoad> load, long nowNanos) {
+        logEjection(leaf, outcome, nowNanos, () -> leaf.end(call, outcome, load, nowNanos));
+    }
+
+    /** Records a result at a leaf, and logs it if the leaf was ejected or restored by it. */
+    private void logEjection(Leaf leaf, LeafOutcome outcome, long nowNanos, Runnable recording) {
         boolean ejectedBefore = leaf.isEjected(nowNanos);
-        leaf.end(call, outcome, load, nowNanos);
+        recording.run();
         boolean ejected = leaf.isEjected(nowNanos);
         if (ejected != ejectedBefore) {
             EVENTS.info(ejected ? "leaf_ejected" : "leaf_restored")
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -103,11 +103,11 @@
 
     @Override
     public void onAnswer(Attempt attempt, LeafAnswer answer) {
-        if (answer.isPart()) {
+        if (answer.outcome() == LeafOutcome.SUCCEEDED) {
             PartReply part = new PartReply(answer.signature().orElseThrow(), answer.body());
             execute(query.onAnswer(attempt, part, clock.nowNanos()));
         } else {
-            onFailure(attempt, answer.outcomeWithoutPart());
+            onFailure(attempt, answer.outcome());
         }
     }
 
@@ -188,6 +188,8 @@
                 }
             } else if (action instanceof RoutedAction.AbandonAttempt abandon) {
                 sender.abandon(abandon.attempt());
+            } else if (action instanceof RoutedAction.RecordLeafFailure failure) {
+                sender.recordLeafFailure(failure.attempt());
             } else if (action instanceof RoutedAction.Wake wake) {
                 sender.wakeAt(wake.atNanos(), this::wake);
             } else if (action instanceof RoutedAction.DeliverMerged deliver) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -104,7 +104,7 @@
     void handle(String sender, StageCall call, Consumer<Envelope.Builder> sendReply) {
         Consumer<Envelope.Builder> reply = message -> sendReply.accept(withLag(message));
         HomeRegions homes = homes(call);
-        LeafRequest request = LeafRequest.create(
+        LeafRequest single = LeafRequest.create(
                 call.getMethod(),
                 call.getUri(),
                 headers(call),
@@ -112,6 +112,7 @@
                 homes,
                 call.getTeam(),
                 names);
+        LeafRequest request = call.getWholeAnswer() ? single : single.forQuery();
         // Time limits count from the arrival of the call, so that no leaf gets more time than the caller has left.
         long arrivedNanos = view.routing().eventLoopLag().arrivalNanos(clock.nowNanos());
         Consumer<Envelope.Builder> lastReply = message -> {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
@@ -1,6 +1,7 @@
 package org.bramblerack.daemon.leaf;
 
 import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.bramblerack.process.leaf.LeafLoad;
@@ -12,8 +13,9 @@
  * @param status the HTTP status code
  * @param headers the header fields
  * @param body the body
- * @param outcome the outcome of the request that follows from status and headers
- * @param signature the leaf's signature, if present
+ * @param outcome the outcome of the request, the only judgement of the answer: all that count, merge or forward answers
+ *     decide by it
+ * @param signature the leaf's signature, if it is present
  * @param load the leaf's reported load, if present
  */
 public record LeafAnswer(
@@ -33,12 +35,24 @@
     private static final String CONTENT_ENCODING = "content-encoding";
 
     /** Creates an answer and derives its outcome from the status and headers. */
-    public static LeafAnswer of(int status, HttpHeaders headers, ByteString body, CallHeaders headerNames) {
+    public static LeafAnswer of(
+            int status, HttpHeaders headers, ByteString body, AnswerKind kind, CallHeaders headerNames) {
         Optional<String> signature = Optional.ofNullable(headers.get(headerNames.signature()));
         Optional<LeafLoad> load =
                 Optional.ofNullable(headers.get(headerNames.load())).flatMap(LeafLoad::parse);
+        LeafOutcome outcome = outcomeOf(status, headers, signature, kind, headerNames);
+        return new LeafAnswer(status, headers, body, outcome, signature, load);
+    }
+
+    /** Creates the answer to a query's call that another host made, of which it returned only these. */
+    public static LeafAnswer part(String signature, ByteString records) {
         return new LeafAnswer(
-                status, headers, body, outcomeOf(status, headers, signature, headerNames), signature, load);
+                OK,
+                EmptyHttpHeaders.INSTANCE,
+                records,
+                LeafOutcome.SUCCEEDED,
+                Optional.of(signature),
+                Optional.empty());
     }
 
     /** Returns true if the answer may be forwarded to the caller unchanged. */
@@ -46,32 +60,16 @@
         return signature.isPresent() && (outcome == LeafOutcome.SUCCEEDED || outcome == LeafOutcome.FAILED);
     }
 
-    /** Returns true if the answer is a part of a query's answer: a success with a signature. */
-    public boolean isPart() {
-        return outcome == LeafOutcome.SUCCEEDED && isSuccess(status) && signature.isPresent();
-    }
-
-    /**
-     * Returns the outcome for a query of an answer that is no part: one that a single request would get is a failure.
-     */
-    public LeafOutcome outcomeWithoutPart() {
-        return outcome == LeafOutcome.SUCCEEDED ? LeafOutcome.FAILED : outcome;
-    }
-
     /**
      * Returns true if the leaf ran the request to its end and survived. After a gateway timeout it may still be running
      * the request.
      */
     public boolean showsSurvival() {
-        return status != GATEWAY_TIMEOUT && (outcome == LeafOutcome.SUCCEEDED || outcome == LeafOutcome.FAILED);
-    }
-
-    private static boolean isSuccess(int status) {
-        return status >= OK && status < MIN_REDIRECT;
+        return status != GATEWAY_TIMEOUT && outcome.showsSurvival();
     }
 
     private static LeafOutcome outcomeOf(
-            int status, HttpHeaders headers, Optional<String> signature, CallHeaders headerNames) {
+            int status, HttpHeaders headers, Optional<String> signature, AnswerKind kind, CallHeaders headerNames) {
         if (status == MISDIRECTED) {
             return LeafOutcome.REFUSED_GONE;
         }
@@ -82,9 +80,9 @@
         if (status >= MIN_SERVER_ERROR || notRun) {
             return LeafOutcome.FAILED;
         }
-        if (isSuccess(status) && (signature.isEmpty() || headers.contains(CONTENT_ENCODING))) {
-            return LeafOutcome.GARBLED;
+        if (status >= MIN_REDIRECT) {
+            return kind == AnswerKind.PART ? LeafOutcome.REJECTED : LeafOutcome.SUCCEEDED;
         }
-        return LeafOutcome.SUCCEEDED;
+        return signature.isEmpty() || headers.contains(CONTENT_ENCODING) ? LeafOutcome.GARBLED : LeafOutcome.SUCCEEDED;
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
@@ -41,6 +41,7 @@
     private @Nullable LeafChannel channel;
     private @Nullable LeafCallback callback;
     private String requestId = "";
+    private AnswerKind answerKind = AnswerKind.WHOLE;
     private @Nullable HttpResponse response;
     private @Nullable CompositeByteBuf body;
     private int staleAnswers;
@@ -75,6 +76,7 @@
         }
         callback = newCallback;
         requestId = request.requestId();
+        answerKind = request.answerKind();
         staleAnswers = 0;
         decoder.expectAnswer(request.isHeadRequest());
         open.writeAndFlush(request.encode(open.alloc(), leafId, remainingMillis), open.voidPromise());
@@ -205,7 +207,7 @@
             return;
         }
         updateIdleLimit(head.headers());
-        complete(LeafAnswer.of(head.status().code(), head.headers(), completeBody, headerNames));
+        complete(LeafAnswer.of(head.status().code(), head.headers(), completeBody, answerKind, headerNames));
     }
 
     /** Skips an answer to another request; the expected answer may still follow. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafRequest.java
@@ -41,6 +41,7 @@
 
     private final CallHeaders headerNames;
     private final String requestId;
+    private final AnswerKind answerKind;
     private final boolean headRequest;
     private final byte[] commonHead;
     private final byte[] body;
@@ -51,6 +52,7 @@
     private LeafRequest(
             CallHeaders headerNames,
             String requestId,
+            AnswerKind answerKind,
             boolean headRequest,
             byte[] commonHead,
             byte[] body,
@@ -58,6 +60,7 @@
             Supplier<Fingerprints> fingerprintSupplier) {
         this.headerNames = headerNames;
         this.requestId = requestId;
+        this.answerKind = answerKind;
         this.headRequest = headRequest;
         this.commonHead = commonHead;
         this.body = body;
@@ -112,6 +115,7 @@
         return new LeafRequest(
                 headerNames,
                 requestId,
+                AnswerKind.WHOLE,
                 method.equals("HEAD"),
                 text.toString().getBytes(StandardCharsets.ISO_8859_1),
                 body,
@@ -119,6 +123,17 @@
                 () -> Fingerprints.of(method, host, uri, caller, body));
     }
 
+    /** Returns the same request, whose answers are parts of the answer to a query. */
+    public LeafRequest forQuery() {
+        return new LeafRequest(
+                headerNames, requestId, AnswerKind.PART, headRequest, commonHead, body, homes, this::fingerprints);
+    }
+
+    /** Returns what kind of answer the request expects. */
+    public AnswerKind answerKind() {
+        return answerKind;
+    }
+
     /** Returns the request identifier that the caller set, or empty text. */
     public String requestId() {
         return requestId;
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -55,6 +55,7 @@
  */
 final class StageServerTest {
     private static final int VERSION_HERE = 5;
+    private static final long SOUND_LEAF_MILLIS = 100;
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long MICROS_PER_SECOND = Duration.ofSeconds(1).toNanos() / 1_000;
 
@@ -62,8 +63,10 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private HttpListener leaf;
     private final AtomicInteger leafRequests = new AtomicInteger();
+    private final AtomicInteger requestsOfFailingLeaf = new AtomicInteger();
     private final AtomicBoolean failing = new AtomicBoolean();
     private final AtomicInteger failureStatus = new AtomicInteger(500);
+    private volatile String failingLeaf = "none";
     private final AtomicBoolean silent = new AtomicBoolean();
     private final AtomicLong leafMillis = new AtomicLong();
     private FleetView view;
@@ -197,6 +200,30 @@
         assertThat(ofLeafCall.getSignaturesList()).isEmpty();
     }
 
+    /** Guards against the failures of a leaf counting as its successes because they are no 5xx. */
+    @ParameterizedTest
+    @ValueSource(ints = {304, 404, 500})
+    void aLeafThatFailsQueriesWhichOthersAcceptIsEjected(int status) throws Exception {
+        failureStatus.set(status);
+        failingLeaf = "i-1";
+        for (int number = 0; number < 15; number++) {
+            assertThat(call(query()).getStatus()).isEqualTo(StageResult.Status.ANSWERED);
+        }
+        // Three failures eject the leaf, and one more after each ejection, which doubles.
+        assertThat(requestsOfFailingLeaf.get()).isAtMost(8);
+    }
+
+    @Test
+    void aQueryThatAllLeavesRejectEjectsNone() throws Exception {
+        failing.set(true);
+        failureStatus.set(404);
+        for (int number = 0; number < 20; number++) {
+            assertThat(call(query()).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        }
+        assertThat(isEjected("i-1")).isFalse();
+        assertThat(isEjected("i-3")).isFalse();
+    }
+
     /** A call that a stopping host would cut off is refused as not run, so that the calling host calls another. */
     @Test
     void aCallThatOutlastsAStoppingHostIsNotRun() throws Exception {
@@ -266,6 +293,11 @@
                 .get();
     }
 
+    private boolean isEjected(String leafId) throws Exception {
+        return group.submit(() -> view.leaf(leafId).orElseThrow().isEjected(clock.nowNanos()))
+                .get();
+    }
+
     private StageResult call(StageCall.Builder call) throws Exception {
         return start(call).get(5, TimeUnit.SECONDS);
     }
@@ -307,10 +339,19 @@
             return;
         }
         leafMillis.set(Long.parseLong(exchange.headers().get("deadline-ms", "0")));
-        int status = failing.get() ? failureStatus.get() : 200;
+        boolean fails = failing.get() || failingLeaf.equals(exchange.headers().get("leaf"));
+        int status = fails ? failureStatus.get() : 200;
         FullHttpResponse response = HttpExchange.response(status, Unpooled.wrappedBuffer(new byte[16]));
         response.headers().set("request-id", "r-1").set("signature", "stamp");
-        exchange.respond(response);
+        if (failingLeaf.equals("none")) {
+            exchange.respond(response);
+        } else if (fails) {
+            requestsOfFailingLeaf.incrementAndGet();
+            exchange.respond(response);
+        } else {
+            // The failing leaf is the fastest one.
+            group.schedule(() -> exchange.respond(response), SOUND_LEAF_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private static TableDelta tables(HostAndPort leafAddress) {
