Require exactly one well-formed signature in an answer of a leaf

Cause: the presence of the field stood for a signature. Repeated fields, and signatures that would break the list of parts, were passed on too. A 3xx or 4xx without a signature was forwarded as if the leaf had sent it.

Change: AnswerSignature accepts one field of visible ASCII characters without a comma. Other answers below 500 are malformed: neither forwarded nor merged, and a failure of the leaf. A 206 is no part of a query.

Evidence: on all four cases of StageServerTest.anAnswerWithAMalformedSignatureIsNoPart and eight of nine of LeafConnectionsTest.anAnswerWithoutOneValidSignatureIsMalformed failed; all pass now.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafAnswer.java
@@ -15,7 +15,7 @@
  * @param body the body
  * @param outcome the outcome of the request, the only judgement of the answer: all that count, merge or forward answers
  *     decide by it
- * @param signature the leaf's signature, if it is present
+ * @param signature the leaf's signature, if it is present and valid
  * @param load the leaf's reported load, if present
  */
 public record LeafAnswer(
@@ -26,6 +26,7 @@
         Optional<String> signature,
         Optional<LeafLoad> load) {
     private static final int OK = 200;
+    private static final int PARTIAL_CONTENT = 206;
     private static final int MIN_REDIRECT = 300;
     private static final int MISDIRECTED = 421;
     private static final int MIN_SERVER_ERROR = 500;
@@ -37,7 +38,7 @@
     /** Creates an answer and derives its outcome from the status and headers. */
     public static LeafAnswer of(
             int status, HttpHeaders headers, ByteString body, AnswerKind kind, CallHeaders headerNames) {
-        Optional<String> signature = Optional.ofNullable(headers.get(headerNames.signature()));
+        Optional<String> signature = AnswerSignature.in(headers, headerNames);
         Optional<LeafLoad> load =
                 Optional.ofNullable(headers.get(headerNames.load())).flatMap(LeafLoad::parse);
         LeafOutcome outcome = outcomeOf(status, headers, signature, kind, headerNames);
@@ -46,12 +47,13 @@
 
     /** Creates the answer to a query's call that another host made, of which it returned only these. */
     public static LeafAnswer part(String signature, ByteString records) {
+        boolean valid = AnswerSignature.isValid(signature);
         return new LeafAnswer(
                 OK,
                 EmptyHttpHeaders.INSTANCE,
                 records,
-                LeafOutcome.SUCCEEDED,
-                Optional.of(signature),
+                valid ? LeafOutcome.SUCCEEDED : LeafOutcome.GARBLED,
+                valid ? Optional.of(signature) : Optional.empty(),
                 Optional.empty());
     }
 
@@ -80,9 +82,13 @@
         if (status >= MIN_SERVER_ERROR || notRun) {
             return LeafOutcome.FAILED;
         }
+        if (signature.isEmpty()) {
+            return LeafOutcome.GARBLED;
+        }
         if (status >= MIN_REDIRECT) {
             return kind == AnswerKind.PART ? LeafOutcome.REJECTED : LeafOutcome.SUCCEEDED;
         }
-        return signature.isEmpty() || headers.contains(CONTENT_ENCODING) ? LeafOutcome.GARBLED : LeafOutcome.SUCCEEDED;
+        boolean partialBody = kind == AnswerKind.PART && status == PARTIAL_CONTENT;
+        return partialBody || headers.contains(CONTENT_ENCODING) ? LeafOutcome.GARBLED : LeafOutcome.SUCCEEDED;
     }
 }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -67,6 +67,7 @@
     private final AtomicBoolean failing = new AtomicBoolean();
     private final AtomicInteger failureStatus = new AtomicInteger(500);
     private volatile String failingLeaf = "none";
+    private volatile String signature = "stamp";
     private final AtomicBoolean silent = new AtomicBoolean();
     private final AtomicLong leafMillis = new AtomicLong();
     private FleetView view;
@@ -224,6 +225,18 @@
         assertThat(isEjected("i-3")).isFalse();
     }
 
+    /** Guards against the presence of a field being taken for a signature. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "one, two", "one two", "\u00e9"})
+    void anAnswerWithAMalformedSignatureIsNoPart(String malformed) throws Exception {
+        signature = malformed;
+        assertThat(call(query()).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        assertThat(leafRequests.get()).isEqualTo(2);
+        assertThat(call(query().setLeaf("i-1")).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        StageResult whole = call(query().setLeaf("i-1").setWholeAnswer(true));
+        assertThat(whole.getStatusCode()).isEqualTo(200);
+    }
+
     /** A call that a stopping host would cut off is refused as not run, so that the calling host calls another. */
     @Test
     void aCallThatOutlastsAStoppingHostIsNotRun() throws Exception {
@@ -342,7 +355,7 @@
         boolean fails = failing.get() || failingLeaf.equals(exchange.headers().get("leaf"));
         int status = fails ? failureStatus.get() : 200;
         FullHttpResponse response = HttpExchange.response(status, Unpooled.wrappedBuffer(new byte[16]));
-        response.headers().set("request-id", "r-1").set("signature", "stamp");
+        response.headers().set("request-id", "r-1").set("signature", signature);
         if (failingLeaf.equals("none")) {
             exchange.respond(response);
         } else if (fails) {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -260,6 +260,28 @@
         assertThat(((LeafAnswer) send("r-2")).outcome()).isEqualTo(LeafOutcome.GARBLED);
     }
 
+    /** Guards against the presence of a field being taken for a signature, whatever the status. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "200; Signature:",
+                "200; 'Signature: '",
+                "200; Signature: a, b",
+                "200; Signature: a b",
+                "200; Signature: a|Signature: b",
+                "204; X: y",
+                "404; Signature:",
+                "404; X: y",
+                "302; X: y"
+            })
+    void anAnswerWithoutOneValidSignatureIsMalformed(int status, String fields) throws Exception {
+        answer = "HTTP/1.1 " + status + " X\r\n" + fields.replace("|", "\r\n") + "\r\nContent-Length: 0\r\n\r\n";
+        LeafAnswer received = (LeafAnswer) send("r-1");
+        assertThat(received.outcome()).isEqualTo(LeafOutcome.GARBLED);
+        assertThat(received.mayBeForwarded()).isFalse();
+    }
+
     @ParameterizedTest
     @CsvSource({
         "503, Not-Run: 1, REFUSED_BUSY",
