Bound what leaves may send, over all their connections together

Cause: interim answers, earlier answers and small chunks had no limit, bytes after a 101 were ignored until the deadline, and nothing bounded memory or processor time over all connections together.

Answers over a limit are malformed, close their connection and count as failures of their leaf. So do heads that the leaf and this host could understand differently.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafConnectionTable.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafConnectionTable.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.bramblerack.daemon.leaf.AnswerLimits;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.CallMonitor;
 import org.bramblerack.daemon.leaf.ConnectionEvent;
@@ -32,6 +33,7 @@
     private final EventLoopGroup group;
     private final MonotonicClock clock;
     private final RandomGenerator random;
+    private final AnswerLimits limits;
     private final Map<Leaf, LeafConnections> connections = new HashMap<>();
     private final LeafHarm.LogLimit harmLogLimit;
     private boolean reviewed = true;
@@ -48,6 +50,7 @@
         this.group = group;
         this.clock = clock;
         this.random = random;
+        this.limits = new AnswerLimits(clock);
         this.harmLogLimit = new LeafHarm.LogLimit(clock);
     }
 
@@ -63,6 +66,7 @@
                         group,
                         headerNames,
                         clock,
+                        limits,
                         () -> view.connectionShare(leaf),
                         event -> observer.accept(event),
                         harmMonitor(leaf)));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/WarmUp.java
@@ -22,6 +22,7 @@
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.http.HttpExchange;
 import org.bramblerack.daemon.http.HttpListener;
+import org.bramblerack.daemon.leaf.AnswerLimits;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.CallMonitor;
 import org.bramblerack.daemon.leaf.LeafAnswer;
@@ -294,8 +295,8 @@
         TestCaller() {
             Leaf target = new Leaf(
                     "entry", "entry", callerAddress.toString(), Distance.SAME_ZONE, 1, Duration.ZERO, clock.nowNanos());
-            this.connections =
-                    new LeafConnections(target, group, headerNames, clock, () -> 1, event -> {}, CallMonitor.NONE);
+            this.connections = new LeafConnections(
+                    target, group, headerNames, clock, new AnswerLimits(clock), () -> 1, event -> {}, CallMonitor.NONE);
         }
 
         void sendNext() {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
@@ -4,17 +4,21 @@
 import com.google.protobuf.UnsafeByteOperations;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.bramblerack.connection.FramingOverhead;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.jspecify.annotations.Nullable;
@@ -25,25 +29,30 @@
  * <p>Invariants: bytes that do not belong to the answer of the current request are discarded and close the connection,
  * whether or not they form a message, and a request is never sent on a connection on which such bytes have arrived. An
  * answer to another request is skipped, and the connection is not reused. An answer without a length is complete only
- * if the connection was closed cleanly. Owned by its event loop.
+ * if the connection was closed cleanly. {@link AnswerLimits} bound what is read and kept. Owned by its event loop.
  */
-final class LeafConnection extends ChannelInboundHandlerAdapter {
+final class LeafConnection extends ChannelInboundHandlerAdapter implements LeafResponseDecoder.Listener {
     /** The maximum number of answers to earlier requests that are skipped before the expected one. */
     private static final int MAX_STALE_ANSWERS = 2;
 
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_INTERIM_ANSWERS = 16;
+    private static final int MAX_INITIAL_BODY_BYTES = 64 * 1024;
+    private static final int SWITCHING_PROTOCOLS = 101;
     private static final int MIN_FINAL_STATUS = 200;
 
     private final LeafConnections owner;
     private final CallHeaders headerNames;
     private final MonotonicClock clock;
-    private final LeafResponseDecoder decoder = new LeafResponseDecoder(this::onStrayBytes);
+    private final AnswerLimits limits;
+    private final FramingOverhead overhead = AnswerLimits.overhead();
+    private final LeafResponseDecoder decoder = new LeafResponseDecoder(this);
     private @Nullable LeafChannel channel;
     private @Nullable LeafCallback callback;
     private String requestId = "";
     private AnswerKind answerKind = AnswerKind.WHOLE;
     private @Nullable HttpResponse response;
-    private @Nullable CompositeByteBuf body;
+    private @Nullable ByteBuf body;
+    private int interimAnswers;
     private int staleAnswers;
     private boolean reusable = true;
     private @Nullable ConnectionEvent endReason;
@@ -51,10 +60,11 @@
     private long idleSinceNanos;
     private long maxIdleNanos = Long.MAX_VALUE;
 
-    LeafConnection(LeafConnections owner, CallHeaders headerNames, MonotonicClock clock) {
+    LeafConnection(LeafConnections owner, CallHeaders headerNames, MonotonicClock clock, AnswerLimits limits) {
         this.owner = owner;
         this.headerNames = headerNames;
         this.clock = clock;
+        this.limits = limits;
     }
 
     /** Returns the handler that precedes this one. */
@@ -78,6 +88,8 @@
         requestId = request.requestId();
         answerKind = request.answerKind();
         staleAnswers = 0;
+        interimAnswers = 0;
+        overhead.reset();
         decoder.expectAnswer(request.isHeadRequest());
         open.writeAndFlush(request.encode(open.alloc(), leafId, remainingMillis), open.voidPromise());
     }
@@ -149,21 +161,49 @@
         owner.onClosed(this, reason);
     }
 
-    private void onStrayBytes() {
+    @Override
+    public void onStrayBytes() {
         close(ConnectionEvent.ENDED_GARBLED);
     }
 
+    @Override
+    public void onBytes(int count) {
+        overhead.addBytes(count);
+    }
+
+    @Override
+    public void onBytesDecoded(int count) {
+        if (callback == null) {
+            return;
+        }
+        if (overhead.isExcessive()) {
+            failMalformed();
+            return;
+        }
+        long pauseNanos = limits.pauseNanos(count, overhead.messageBytes());
+        if (pauseNanos > 0) {
+            pauseReading(pauseNanos);
+        }
+    }
+
+    private void pauseReading(long pauseNanos) {
+        LeafChannel open = channel;
+        if (open != null) {
+            open.config().setAutoRead(false);
+            open.eventLoop().schedule(() -> open.config().setAutoRead(true), pauseNanos, TimeUnit.NANOSECONDS);
+        }
+    }
+
     private ConnectionEvent remoteCloseReason() {
         return callback == null ? ConnectionEvent.ENDED_WHILE_IDLE : ConnectionEvent.ENDED_WHILE_CALLED;
     }
 
     private void onHead(HttpResponse head) {
-        if (head.decoderResult().isFailure() || SplicedHead.isSpliced(head)) {
+        if (head.decoderResult().isFailure() || !isValid(head) || SplicedHead.isSpliced(head)) {
             failMalformed();
             return;
         }
         response = head;
-        body = null;
     }
 
     private void onContent(HttpContent content) {
@@ -176,23 +216,49 @@
             return;
         }
         if (content.content().isReadable()) {
-            CompositeByteBuf accumulated = body == null ? Unpooled.compositeBuffer(64) : body;
-            body = accumulated;
-            accumulated.addComponent(true, content.content().retain());
-            if (accumulated.readableBytes() > MAX_BODY_BYTES) {
-                failMalformed();
-                return;
-            }
+            appendToBody(head, content.content());
         }
-        if (content instanceof LastHttpContent) {
+        if (content instanceof LastHttpContent && response != null) {
             onComplete(head);
         }
     }
 
+    /** Returns false for heads after which no answer of a leaf can follow. */
+    private static boolean isValid(HttpResponse head) {
+        List<String> encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean plain = encodings.isEmpty()
+                || (encodings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                encodings.get(0).trim()));
+        return plain && head.status().code() != SWITCHING_PROTOCOLS;
+    }
+
+    /** Appends to the body, unless that exceeds a limit. */
+    private void appendToBody(HttpResponse head, ByteBuf bytes) {
+        int count = bytes.readableBytes();
+        overhead.addBodyPiece(count);
+        if (overhead.bodyBytes() > AnswerLimits.maxBodyBytes(answerKind)) {
+            failMalformed();
+            return;
+        }
+        ByteBuf accumulated = body;
+        if (accumulated == null) {
+            int expected = HttpUtil.getContentLength(head, count);
+            accumulated = Unpooled.buffer(Math.max(count, Math.min(expected, MAX_INITIAL_BODY_BYTES)));
+            body = accumulated;
+        }
+        accumulated.writeBytes(bytes);
+        limits.memory().add(this, count).ifPresent(LeafConnection::failMalformed);
+    }
+
     private void onComplete(HttpResponse head) {
         ByteString completeBody = takeBody();
         response = null;
         if (head.status().code() < MIN_FINAL_STATUS) {
+            interimAnswers++;
+            if (interimAnswers > MAX_INTERIM_ANSWERS) {
+                failMalformed();
+            }
             return;
         }
         boolean hasFraming = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
@@ -201,8 +267,14 @@
             return;
         }
         reusable &= hasFraming && HttpUtil.isKeepAlive(head);
-        String echoedRequestId = head.headers().get(headerNames.requestId());
-        if (echoedRequestId != null && !requestId.isEmpty() && !echoedRequestId.equals(requestId)) {
+        List<String> echoedRequestIds = head.headers().getAll(headerNames.requestId());
+        if (echoedRequestIds.size() > 1) {
+            failMalformed();
+            return;
+        }
+        if (echoedRequestIds.size() == 1
+                && !requestId.isEmpty()
+                && !echoedRequestIds.get(0).equals(requestId)) {
             skipStaleAnswer();
             return;
         }
@@ -261,14 +333,16 @@
         if (accumulated == null) {
             return ByteString.EMPTY;
         }
-        ByteString copy = UnsafeByteOperations.unsafeWrap(ByteBufUtil.getBytes(accumulated));
+        int length = accumulated.readableBytes();
+        boolean exact = accumulated.capacity() == length;
+        byte[] bytes = exact ? accumulated.array() : ByteBufUtil.getBytes(accumulated);
         releaseBody();
-        return copy;
+        return UnsafeByteOperations.unsafeWrap(bytes);
     }
 
     private void releaseBody() {
         if (body != null) {
-            body.release();
+            limits.memory().release(this);
             body = null;
         }
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -3,10 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -31,12 +33,16 @@
 public final class LeafConnections {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
     private static final int MAX_WAITING = 64;
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+    private static final int MAX_READS_IN_A_ROW = 4;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Leaf leaf;
     private final EventLoopGroup group;
     private final CallHeaders headerNames;
     private final MonotonicClock clock;
+    private final AnswerLimits limits;
     private final IntSupplier share;
     private final Consumer<ConnectionEvent> observer;
     private final CallMonitor monitor;
@@ -49,6 +55,7 @@
     /**
      * Creates a set without connections.
      *
+     * @param limits limits the bytes of answers, over the connections to all leaves
      * @param share the maximum number of connections of this host to the leaf, at least 1
      * @param observer receives an event for each connection that is opened or closed
      * @param monitor permits calls and receives their outcomes
@@ -58,6 +65,7 @@
             EventLoopGroup group,
             CallHeaders headerNames,
             MonotonicClock clock,
+            AnswerLimits limits,
             IntSupplier share,
             Consumer<ConnectionEvent> observer,
             CallMonitor monitor) {
@@ -65,6 +73,7 @@
         this.group = group;
         this.headerNames = headerNames;
         this.clock = clock;
+        this.limits = limits;
         this.share = share;
         this.observer = observer;
         this.monitor = monitor;
@@ -201,13 +210,14 @@
         connecting++;
         observer.accept(reason);
         long startNanos = clock.nowNanos();
-        LeafConnection connection = new LeafConnection(this, headerNames, clock);
+        LeafConnection connection = new LeafConnection(this, headerNames, clock, limits);
         HostAndPort address = HostAndPort.fromString(leaf.address());
         new Bootstrap()
                 .group(group)
                 .channel(LeafChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, readSizes())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -218,6 +228,12 @@
                 .addListener((ChannelFuture future) -> onConnectCompleted(future, connection, startNanos));
     }
 
+    /** Bounds what is read from one connection before the event loop turns to the others. */
+    private static RecvByteBufAllocator readSizes() {
+        return new AdaptiveRecvByteBufAllocator(64, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(MAX_READS_IN_A_ROW);
+    }
+
     private void onConnectCompleted(ChannelFuture future, LeafConnection connection, long startNanos) {
         connecting--;
         if (future.isSuccess()) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafResponseDecoder.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.bramblerack.daemon.leaf;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -15,18 +16,26 @@
     private static final int MAX_HEAD_BYTES = 32 * 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
-    private final Runnable onStrayBytes;
+    private final Listener listener;
     private boolean withoutBody;
     private boolean answerExpected;
 
-    /**
-     * Creates a decoder that expects no answer.
-     *
-     * @param onStrayBytes runs if bytes arrive while no answer is expected
-     */
-    LeafResponseDecoder(Runnable onStrayBytes) {
+    /** Receives what is not part of a decoded message. */
+    interface Listener {
+        /** Called if bytes arrive while no answer is expected. */
+        void onStrayBytes();
+
+        /** Called before bytes are decoded that arrived while an answer is expected. */
+        void onBytes(int count);
+
+        /** Called after these bytes were decoded. */
+        void onBytesDecoded(int count);
+    }
+
+    /** Creates a decoder that expects no answer. */
+    LeafResponseDecoder(Listener listener) {
         super(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
-        this.onStrayBytes = onStrayBytes;
+        this.listener = listener;
     }
 
     /**
@@ -47,12 +56,21 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        if (answerExpected) {
-            super.channelRead(context, message);
-        } else {
+        if (!answerExpected) {
             ReferenceCountUtil.release(message);
-            onStrayBytes.run();
+            listener.onStrayBytes();
+            return;
         }
+        int count = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        listener.onBytes(count);
+        super.channelRead(context, message);
+        listener.onBytesDecoded(count);
+    }
+
+    /** Rejects an answer with both a length and chunks: the leaf and this host could disagree about its end. */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("the answer has both a Content-Length and a Transfer-Encoding field");
     }
 
     @Override
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -84,7 +84,14 @@
         listener.start();
         Leaf leaf = new Leaf("i-1", "s", "127.0.0.1:" + server.getLocalPort(), Distance.SAME_ZONE, 2, Duration.ZERO, 0);
         connections = new LeafConnections(
-                leaf, group, HEADER_NAMES, MonotonicClock.system(), () -> 1, events::add, CallMonitor.NONE);
+                leaf,
+                group,
+                HEADER_NAMES,
+                MonotonicClock.system(),
+                new AnswerLimits(MonotonicClock.system()),
+                () -> 1,
+                events::add,
+                CallMonitor.NONE);
     }
 
     @AfterEach
@@ -260,6 +267,21 @@
         assertThat(((LeafAnswer) send("r-2")).outcome()).isEqualTo(LeafOutcome.GARBLED);
     }
 
+    /** Guards against heads whose end or body the leaf and this host could understand differently. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                "Content-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+                "Content-Length: -4\r\n\r\nbody",
+                "Request-Id: r-0\r\nContent-Length: 4\r\n\r\nbody"
+            })
+    void anAnswerWithContradictoryFieldsIsMalformed(String rest) throws Exception {
+        answer = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nSignature: sig\r\n" + rest;
+        assertThat(send("r-1")).isEqualTo(LeafOutcome.GARBLED);
+    }
+
     /** Guards against the presence of a field being taken for a signature, whatever the status. */
     @ParameterizedTest
     @CsvSource(
