Take an answer without a length for incomplete if this host closed

What callers saw: nothing directly. An abandoned call whose answer lacked a length counted as a success of its leaf and in the latencies.

Cause: any close of the connection without an error ended such an answer, also a close by this host.

Change: only a clean close by the leaf completes it.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
@@ -29,7 +29,7 @@
  * <p>Invariants: bytes that do not belong to the answer of the current request are discarded and close the connection,
  * whether or not they form a message, and a request is never sent on a connection on which such bytes have arrived. An
  * answer to another request is skipped, and the connection is not reused. An answer without a length is complete only
- * if the connection was closed cleanly. {@link AnswerLimits} bound what is read and kept. Owned by its event loop.
+ * if the leaf closed the connection cleanly. {@link AnswerLimits} bound what is read and kept. Owned by its event loop.
  */
 final class LeafConnection extends ChannelInboundHandlerAdapter implements LeafResponseDecoder.Listener {
     /** The maximum number of answers to earlier requests that are skipped before the expected one. */
@@ -262,7 +262,8 @@
             return;
         }
         boolean hasFraming = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-        if (!hasFraming && connectionFailed) {
+        boolean closedCleanly = !connectionFailed && endReason == null;
+        if (!hasFraming && !closedCleanly) {
             fail(LeafOutcome.BROKEN);
             return;
         }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/leaf/LeafConnectionsTest.java
@@ -351,6 +351,23 @@
         assertThat(results.poll(2, TimeUnit.SECONDS)).isEqualTo(LeafOutcome.BROKEN);
     }
 
+    /** Guards against the part of an answer before the abandonment being taken for a whole one without a length. */
+    @Test
+    void anAnswerWithoutALengthIsIncompleteIfThisHostCloses() throws Exception {
+        answer = "HTTP/1.1 200 OK\r\nSignature: sig\r\n\r\nbod";
+        BlockingQueue<LeafConnections.CallHandle> handles = new LinkedBlockingQueue<>();
+        group.next().execute(() -> handles.add(connections.send(request("r-1"), deadline(), new RecordingCallback())));
+        assertThat(receivedHeads.poll(2, TimeUnit.SECONDS)).isNotNull();
+        LeafConnections.CallHandle handle = handles.poll(2, TimeUnit.SECONDS);
+        Thread.sleep(100);
+        group.next().execute(() -> {
+            if (handle != null) {
+                handle.abandon();
+            }
+        });
+        assertThat(results.poll(2, TimeUnit.SECONDS)).isEqualTo(LeafOutcome.BROKEN);
+    }
+
     private Object send(String id) throws InterruptedException {
         sendAsync(id);
         Object result = results.poll(5, TimeUnit.SECONDS);
