Bound what callers may send, over all their connections together

What callers saw: nothing yet; our own test shows it. A caller that sends bytes without end was read at full speed, for up to 15 s after a 413, and incomplete requests of many callers together could fill the memory.

Cause: the aggregator kept reading after a 413, LingeringClose limited its time only, and framing counted towards no limit.

Change: a 413 closes the connection, LingeringClose discards 1 MiB at most, FramingOverhead refuses requests that are mostly framing with 431, and BufferLimit keeps all incomplete requests within an eighth of the heap by refusing the largest with 503, as it has not run.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
@@ -178,7 +178,7 @@
     private void onConnect(HttpConnection connection) {
         ChannelHandlerContext handler = ((ConnectionBase) connection.getDelegate()).channelHandlerContext();
         listening = handler.channel().parent();
-        connections.track(handler.pipeline(), handler.name());
+        connections.track(handler.pipeline(), handler.name(), MAX_HEADER_BYTES);
     }
 
     private Router router() {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
@@ -1,14 +1,17 @@
 package org.bramblerack.daemon.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
@@ -19,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.bramblerack.connection.FramingOverhead;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,8 +38,11 @@
     /** Bounds the stop if a caller sends requests faster than it reads answers. */
     private static final int MAX_ANSWERS_WHILE_STOPPING = 64;
 
+    private static final int RETRY_AFTER_SECONDS = 1;
+
     private final CallerConnections connections;
     private final Channel channel;
+    private final FramingOverhead overhead;
     private @Nullable ChannelHandlerContext context;
     private long lastUsedNanos;
     private int unanswered;
@@ -47,9 +54,10 @@
     private volatile boolean awaitsAnswer;
     private volatile boolean awaitsRequest;
 
-    CallerConnection(CallerConnections connections, Channel channel) {
+    CallerConnection(CallerConnections connections, Channel channel, FramingOverhead overhead) {
         this.connections = connections;
         this.channel = channel;
+        this.overhead = overhead;
         this.lastUsedNanos = connections.nowNanos();
     }
 
@@ -64,11 +72,33 @@
                     firstByteNanos = connections.nowNanos();
                 }
                 publish();
+                int count = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+                overhead.addBytes(count);
                 context.fireChannelRead(message);
+                limitIncompleteRequest(count);
             }
         };
     }
 
+    /** Refuses the request that is being read if it, or all such requests together, exceed a limit. */
+    private void limitIncompleteRequest(int newBytes) {
+        if (!receiving || closing) {
+            connections.memory().release(this);
+        } else if (overhead.isExcessive()) {
+            close(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+        } else {
+            connections.memory().add(this, newBytes).ifPresent(CallerConnection::refuseForMemory);
+        }
+    }
+
+    private void refuseForMemory() {
+        channel.eventLoop().execute(() -> {
+            if (receiving) {
+                close(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        });
+    }
+
     /** Returns true if no request is in flight. */
     public boolean isIdle() {
         return !awaitsAnswer && (!awaitsRequest || connections.isGraceOver(firstByteNanos));
@@ -99,7 +129,7 @@
             long unusedNanos = connections.nowNanos() - lastUsedNanos;
             boolean unused = unusedNanos >= CallerConnections.UNUSED_BEFORE_CLOSE.toNanos();
             if (isIdle() && (unused || connections.isEnding())) {
-                close();
+                close(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         });
     }
@@ -108,20 +138,32 @@
      * Closes the connection. A request that was read in part is refused first: its caller may have sent the rest, and
      * could not tell otherwise whether it has run.
      */
-    private void close() {
+    private void close(HttpResponseStatus refusalStatus) {
         boolean incomplete = receiving && !closing;
         closing = true;
         if (incomplete && context != null) {
-            FullHttpResponse refusal = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_TIMEOUT, Unpooled.EMPTY_BUFFER);
+            FullHttpResponse refusal =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusalStatus, Unpooled.EMPTY_BUFFER);
+            if (refusalStatus.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+                refusal.headers().setInt(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+            }
             refusal.headers()
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             context.writeAndFlush(refusal);
+            discardIncompleteRequest(context.pipeline());
         }
         channel.close();
     }
 
+    /** Frees what was read of the request, since the connection may stay open for a while. */
+    private void discardIncompleteRequest(ChannelPipeline pipeline) {
+        if (pipeline.get(RequestAggregator.class) != null) {
+            pipeline.remove(RequestAggregator.class);
+        }
+        connections.memory().release(this);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
@@ -137,8 +179,12 @@
             headIncomplete = false;
             unanswered++;
         }
+        if (message instanceof HttpContent content && content.content().isReadable()) {
+            overhead.addBodyPiece(content.content().readableBytes());
+        }
         if (message instanceof LastHttpContent) {
             receiving = false;
+            overhead.reset();
         }
         publish();
         context.fireChannelRead(message);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnections.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.bramblerack.connection.FramingOverhead;
+import org.bramblerack.process.BufferLimit;
 import org.bramblerack.process.MonotonicClock;
 
 /**
@@ -25,23 +27,39 @@
     /** How long a caller may take to read the end of its last answer and to close its side. */
     private static final Duration MAX_LINGER = Duration.ofSeconds(1);
 
+    /** The size of the heads and chunk lines of a request, as a multiple of the limit of its head. */
+    private static final int MAX_FRAMING_IN_HEADS = 4;
+
     private final MonotonicClock clock;
+    private final BufferLimit<CallerConnection> memory;
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean stopping;
     private volatile boolean ending;
 
     /** Creates an empty set of connections. */
     public CallerConnections(MonotonicClock clock) {
+        this(clock, BufferLimit.ofHeap());
+    }
+
+    /**
+     * Creates an empty set of connections.
+     *
+     * @param memory limits what incomplete requests occupy together
+     */
+    CallerConnections(MonotonicClock clock, BufferLimit<CallerConnection> memory) {
         this.clock = clock;
+        this.memory = memory;
     }
 
     /**
      * Starts to track a new connection. Called on its event loop, before it has read anything.
      *
      * @param next the name of the handler that follows the HTTP codec
+     * @param maxHeadBytes the maximum size of the head of a request
      */
-    public CallerConnection track(ChannelPipeline pipeline, String next) {
-        CallerConnection connection = new CallerConnection(this, pipeline.channel());
+    public CallerConnection track(ChannelPipeline pipeline, String next, int maxHeadBytes) {
+        FramingOverhead overhead = new FramingOverhead((long) MAX_FRAMING_IN_HEADS * maxHeadBytes);
+        CallerConnection connection = new CallerConnection(this, pipeline.channel(), overhead);
         pipeline.addFirst(connection.byteMonitor());
         pipeline.addFirst(new LingeringClose(MAX_LINGER));
         pipeline.addBefore(next, null, connection);
@@ -108,7 +126,12 @@
         return clock.nowNanos();
     }
 
+    BufferLimit<CallerConnection> memory() {
+        return memory;
+    }
+
     void onClosed(CallerConnection connection) {
+        memory.release(connection);
         connections.remove(connection);
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpListener.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
@@ -55,12 +54,22 @@
             HttpHandler handler,
             Supplier<RequestLimits> limits,
             MonotonicClock clock) {
+        this(address, group, handler, limits, clock, new CallerConnections(clock));
+    }
+
+    HttpListener(
+            HostAndPort address,
+            EventLoopGroup group,
+            HttpHandler handler,
+            Supplier<RequestLimits> limits,
+            MonotonicClock clock,
+            CallerConnections callers) {
         this.address = address;
         this.group = group;
         this.handler = handler;
         this.limits = limits;
         this.clock = clock;
-        this.callers = new CallerConnections(clock);
+        this.callers = callers;
     }
 
     /**
@@ -75,6 +84,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                 .childHandler(new PipelineInitializer())
                 .bind(new InetSocketAddress(address.getHost(), address.getPort()))
                 .sync()
@@ -201,8 +211,8 @@
             RequestLimits current = limits.get();
             channel.pipeline()
                     .addLast(new HttpServerCodec(current.maxHeaderBytes(), current.maxHeaderBytes(), MAX_CHUNK_BYTES))
-                    .addLast(AGGREGATOR, new HttpObjectAggregator(current.maxBodyBytes()));
-            CallerConnection tracked = callers.track(channel.pipeline(), AGGREGATOR);
+                    .addLast(AGGREGATOR, new RequestAggregator(current.maxBodyBytes()));
+            CallerConnection tracked = callers.track(channel.pipeline(), AGGREGATOR, current.maxHeaderBytes());
             channel.pipeline().addLast(new HttpConnection(HttpListener.this, tracked, clock));
         }
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/LingeringClose.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/LingeringClose.java
@@ -1,5 +1,6 @@
 package org.bramblerack.daemon.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
@@ -20,12 +21,15 @@
  * <p>A close writes what is pending, shuts down the output, and then discards the input until the remote side has
  * closed too. Closing the socket at once would fail the pending writes and, if unread input is left, reset the
  * connection, which can make the remote side lose bytes that it has not read yet. The connection is closed within a
- * limited time after the first call, whatever the remote side does.
+ * limited time after the first call, and after a limited number of bytes, whatever the remote side does.
  *
  * <p>Owned by the event loop of its channel.
  */
 public final class LingeringClose extends ChannelDuplexHandler {
+    private static final int MAX_DISCARDED_BYTES = 1024 * 1024;
+
     private final Duration maxLinger;
+    private long discardedBytes;
     private boolean closing;
     private @Nullable ScheduledFuture<?> timeout;
 
@@ -73,7 +77,11 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (closing) {
+            discardedBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
             ReferenceCountUtil.release(message);
+            if (discardedBytes > MAX_DISCARDED_BYTES) {
+                closeNow(context.channel());
+            }
         } else {
             context.fireChannelRead(message);
         }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -3,12 +3,10 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -18,6 +16,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import org.bramblerack.daemon.http.ReadSizes;
 import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.harm.LeafEndDetector;
 import org.bramblerack.process.leaf.Leaf;
@@ -33,9 +32,6 @@
 public final class LeafConnections {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
     private static final int MAX_WAITING = 64;
-    private static final int INITIAL_READ_BYTES = 2 * 1024;
-    private static final int MAX_READ_BYTES = 16 * 1024;
-    private static final int MAX_READS_IN_A_ROW = 4;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Leaf leaf;
@@ -217,7 +213,7 @@
                 .channel(LeafChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.RCVBUF_ALLOCATOR, readSizes())
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReadSizes.allocator())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -228,12 +224,6 @@
                 .addListener((ChannelFuture future) -> onConnectCompleted(future, connection, startNanos));
     }
 
-    /** Bounds what is read from one connection before the event loop turns to the others. */
-    private static RecvByteBufAllocator readSizes() {
-        return new AdaptiveRecvByteBufAllocator(64, INITIAL_READ_BYTES, MAX_READ_BYTES)
-                .maxMessagesPerRead(MAX_READS_IN_A_ROW);
-    }
-
     private void onConnectCompleted(ChannelFuture future, LeafConnection connection, long startNanos) {
         connecting--;
         if (future.isSuccess()) {
