Refuse the largest incomplete request before anything else is read

Cause: the refusal was queued on the event loop, so other connections of the same turn could add up to 64 KiB each before memory was freed.

Change: on the event loop itself the request is refused at once.

Evidence: the test passes; its bound is unchanged.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
@@ -91,12 +91,13 @@
         }
     }
 
+    /** Refuses the request that is being read; at once if called on the event loop, before it reads anything else. */
     private void refuseForMemory() {
-        channel.eventLoop().execute(() -> {
-            if (receiving) {
-                close(HttpResponseStatus.SERVICE_UNAVAILABLE);
-            }
-        });
+        if (!channel.eventLoop().inEventLoop()) {
+            channel.eventLoop().execute(this::refuseForMemory);
+        } else if (receiving) {
+            close(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
     }
 
     /** Returns true if no request is in flight. */
