Bound the responses of upstreams at the own interface

What callers saw: nothing yet; our own test shows it. An upstream whose report or reply never ends was read without a limit.

Cause: timeouts of the HTTP client restart with every byte, and the client reads on after its user has timed out.

Change: ResponseLimit closes a connection whose response is too long, takes too long or is mostly framing.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
@@ -14,6 +14,7 @@
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.core.http.HttpClient;
 import io.vertx.mutiny.ext.web.client.HttpRequest;
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import io.vertx.mutiny.ext.web.client.WebClient;
@@ -42,6 +43,12 @@
     private static final int KEEP_ALIVE_SECONDS = 20;
     private static final Logger LOGGER = System.getLogger(HttpUpstreamProtocol.class.getName());
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
+    /** Longer than {@link #REPORT_TIMEOUT}, after which the response may still arrive. */
+    private static final Duration MAX_REPORT_TIME = Duration.ofSeconds(2);
+
+    private static final Duration MAX_CALL_TIME = Duration.ofSeconds(60);
+    private static final long MAX_REPORT_BYTES = 1024 * 1024;
+    private static final long MAX_REPLY_BYTES = 16 * 1024 * 1024;
     private static final Duration TIMEOUT_MARGIN = Duration.ofMillis(20);
     private static final int STATUS_OK = 200;
     private static final int HEXADECIMAL_RADIX = 16;
@@ -55,8 +62,8 @@
     public HttpUpstreamProtocol(Vertx vertx, Upstream upstream, int connections) {
         this.upstream = upstream;
         this.callConnections = Math.max(1, connections - 1);
-        this.callClient = WebClient.create(vertx, options(callConnections));
-        this.controlClient = connections > 1 ? WebClient.create(vertx, options(1)) : callClient;
+        this.callClient = client(vertx, callConnections, MAX_REPLY_BYTES, MAX_CALL_TIME);
+        this.controlClient = connections > 1 ? client(vertx, 1, MAX_REPORT_BYTES, MAX_REPORT_TIME) : callClient;
     }
 
     @Override
@@ -130,6 +137,15 @@
                 .map(HttpUpstreamProtocol::toReport);
     }
 
+    private static WebClient client(Vertx vertx, int connections, long maxBodyBytes, Duration maxTime) {
+        WebClientOptions options = options(connections);
+        HttpClient client = vertx.httpClientBuilder()
+                .with(options)
+                .withConnectHandler(connection -> ResponseLimit.install(connection, maxBodyBytes, maxTime))
+                .build();
+        return WebClient.wrap(client, options);
+    }
+
     private static WebClientOptions options(int connections) {
         WebClientOptions options = new WebClientOptions();
         options.setProtocolVersion(HttpVersion.HTTP_1_1);
