Do not answer an earlier request with the refusal of a later one

Cause: a pipelined request over a limit was refused at once, which its caller would take for the answer to an earlier request. Small segments of a body with a length counted as small chunks, and an interim response ended the time limit of a response.

Change: the connection closes without a refusal after the answers to the earlier requests. Only chunks are limited in number.

--- a/bramblerack-core/src/main/java/org/bramblerack/connection/FramingOverhead.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/connection/FramingOverhead.java
@@ -11,7 +11,7 @@
     private static final int MAX_OVERHEAD_PER_BODY_BYTE = 8;
 
     private static final int MAX_SMALL_PIECES = 4_096;
-    /** Pieces of this size on average are not counted as small. */
+    /** Pieces of this average size are not limited in number. */
     private static final int PIECE_BYTES = 256;
 
     private final long maxFixedBytes;
@@ -40,9 +40,14 @@
         messageBytes += count;
     }
 
-    /** Records that bytes which arrived are a piece of the body. */
-    public void addBodyPiece(int count) {
+    /** Records that bytes which arrived belong to the body. */
+    public void addBodyBytes(int count) {
         bodyBytes += count;
+    }
+
+    /** Records that bytes which arrived are a chunk of the body, or a part of one. */
+    public void addBodyPiece(int count) {
+        addBodyBytes(count);
         pieces++;
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/ResponseLimit.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/ResponseLimit.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -29,6 +31,7 @@
     private final Duration maxTime;
     private final FramingOverhead overhead = new FramingOverhead(MAX_HEADS_BYTES);
     private @Nullable ScheduledFuture<?> timeout;
+    private boolean interim;
 
     private ResponseLimit(long maxBodyBytes, Duration maxTime) {
         this.maxBodyBytes = maxBodyBytes;
@@ -69,9 +72,12 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpContent content && content.content().isReadable()) {
-            overhead.addBodyPiece(content.content().readableBytes());
+            overhead.addBodyBytes(content.content().readableBytes());
         }
-        if (message instanceof LastHttpContent) {
+        if (message instanceof HttpResponse response) {
+            interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        }
+        if (message instanceof LastHttpContent && !interim) {
             cancelTimeout();
         }
         context.fireChannelRead(message);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/CallerConnection.java
@@ -50,6 +50,7 @@
     private boolean headIncomplete;
     private boolean receiving;
     private boolean closing;
+    private boolean refused;
     private volatile long firstByteNanos;
     private volatile boolean awaitsAnswer;
     private volatile boolean awaitsRequest;
@@ -82,10 +83,10 @@
 
     /** Refuses the request that is being read if it, or all such requests together, exceed a limit. */
     private void limitIncompleteRequest(int newBytes) {
-        if (!receiving || closing) {
+        if (!receiving || closing || refused) {
             connections.memory().release(this);
         } else if (overhead.isExcessive()) {
-            close(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+            refuseIncomplete(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
         } else {
             connections.memory().add(this, newBytes).ifPresent(CallerConnection::refuseForMemory);
         }
@@ -95,11 +96,32 @@
     private void refuseForMemory() {
         if (!channel.eventLoop().inEventLoop()) {
             channel.eventLoop().execute(this::refuseForMemory);
-        } else if (receiving) {
-            close(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else if (receiving && !refused) {
+            refuseIncomplete(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
     }
 
+    /**
+     * Refuses the request that is being read and closes the connection. If earlier requests are unanswered, the
+     * connection closes without a refusal after their answers: a refusal now would be taken for one of these.
+     */
+    private void refuseIncomplete(HttpResponseStatus status) {
+        if (earlierUnanswered() == 0) {
+            close(status);
+            return;
+        }
+        refused = true;
+        channel.config().setAutoRead(false);
+        if (context != null) {
+            discardIncompleteRequest(context.pipeline());
+        }
+    }
+
+    /** Returns the number of unanswered requests that were read whole. */
+    private int earlierUnanswered() {
+        return unanswered - (receiving && !headIncomplete ? 1 : 0);
+    }
+
     /** Returns true if no request is in flight. */
     public boolean isIdle() {
         return !awaitsAnswer && (!awaitsRequest || connections.isGraceOver(firstByteNanos));
@@ -172,7 +194,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (closing && message instanceof HttpObject) {
+        if ((closing || refused) && message instanceof HttpObject) {
             ReferenceCountUtil.release(message);
             return;
         }
@@ -181,7 +203,7 @@
             unanswered++;
         }
         if (message instanceof HttpContent content && content.content().isReadable()) {
-            overhead.addBodyPiece(content.content().readableBytes());
+            overhead.addBodyBytes(content.content().readableBytes());
         }
         if (message instanceof LastHttpContent) {
             receiving = false;
@@ -229,14 +251,14 @@
         unanswered--;
         lastUsedNanos = connections.nowNanos();
         publish();
-        if (closing) {
+        if (closing || (refused && earlierUnanswered() == 0)) {
             context.close();
         }
     }
 
     private void publish() {
         // A request whose body is incomplete is unanswered, but has not begun to run.
-        awaitsAnswer = unanswered > (receiving && !headIncomplete ? 1 : 0);
+        awaitsAnswer = earlierUnanswered() > 0;
         awaitsRequest = receiving;
     }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnection.java
@@ -236,7 +236,11 @@
     /** Appends to the body, unless that exceeds a limit. */
     private void appendToBody(HttpResponse head, ByteBuf bytes) {
         int count = bytes.readableBytes();
-        overhead.addBodyPiece(count);
+        if (HttpUtil.isTransferEncodingChunked(head)) {
+            overhead.addBodyPiece(count);
+        } else {
+            overhead.addBodyBytes(count);
+        }
         if (overhead.bodyBytes() > AnswerLimits.maxBodyBytes(answerKind)) {
             failMalformed();
             return;
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/http/EndlessRequestTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/http/EndlessRequestTest.java
@@ -96,6 +96,22 @@
         assertThat(exchanges).isEmpty();
     }
 
+    /** A refusal of the second request must not be taken for the answer to the first one. */
+    @Test
+    void anEndlessRequestBehindAnotherOneLeavesItsAnswerUnharmed() throws Exception {
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            HttpExchange first = exchanges.poll(10, TimeUnit.SECONDS);
+            caller.getOutputStream().write("\r\n".repeat(100_000).getBytes(StandardCharsets.ISO_8859_1));
+            Thread.sleep(300);
+            assertThat(first).isNotNull();
+            first.respond(200, "text/plain", "1");
+            assertThat(firstBytesOf(caller)).startsWith("HTTP/1.1 200");
+            String rest = new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(rest).doesNotContain("HTTP/1.1");
+        }
+    }
+
     /** Callers that send long requests in part do not use up the memory, and others are served. */
     @Test
     void incompleteRequestsOfManyCallersKeepWithinTheMemory() throws Exception {
