Report attempts that two hosts together made beyond the limit

A calling host now counts and logs attempts_exceeded when a delegate reports a hedge at a shard that this host called itself with no attempt left, with the attempts of both, and logs stage_silent when it takes a delegate for failed.

StagedQueryTest shows the report for a delegate that hedges after its silence: three attempts, where two are permitted.

--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
@@ -267,7 +267,7 @@
         public void reportHedgedShards(List<Integer> hedgedShards) {
             ImmutableList<Integer> translated =
                     hedgedShards.stream().map(shards::get).collect(ImmutableList.toImmutableList());
-            sendBack(now -> query.onStageProgress(stage, translated));
+            sendBack(now -> execute(query.onStageProgress(stage, translated)));
         }
 
         @Override
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
@@ -40,6 +40,8 @@
     STAGE_SILENT,
     /** A host that shards were delegated to failed. */
     STAGE_LOST,
+    /** This host and the host that a shard was delegated to made more attempts than the route permits. */
+    ATTEMPTS_EXCEEDED,
     /** An answer arrived after the request had finished. */
     LATE_ANSWER
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
@@ -1,5 +1,7 @@
 package org.bramblerack.request.routed;
 
+import com.google.common.collect.ImmutableList;
+
 /** An action that a routed request returns to its caller. The actions of one call are carried out in order. */
 public sealed interface RoutedAction {
     /** Sends the request to the attempt's leaf. */
@@ -35,6 +37,11 @@
     /** Refuses the request. */
     record Refuse(RefusalReason reason) implements RoutedAction {}
 
+    /**
+     * Reports that this host and the host of a stage together made more attempts at some of its shards than permitted.
+     */
+    record ReportExceeded(StageAttempt stage, ImmutableList<Integer> shards) implements RoutedAction {}
+
     /** Increments a counter. */
     record Count(AttemptCounter counter) implements RoutedAction {}
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.process.leaf.RoutingContext;
@@ -197,13 +198,17 @@
     }
 
     /** Records that another host reported progress, and which shards it has hedged. */
-    public void onStageProgress(StageAttempt stage, List<Integer> hedgedShards) {
+    public List<RoutedAction> onStageProgress(StageAttempt stage, List<Integer> hedgedShards) {
         stage.recordResponse();
-        for (int shard : hedgedShards) {
-            if (stage.shards().contains(shard)) {
-                shards.get(shard).recordDelegateHedged();
-            }
-        }
+        ImmutableList<Integer> exceeded = hedgedShards.stream()
+                .filter(stage.shards()::contains)
+                .filter(shard -> shards.get(shard).recordDelegateHedged())
+                .collect(ImmutableList.toImmutableList());
+        return exceeded.isEmpty()
+                ? List.of()
+                : List.of(
+                        new RoutedAction.Count(AttemptCounter.ATTEMPTS_EXCEEDED),
+                        new RoutedAction.ReportExceeded(stage, exceeded));
     }
 
     /**
@@ -318,6 +323,13 @@
         return shards.describeWithout(parts.shards(), nowNanos) + stages.describe();
     }
 
+    /** Describes some shards for a log line. */
+    public String describe(ImmutableList<Integer> numbers, long nowNanos) {
+        return numbers.stream()
+                .map(number -> shards.get(number).describe(nowNanos))
+                .collect(Collectors.joining("; "));
+    }
+
     /** Returns the reason, if any, for which no shard of the query may be hedged now. */
     private Optional<AttemptCounter> hedgeDenial(long lagNanos, long nowNanos) {
         if (lagNanos > bounds.hedgeDelayNanos() / HEDGE_DELAY_LAG_DIVISOR) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -79,9 +79,10 @@
         remoteAttempts = 0;
     }
 
-    /** Records that the other host has hedged the request. */
-    void recordDelegateHedged() {
+    /** Records that the other host has hedged the request. Returns true if that exceeds the permitted attempts. */
+    boolean recordDelegateHedged() {
         remoteAttempts = 2;
+        return possiblyRunCount() > bounds.maxAttempts();
     }
 
     /**
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagedQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagedQueryTest.java
@@ -74,6 +74,18 @@
                 .isEqualTo(0);
     }
 
+    @Test
+    void moreAttemptsOnTwoHostsThanPermittedAreReported() {
+        ScatterQuery query = query(4, 10, 2, 3);
+        harness.execute(query.start(0), 0);
+        harness.execute(query.wake(SILENCE_TIMEOUT), SILENCE_TIMEOUT);
+        List<RoutedAction> actions = query.onStageProgress(harness.stages.get(0), List.of(3));
+        assertThat(actions)
+                .containsExactly(
+                        new RoutedAction.Count(AttemptCounter.ATTEMPTS_EXCEEDED),
+                        new RoutedAction.ReportExceeded(harness.stages.get(0), ImmutableList.of(3)));
+    }
+
     @Test
     void afterAFailedStageOnlyUnusedAttemptsRemain() {
         ScatterQuery query = query(4, 10, 2, 3);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/DecisionLog.java
@@ -54,6 +54,20 @@
         line.write();
     }
 
+    /**
+     * Logs an event of a request that is in progress, within the rate limit of degraded requests.
+     *
+     * @param details adds fields; called only if the line is written
+     */
+    void logEvent(RoutedCall call, String event, Consumer<EventLog.Line> details) {
+        if (logDegraded.tryAcquire()) {
+            logSuppressedCount();
+            EventLog.Line line = newEvent(call, event);
+            details.accept(line);
+            line.write();
+        }
+    }
+
     /**
      * Logs a request that was refused before its route or caller was identified, within the rate limit.
      *
@@ -83,16 +97,20 @@
 
     private EventLog.Line newLine(RoutedCall call, String outcome) {
         long nowNanos = clock.nowNanos();
-        return EVENTS.info("request_ended")
-                .with("request", call.request().requestId())
+        return newEvent(call, "request_ended")
                 .with("fingerprint", call.request().fingerprints().path().toString())
                 .with("outcome", outcome)
-                .with("route", call.route().name())
-                .with("configuration", call.configurationVersion())
-                .with("revision", view.revision())
-                .with("tookMillis", TimeUnit.NANOSECONDS.toMillis(nowNanos - call.arrivedNanos()))
                 .with(
                         "afterGoalMillis",
                         TimeUnit.NANOSECONDS.toMillis(nowNanos - call.times().goalNanos()));
     }
+
+    private EventLog.Line newEvent(RoutedCall call, String event) {
+        return EVENTS.info(event)
+                .with("request", call.request().requestId())
+                .with("route", call.route().name())
+                .with("configuration", call.configurationVersion())
+                .with("revision", view.revision())
+                .with("tookMillis", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - call.arrivedNanos()));
+    }
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -121,7 +121,7 @@
     private final class StageListener implements StageCaller.Listener {
         @Override
         public void onProgress(StageAttempt stage, List<Integer> hedgedShards) {
-            query.onStageProgress(stage, hedgedShards);
+            execute(query.onStageProgress(stage, hedgedShards));
             if (!query.isOver()) {
                 onProgress.run();
             }
@@ -162,6 +162,24 @@
                         .with("onBehalfOf", sink.onBehalfOf()));
     }
 
+    private void logSilence(StageAttempt stage) {
+        log.logEvent(
+                call,
+                "stage_silent",
+                line -> line.with("host", stage.host())
+                        .with("shards", stage.shards().size())
+                        .with("onBehalfOf", sink.onBehalfOf()));
+    }
+
+    private void logExceeded(RoutedAction.ReportExceeded exceeded) {
+        log.logEvent(
+                call,
+                "attempts_exceeded",
+                line -> line.with("host", exceeded.stage().host())
+                        .with("tried", query.describe(exceeded.shards(), clock.nowNanos()))
+                        .with("onBehalfOf", sink.onBehalfOf()));
+    }
+
     /**
      * Reports hedged shards before the final reply: retries start between wake-ups, and the calling host must not make
      * a third attempt.
@@ -182,6 +200,7 @@
                 stages.call(callStage.stage(), stageListener);
             } else if (action instanceof RoutedAction.SuspectStage suspect) {
                 stages.suspect(suspect.stage());
+                logSilence(suspect.stage());
             } else if (action instanceof RoutedAction.AbandonStage abandon) {
                 if (stages.abandon(abandon.stage())) {
                     query.onStageNeverSent(abandon.stage());
@@ -211,6 +230,8 @@
                     onNoShardAnswered.run();
                 }
                 sink.refuse(reason);
+            } else if (action instanceof RoutedAction.ReportExceeded exceeded) {
+                logExceeded(exceeded);
             } else if (action instanceof RoutedAction.Count count) {
                 metrics.count(count.counter());
             }
