--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/ModelQuery.java
@@ -52,6 +52,9 @@
         /** Handles the list of shards that were called a second time. */
         void reportHedgedShards(List<Integer> hedgedShards);
 
+        /** Handles a request for one more attempt at each of some shards. */
+        void requestAttempts(List<Integer> requested);
+
         /** Handles a refusal, after which no result follows. */
         void refuse(RefusalReason reason);
     }
@@ -135,6 +138,10 @@
                 wakeNumber++;
                 sink.reportHedgedShards(query.hedgedShards());
                 sink.deliver(deliver.answer());
+            } else if (action instanceof RoutedAction.RequestAttempts request) {
+                sink.requestAttempts(request.shards());
+            } else if (action instanceof RoutedAction.AnswerAttemptRequest answer) {
+                answerAttemptRequest(answer);
             } else if (action instanceof RoutedAction.DeliverPartial deliver) {
                 sink.deliverPartial(deliver.partial());
             } else if (action instanceof RoutedAction.Refuse refuse) {
@@ -211,7 +218,8 @@
                 bounds.deadlineNanos() - networkDelayNanos,
                 bounds.hedgeDelayNanos(),
                 other.latency(arrival.load()).medianNanos(),
-                bounds.maxAttempts());
+                1,
+                bounds.maxAttempts() - 1);
         ResultSink stageSink = new StageSink(stage, networkDelayNanos);
         run.time().after(networkDelayNanos, () -> {
             ModelQuery stageQuery = new ModelQuery(run, other, arrival, stage.shards(), stageBounds, true, stageSink);
@@ -220,6 +228,22 @@
         });
     }
 
+    private void answerAttemptRequest(RoutedAction.AnswerAttemptRequest answer) {
+        StageAttempt stage = answer.stage();
+        ModelHost other = host.host(stage.host());
+        List<Integer> granted =
+                answer.granted().stream().map(stage.shards()::indexOf).toList();
+        List<Integer> denied =
+                answer.denied().stream().map(stage.shards()::indexOf).toList();
+        run.time().after(host.networkDelayNanosTo(other), () -> {
+            ModelQuery stageQuery = stages.get(stage);
+            if (stageQuery != null && !stageQuery.query.isOver()) {
+                stageQuery.execute(stageQuery.query.onAttemptsAnswered(
+                        granted, denied, run.time().nowNanos()));
+            }
+        });
+    }
+
     private void abandonStage(StageAttempt stage) {
         long networkDelayNanos = host.networkDelayNanosTo(host.host(stage.host()));
         run.time()
@@ -270,6 +294,13 @@
             sendBack(now -> execute(query.onStageProgress(stage, translated)));
         }
 
+        @Override
+        public void requestAttempts(List<Integer> requested) {
+            ImmutableList<Integer> translated =
+                    requested.stream().map(shards::get).collect(ImmutableList.toImmutableList());
+            sendBack(now -> execute(query.onAttemptsRequested(stage, translated, now)));
+        }
+
         @Override
         public void refuse(RefusalReason reason) {
             sendBack(now -> {
--- a/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Run.java
+++ b/bramblerack-cli/src/main/java/org/bramblerack/cli/experiment/Run.java
@@ -236,6 +236,11 @@
             // Callers do not use the progress of a query.
         }
 
+        @Override
+        public void requestAttempts(List<Integer> requested) {
+            throw new IllegalStateException("a caller's query requested attempts");
+        }
+
         @Override
         public void refuse(RefusalReason reason) {
             checks.recordEnd(arrival);
--- a/bramblerack-core/src/main/java/org/bramblerack/process/WindowedBudget.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/WindowedBudget.java
@@ -85,16 +85,21 @@
      *     attempts
      */
     public boolean tryWithdrawAbove(int reservedPercent, long nowNanos) {
-        advance(nowNanos);
-        long allowed = allowedHundredths(nowNanos);
-        long reserved = allowed * reservedPercent / PERCENT / PERCENT * PERCENT;
-        if (allowed - spentHundredths() - PERCENT < reserved) {
+        if (!mayWithdrawAbove(reservedPercent, nowNanos)) {
             return false;
         }
         extraAttempts[index(currentBucket)]++;
         return true;
     }
 
+    /** Returns true if {@link #tryWithdrawAbove} would withdraw an attempt. */
+    public boolean mayWithdrawAbove(int reservedPercent, long nowNanos) {
+        advance(nowNanos);
+        long allowed = allowedHundredths(nowNanos);
+        long reserved = allowed * reservedPercent / PERCENT / PERCENT * PERCENT;
+        return allowed - spentHundredths() - PERCENT >= reserved;
+    }
+
     /** Returns the fraction of the current window's budget that remains, from 0 to 1. */
     public double remainingFraction(long nowNanos) {
         advance(nowNanos);
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptCounter.java
@@ -40,6 +40,12 @@
     STAGE_SILENT,
     /** A host that shards were delegated to failed. */
     STAGE_LOST,
+    /** An attempt was requested from the host that delegated the query. */
+    ATTEMPT_REQUESTED,
+    /** An attempt was handed over to a delegate that requested it. */
+    ATTEMPT_HANDED_OVER,
+    /** No attempt was left for a delegate that requested it. */
+    ATTEMPT_DENIED,
     /** This host and the host that a shard was delegated to made more attempts than the route permits. */
     ATTEMPTS_EXCEEDED,
     /** An answer arrived after the request had finished. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -17,6 +17,18 @@
  * own failure is delivered to the caller if no other leaf may be called. Not safe for use by several threads.
  */
 public final class ForwardedRequest {
+    private static final ShardRequest.Listener NO_LISTENER = new ShardRequest.Listener() {
+        @Override
+        public void onFinished() {
+            // This class checks after each event whether the request has finished.
+        }
+
+        @Override
+        public void onAttemptRequested() {
+            throw new IllegalStateException("a request of a caller has no delegating host");
+        }
+    };
+
     private final ShardRequest request;
     private final RequestBounds bounds;
     private Optional<Attempt> lastFailure = Optional.empty();
@@ -31,7 +43,7 @@
      * @param repeatable true if the request may run more than once
      */
     public ForwardedRequest(PermittedLeaves pool, boolean repeatable, RequestBounds bounds, RandomGenerator random) {
-        this.request = new ShardRequest(pool, bounds, repeatable, repeatable, random, () -> {});
+        this.request = new ShardRequest(pool, bounds, repeatable, repeatable, random, NO_LISTENER);
         this.bounds = bounds;
     }
 
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/GatheredParts.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/GatheredParts.java
@@ -72,10 +72,16 @@
      * Returns the merged parts that were added since the last call.
      *
      * @param notSent the numbers of the shards for which no leaf was sent the query
+     * @param unusedAttempts the numbers of other shards, once for each attempt that was not used
      */
-    MergedAnswer drainNew(ImmutableList<Integer> notSent) {
+    MergedAnswer drainNew(ImmutableList<Integer> notSent, ImmutableList<Integer> unusedAttempts) {
         MergedAnswer answer = new MergedAnswer(
-                newShards.build(), newSignatures.build(), shardCount - shards.size(), notSent, newRecords.toBytes());
+                newShards.build(),
+                newSignatures.build(),
+                shardCount - shards.size(),
+                notSent,
+                unusedAttempts,
+                newRecords.toBytes());
         newShards = ImmutableList.builder();
         newSignatures = ImmutableList.builder();
         newRecords = new TopRecords(topRecords);
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/MergedAnswer.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/MergedAnswer.java
@@ -12,6 +12,7 @@
  * @param signatures the signatures of their parts, in the same order
  * @param missing the number of shards that have not answered
  * @param notSent the numbers of the shards for which no leaf was sent the query
+ * @param unusedAttempts the numbers of other shards, once for each attempt that belongs to this host and was not used
  * @param records the greatest records of these parts, in descending order
  */
 public record MergedAnswer(
@@ -19,4 +20,5 @@
         ImmutableList<String> signatures,
         int missing,
         ImmutableList<Integer> notSent,
+        ImmutableList<Integer> unusedAttempts,
         ByteString records) {}
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -19,6 +20,7 @@
 final class QueryShards implements Iterable<ShardRequest> {
     private final ShardRequest[] shards;
     private final Map<ShardRequest, Integer> numbers = new HashMap<>();
+    private ImmutableList.Builder<Integer> attemptsRequested = ImmutableList.builder();
     /** Maintained incrementally, since it is read on every answer. */
     private int unfinished;
 
@@ -31,11 +33,34 @@
         shards = new ShardRequest[pools.size()];
         unfinished = shards.length;
         for (int shard = 0; shard < shards.length; shard++) {
-            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, hedged, random, () -> unfinished--);
+            shards[shard] = new ShardRequest(pools.get(shard), bounds, true, hedged, random, listener(shard));
             numbers.put(shards[shard], shard);
         }
     }
 
+    private ShardRequest.Listener listener(int shard) {
+        return new ShardRequest.Listener() {
+            @Override
+            public void onFinished() {
+                unfinished--;
+            }
+
+            @Override
+            public void onAttemptRequested() {
+                attemptsRequested.add(shard);
+            }
+        };
+    }
+
+    /** Returns the shards that requested an attempt from the delegating host since the last call. */
+    ImmutableList<Integer> drainAttemptsRequested() {
+        ImmutableList<Integer> drained = attemptsRequested.build();
+        if (!drained.isEmpty()) {
+            attemptsRequested = ImmutableList.builder();
+        }
+        return drained;
+    }
+
     @Override
     public Iterator<ShardRequest> iterator() {
         return Arrays.asList(shards).iterator();
@@ -78,6 +103,16 @@
         return numbers(shard -> !shard.wasSent());
     }
 
+    /** Returns the numbers of the shards that were sent, once for each attempt that was not used. */
+    ImmutableList<Integer> unusedAttempts() {
+        ImmutableList.Builder<Integer> unused = ImmutableList.builder();
+        for (int shard = 0; shard < shards.length; shard++) {
+            int count = shards[shard].wasSent() ? shards[shard].availableAttempts() : 0;
+            unused.addAll(Collections.nCopies(Math.max(0, count), shard));
+        }
+        return unused.build();
+    }
+
     /** Returns true if no leaf has run the query or will run it. */
     boolean isNotRun() {
         return count(ShardRequest::isNotRun) == shards.length;
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/RoutedAction.java
@@ -37,6 +37,13 @@
     /** Refuses the request. */
     record Refuse(RefusalReason reason) implements RoutedAction {}
 
+    /** Requests an attempt for each of these shards from the host that delegated the query. */
+    record RequestAttempts(ImmutableList<Integer> shards) implements RoutedAction {}
+
+    /** Replies to a request of a stage's host for attempts: those handed over, and those that are not available. */
+    record AnswerAttemptRequest(StageAttempt stage, ImmutableList<Integer> granted, ImmutableList<Integer> denied)
+            implements RoutedAction {}
+
     /**
      * Reports that this host and the host of a stage together made more attempts at some of its shards than permitted.
      */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -3,8 +3,10 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -178,7 +180,14 @@
     /** Handles the last reply of another host. Shards that it lacks are called from here if attempts remain. */
     public List<RoutedAction> onStageReply(StageAttempt stage, StageReply reply, long nowNanos) {
         List<RoutedAction> actions = new ArrayList<>(2);
-        if (over || stage.isOver()) {
+        if (over) {
+            actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
+            return actions;
+        }
+        reply.unusedAttempts().stream()
+                .filter(shard -> stage.shards().contains(shard))
+                .forEach(shard -> shards.get(shard).takeBackAttempt());
+        if (stage.isOver()) {
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
         }
@@ -211,6 +220,59 @@
                         new RoutedAction.ReportExceeded(stage, exceeded));
     }
 
+    /** Handles the request of a stage's host for one more attempt at each of some shards. */
+    public List<RoutedAction> onAttemptsRequested(StageAttempt stage, List<Integer> requested, long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>(3);
+        if (over || stage.isOver()) {
+            // The host was notified that its reply is no longer needed.
+            return actions;
+        }
+        stage.recordResponse();
+        AttemptReplies replies = new AttemptReplies();
+        for (int shard : requested) {
+            if (stage.shards().contains(shard)) {
+                replies.add(shard, shards.get(shard).onAttemptRequested());
+            }
+        }
+        replies.addTo(actions, stage);
+        finalizeOrScheduleWake(nowNanos, actions);
+        return actions;
+    }
+
+    /**
+     * Handles the reply of the delegating host to a request for attempts.
+     *
+     * @param granted the numbers of the shards for which an attempt belongs to this host from now on
+     * @param denied the numbers of the shards for which there is none
+     */
+    public List<RoutedAction> onAttemptsAnswered(List<Integer> granted, List<Integer> denied, long nowNanos) {
+        List<RoutedAction> actions = new ArrayList<>();
+        if (over) {
+            return actions;
+        }
+        closeShardsAtGoal(nowNanos, actions);
+        Map<Integer, ShardRequest.AttemptReply> replies = new HashMap<>();
+        Optional<AttemptCounter> denial = hedgeDenial(context.lagNanos(nowNanos), nowNanos);
+        for (int number : granted) {
+            ShardRequest shard = shards.get(number);
+            shard.onAttemptGranted(nowNanos, actions).ifPresent(reply -> replies.put(number, reply));
+            shard.wake(denial, nowNanos, actions);
+        }
+        for (int number : denied) {
+            shards.get(number).onAttemptDenied(actions).ifPresent(reply -> replies.put(number, reply));
+        }
+        for (StageAttempt stage : stages.all()) {
+            AttemptReplies ofStage = new AttemptReplies();
+            stage.shards().stream()
+                    .filter(replies::containsKey)
+                    .forEach(number ->
+                            ofStage.add(number, replies.getOrDefault(number, ShardRequest.AttemptReply.DENIED)));
+            ofStage.addTo(actions, stage);
+        }
+        finalizeOrScheduleWake(nowNanos, actions);
+        return actions;
+    }
+
     /**
      * Handles the failure of another host.
      *
@@ -218,7 +280,13 @@
      */
     public List<RoutedAction> onStageFailure(StageAttempt stage, boolean notRun, long nowNanos) {
         List<RoutedAction> actions = new ArrayList<>();
-        if (over || stage.isOver()) {
+        if (over) {
+            return actions;
+        }
+        if (notRun) {
+            stage.shards().forEach(shard -> shards.get(shard).takeBackAllAttempts());
+        }
+        if (stage.isOver()) {
             return actions;
         }
         stage.finish();
@@ -306,7 +374,7 @@
 
     /** Records that an abandoned call to another host had not been sent. */
     public void onStageNeverSent(StageAttempt stage) {
-        stage.shards().forEach(shard -> shards.get(shard).recordNeverSentElsewhere());
+        stage.shards().forEach(shard -> shards.get(shard).takeBackAllAttempts());
     }
 
     /** Returns the number of shards that have not answered. */
@@ -355,6 +423,11 @@
 
     private void finalizeOrScheduleWake(long nowNanos, List<RoutedAction> actions) {
         disconnectProbe.resumeDecided(shards.unfinishedCount(), nowNanos, actions);
+        ImmutableList<Integer> requested = shards.drainAttemptsRequested();
+        if (!requested.isEmpty()) {
+            actions.add(new RoutedAction.Count(AttemptCounter.ATTEMPT_REQUESTED));
+            actions.add(new RoutedAction.RequestAttempts(requested));
+        }
         if (!finalizeIfDue(nowNanos, actions)) {
             scheduleWake(nowNanos, actions);
         }
@@ -370,9 +443,11 @@
         boolean finished = nothingToWaitFor || deadlineReached;
         if (hasEnoughShards() && (finished || (goalReached && delivery == Delivery.SINGLE))) {
             ImmutableList<Integer> notSent = shards.notSent();
+            ImmutableList<Integer> unusedAttempts =
+                    delivery == Delivery.INCREMENTAL ? shards.unusedAttempts() : ImmutableList.of();
             finalizedAtGoal = goalReached && !checkedAfterGoal && !nothingToWaitFor;
             end(actions);
-            actions.add(new RoutedAction.DeliverMerged(parts.drainNew(notSent)));
+            actions.add(new RoutedAction.DeliverMerged(parts.drainNew(notSent, unusedAttempts)));
             return true;
         }
         if (finished) {
@@ -383,7 +458,7 @@
         }
         checkedAfterGoal |= goalReached;
         if (goalReached && delivery == Delivery.INCREMENTAL && parts.hasNew()) {
-            actions.add(new RoutedAction.DeliverPartial(parts.drainNew(ImmutableList.of())));
+            actions.add(new RoutedAction.DeliverPartial(parts.drainNew(ImmutableList.of(), ImmutableList.of())));
         }
         return false;
     }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -15,9 +15,10 @@
 /**
  * The attempts of one request at one service: which leaf is called, when it is hedged or retried, and when it fails.
  *
- * <p>Invariants: at most {@code maxAttempts} attempts may have run the request; attempts that certainly did not run are
- * not counted, but every attempt after the first that was sent to a leaf is charged to the pool's budget. A request
- * that must not run twice is retried only if no earlier attempt can have run. Not safe for use by several threads.
+ * <p>Invariants: an attempt is made only if it belongs to this host, see {@link AttemptAllowance}; attempts that
+ * certainly did not run are not counted, but every attempt after the first that was sent to a leaf is charged to the
+ * pool's budget. A request that must not run twice is retried only if no earlier attempt can have run. Not safe for use
+ * by several threads.
  */
 final class ShardRequest {
     /** Attempts that may be refused without running, in addition to those that the route permits. */
@@ -34,23 +35,47 @@
     private final boolean repeatable;
     private final boolean hedged;
     private final RandomGenerator random;
-    private final Runnable onFinished;
+    private final Listener listener;
     private final List<Attempt> attempts = new ArrayList<>(2);
     private final HedgeSchedule hedgeSchedule;
-    private int remoteAttempts;
+    private final AttemptAllowance allowance;
     private boolean delegated;
+    /** True if the delegate's request for an attempt waits for one that this host has requested in turn. */
+    private boolean delegateAwaitsAttempt;
+    /** True if the backup attempt, or the retry, waits for an attempt that was requested. */
+    private boolean backupAwaitsAttempt;
+
+    private boolean retryAwaitsAttempt;
     private boolean finished;
     private boolean closed;
     private long retryAtNanos;
     private boolean retryDue;
     private boolean deferred;
 
+    /** Receives the events of a request that concern the query that it belongs to. */
+    interface Listener {
+        /** Handles the end of the request, once: it has an answer or can no longer get one. */
+        void onFinished();
+
+        /** Handles the need for an attempt that belongs to the host that delegated the query. */
+        void onAttemptRequested();
+    }
+
+    /** What the delegating host replies to a request for an attempt. */
+    enum AttemptReply {
+        /** The attempt belongs to the delegate from now on. */
+        GRANTED,
+        /** No attempt is available. */
+        DENIED,
+        /** This host has requested the attempt in turn. */
+        LATER
+    }
+
     /**
      * Creates a request that is not yet sent.
      *
      * @param repeatable whether the request may run more than once
      * @param hedged whether late attempts are hedged; ignored if the request is not repeatable
-     * @param onFinished called once, when the request has an answer or can no longer get one
      */
     ShardRequest(
             PermittedLeaves pool,
@@ -58,31 +83,106 @@
             boolean repeatable,
             boolean hedged,
             RandomGenerator random,
-            Runnable onFinished) {
+            Listener listener) {
         this.pool = pool;
         this.bounds = bounds;
         this.repeatable = repeatable;
         this.hedged = repeatable && hedged;
         this.random = random;
-        this.onFinished = onFinished;
+        this.listener = listener;
+        this.allowance = new AttemptAllowance(bounds.maxAttempts(), bounds.obtainableAttempts());
         this.hedgeSchedule = new HedgeSchedule(bounds.hedgeDelayNanos());
     }
 
-    /** Delegates the request to another host. */
+    /** Delegates the request to another host, and hands over one attempt. */
     void delegate() {
         delegated = true;
-        remoteAttempts = 1;
+        allowance.handOver();
+    }
+
+    /** Records that the other host has certainly not sent the request to any leaf and will not. */
+    void takeBackAllAttempts() {
+        allowance.takeBack(allowance.handedOver());
+    }
+
+    /** Records that the other host gave back one of its attempts. */
+    void takeBackAttempt() {
+        allowance.takeBack(1);
+    }
+
+    /** Replies to the other host, which requests one more attempt. */
+    AttemptReply onAttemptRequested() {
+        if (!delegated || finished || closed) {
+            return AttemptReply.DENIED;
+        }
+        if (availableAttempts() > 0) {
+            allowance.handOver();
+            return AttemptReply.GRANTED;
+        }
+        if (!allowance.isObtainable()) {
+            return AttemptReply.DENIED;
+        }
+        delegateAwaitsAttempt = true;
+        requestAttempt();
+        return AttemptReply.LATER;
+    }
+
+    /**
+     * Records that the delegating host handed over the requested attempt, and uses it for what waits for it. A hedge
+     * that waits is made by {@link #wake}.
+     *
+     * @return the reply to this host's own delegate; empty if it has not requested an attempt
+     */
+    Optional<AttemptReply> onAttemptGranted(long nowNanos, List<RoutedAction> actions) {
+        allowance.grant();
+        if (delegateAwaitsAttempt) {
+            delegateAwaitsAttempt = false;
+            return Optional.of(onAttemptRequested());
+        }
+        if (backupAwaitsAttempt) {
+            backupAwaitsAttempt = false;
+            startBackupAttempt(nowNanos, actions);
+        } else if (retryAwaitsAttempt) {
+            retryAwaitsAttempt = false;
+            resume(nowNanos, actions);
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Records that the delegating host has no attempt left.
+     *
+     * @return the reply to this host's own delegate; empty if it has not requested an attempt
+     */
+    Optional<AttemptReply> onAttemptDenied(List<RoutedAction> actions) {
+        allowance.deny();
+        backupAwaitsAttempt = false;
+        if (retryAwaitsAttempt && !finished) {
+            retryAwaitsAttempt = false;
+            endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+        }
+        boolean replies = delegateAwaitsAttempt;
+        delegateAwaitsAttempt = false;
+        return replies ? Optional.of(AttemptReply.DENIED) : Optional.empty();
     }
 
-    /** Records that the call to the other host was never sent. */
-    void recordNeverSentElsewhere() {
-        remoteAttempts = 0;
+    /** Requests an attempt from the delegating host unless one was requested before. */
+    private void requestAttempt() {
+        if (!allowance.isRequested()) {
+            allowance.recordRequest();
+            listener.onAttemptRequested();
+        }
+    }
+
+    /** Returns the number of attempts that this host may still make or hand over. */
+    int availableAttempts() {
+        return allowance.available(attemptsPossiblyRun());
     }
 
     /** Records that the other host has hedged the request. Returns true if that exceeds the permitted attempts. */
     boolean recordDelegateHedged() {
-        remoteAttempts = 2;
-        return possiblyRunCount() > bounds.maxAttempts();
+        allowance.recordUsedByDelegate(2);
+        return availableAttempts() < 0;
     }
 
     /**
@@ -90,8 +190,17 @@
      * to wait for the other host.
      */
     void startBackupAttempt(long nowNanos, List<RoutedAction> actions) {
-        boolean allowed = !closed && remoteAttempts < bounds.maxAttempts();
-        if (!delegated || finished || !allowed || !pool.budget().tryWithdraw(nowNanos)) {
+        if (!delegated || finished || closed) {
+            return;
+        }
+        if (availableAttempts() <= 0) {
+            if (allowance.isObtainable()) {
+                backupAwaitsAttempt = true;
+                requestAttempt();
+            }
+            return;
+        }
+        if (!pool.budget().tryWithdraw(nowNanos)) {
             return;
         }
         Optional<Leaf> leaf = pool.choose(candidate -> true, bounds.expectedNanos(), random, nowNanos);
@@ -109,16 +218,20 @@
      *     deferred
      */
     void reclaim(boolean notRun, Predicate<ShardRequest> mayRetry, long nowNanos, List<RoutedAction> actions) {
+        if (notRun) {
+            takeBackAllAttempts();
+        }
         if (!delegated || finished) {
             return;
         }
         delegated = false;
-        remoteAttempts = notRun ? 0 : remoteAttempts;
+        delegateAwaitsAttempt = false;
         if (closed) {
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
             return;
         }
-        boolean allowed = notRun || remoteAttempts >= bounds.maxAttempts() || mayRetry.test(this);
+        boolean hasAttempt = availableAttempts() > 0 || allowance.isObtainable();
+        boolean allowed = notRun || !hasAttempt || mayRetry.test(this);
         if (allowed) {
             start(nowNanos, actions);
         } else {
@@ -166,8 +279,8 @@
 
     /** Makes the first attempt, or ends the request if no leaf, attempt or budget is available. */
     void start(long nowNanos, List<RoutedAction> actions) {
-        if (remoteAttempts >= bounds.maxAttempts()) {
-            endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+        if (availableAttempts() <= 0) {
+            awaitAttemptForRetry(actions);
             return;
         }
         Optional<Leaf> leaf = pool.choose(candidate -> true, bounds.expectedNanos(), random, nowNanos);
@@ -175,7 +288,7 @@
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_NO_LEAF, actions);
             return;
         }
-        if (remoteAttempts > 0 && !pool.budget().tryWithdraw(nowNanos)) {
+        if (allowance.handedOver() > 0 && !pool.budget().tryWithdraw(nowNanos)) {
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_BUDGET, actions);
             return;
         }
@@ -184,6 +297,16 @@
         sendAttempt(leaf.get(), Attempt.Purpose.FIRST, nowNanos, actions);
     }
 
+    /** Requests an attempt for the retry, or ends the request if none is obtainable. */
+    private void awaitAttemptForRetry(List<RoutedAction> actions) {
+        if (allowance.isObtainable()) {
+            retryAwaitsAttempt = true;
+            requestAttempt();
+        } else {
+            endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
+        }
+    }
+
     /** Records that another host returned the answer. */
     void onAnswerElsewhere() {
         end();
@@ -261,7 +384,7 @@
      * @param denial the reason, if any, for which no shard of the query may be hedged
      */
     void wake(Optional<AttemptCounter> denial, long nowNanos, List<RoutedAction> actions) {
-        if (finished || deferred) {
+        if (finished || deferred || allowance.isRequested()) {
             return;
         }
         if (retryDue && nowNanos - retryAtNanos >= 0) {
@@ -276,7 +399,7 @@
 
     /** Returns when the request needs to be woken next, or the given time if it does not. */
     long nextWakeNanos(long defaultNanos) {
-        if (finished || delegated || closed || deferred) {
+        if (finished || delegated || closed || deferred || allowance.isRequested()) {
             return defaultNanos;
         }
         if (retryDue) {
@@ -292,12 +415,12 @@
 
     /** Returns true if no attempt can have run the request. */
     boolean isNotRun() {
-        return remoteAttempts == 0 && attempts.stream().allMatch(Attempt::isNotRun);
+        return allowance.handedOver() == 0 && attempts.stream().allMatch(Attempt::isNotRun);
     }
 
     /** Returns true if any attempt was made, here or by another host. */
     boolean wasAttempted() {
-        return remoteAttempts > 0 || !attempts.isEmpty();
+        return allowance.handedOver() > 0 || !attempts.isEmpty();
     }
 
     /** Returns the refusal reason of a request that has not run. */
@@ -318,19 +441,19 @@
 
     /** Returns true if the request may have reached a leaf. */
     boolean wasSent() {
-        return remoteAttempts > 0 || !attempts.stream().allMatch(Attempt::isNotSent);
+        return allowance.handedOver() > 0 || !attempts.stream().allMatch(Attempt::isNotSent);
     }
 
-    /** Returns true if more than one attempt was made, here or by another host. */
+    /** Returns true if more than one attempt may have run, here or by another host. */
     boolean wasHedged() {
-        return remoteAttempts + attempts.size() > 1;
+        return allowance.handedOver() + attemptsPossiblyRun() > 1;
     }
 
     /** Describes the attempts and their state for a log line. */
     String describe(long nowNanos) {
         StringBuilder text = new StringBuilder(pool.service());
-        if (remoteAttempts > 0) {
-            text.append(" elsewhere=").append(remoteAttempts);
+        if (allowance.handedOver() > 0) {
+            text.append(" elsewhere=").append(allowance.handedOver());
         }
         for (Attempt attempt : attempts) {
             text.append(' ')
@@ -363,16 +486,20 @@
     }
 
     private void hedge(long nowNanos, List<RoutedAction> actions) {
-        Optional<Leaf> candidate = possiblyRunCount() >= bounds.maxAttempts()
-                ? Optional.empty()
-                : pool.choose(leaf -> isHedgeCandidate(leaf, nowNanos), bounds.expectedNanos(), random, nowNanos);
+        boolean hasAttempt = availableAttempts() > 0;
+        Optional<Leaf> candidate = hasAttempt || allowance.isObtainable()
+                ? pool.choose(leaf -> isHedgeCandidate(leaf, nowNanos), bounds.expectedNanos(), random, nowNanos)
+                : Optional.empty();
         if (candidate.isEmpty()) {
             denyHedge(AttemptCounter.HEDGE_DENIED_NO_LEAF, nowNanos, actions);
         } else if (hedgeSchedule.isEarly(attempts.get(0), nowNanos) && !savesTime(candidate.get(), nowNanos)) {
             denyHedge(AttemptCounter.HEDGE_DENIED_NO_GAIN, nowNanos, actions);
-        } else if (!pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos)) {
+        } else if (!pool.budget().mayWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos)) {
             denyHedge(AttemptCounter.HEDGE_DENIED_BUDGET, nowNanos, actions);
+        } else if (!hasAttempt) {
+            requestAttempt();
         } else {
+            pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos);
             actions.add(new RoutedAction.Count(AttemptCounter.HEDGE));
             sendAttempt(candidate.get(), Attempt.Purpose.HEDGE, nowNanos, actions);
         }
@@ -397,6 +524,10 @@
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
             return;
         }
+        if (availableAttempts() <= 0) {
+            awaitAttemptForRetry(actions);
+            return;
+        }
         Optional<Leaf> untried = pool.choose(leaf -> !wasAttempted(leaf), bounds.expectedNanos(), random, nowNanos);
         if (untried.isPresent()) {
             retryWithinBudget(untried.get(), nowNanos, actions);
@@ -448,7 +579,7 @@
     private void end() {
         if (!finished) {
             finished = true;
-            onFinished.run();
+            listener.onFinished();
         }
     }
 
@@ -461,12 +592,12 @@
         if (closed || (!repeatable && !isNotRun())) {
             return false;
         }
-        return possiblyRunCount() < bounds.maxAttempts()
-                && attempts.size() < bounds.maxAttempts() + MAX_REFUSED_ATTEMPTS;
+        return attempts.size() < bounds.maxAttempts() + bounds.obtainableAttempts() + MAX_REFUSED_ATTEMPTS;
     }
 
-    private int possiblyRunCount() {
-        int count = remoteAttempts;
+    /** Returns the number of attempts from this host that may have run. */
+    private int attemptsPossiblyRun() {
+        int count = 0;
         for (Attempt attempt : attempts) {
             count += attempt.isNotRun() ? 0 : 1;
         }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageReply.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/StageReply.java
@@ -13,12 +13,14 @@
  * @param shards the numbers of the shards that have answered
  * @param signatures the signatures of their parts, in the same order
  * @param notSent the numbers of the shards for which the host sent the query to no leaf
+ * @param unusedAttempts the numbers of other shards, once for each attempt that was handed over and not used
  * @param records the greatest records of these parts, in descending order
  */
 public record StageReply(
         ImmutableList<Integer> shards,
         ImmutableList<String> signatures,
         ImmutableList<Integer> notSent,
+        ImmutableList<Integer> unusedAttempts,
         ByteString records) {
     /** Rejects a reply with different numbers of shards and signatures. */
     public StageReply {
@@ -31,6 +33,6 @@
 
     /** Creates a reply of a host that sent the query to a leaf of every shard. */
     public StageReply(ImmutableList<Integer> shards, ImmutableList<String> signatures, ByteString records) {
-        this(shards, signatures, ImmutableList.of(), records);
+        this(shards, signatures, ImmutableList.of(), ImmutableList.of(), records);
     }
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/NotSentTest.java
@@ -39,8 +39,8 @@
     void shardsThatAHolderSentToNoLeafAreCalledLocallyWithoutBudget() {
         ScatterQuery query = query(0, ScatterQuery.Delivery.SINGLE, ImmutableList.of(stage));
         assertThat(harness.attempts).hasSize(1);
-        StageReply reply =
-                new StageReply(ImmutableList.of(), ImmutableList.of(), ImmutableList.of(1), ByteString.EMPTY);
+        StageReply reply = new StageReply(
+                ImmutableList.of(), ImmutableList.of(), ImmutableList.of(1), ImmutableList.of(), ByteString.EMPTY);
         harness.execute(query.onStageReply(stage, reply, MILLI), MILLI);
         assertThat(harness.attempts).hasSize(2);
         assertThat(harness.attempts.get(1).leaf().service()).isEqualTo("s1");
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/SimulatedFleet.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/SimulatedFleet.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.bramblerack.process.leaf.Distance;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
@@ -92,6 +93,13 @@
         return runs;
     }
 
+    /** Returns the names of the shards that the calling host delegates. */
+    static ImmutableList<String> delegatedShards() {
+        return Stream.concat(HOLDER_SHARDS.stream(), RELAY_SHARDS.stream())
+                .map(shard -> "s" + shard)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Returns how often the query was answered or refused. */
     int outcomes() {
         return outcomes;
@@ -231,6 +239,13 @@
                 } else if (action instanceof RoutedAction.Wake wake) {
                     long number = ++wakeNumber;
                     at(Math.max(nowNanos, wake.atNanos()), host, () -> wake(number));
+                } else if (action instanceof RoutedAction.RequestAttempts request) {
+                    List<Integer> wanted =
+                            request.shards().stream().map(shards::get).toList();
+                    reply((caller, stage) -> caller.execute(
+                            caller.query.onAttemptsRequested(stage, caller.numbersOf(wanted), nowNanos)));
+                } else if (action instanceof RoutedAction.AnswerAttemptRequest answer) {
+                    answerAttemptRequest(answer);
                 } else if (action instanceof RoutedAction.DeliverPartial deliver) {
                     reply((caller, stage) ->
                             caller.execute(caller.query.onStagePartial(stage, translate(deliver.partial()), nowNanos)));
@@ -246,6 +261,21 @@
             }
         }
 
+        private void answerAttemptRequest(RoutedAction.AnswerAttemptRequest answer) {
+            List<Integer> granted = answer.granted().stream().map(shards::get).toList();
+            List<Integer> denied = answer.denied().stream().map(shards::get).toList();
+            send(
+                    host,
+                    hostOf(answer.stage()),
+                    () -> Optional.ofNullable(delegates.get(answer.stage()))
+                            .ifPresent(delegate -> delegate.execute(delegate.query.onAttemptsAnswered(
+                                    delegate.numbersOf(granted), delegate.numbersOf(denied), nowNanos))));
+        }
+
+        private ImmutableList<Integer> numbersOf(List<Integer> named) {
+            return named.stream().map(shards::indexOf).collect(ImmutableList.toImmutableList());
+        }
+
         private void onEnd() {
             if (delegator.isEmpty()) {
                 outcomes++;
@@ -258,8 +288,7 @@
             List<Integer> hedged =
                     query.hedgedShards().stream().map(shards::get).toList();
             reply((caller, stage) -> {
-                caller.execute(caller.query.onStageProgress(
-                        stage, hedged.stream().map(caller.shards::indexOf).toList()));
+                caller.execute(caller.query.onStageProgress(stage, caller.numbersOf(hedged)));
                 if (!caller.query.isOver()) {
                     caller.reportProgress();
                 }
@@ -276,13 +305,12 @@
                     toCaller(caller, answer.shards()),
                     answer.signatures(),
                     toCaller(caller, answer.notSent()),
+                    toCaller(caller, answer.unusedAttempts()),
                     ByteString.EMPTY);
         }
 
         private ImmutableList<Integer> toCaller(Query caller, List<Integer> numbers) {
-            return numbers.stream()
-                    .map(number -> caller.shards.indexOf(shards.get(number)))
-                    .collect(ImmutableList.toImmutableList());
+            return caller.numbersOf(numbers.stream().map(shards::get).toList());
         }
 
         private Host hostOf(StageAttempt stage) {
@@ -306,8 +334,6 @@
                 send(other, host, () -> execute(query.onStageFailure(stage, true, nowNanos)));
                 return;
             }
-            boolean waited = waitedNanos > StageTiming.SILENCE_SLACK_NANOS;
-            int maxAttempts = waited ? Math.max(1, bounds.maxAttempts() - 1) : bounds.maxAttempts();
             Query delegate = new Query(
                     other,
                     delegated,
@@ -319,7 +345,8 @@
                             bounds.deadlineNanos() - 16 * MILLI,
                             bounds.hedgeDelayNanos(),
                             EXPECTED_NANOS,
-                            maxAttempts),
+                            1,
+                            bounds.maxAttempts() + bounds.obtainableAttempts() - 1),
                     ScatterQuery.Delivery.INCREMENTAL,
                     Optional.of(new Delegator(this, stage)));
             delegates.put(stage, delegate);
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagedQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagedQueryTest.java
@@ -205,6 +205,115 @@
                 .isEmpty();
     }
 
+    @Test
+    void aDelegateIsHandedAnAttemptOnRequestWhileOneIsLeft() {
+        ScatterQuery query = query(4, 10, 2, 3);
+        harness.execute(query.start(0), 0);
+        StageAttempt stage = harness.stages.get(0);
+        assertThat(query.onAttemptsRequested(stage, List.of(2), MILLI))
+                .contains(new RoutedAction.AnswerAttemptRequest(stage, ImmutableList.of(2), ImmutableList.of()));
+        assertThat(query.onAttemptsRequested(stage, List.of(2, 3), 2 * MILLI))
+                .contains(new RoutedAction.AnswerAttemptRequest(stage, ImmutableList.of(3), ImmutableList.of(2)));
+    }
+
+    /** Guards against a backup attempt beside the two attempts of a delegate. */
+    @Test
+    void anAttemptThatWasHandedOverIsNotMadeHere() {
+        ScatterQuery query = query(4, 10, 2, 3);
+        harness.execute(query.start(0), 0);
+        query.onAttemptsRequested(harness.stages.get(0), List.of(2), MILLI);
+        harness.execute(query.onStageFailure(harness.stages.get(0), false, 2 * MILLI), 2 * MILLI);
+        assertThat(harness.attempts).hasSize(3);
+        assertThat(harness.attempts.get(2).leaf().service()).isEqualTo("s3");
+    }
+
+    @Test
+    void anAttemptThatWasGivenBackIsMadeHere() {
+        ScatterQuery query = query(4, 10, 2, 3);
+        harness.execute(query.start(0), 0);
+        query.onAttemptsRequested(harness.stages.get(0), List.of(2, 3), MILLI);
+        StageReply reply = new StageReply(
+                ImmutableList.of(3),
+                ImmutableList.of("stage3"),
+                ImmutableList.of(),
+                ImmutableList.of(2),
+                ByteString.EMPTY);
+        harness.execute(query.onStageReply(harness.stages.get(0), reply, 2 * MILLI), 2 * MILLI);
+        assertThat(harness.attempts).hasSize(3);
+        assertThat(harness.attempts.get(2).leaf().service()).isEqualTo("s2");
+    }
+
+    @Test
+    void aDelegateHedgesOnlyWithAnAttemptThatWasHandedOver() {
+        ScatterQuery query = delegatedQuery();
+        harness.execute(query.start(0), 0);
+        long late = RoutedRequestHarness.HEDGE_DELAY_NANOS;
+        List<RoutedAction> actions = query.wake(late);
+        harness.execute(actions, late);
+        assertThat(actions).contains(new RoutedAction.RequestAttempts(ImmutableList.of(0, 1)));
+        assertThat(harness.attempts).hasSize(2);
+        harness.execute(query.onAttemptsAnswered(List.of(0), List.of(1), late + MILLI), late + MILLI);
+        assertThat(harness.attempts).hasSize(3);
+        assertThat(harness.attempts.get(2).purpose()).isEqualTo(Attempt.Purpose.HEDGE);
+        assertThat(harness.attempts.get(2).leaf().service()).isEqualTo("s0");
+    }
+
+    @Test
+    void aDelegateWithoutAnAttemptForARetryReportsTheShardAsFailed() {
+        ScatterQuery query = delegatedQuery();
+        harness.execute(query.start(0), 0);
+        harness.answer(query, harness.attempts.get(0), "sig0", MILLI);
+        harness.fail(query, harness.attempts.get(1), LeafOutcome.FAILED, 2 * MILLI);
+        assertThat(harness.outcomeCount()).isEqualTo(0);
+        harness.execute(query.onAttemptsAnswered(List.of(), List.of(1), 3 * MILLI), 3 * MILLI);
+        assertThat(harness.attempts).hasSize(2);
+        assertThat(harness.delivered.get(0).missing()).isEqualTo(1);
+        assertThat(harness.delivered.get(0).unusedAttempts()).isEmpty();
+    }
+
+    @Test
+    void aDelegateGivesBackAnAttemptThatItDoesNotUse() {
+        ScatterQuery query = delegatedQuery();
+        harness.execute(query.start(0), 0);
+        harness.answer(query, harness.attempts.get(0), "sig0", MILLI);
+        harness.fail(query, harness.attempts.get(1), LeafOutcome.FAILED, 2 * MILLI);
+        harness.exhaustBudgets();
+        harness.execute(query.onAttemptsAnswered(List.of(1), List.of(), 3 * MILLI), 3 * MILLI);
+        assertThat(harness.delivered.get(0).unusedAttempts()).containsExactly(1);
+    }
+
+    /** Guards against a delegate's refused attempt using up the attempt that it was handed. */
+    @Test
+    void aRefusedAttemptIsRetriedWithoutARequest() {
+        ScatterQuery query = delegatedQuery();
+        harness.execute(query.start(0), 0);
+        harness.fail(query, harness.attempts.get(1), LeafOutcome.REFUSED_BUSY, MILLI);
+        assertThat(harness.attempts).hasSize(3);
+        assertThat(query.hedgedShards()).isEmpty();
+    }
+
+    /** Returns a query that was handed one attempt at each of two shards; the calling host keeps another. */
+    private ScatterQuery delegatedQuery() {
+        for (int shard = 0; shard < 2; shard++) {
+            harness.addService("s" + shard, 2, 10);
+        }
+        RequestBounds bounds = new RequestBounds(
+                RoutedRequestHarness.GOAL_NANOS,
+                RoutedRequestHarness.DEADLINE_NANOS,
+                RoutedRequestHarness.HEDGE_DELAY_NANOS,
+                RoutedRequestHarness.EXPECTED_NANOS,
+                1,
+                1);
+        return new ScatterQuery(
+                harness.target(0),
+                harness.pools(),
+                ImmutableList.of(),
+                bounds,
+                ScatterQuery.Delivery.INCREMENTAL,
+                RoutingContext.plain(),
+                RoutedRequestHarness.random());
+    }
+
     private ScatterQuery query(int shards, int budget, Integer... delegated) {
         for (int shard = 0; shard < shards; shard++) {
             harness.addService("s" + shard, 2, budget);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -184,6 +184,9 @@
         if (message.hasStageCall()) {
             lagTimer.onWork();
             stageServer.handle(message.getSender(), message.getStageCall(), reply);
+        } else if (message.hasStageGrant()) {
+            lagTimer.onWork();
+            stageServer.onGrant(message.getSender(), message.getStageGrant());
         } else if (message.hasStageCancel()) {
             stageServer.cancel(message.getSender(), message.getStageCancel());
         } else if (message.hasHarmReport()) {
@@ -458,7 +461,8 @@
     private StageCall queryCall(HttpExchange exchange, RoutedCall routed, RouteTarget.Scatter target) {
         return stageCall(exchange, routed).toBuilder()
                 .setTopRecords(target.topRecords())
-                .setMaxAttempts(routed.route().maxAttempts())
+                .setMaxAttempts(1)
+                .setFurtherAttempts(routed.route().maxAttempts() - 1)
                 .build();
     }
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/QueryRuns.java
@@ -71,7 +71,8 @@
     /** Creates the run of a query of a caller, which may delegate shards to other hosts. */
     ScatterRun scatter(RoutedCall call, RouteTarget.Scatter target, StageCaller caller, AnswerSink sink) {
         ImmutableList<PermittedLeaves> pools = permittedPools(call, target);
-        RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
+        RequestBounds bounds =
+                bounds(call, hedgeDelayNanos(call.route()), call.route().maxAttempts(), 0);
         ImmutableList<StageAttempt> stages = view.usesStages()
                 ? links.plan(
                         pools,
@@ -91,15 +92,20 @@
      * Creates the run of a query on behalf of another host, which sets the hedge delay. If the fleet uses holders and
      * {@code mayForward} is true, shards whose best leaves are held by other hosts are forwarded to those holders, in
      * one call each.
+     *
+     * @param maxAttempts the attempts at each shard that the other host handed over
+     * @param obtainableAttempts the further attempts at each shard that it may hand over on request
      */
     ScatterRun scatterForHost(
             RoutedCall call,
             RouteTarget.Scatter target,
             long hedgeDelayNanos,
+            int maxAttempts,
+            int obtainableAttempts,
             boolean mayForward,
             StageCaller caller,
             AnswerSink sink) {
-        RequestBounds bounds = bounds(call, hedgeDelayNanos);
+        RequestBounds bounds = bounds(call, hedgeDelayNanos, maxAttempts, Math.max(0, obtainableAttempts));
         ImmutableList<PermittedLeaves> pools = permittedPools(call, target);
         ImmutableList<StageAttempt> stages = mayForward && view.usesHolders()
                 ? links.plan(
@@ -149,7 +155,8 @@
      */
     ForwardRun forward(RoutedCall call, String service, Supplier<StageCall> query, CallerAnswers caller) {
         boolean repeatable = call.route().kind() == RequestKind.IDEMPOTENT;
-        RequestBounds bounds = bounds(call, hedgeDelayNanos(call.route()));
+        RequestBounds bounds =
+                bounds(call, hedgeDelayNanos(call.route()), call.route().maxAttempts(), 0);
         ForwardedRequest forwarded =
                 new ForwardedRequest(view.pool(service).permitted(call.homes()), repeatable, bounds, random);
         LeafPath path = view.isHeld(service)
@@ -159,13 +166,14 @@
         return new ForwardRun(call, forwarded, sender(call, path), caller, metrics, clock, log);
     }
 
-    private RequestBounds bounds(RoutedCall call, long hedgeDelayNanos) {
+    private RequestBounds bounds(RoutedCall call, long hedgeDelayNanos, int maxAttempts, int obtainableAttempts) {
         return new RequestBounds(
                 call.times().goalNanos(),
                 call.times().deadlineNanos(),
                 hedgeDelayNanos,
                 view.latency(call.route()).medianNanos(),
-                call.route().maxAttempts());
+                maxAttempts,
+                obtainableAttempts);
     }
 
     private LeafSender sender(RoutedCall call, LeafPath path) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/ScatterRun.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.bramblerack.daemon.leaf.LeafAnswer;
 import org.bramblerack.process.MonotonicClock;
@@ -30,6 +31,7 @@
     private final DecisionLog log;
     private final StageListener stageListener = new StageListener();
     private Runnable onProgress = () -> {};
+    private Consumer<ImmutableList<Integer>> onAttemptsWanted = shards -> {};
     private LongConsumer onFinalizedAtGoal = writtenNanos -> {};
     private Runnable onNoShardAnswered = () -> {};
 
@@ -57,6 +59,16 @@
         onProgress = task;
     }
 
+    /** Sets the consumer of the shards for which the query requests an attempt from the calling host. */
+    void onAttemptsWanted(Consumer<ImmutableList<Integer>> consumer) {
+        onAttemptsWanted = consumer;
+    }
+
+    /** Handles the reply of the calling host to a request for attempts. */
+    void onAttemptsAnswered(List<Integer> granted, List<Integer> denied) {
+        execute(query.onAttemptsAnswered(granted, denied, clock.nowNanos()));
+    }
+
     /** Sets the consumer of the time at which an answer that was finalized at the goal was written. */
     void onFinalizedAtGoal(LongConsumer consumer) {
         onFinalizedAtGoal = consumer;
@@ -71,7 +83,7 @@
         execute(query.start(clock.nowNanos()));
         if (query.isAwaitingStages()) {
             // Without a progress report the calling host would treat the longer silence of a forwarded call as a
-            // failure and make an additional attempt.
+            // failure and make its own attempt needlessly.
             onProgress.run();
         }
     }
@@ -127,6 +139,11 @@
             }
         }
 
+        @Override
+        public void onAttemptsRequested(StageAttempt stage, List<Integer> shards) {
+            execute(query.onAttemptsRequested(stage, shards, clock.nowNanos()));
+        }
+
         @Override
         public void onPartial(StageAttempt stage, StageReply partial) {
             execute(query.onStagePartial(stage, partial, clock.nowNanos()));
@@ -181,8 +198,8 @@
     }
 
     /**
-     * Reports hedged shards before the final reply: retries start between wake-ups, and the calling host must not make
-     * a third attempt.
+     * Reports hedged shards before the final reply: a calling host of an older version must not make a third attempt
+     * after a retry that started between wake-ups.
      */
     private void reportHedgedShards() {
         if (!query.hedgedShards().isEmpty()) {
@@ -230,6 +247,10 @@
                     onNoShardAnswered.run();
                 }
                 sink.refuse(reason);
+            } else if (action instanceof RoutedAction.RequestAttempts request) {
+                onAttemptsWanted.accept(request.shards());
+            } else if (action instanceof RoutedAction.AnswerAttemptRequest answer) {
+                stages.answerAttemptRequest(answer);
             } else if (action instanceof RoutedAction.ReportExceeded exceeded) {
                 logExceeded(exceeded);
             } else if (action instanceof RoutedAction.Count count) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCaller.java
@@ -10,11 +10,13 @@
 import java.util.concurrent.TimeUnit;
 import org.bramblerack.daemon.peer.PeerFailure;
 import org.bramblerack.process.MonotonicClock;
+import org.bramblerack.request.routed.RoutedAction;
 import org.bramblerack.request.routed.StageAttempt;
 import org.bramblerack.request.routed.StageReply;
 import org.bramblerack.request.routed.StageTiming;
 import org.bramblerack.version.routing.HomeRegions;
 import org.bramblerack.wire.StageCall;
+import org.bramblerack.wire.StageGrant;
 import org.bramblerack.wire.StageProgress;
 import org.bramblerack.wire.StageResult;
 
@@ -68,6 +70,9 @@
         /** Handles a progress report of a host, with the shards at which it called a second leaf. */
         void onProgress(StageAttempt stage, List<Integer> hedgedShards);
 
+        /** Handles the request of a host for one more attempt at each of some shards. */
+        void onAttemptsRequested(StageAttempt stage, List<Integer> shards);
+
         /** Handles a partial result. */
         void onPartial(StageAttempt stage, StageReply partial);
 
@@ -121,6 +126,19 @@
                 .setDeadlineMicros(TimeUnit.NANOSECONDS.toMicros(deadlineNanos));
     }
 
+    /** Replies to the request of a host for attempts, unless its call has ended. */
+    void answerAttemptRequest(RoutedAction.AnswerAttemptRequest answer) {
+        PendingCall pendingCall = pending.get(answer.stage());
+        if (pendingCall != null) {
+            links.answerAttemptRequest(
+                    pendingCall.link,
+                    StageGrant.newBuilder()
+                            .setCall(pendingCall.number)
+                            .addAllGranted(answer.granted())
+                            .addAllDenied(answer.denied()));
+        }
+    }
+
     /** Avoids for a while a host that has been silent for too long; its reply still counts if it comes. */
     void suspect(StageAttempt stage) {
         links.link(stage.host()).suspect(clock.nowNanos());
@@ -144,12 +162,20 @@
     private void onProgress(StageAttempt stage, StageProgress progress, Listener listener) {
         links.link(stage.host()).recordLag(progress.getLagMicros(), clock.nowNanos());
         listener.onProgress(stage, progress.getAskedTwiceList());
+        if (progress.getWantedAttemptsCount() > 0) {
+            listener.onAttemptsRequested(stage, progress.getWantedAttemptsList());
+        }
         boolean matches = progress.getShardsCount() == progress.getSignaturesCount();
         if (progress.getShardsCount() > 0 && matches) {
             onSurvival.run();
             listener.onPartial(
                     stage,
-                    toReply(progress.getShardsList(), progress.getSignaturesList(), List.of(), progress.getRecords()));
+                    toReply(
+                            progress.getShardsList(),
+                            progress.getSignaturesList(),
+                            List.of(),
+                            List.of(),
+                            progress.getRecords()));
         }
     }
 
@@ -168,6 +194,7 @@
                             result.getShardsList(),
                             result.getSignaturesList(),
                             result.getNotSentList(),
+                            result.getUnusedAttemptsList(),
                             result.getRecords()));
         } else {
             listener.onFailure(stage, result.getStatus() == StageResult.Status.NOT_RUN);
@@ -175,9 +202,17 @@
     }
 
     private static StageReply toReply(
-            List<Integer> shards, List<String> signatures, List<Integer> notSent, ByteString records) {
+            List<Integer> shards,
+            List<String> signatures,
+            List<Integer> notSent,
+            List<Integer> unusedAttempts,
+            ByteString records) {
         return new StageReply(
-                ImmutableList.copyOf(shards), ImmutableList.copyOf(signatures), ImmutableList.copyOf(notSent), records);
+                ImmutableList.copyOf(shards),
+                ImmutableList.copyOf(signatures),
+                ImmutableList.copyOf(notSent),
+                ImmutableList.copyOf(unusedAttempts),
+                records);
     }
 
     private void endCall(StageAttempt stage, StageLinks.Link link, boolean answered) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.bramblerack.wire.StageGrant;
 
 /**
  * The calls of other hosts that are in flight on this host, so that they can be cancelled.
@@ -38,6 +39,14 @@
         }
     }
 
+    /** Passes the reply to a request for attempts to its call; no effect if that has ended. */
+    void onAttemptsAnswered(String sender, StageGrant grant) {
+        Call call = underWay.get(new Key(sender, grant.getCall()));
+        if (call != null) {
+            call.onAttemptsAnswered(grant);
+        }
+    }
+
     /** Replies to all calls now, because this host is about to end. */
     void endAll() {
         List.copyOf(underWay.values()).forEach(Call::endNow);
@@ -55,6 +64,9 @@
 
         /** Ends the call and replies with what is known now. */
         void endNow();
+
+        /** Handles the reply to a request for attempts, which only queries make. */
+        default void onAttemptsAnswered(StageGrant grant) {}
     }
 
     private record Key(String sender, long number) {}
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -35,6 +35,7 @@
 import org.bramblerack.wire.Ping;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageCancel;
+import org.bramblerack.wire.StageGrant;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -211,6 +212,11 @@
                 Envelope.newBuilder().setStageCancel(StageCancel.newBuilder().setCall(call)));
     }
 
+    /** Sends the reply to a host's request for attempts. If it is lost, the attempts are not made. */
+    void answerAttemptRequest(Link link, StageGrant.Builder grant) {
+        network.send(link.host, Envelope.newBuilder().setStageGrant(grant));
+    }
+
     /** Returns the state of the link to a host, which is created if absent. */
     Link link(String host) {
         return links.computeIfAbsent(host, unused -> new Link(host));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -31,6 +31,7 @@
 import org.bramblerack.wire.Envelope;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageCancel;
+import org.bramblerack.wire.StageGrant;
 import org.bramblerack.wire.StageProgress;
 import org.bramblerack.wire.StageResult;
 
@@ -90,6 +91,11 @@
         return calls.count();
     }
 
+    /** Handles the reply to a request for attempts. */
+    void onGrant(String sender, StageGrant grant) {
+        calls.onAttemptsAnswered(sender, grant);
+    }
+
     /** Cancels a call of another host whose result is no longer needed. */
     void cancel(String sender, StageCancel cancel) {
         calls.cancel(sender, cancel.getCall());
@@ -215,7 +221,7 @@
         ScatterRun run = runs.scatterForHost(
                 new RoutedCall(
                         // The route includes the home regions and the priority of the team.
-                        route(call, target, homes, maxAttempts),
+                        route(call, target, homes),
                         CallerIdentity.ANONYMOUS,
                         call.getConfigurationVersion(),
                         request,
@@ -223,15 +229,27 @@
                         times),
                 target,
                 TimeUnit.MICROSECONDS.toNanos(call.getHedgeDelayMicros()),
+                maxAttempts,
+                call.getFurtherAttempts(),
                 !call.getPassedOn(),
                 runs.stageCaller(forwardedCall(call, homes, maxAttempts), target.shards(), times, request),
                 new ReplySink(reply, lastReply, call.getShardsList(), sender));
         run.onProgress(() -> reply.accept(Envelope.newBuilder()
                 .setStageProgress(StageProgress.newBuilder()
                         .addAllAskedTwice(toQueryShards(run.hedgedShards(), call.getShardsList())))));
+        run.onAttemptsWanted(shards -> reply.accept(Envelope.newBuilder()
+                .setStageProgress(
+                        StageProgress.newBuilder().addAllWantedAttempts(toQueryShards(shards, call.getShardsList())))));
         run.start();
         if (!run.isOver()) {
             calls.begin(sender, call.getCall(), new StageCalls.Call() {
+                @Override
+                public void onAttemptsAnswered(StageGrant grant) {
+                    run.onAttemptsAnswered(
+                            toStageShards(grant.getGrantedList(), call.getShardsList()),
+                            toStageShards(grant.getDeniedList(), call.getShardsList()));
+                }
+
                 @Override
                 public void cancel() {
                     run.callerGone();
@@ -247,8 +265,7 @@
 
     /**
      * Returns why a call is not run, or empty if it is. A call that waited here for longer than the calling host waits
-     * for progress is refused: the calling host has called other leaves by then, and running it as well would exceed
-     * the attempts of the route.
+     * for progress is refused, since the calling host has called other leaves by then.
      */
     private Optional<String> refusalReason(StageCall call, HomeRegions homes, LeafRequest request, long arrivedNanos) {
         if (refusingQueries || isTooLateToFinish(call, arrivedNanos)) {
@@ -282,8 +299,8 @@
     }
 
     /**
-     * Returns how many leaves of a shard this host may call. If the call waited longer than the slack of the silence
-     * timeout, the calling host may make one attempt itself, so that one less is left.
+     * Returns how many attempts at each shard belong to this host. A calling host of an older version hands over all of
+     * them, and may make one itself if the call waited longer than the slack of the silence timeout.
      */
     private int maxAttempts(StageCall call, long arrivedNanos) {
         boolean waited = clock.nowNanos() - arrivedNanos > StageTiming.SILENCE_SLACK_NANOS;
@@ -297,7 +314,8 @@
         return call.toBuilder()
                 .clearShards()
                 .clearServices()
-                .setMaxAttempts(maxAttempts)
+                .setMaxAttempts(1)
+                .setFurtherAttempts(Math.max(0, call.getFurtherAttempts()) + maxAttempts - 1)
                 .clearHomeRegions()
                 .addAllHomeRegions(homes.regions())
                 .setPassedOn(true)
@@ -319,12 +337,10 @@
      *
      * <p>The latencies of calls are recorded under the name of the route.
      */
-    private Route route(StageCall call, RouteTarget.Scatter target, HomeRegions homes, int maxAttempts) {
+    private Route route(StageCall call, RouteTarget.Scatter target, HomeRegions homes) {
         return view.configuration()
                 .routeNamed(call.getRoute())
-                .filter(known -> known.maxAttempts() == maxAttempts
-                        && known.homes().equals(homes)
-                        && known.priority() == call.getPriority())
+                .filter(known -> known.homes().equals(homes) && known.priority() == call.getPriority())
                 .orElseGet(() -> new Route(
                         call.getRoute(),
                         "",
@@ -333,7 +349,7 @@
                         Duration.ofNanos(Math.max(1, TimeUnit.MICROSECONDS.toNanos(call.getDeadlineMicros()))),
                         Duration.ofNanos(Math.max(0, TimeUnit.MICROSECONDS.toNanos(call.getGoalMicros()))),
                         Math.max(0, call.getPriority()),
-                        maxAttempts,
+                        call.getMaxAttempts(),
                         target,
                         homes));
     }
@@ -349,6 +365,14 @@
         return numbers.stream().map(shards::get).collect(ImmutableList.toImmutableList());
     }
 
+    /** Translates shard numbers of the whole query to those within a stage; ignores shards of other stages. */
+    private static ImmutableList<Integer> toStageShards(List<Integer> numbers, List<Integer> shards) {
+        return numbers.stream()
+                .map(shards::indexOf)
+                .filter(number -> number >= 0)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     private static List<Map.Entry<String, String>> headers(StageCall call) {
         List<Map.Entry<String, String>> headers = new ArrayList<>(call.getHeaderNamesCount());
         for (int position = 0; position < call.getHeaderNamesCount(); position++) {
@@ -382,6 +406,7 @@
                             .addAllSignatures(answer.signatures())
                             .addAllShards(toQueryShards(answer.shards(), shards))
                             .addAllNotSent(toQueryShards(answer.notSent(), shards))
+                            .addAllUnusedAttempts(toQueryShards(answer.unusedAttempts(), shards))
                             .setRecords(answer.records())));
         }
 
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -41,6 +41,7 @@
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.StageCall;
 import org.bramblerack.wire.StageCancel;
+import org.bramblerack.wire.StageGrant;
 import org.bramblerack.wire.StageResult;
 import org.bramblerack.wire.TableDelta;
 import org.junit.jupiter.api.AfterEach;
@@ -297,6 +298,41 @@
         assertThat(leafRequests.get()).isEqualTo(1);
     }
 
+    /** Guards against a second attempt that the calling host may be making itself. */
+    @Test
+    void aSecondLeafIsCalledOnlyWithAnAttemptOfTheCallingHost() throws Exception {
+        failing.set(true);
+        CompletableFuture<StageResult> granted =
+                startAndAnswerRequests(5, StageGrant.newBuilder().addGranted(7));
+        assertThat(granted.get(5, TimeUnit.SECONDS).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        assertThat(leafRequests.getAndSet(0)).isEqualTo(2);
+        CompletableFuture<StageResult> denied =
+                startAndAnswerRequests(6, StageGrant.newBuilder().addDenied(7));
+        assertThat(denied.get(5, TimeUnit.SECONDS).getStatus()).isEqualTo(StageResult.Status.FAILED);
+        assertThat(leafRequests.get()).isEqualTo(1);
+    }
+
+    /** Starts a query that is handed one of two attempts, and gives the same answer to each request for the other. */
+    private CompletableFuture<StageResult> startAndAnswerRequests(long number, StageGrant.Builder grant) {
+        CompletableFuture<StageResult> result = new CompletableFuture<>();
+        Envelope message = Envelope.newBuilder()
+                .setSender("127.0.0.1:2")
+                .setStageCall(query().setCall(number).setMaxAttempts(1).setFurtherAttempts(1))
+                .build();
+        Envelope answer = Envelope.newBuilder()
+                .setSender("127.0.0.1:2")
+                .setStageGrant(grant.setCall(number))
+                .build();
+        group.execute(() -> gateway.handle(message, reply -> {
+            if (reply.hasStageResult()) {
+                result.complete(reply.getStageResult());
+            } else if (reply.getStageProgress().getWantedAttemptsList().contains(7)) {
+                group.execute(() -> gateway.handle(answer, ignored -> {}));
+            }
+        }));
+        return result;
+    }
+
     /** Simulates event-loop lag by reporting a periodic task as late. */
     private void delayEventLoop(long delayNanos) throws Exception {
         group.submit(() -> {
