Separate attempts, their exchange and hedges from ShardRequest

ShardAttempts keeps the attempts of this host, AttemptExchange what is said about them to other hosts, HedgeChoice which leaf is hedged.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptAllowance.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptAllowance.java
@@ -5,10 +5,12 @@
  *
  * <p>Each permitted attempt belongs to one host at a time. A host hands an attempt over with a call or in reply to a
  * request, and gets it back with a reply only; it never concludes from silence or elapsed time that the other host will
- * not use it. Invariant: over all hosts, the attempts that belong to a host and were not handed over never exceed the
- * limit of the route. Not safe for use by several threads.
+ * not use it. Invariant: over all hosts, the attempts that may have run and those that hosts may still make do not
+ * exceed the limit of the route. Not safe for use by several threads.
  */
 final class AttemptAllowance {
+    private final ShardAttempts attempts;
+    private final Runnable onRequest;
     private int held;
     private int handedOver;
     private int obtainable;
@@ -17,21 +19,25 @@
     /**
      * Creates an allowance.
      *
+     * @param attempts the attempts of this host
      * @param held the attempts that belong to this host
      * @param obtainable the attempts that the delegating host may hand over on request
+     * @param onRequest called when an attempt is to be requested from the delegating host
      */
-    AttemptAllowance(int held, int obtainable) {
+    AttemptAllowance(ShardAttempts attempts, int held, int obtainable, Runnable onRequest) {
+        this.attempts = attempts;
         this.held = held;
         this.obtainable = obtainable;
+        this.onRequest = onRequest;
     }
 
-    /**
-     * Returns the number of attempts that this host may still make or hand over.
-     *
-     * @param used the attempts from this host that may have run
-     */
-    int available(int used) {
-        return held - handedOver - used;
+    /** Returns the number of attempts that this host may still make or hand over. */
+    int available() {
+        return held - handedOver - attempts.possiblyRunCount();
+    }
+
+    boolean isAvailable() {
+        return available() > 0;
     }
 
     /** Returns the number of attempts that belong to the delegate. */
@@ -39,18 +45,32 @@
         return handedOver;
     }
 
+    boolean isAnyHandedOver() {
+        return handedOver > 0;
+    }
+
     void handOver() {
         handedOver++;
     }
 
-    /** Records that the delegate has certainly not used some of its attempts and will not. */
-    void takeBack(int count) {
-        handedOver = Math.max(0, handedOver - count);
+    /** Records that the delegate has certainly not used one of its attempts and will not. */
+    void takeBack() {
+        handedOver = Math.max(0, handedOver - 1);
+    }
+
+    /** Records that the delegate has certainly not used any of its attempts and will not. */
+    void takeBackAll() {
+        handedOver = 0;
     }
 
-    /** Records that the delegate made some attempts, even if they were not handed over. */
-    void recordUsedByDelegate(int count) {
+    /**
+     * Records that the delegate made some attempts, even if they were not handed over.
+     *
+     * @return false if that exceeds the permitted attempts
+     */
+    boolean recordUsedByDelegate(int count) {
         handedOver = Math.max(handedOver, count);
+        return available() >= 0;
     }
 
     /** Returns true if an attempt may be requested or was requested from the delegating host. */
@@ -58,12 +78,20 @@
         return requested || obtainable > 0;
     }
 
+    boolean isAvailableOrObtainable() {
+        return isAvailable() || isObtainable();
+    }
+
     boolean isRequested() {
         return requested;
     }
 
-    void recordRequest() {
-        requested = true;
+    /** Requests an attempt from the delegating host, unless one is requested already. */
+    void request() {
+        if (!requested) {
+            requested = true;
+            onRequest.run();
+        }
     }
 
     /** Records that the delegating host handed over the requested attempt. */
@@ -78,4 +106,9 @@
         requested = false;
         obtainable = 0;
     }
+
+    /** Describes the attempts of the delegate for a log line. */
+    String describe() {
+        return handedOver > 0 ? " elsewhere=" + handedOver : "";
+    }
 }
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ForwardedRequest.java
@@ -17,7 +17,7 @@
  * own failure is delivered to the caller if no other leaf may be called. Not safe for use by several threads.
  */
 public final class ForwardedRequest {
-    private static final ShardRequest.Listener NO_LISTENER = new ShardRequest.Listener() {
+    private static final ShardListener NO_LISTENER = new ShardListener() {
         @Override
         public void onFinished() {
             // This class checks after each event whether the request has finished.
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -5,11 +5,13 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.bramblerack.process.leaf.PermittedLeaves;
 
 /**
@@ -38,8 +40,8 @@
         }
     }
 
-    private ShardRequest.Listener listener(int shard) {
-        return new ShardRequest.Listener() {
+    private ShardListener listener(int shard) {
+        return new ShardListener() {
             @Override
             public void onFinished() {
                 unfinished--;
@@ -83,6 +85,12 @@
         return number;
     }
 
+    /** Returns true if some shards are different and none of them has finished. */
+    boolean areUnfinished(List<Integer> shardNumbers) {
+        return new HashSet<>(shardNumbers).size() == shardNumbers.size()
+                && shardNumbers.stream().noneMatch(shard -> shards[shard].isFinished());
+    }
+
     /** Returns the number of shards that may still answer. */
     int unfinishedCount() {
         return unfinished;
@@ -107,7 +115,7 @@
     ImmutableList<Integer> unusedAttempts() {
         ImmutableList.Builder<Integer> unused = ImmutableList.builder();
         for (int shard = 0; shard < shards.length; shard++) {
-            int count = shards[shard].wasSent() ? shards[shard].availableAttempts() : 0;
+            int count = shards[shard].wasSent() ? shards[shard].allowance().available() : 0;
             unused.addAll(Collections.nCopies(Math.max(0, count), shard));
         }
         return unused.build();
@@ -155,13 +163,14 @@
 
     /** Describes the shards that have not answered for a log line. */
     String describeWithout(ImmutableSet<Integer> present, long nowNanos) {
-        StringBuilder text = new StringBuilder();
-        for (int shard = 0; shard < shards.length; shard++) {
-            if (!present.contains(shard)) {
-                text.append(text.length() == 0 ? "" : "; ").append(shards[shard].describe(nowNanos));
-            }
-        }
-        return text.toString();
+        return describe(numbers(shard -> !present.contains(numberOf(shard))), nowNanos);
+    }
+
+    /** Describes some shards for a log line. */
+    String describe(ImmutableList<Integer> shardNumbers, long nowNanos) {
+        return shardNumbers.stream()
+                .map(number -> shards[number].describe(nowNanos))
+                .collect(Collectors.joining("; "));
     }
 
     private int count(Predicate<ShardRequest> condition) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -3,14 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.PermittedLeaves;
 import org.bramblerack.process.leaf.RoutingContext;
@@ -54,6 +49,7 @@
     private final RequestBounds bounds;
     private final QueryShards shards;
     private final QueryStages stages;
+    private final AttemptExchange attemptExchange;
     private final GatheredParts parts;
     private final Delivery delivery;
     private final RoutingContext context;
@@ -100,6 +96,7 @@
         this.context = context;
         this.parts = new GatheredParts(target.topRecords(), pools.size());
         this.shards = new QueryShards(pools, bounds, context.uses(RoutingFeature.HEDGES), random);
+        this.attemptExchange = new AttemptExchange(shards, this.stages);
     }
 
     /** Starts one attempt on every shard, from here or through another host. */
@@ -184,9 +181,7 @@
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
         }
-        reply.unusedAttempts().stream()
-                .filter(shard -> stage.shards().contains(shard))
-                .forEach(shard -> shards.get(shard).takeBackAttempt());
+        attemptExchange.takeBack(stage, reply.unusedAttempts());
         if (stage.isOver()) {
             actions.add(new RoutedAction.Count(AttemptCounter.LATE_ANSWER));
             return actions;
@@ -209,15 +204,9 @@
     /** Records that another host reported progress, and which shards it has hedged. */
     public List<RoutedAction> onStageProgress(StageAttempt stage, List<Integer> hedgedShards) {
         stage.recordResponse();
-        ImmutableList<Integer> exceeded = hedgedShards.stream()
-                .filter(stage.shards()::contains)
-                .filter(shard -> shards.get(shard).recordDelegateHedged())
-                .collect(ImmutableList.toImmutableList());
-        return exceeded.isEmpty()
-                ? List.of()
-                : List.of(
-                        new RoutedAction.Count(AttemptCounter.ATTEMPTS_EXCEEDED),
-                        new RoutedAction.ReportExceeded(stage, exceeded));
+        List<RoutedAction> actions = new ArrayList<>(0);
+        attemptExchange.onHedgesReported(stage, hedgedShards, actions);
+        return actions;
     }
 
     /** Handles the request of a stage's host for one more attempt at each of some shards. */
@@ -228,13 +217,7 @@
             return actions;
         }
         stage.recordResponse();
-        AttemptReplies replies = new AttemptReplies();
-        for (int shard : requested) {
-            if (stage.shards().contains(shard)) {
-                replies.add(shard, shards.get(shard).onAttemptRequested());
-            }
-        }
-        replies.addTo(actions, stage);
+        attemptExchange.onRequested(stage, requested, actions);
         finalizeOrScheduleWake(nowNanos, actions);
         return actions;
     }
@@ -251,24 +234,9 @@
             return actions;
         }
         closeShardsAtGoal(nowNanos, actions);
-        Map<Integer, ShardRequest.AttemptReply> replies = new HashMap<>();
+        attemptExchange.onAnswered(granted, denied, nowNanos, actions);
         Optional<AttemptCounter> denial = hedgeDenial(context.lagNanos(nowNanos), nowNanos);
-        for (int number : granted) {
-            ShardRequest shard = shards.get(number);
-            shard.onAttemptGranted(nowNanos, actions).ifPresent(reply -> replies.put(number, reply));
-            shard.wake(denial, nowNanos, actions);
-        }
-        for (int number : denied) {
-            shards.get(number).onAttemptDenied(actions).ifPresent(reply -> replies.put(number, reply));
-        }
-        for (StageAttempt stage : stages.all()) {
-            AttemptReplies ofStage = new AttemptReplies();
-            stage.shards().stream()
-                    .filter(replies::containsKey)
-                    .forEach(number ->
-                            ofStage.add(number, replies.getOrDefault(number, ShardRequest.AttemptReply.DENIED)));
-            ofStage.addTo(actions, stage);
-        }
+        granted.forEach(shard -> shards.get(shard).wake(denial, nowNanos, actions));
         finalizeOrScheduleWake(nowNanos, actions);
         return actions;
     }
@@ -284,7 +252,7 @@
             return actions;
         }
         if (notRun) {
-            stage.shards().forEach(shard -> shards.get(shard).takeBackAllAttempts());
+            attemptExchange.takeBackAll(stage);
         }
         if (stage.isOver()) {
             return actions;
@@ -374,7 +342,7 @@
 
     /** Records that an abandoned call to another host had not been sent. */
     public void onStageNeverSent(StageAttempt stage) {
-        stage.shards().forEach(shard -> shards.get(shard).takeBackAllAttempts());
+        attemptExchange.takeBackAll(stage);
     }
 
     /** Returns the number of shards that have not answered. */
@@ -393,9 +361,7 @@
 
     /** Describes some shards for a log line. */
     public String describe(ImmutableList<Integer> numbers, long nowNanos) {
-        return numbers.stream()
-                .map(number -> shards.get(number).describe(nowNanos))
-                .collect(Collectors.joining("; "));
+        return shards.describe(numbers, nowNanos);
     }
 
     /** Returns the reason, if any, for which no shard of the query may be hedged now. */
@@ -423,11 +389,7 @@
 
     private void finalizeOrScheduleWake(long nowNanos, List<RoutedAction> actions) {
         disconnectProbe.resumeDecided(shards.unfinishedCount(), nowNanos, actions);
-        ImmutableList<Integer> requested = shards.drainAttemptsRequested();
-        if (!requested.isEmpty()) {
-            actions.add(new RoutedAction.Count(AttemptCounter.ATTEMPT_REQUESTED));
-            actions.add(new RoutedAction.RequestAttempts(requested));
-        }
+        attemptExchange.requestNeeded(actions);
         if (!finalizeIfDue(nowNanos, actions)) {
             scheduleWake(nowNanos, actions);
         }
@@ -488,17 +450,9 @@
 
     /** Returns true if a reply can be merged as a whole; its records cannot be separated by shard. */
     private boolean canMerge(StageAttempt stage, StageReply reply) {
-        Set<Integer> seen = new HashSet<>();
-        for (int position = 0; position < reply.shards().size(); position++) {
-            int shard = reply.shards().get(position);
-            boolean open = stage.shards().contains(shard)
-                    && seen.add(shard)
-                    && !shards.get(shard).isFinished();
-            if (!open) {
-                return false;
-            }
-        }
-        return parts.areUnknown(reply.signatures());
+        return stage.shards().containsAll(reply.shards())
+                && shards.areUnfinished(reply.shards())
+                && parts.areUnknown(reply.signatures());
     }
 
     private void reclaimShards(StageAttempt stage, boolean notRun, long nowNanos, List<RoutedAction> actions) {
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -1,16 +1,13 @@
 package org.bramblerack.request.routed;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.bramblerack.process.leaf.Leaf;
 import org.bramblerack.process.leaf.LeafOutcome;
 import org.bramblerack.process.leaf.PermittedLeaves;
-import org.bramblerack.process.leaf.RoutingFeature;
 
 /**
  * The attempts of one request at one service: which leaf is called, when it is hedged or retried, and when it fails.
@@ -23,10 +20,6 @@
 final class ShardRequest {
     /** Attempts that may be refused without running, in addition to those that the route permits. */
     private static final int MAX_REFUSED_ATTEMPTS = 3;
-    /** Percentage of the budget that hedges leave for retries. */
-    private static final int RESERVED_FOR_RETRIES_PERCENT = 35;
-    /** A leaf that refuses more of its calls than this is not used for hedges, which it would probably refuse. */
-    private static final double MAX_REFUSAL_RATE_FOR_HEDGE = 0.3;
     /** Delay before a retry after all leaves of a service refused as busy. */
     private static final long RETRY_BACKOFF_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -35,15 +28,14 @@
     private final boolean repeatable;
     private final boolean hedged;
     private final RandomGenerator random;
-    private final Listener listener;
-    private final List<Attempt> attempts = new ArrayList<>(2);
+    private final ShardListener listener;
+    private final ShardAttempts attempts = new ShardAttempts();
     private final HedgeSchedule hedgeSchedule;
+    private final HedgeChoice hedgeChoice;
     private final AttemptAllowance allowance;
     private boolean delegated;
     /** True if the delegate's request for an attempt waits for one that this host has requested in turn. */
     private boolean delegateAwaitsAttempt;
-    /** True if the backup attempt, or the retry, waits for an attempt that was requested. */
-    private boolean backupAwaitsAttempt;
 
     private boolean retryAwaitsAttempt;
     private boolean finished;
@@ -52,25 +44,6 @@
     private boolean retryDue;
     private boolean deferred;
 
-    /** Receives the events of a request that concern the query that it belongs to. */
-    interface Listener {
-        /** Handles the end of the request, once: it has an answer or can no longer get one. */
-        void onFinished();
-
-        /** Handles the need for an attempt that belongs to the host that delegated the query. */
-        void onAttemptRequested();
-    }
-
-    /** What the delegating host replies to a request for an attempt. */
-    enum AttemptReply {
-        /** The attempt belongs to the delegate from now on. */
-        GRANTED,
-        /** No attempt is available. */
-        DENIED,
-        /** This host has requested the attempt in turn. */
-        LATER
-    }
-
     /**
      * Creates a request that is not yet sent.
      *
@@ -83,14 +56,16 @@
             boolean repeatable,
             boolean hedged,
             RandomGenerator random,
-            Listener listener) {
+            ShardListener listener) {
         this.pool = pool;
         this.bounds = bounds;
         this.repeatable = repeatable;
         this.hedged = repeatable && hedged;
         this.random = random;
         this.listener = listener;
-        this.allowance = new AttemptAllowance(bounds.maxAttempts(), bounds.obtainableAttempts());
+        this.allowance = new AttemptAllowance(
+                attempts, bounds.maxAttempts(), bounds.obtainableAttempts(), listener::onAttemptRequested);
+        this.hedgeChoice = new HedgeChoice(pool, bounds, random);
         this.hedgeSchedule = new HedgeSchedule(bounds.hedgeDelayNanos());
     }
 
@@ -100,14 +75,9 @@
         allowance.handOver();
     }
 
-    /** Records that the other host has certainly not sent the request to any leaf and will not. */
-    void takeBackAllAttempts() {
-        allowance.takeBack(allowance.handedOver());
-    }
-
-    /** Records that the other host gave back one of its attempts. */
-    void takeBackAttempt() {
-        allowance.takeBack(1);
+    /** Returns the permitted attempts that belong to this host. */
+    AttemptAllowance allowance() {
+        return allowance;
     }
 
     /** Replies to the other host, which requests one more attempt. */
@@ -115,7 +85,7 @@
         if (!delegated || finished || closed) {
             return AttemptReply.DENIED;
         }
-        if (availableAttempts() > 0) {
+        if (allowance.isAvailable()) {
             allowance.handOver();
             return AttemptReply.GRANTED;
         }
@@ -123,7 +93,7 @@
             return AttemptReply.DENIED;
         }
         delegateAwaitsAttempt = true;
-        requestAttempt();
+        allowance.request();
         return AttemptReply.LATER;
     }
 
@@ -139,8 +109,7 @@
             delegateAwaitsAttempt = false;
             return Optional.of(onAttemptRequested());
         }
-        if (backupAwaitsAttempt) {
-            backupAwaitsAttempt = false;
+        if (delegated) {
             startBackupAttempt(nowNanos, actions);
         } else if (retryAwaitsAttempt) {
             retryAwaitsAttempt = false;
@@ -156,33 +125,13 @@
      */
     Optional<AttemptReply> onAttemptDenied(List<RoutedAction> actions) {
         allowance.deny();
-        backupAwaitsAttempt = false;
         if (retryAwaitsAttempt && !finished) {
             retryAwaitsAttempt = false;
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
         }
-        boolean replies = delegateAwaitsAttempt;
+        Optional<AttemptReply> reply = delegateAwaitsAttempt ? Optional.of(AttemptReply.DENIED) : Optional.empty();
         delegateAwaitsAttempt = false;
-        return replies ? Optional.of(AttemptReply.DENIED) : Optional.empty();
-    }
-
-    /** Requests an attempt from the delegating host unless one was requested before. */
-    private void requestAttempt() {
-        if (!allowance.isRequested()) {
-            allowance.recordRequest();
-            listener.onAttemptRequested();
-        }
-    }
-
-    /** Returns the number of attempts that this host may still make or hand over. */
-    int availableAttempts() {
-        return allowance.available(attemptsPossiblyRun());
-    }
-
-    /** Records that the other host has hedged the request. Returns true if that exceeds the permitted attempts. */
-    boolean recordDelegateHedged() {
-        allowance.recordUsedByDelegate(2);
-        return availableAttempts() < 0;
+        return reply;
     }
 
     /**
@@ -193,10 +142,9 @@
         if (!delegated || finished || closed) {
             return;
         }
-        if (availableAttempts() <= 0) {
+        if (!allowance.isAvailable()) {
             if (allowance.isObtainable()) {
-                backupAwaitsAttempt = true;
-                requestAttempt();
+                allowance.request();
             }
             return;
         }
@@ -219,7 +167,7 @@
      */
     void reclaim(boolean notRun, Predicate<ShardRequest> mayRetry, long nowNanos, List<RoutedAction> actions) {
         if (notRun) {
-            takeBackAllAttempts();
+            allowance.takeBackAll();
         }
         if (!delegated || finished) {
             return;
@@ -230,8 +178,7 @@
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
             return;
         }
-        boolean hasAttempt = availableAttempts() > 0 || allowance.isObtainable();
-        boolean allowed = notRun || !hasAttempt || mayRetry.test(this);
+        boolean allowed = notRun || !allowance.isAvailableOrObtainable() || mayRetry.test(this);
         if (allowed) {
             start(nowNanos, actions);
         } else {
@@ -279,7 +226,7 @@
 
     /** Makes the first attempt, or ends the request if no leaf, attempt or budget is available. */
     void start(long nowNanos, List<RoutedAction> actions) {
-        if (availableAttempts() <= 0) {
+        if (!allowance.isAvailable()) {
             awaitAttemptForRetry(actions);
             return;
         }
@@ -288,7 +235,7 @@
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_NO_LEAF, actions);
             return;
         }
-        if (allowance.handedOver() > 0 && !pool.budget().tryWithdraw(nowNanos)) {
+        if (allowance.isAnyHandedOver() && !pool.budget().tryWithdraw(nowNanos)) {
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_BUDGET, actions);
             return;
         }
@@ -301,7 +248,7 @@
     private void awaitAttemptForRetry(List<RoutedAction> actions) {
         if (allowance.isObtainable()) {
             retryAwaitsAttempt = true;
-            requestAttempt();
+            allowance.request();
         } else {
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
         }
@@ -321,12 +268,7 @@
     /** Ends the request and abandons the attempts in flight. */
     void finish(List<RoutedAction> actions) {
         end();
-        for (Attempt attempt : attempts) {
-            if (!attempt.isFinished()) {
-                attempt.finish(Attempt.State.GIVEN_UP);
-                actions.add(new RoutedAction.AbandonAttempt(attempt));
-            }
-        }
+        attempts.abandonInFlight(actions);
     }
 
     /** Ends the request without abandoning the attempts in flight, which the sender does. */
@@ -337,7 +279,7 @@
     /** Stops new attempts; those in flight may still answer. */
     void close(List<RoutedAction> actions) {
         closed = true;
-        if (!finished && !delegated && !hasAttemptInFlight()) {
+        if (!finished && !delegated && !attempts.isAnyInFlight()) {
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
         }
     }
@@ -367,11 +309,10 @@
             endWithoutAnswer(AttemptCounter.DENIED_HARMFUL, actions);
             return;
         }
-        if (finished || hasAttemptInFlight()) {
+        if (finished || attempts.isAnyInFlight()) {
             return;
         }
-        boolean allowed = outcome != LeafOutcome.BROKEN || mayRetry.test(this);
-        if (allowed) {
+        if (outcome != LeafOutcome.BROKEN || mayRetry.test(this)) {
             retry(nowNanos, actions);
         } else {
             defer(AttemptCounter.RETRY_HELD_BREAKS, actions);
@@ -405,8 +346,8 @@
         if (retryDue) {
             return retryAtNanos;
         }
-        boolean mayHedge = hedged && hedgeSchedule.isOpen() && attempts.size() == 1;
-        return mayHedge ? hedgeSchedule.dueNanos(attempts.get(0)) : defaultNanos;
+        boolean mayHedge = hedged && hedgeSchedule.isOpen() && attempts.count() == 1;
+        return mayHedge ? hedgeSchedule.dueNanos(attempts.first()) : defaultNanos;
     }
 
     boolean isFinished() {
@@ -415,12 +356,12 @@
 
     /** Returns true if no attempt can have run the request. */
     boolean isNotRun() {
-        return allowance.handedOver() == 0 && attempts.stream().allMatch(Attempt::isNotRun);
+        return !allowance.isAnyHandedOver() && attempts.isNoneRun();
     }
 
     /** Returns true if any attempt was made, here or by another host. */
     boolean wasAttempted() {
-        return allowance.handedOver() > 0 || !attempts.isEmpty();
+        return allowance.isAnyHandedOver() || !attempts.isEmpty();
     }
 
     /** Returns the refusal reason of a request that has not run. */
@@ -436,36 +377,22 @@
 
     /** Returns true if an attempt was not sent because the request is quarantined. */
     boolean isQuarantined() {
-        return attempts.stream().anyMatch(Attempt::isQuarantined);
+        return attempts.isAnyQuarantined();
     }
 
     /** Returns true if the request may have reached a leaf. */
     boolean wasSent() {
-        return allowance.handedOver() > 0 || !attempts.stream().allMatch(Attempt::isNotSent);
+        return allowance.isAnyHandedOver() || !attempts.isNoneSent();
     }
 
     /** Returns true if more than one attempt may have run, here or by another host. */
     boolean wasHedged() {
-        return allowance.handedOver() + attemptsPossiblyRun() > 1;
+        return allowance.handedOver() + attempts.possiblyRunCount() > 1;
     }
 
     /** Describes the attempts and their state for a log line. */
     String describe(long nowNanos) {
-        StringBuilder text = new StringBuilder(pool.service());
-        if (allowance.handedOver() > 0) {
-            text.append(" elsewhere=").append(allowance.handedOver());
-        }
-        for (Attempt attempt : attempts) {
-            text.append(' ')
-                    .append(attempt.purpose())
-                    .append('@')
-                    .append(attempt.leaf().id());
-            text.append('-')
-                    .append(TimeUnit.NANOSECONDS.toMillis(nowNanos - attempt.sentNanos()))
-                    .append("ms-")
-                    .append(attempt.state());
-        }
-        return text.toString();
+        return pool.service() + allowance.describe() + attempts.describe(nowNanos);
     }
 
     /** Returns true if the first attempt is late and no other was made. */
@@ -474,61 +401,45 @@
                 && !closed
                 && hedged
                 && hedgeSchedule.isOpen()
-                && attempts.size() == 1
-                && !attempts.get(0).isFinished()
-                && nowNanos - hedgeSchedule.dueNanos(attempts.get(0)) >= 0;
+                && attempts.count() == 1
+                && !attempts.first().isFinished()
+                && nowNanos - hedgeSchedule.dueNanos(attempts.first()) >= 0;
     }
 
     /** Counts a hedge that is not made, and schedules the next check. */
     private void denyHedge(AttemptCounter reason, long nowNanos, List<RoutedAction> actions) {
-        hedgeSchedule.recordDenial(attempts.get(0), nowNanos);
+        hedgeSchedule.recordDenial(attempts.first(), nowNanos);
         actions.add(new RoutedAction.Count(reason));
     }
 
     private void hedge(long nowNanos, List<RoutedAction> actions) {
-        boolean hasAttempt = availableAttempts() > 0;
-        Optional<Leaf> candidate = hasAttempt || allowance.isObtainable()
-                ? pool.choose(leaf -> isHedgeCandidate(leaf, nowNanos), bounds.expectedNanos(), random, nowNanos)
-                : Optional.empty();
+        Optional<Leaf> candidate =
+                allowance.isAvailableOrObtainable() ? hedgeChoice.candidate(attempts, nowNanos) : Optional.empty();
         if (candidate.isEmpty()) {
             denyHedge(AttemptCounter.HEDGE_DENIED_NO_LEAF, nowNanos, actions);
-        } else if (hedgeSchedule.isEarly(attempts.get(0), nowNanos) && !savesTime(candidate.get(), nowNanos)) {
+        } else if (hedgeSchedule.isEarly(attempts.first(), nowNanos)
+                && !hedgeChoice.savesTime(candidate.get(), nowNanos)) {
             denyHedge(AttemptCounter.HEDGE_DENIED_NO_GAIN, nowNanos, actions);
-        } else if (!pool.budget().mayWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos)) {
+        } else if (!hedgeChoice.isWithinBudget(nowNanos)) {
             denyHedge(AttemptCounter.HEDGE_DENIED_BUDGET, nowNanos, actions);
-        } else if (!hasAttempt) {
-            requestAttempt();
-        } else {
-            pool.budget().tryWithdrawAbove(RESERVED_FOR_RETRIES_PERCENT, nowNanos);
+        } else if (!allowance.isAvailable()) {
+            allowance.request();
+        } else if (hedgeChoice.tryWithdraw(nowNanos)) {
             actions.add(new RoutedAction.Count(AttemptCounter.HEDGE));
             sendAttempt(candidate.get(), Attempt.Purpose.HEDGE, nowNanos, actions);
         }
     }
 
-    /** Returns true if a hedge is expected to answer before the overdue attempt. */
-    private boolean savesTime(Leaf candidate, long nowNanos) {
-        return candidate.costNanos(bounds.expectedNanos(), nowNanos) < Leaf.STALL_HANDICAP_NANOS;
-    }
-
-    /** Returns false for leaves that are full or stalled, where a hedge would only add load. */
-    private boolean isHedgeCandidate(Leaf leaf, long nowNanos) {
-        return !wasAttempted(leaf)
-                && !leaf.isEjected(nowNanos)
-                && !leaf.isOverloaded(nowNanos)
-                && !leaf.isStalled(nowNanos)
-                && leaf.refusalRate(nowNanos) < MAX_REFUSAL_RATE_FOR_HEDGE;
-    }
-
     private void retry(long nowNanos, List<RoutedAction> actions) {
         if (!isRetryPermitted()) {
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_ATTEMPTS, actions);
             return;
         }
-        if (availableAttempts() <= 0) {
+        if (!allowance.isAvailable()) {
             awaitAttemptForRetry(actions);
             return;
         }
-        Optional<Leaf> untried = pool.choose(leaf -> !wasAttempted(leaf), bounds.expectedNanos(), random, nowNanos);
+        Optional<Leaf> untried = pool.choose(leaf -> !attempts.include(leaf), bounds.expectedNanos(), random, nowNanos);
         if (untried.isPresent()) {
             retryWithinBudget(untried.get(), nowNanos, actions);
             return;
@@ -539,7 +450,7 @@
             return;
         }
         retryDue = true;
-        retryAtNanos = nowNanos + RETRY_BACKOFF_NANOS * attempts.size() + random.nextLong(RETRY_BACKOFF_NANOS);
+        retryAtNanos = nowNanos + RETRY_BACKOFF_NANOS * attempts.count() + random.nextLong(RETRY_BACKOFF_NANOS);
     }
 
     private void retryAtAnyLeaf(long nowNanos, List<RoutedAction> actions) {
@@ -562,20 +473,11 @@
     }
 
     private void sendAttempt(Leaf leaf, Attempt.Purpose purpose, long nowNanos, List<RoutedAction> actions) {
-        Attempt attempt = new Attempt(this, leaf, purpose, nowNanos, overdueNanos(leaf, nowNanos));
+        Attempt attempt = new Attempt(this, leaf, purpose, nowNanos, hedgeChoice.overdueNanos(leaf, nowNanos));
         attempts.add(attempt);
         actions.add(new RoutedAction.CallLeaf(attempt));
     }
 
-    /** Returns when an attempt that is made now becomes overdue at its leaf. */
-    private long overdueNanos(Leaf leaf, long nowNanos) {
-        if (!pool.uses(RoutingFeature.LEAF_HEDGES)) {
-            return Long.MAX_VALUE / 2;
-        }
-        long callNanos = Math.max(bounds.expectedNanos(), leaf.workNanos(bounds.expectedNanos(), nowNanos));
-        return nowNanos + HedgeTiming.overdueAfterNanos(callNanos, bounds.goalNanos() - nowNanos);
-    }
-
     private void end() {
         if (!finished) {
             finished = true;
@@ -592,23 +494,6 @@
         if (closed || (!repeatable && !isNotRun())) {
             return false;
         }
-        return attempts.size() < bounds.maxAttempts() + bounds.obtainableAttempts() + MAX_REFUSED_ATTEMPTS;
-    }
-
-    /** Returns the number of attempts from this host that may have run. */
-    private int attemptsPossiblyRun() {
-        int count = 0;
-        for (Attempt attempt : attempts) {
-            count += attempt.isNotRun() ? 0 : 1;
-        }
-        return count;
-    }
-
-    private boolean hasAttemptInFlight() {
-        return attempts.stream().anyMatch(attempt -> !attempt.isFinished());
-    }
-
-    private boolean wasAttempted(Leaf leaf) {
-        return attempts.stream().anyMatch(attempt -> attempt.leaf() == leaf);
+        return attempts.count() < bounds.maxAttempts() + bounds.obtainableAttempts() + MAX_REFUSED_ATTEMPTS;
     }
 }
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/SimulatedFleet.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/SimulatedFleet.java
@@ -23,7 +23,6 @@
 import org.bramblerack.process.leaf.RoutingContext;
 import org.bramblerack.version.routing.HomeRegions;
 import org.bramblerack.version.routing.RouteTarget;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Hosts that run one query over simulated time: messages are delayed, hosts stop and continue, and leaves answer late,
@@ -34,6 +33,7 @@
  */
 final class SimulatedFleet {
     static final int MAX_ATTEMPTS = 2;
+    private static final ImmutableList<String> HOSTS = ImmutableList.of("caller", "holder", "relay", "relay-holder");
     private static final int SHARDS = 9;
     private static final int LEAVES_PER_SHARD = 6;
     private static final long MILLI = Duration.ofMillis(1).toNanos();
@@ -47,6 +47,9 @@
     private final SplittableRandom random;
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<String, Host> hosts = new HashMap<>();
+    /** Runs what happens outside the hosts; it is never paused. */
+    private final Host network = new Host("network");
+
     private final Multiset<String> runs = LinkedHashMultiset.create();
     private int outcomes;
     private long nowNanos;
@@ -54,7 +57,7 @@
 
     SimulatedFleet(long seed) {
         random = new SplittableRandom(seed);
-        for (String name : List.of("caller", "holder", "relay", "relay-holder")) {
+        for (String name : HOSTS) {
             hosts.put(name, new Host(name));
         }
     }
@@ -62,13 +65,12 @@
     /** Runs the query, and all that it causes, to the end. */
     void run() {
         for (int pause = 0; pause < 4; pause++) {
-            Host host = hosts.get(
-                    List.of("caller", "holder", "relay", "relay-holder").get(random.nextInt(hosts.size())));
+            Host host = host(HOSTS.get(random.nextInt(HOSTS.size())));
             long fromNanos = random.nextLong(150 * MILLI);
             long toNanos = fromNanos + 20 * MILLI + random.nextLong(160 * MILLI);
-            at(fromNanos, hosts.get("none"), () -> host.pausedUntilNanos = Math.max(host.pausedUntilNanos, toNanos));
+            at(fromNanos, network, () -> host.pausedUntilNanos = Math.max(host.pausedUntilNanos, toNanos));
         }
-        Host caller = hosts.get("caller");
+        Host caller = host("caller");
         Query query = new Query(
                 caller,
                 shards(0, SHARDS),
@@ -80,7 +82,7 @@
         while (!events.isEmpty()) {
             Event event = events.remove();
             nowNanos = Math.max(nowNanos, event.atNanos);
-            if (event.host != null && event.host.pausedUntilNanos > nowNanos) {
+            if (event.host.pausedUntilNanos > nowNanos) {
                 events.add(new Event(event.host.pausedUntilNanos, event.sequence, event.host, event.task));
             } else {
                 event.task.run();
@@ -113,7 +115,11 @@
         return shards.build();
     }
 
-    private void at(long atNanos, @Nullable Host host, Runnable task) {
+    private Host host(String name) {
+        return Optional.ofNullable(hosts.get(name)).orElseThrow();
+    }
+
+    private void at(long atNanos, Host host, Runnable task) {
         events.add(new Event(atNanos, nextSequence++, host, task));
     }
 
@@ -124,8 +130,7 @@
         at(arrivalNanos, to, receive);
     }
 
-    private record Event(
-            long atNanos, long sequence, @Nullable Host host, Runnable task) implements Comparable<Event> {
+    private record Event(long atNanos, long sequence, Host host, Runnable task) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
             int byTime = Long.compare(atNanos, other.atNanos);
@@ -134,7 +139,7 @@
     }
 
     /** One host with its own view of the leaves. */
-    private final class Host {
+    private static final class Host {
         private final String name;
         private final ImmutableList<PermittedLeaves> pools;
         private final Map<String, Long> lastArrivals = new HashMap<>();
@@ -314,7 +319,7 @@
         }
 
         private Host hostOf(StageAttempt stage) {
-            return hosts.get(stage.host());
+            return host(stage.host());
         }
 
         private void callStage(StageAttempt stage) {
@@ -362,7 +367,7 @@
             LeafOutcome outcome = kind < 85
                     ? LeafOutcome.SUCCEEDED
                     : kind < 91 ? LeafOutcome.FAILED : kind < 95 ? LeafOutcome.BROKEN : LeafOutcome.REFUSED_BUSY;
-            at(nowNanos + MILLI / 2, hosts.get("none"), () -> {
+            at(nowNanos + MILLI / 2, network, () -> {
                 if (!outcome.isNotRun()) {
                     runs.add(attempt.leaf().service());
                 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/Gateway.java
@@ -185,7 +185,6 @@
             lagTimer.onWork();
             stageServer.handle(message.getSender(), message.getStageCall(), reply);
         } else if (message.hasStageGrant()) {
-            lagTimer.onWork();
             stageServer.onGrant(message.getSender(), message.getStageGrant());
         } else if (message.hasStageCancel()) {
             stageServer.cancel(message.getSender(), message.getStageCancel());
