Log which order on a drained zone was applied, and who sent it

Change: SetZoneDrain carries the control host that received the order and the address of its caller. Every control host writes zone_drain_applied when the command is applied, with its result, its place in the log and the revision of the tables, which entry hosts write in tables_changed. zone_drain_set also names the caller, whether he has closed, and the time it took.

Cost: one line per control host and order, and again when a control host reads its log at a restart; orders are rare. Two short texts in each command.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ReplicatedState.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ReplicatedState.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.process.agreement.ControlState;
 import org.bramblerack.process.members.ReplicatedTables;
 import org.bramblerack.wire.Command;
@@ -12,6 +13,7 @@
 import org.bramblerack.wire.ControlReadResult;
 import org.bramblerack.wire.ControlSnapshot;
 import org.bramblerack.wire.LogEntry;
+import org.bramblerack.wire.SetZoneDrain;
 
 /**
  * The state machine of the replicated log, and the reads from it.
@@ -20,6 +22,8 @@
  * have in force are kept beside it and are not replicated. Owned by the thread of the control role.
  */
 final class ReplicatedState {
+    private static final EventLog EVENTS = EventLog.of(ReplicatedState.class);
+
     private final ControlState state = new ControlState();
     private final InForceRevisions inForce = new InForceRevisions();
     private long lastSnapshotBytes;
@@ -31,9 +35,27 @@
 
     /** Applies a committed entry; an entry without a command changes nothing. */
     CommandResult apply(LogEntry entry) throws InvalidProtocolBufferException {
-        return entry.getCommand().isEmpty()
-                ? CommandResult.getDefaultInstance()
-                : state.apply(Command.parseFrom(entry.getCommand()));
+        if (entry.getCommand().isEmpty()) {
+            return CommandResult.getDefaultInstance();
+        }
+        Command command = Command.parseFrom(entry.getCommand());
+        CommandResult result = state.apply(command);
+        if (command.hasSetZoneDrain()) {
+            logZoneDrain(command.getSetZoneDrain(), result, entry.getIndex());
+        }
+        return result;
+    }
+
+    private static void logZoneDrain(SetZoneDrain order, CommandResult result, long index) {
+        EVENTS.info("zone_drain_applied")
+                .with("zone", order.getZone())
+                .with("drained", order.getDrained())
+                .with("result", result.getKind().name())
+                .with("revision", result.getRevision())
+                .with("index", index)
+                .with("receivedBy", order.getReceivedBy())
+                .with("caller", order.getCaller())
+                .write();
     }
 
     /** Replaces the whole state by a snapshot. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -97,7 +97,7 @@
                 wallClock,
                 random);
         ControlClient client = new ControlClient(identity.name(), settings.seeds(), Optional.of(node), network, clock);
-        this.fleet = new FleetControl(node, client, network, metrics, wallClock);
+        this.fleet = new FleetControl(settings.name(), node, client, network, metrics, clock, wallClock);
         this.peerHandler = new ControlPeers(node, fleet, network, clock);
         this.peers = new PeerServer(settings.peerAddress(), peerHandler, group, LinkPolicy.OPEN, traffic);
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -11,12 +11,14 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.ProposalResult;
 import org.bramblerack.daemon.event.EventLog;
 import org.bramblerack.daemon.peer.PeerNetwork;
+import org.bramblerack.process.MonotonicClock;
 import org.bramblerack.process.SharedReads;
 import org.bramblerack.process.members.MembershipMonitor;
 import org.bramblerack.process.members.ReplicatedTables;
@@ -59,10 +61,12 @@
     /** More than the entry hosts that follow one control host, each of which has one query at a time. */
     private static final int MAX_VERSION_QUERIES = 10_000;
 
+    private final String self;
     private final ControlNode node;
     private final ControlClient client;
     private final PeerNetwork network;
     private final MetricRegistry metrics;
+    private final MonotonicClock clock;
     private final InstantSource wallClock;
     private final MembershipMonitor membership = new MembershipMonitor();
     private final ShardAccessPolicy shardAccess = new ShardAccessPolicy();
@@ -71,17 +75,25 @@
     private final SharedReads<Consumer<VersionQueryResult>> versionReads = new SharedReads<>(MAX_VERSION_QUERIES);
     private boolean wasLeader;
 
-    /** Creates the service. */
+    /**
+     * Creates the service.
+     *
+     * @param self the name of this control host
+     */
     public FleetControl(
+            String self,
             ControlNode node,
             ControlClient client,
             PeerNetwork network,
             MetricRegistry metrics,
+            MonotonicClock clock,
             InstantSource wallClock) {
+        this.self = self;
         this.node = node;
         this.client = client;
         this.network = network;
         this.metrics = metrics;
+        this.clock = clock;
         this.wallClock = wallClock;
     }
 
@@ -178,10 +190,19 @@
         return granted.get() ? "granted" : "refused";
     }
 
-    /** Starts or ends the drain of an availability zone, whose leaves receive no requests meanwhile. Idempotent. */
-    public Uni<FleetOutcome> drainZone(String zone, boolean drained) {
+    /**
+     * Starts or ends the drain of an availability zone, whose leaves receive no requests meanwhile. Idempotent.
+     *
+     * @param caller who sent the order
+     */
+    public Uni<FleetOutcome> drainZone(String zone, boolean drained, OrderCaller caller) {
+        long receivedNanos = clock.nowNanos();
         Command command = Command.newBuilder()
-                .setSetZoneDrain(SetZoneDrain.newBuilder().setZone(zone).setDrained(drained))
+                .setSetZoneDrain(SetZoneDrain.newBuilder()
+                        .setZone(zone)
+                        .setDrained(drained)
+                        .setReceivedBy(self)
+                        .setCaller(caller.address()))
                 .build();
         return propose(command, CHANGE_TIMEOUT).invoke(outcome -> {
             count("fleet_zone_drain_", outcome);
@@ -189,6 +210,9 @@
                     .with("zone", zone)
                     .with("drained", drained)
                     .with("outcome", outcome.name())
+                    .with("caller", caller.address())
+                    .with("callerGone", caller.hasLeft())
+                    .with("tookMillis", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - receivedNanos))
                     .write();
         });
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
@@ -19,7 +19,8 @@
  * A caller's request and its answer.
  *
  * <p>Invariant: at most one answer is written, and none after the caller has disconnected. Head and body remain valid
- * after the answer. {@link #respond} may be called from any thread; all other methods from the event loop only.
+ * after the answer. {@link #respond} and {@link #isCallerGone} may be called from any thread; all other methods from
+ * the event loop only.
  */
 public final class HttpExchange {
     private static final int UNAVAILABLE = 503;
@@ -35,7 +36,7 @@
     private Runnable onCallerGone = () -> {};
     private Runnable onStopLimit = () -> respond(UNAVAILABLE, "text/plain", "this host is stopping; ask another\n");
     private boolean answered;
-    private boolean callerGone;
+    private volatile boolean callerGone;
 
     HttpExchange(
             ChannelHandlerContext context,
@@ -87,6 +88,11 @@
         return new String(body, StandardCharsets.UTF_8);
     }
 
+    /** Returns the network address of the caller. */
+    public String callerAddress() {
+        return String.valueOf(context.channel().remoteAddress());
+    }
+
     /** Returns the time at which the request was complete. */
     public long receivedNanos() {
         return receivedNanos;
