Execute an order on a drained zone only while its caller waits and nothing newer was accepted

Cause: an order to start or end the drain of a zone has no place in time. A control host that was stopped reads it after its caller has closed and has sent newer orders to other hosts, and the tables apply what comes last.

Change: a control host reads the number of the last order on the zone, then makes sure that the caller has not closed, and proposes the order on the condition that it follows that number (ZoneDrainOrders, ZoneDrains). A delay before the read is caught by the check, since the caller closed before he sent the newer order; a delay after it by the number. An order that is dropped is logged as ABANDONED, one that loses as CONFLICT.

Evidence: zone_drain_applied showed the late order as the last one applied, with its caller gone.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/ReplicatedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/ReplicatedTables.java
@@ -7,8 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SortedSet;
-import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.bramblerack.process.harm.HarmRecords;
@@ -30,8 +28,8 @@
  *
  * <p>Invariants: the same commands in the same order give the same tables on every voter. Each change raises the
  * revision by one, so that a host that knows a revision can be sent the changes since. The configuration's version only
- * grows. An incarnation of a leaf that has ended stays ended, and a late report never undoes a newer one. Not safe for
- * use by several threads.
+ * grows. An incarnation of a leaf that has ended stays ended, and a late report or order never undoes a newer one. Not
+ * safe for use by several threads.
  */
 public final class ReplicatedTables {
     /** How many departed leaves, and as many hosts, are kept so that their late reports are recognized. */
@@ -45,7 +43,7 @@
     private long configurationRevision;
     private long evictedRevision;
     private boolean throughHolders;
-    private final SortedSet<String> drainedZones = new TreeSet<>();
+    private final ZoneDrains zoneDrains = new ZoneDrains();
     private final HarmRecords harm = new HarmRecords();
 
     /** Replaces the configuration if the given one has a higher version. */
@@ -118,15 +116,18 @@
         return result(CommandResult.Kind.ACCEPTED);
     }
 
-    /** Starts or ends the drain of an availability zone, whose leaves receive no requests meanwhile. */
-    public CommandResult set(SetZoneDrain change) {
-        boolean changes =
-                change.getDrained() ? drainedZones.add(change.getZone()) : drainedZones.remove(change.getZone());
-        if (!changes) {
-            return result(CommandResult.Kind.SUPERSEDED);
+    /**
+     * Starts or ends the drain of an availability zone, whose leaves receive no requests meanwhile, unless a newer
+     * order demands the opposite.
+     */
+    public CommandResult set(SetZoneDrain order) {
+        CommandResult.Kind kind = zoneDrains.apply(order);
+        if (kind == CommandResult.Kind.ACCEPTED) {
+            revision++;
         }
-        revision++;
-        return result(CommandResult.Kind.ACCEPTED);
+        return result(kind).toBuilder()
+                .setZoneOrder(zoneDrains.lastOrder(order.getZone()))
+                .build();
     }
 
     /** Applies a host's report on requests under which leaves ended. */
@@ -156,7 +157,12 @@
 
     /** Returns the drained availability zones, whose leaves receive no requests. */
     public ImmutableSortedSet<String> drainedZones() {
-        return ImmutableSortedSet.copyOf(drainedZones);
+        return zoneDrains.drainedZones();
+    }
+
+    /** Returns the number of the last order on the drain of a zone, which the next one has to name. */
+    public long lastZoneOrder(String zone) {
+        return zoneDrains.lastOrder(zone);
     }
 
     /** Returns true if only a few hosts, the holders, connect to a leaf of a shard and forward the others' calls. */
@@ -224,7 +230,7 @@
                 .setWhole(full)
                 .setConfigurationVersion(configurationVersion)
                 .setThroughHolders(throughHolders)
-                .addAllDrainedZones(drainedZones)
+                .addAllDrainedZones(zoneDrains.drainedZones())
                 .addAllHarm(harm.changedSince(since));
         if (configurationRevision > since) {
             delta.setConfiguration(configuration);
@@ -253,7 +259,8 @@
                 .setConfigurationRevision(configurationRevision)
                 .setForgottenRevision(evictedRevision)
                 .setThroughHolders(throughHolders)
-                .addAllDrainedZones(drainedZones)
+                .addAllDrainedZones(zoneDrains.drainedZones())
+                .addAllZoneOrders(zoneDrains.orders())
                 .addAllLeaves(leaves.values())
                 .addAllHosts(hosts.values())
                 .addAllHarm(harm.all())
@@ -272,8 +279,7 @@
         configurationRevision = snapshot.getConfigurationRevision();
         evictedRevision = snapshot.getForgottenRevision();
         throughHolders = snapshot.getThroughHolders();
-        drainedZones.clear();
-        drainedZones.addAll(snapshot.getDrainedZonesList());
+        zoneDrains.restore(snapshot.getDrainedZonesList(), snapshot.getZoneOrdersList());
         snapshot.getLeavesList().forEach(leaf -> leaves.put(leaf.getId(), leaf));
         snapshot.getHostsList().forEach(host -> hosts.put(host.getName(), host));
         harm.restore(snapshot.getHarmList(), snapshot.getHarmClockMillis(), snapshot.getHarmNumber());
--- a/bramblerack-core/src/test/java/org/bramblerack/process/members/ReplicatedTablesTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/members/ReplicatedTablesTest.java
@@ -111,7 +111,9 @@
         tables.applyReport(leaf("m", LeafRecord.Phase.GONE, 1));
         tables.applyReport(host("h", 1));
         tables.set(SetShardAccess.newBuilder().setThroughHolders(true).build());
-        drain("north-1", true);
+        order("north-1", true, 0);
+        order("north-2", true, 0);
+        order("north-2", false, 1);
         ReplicatedTables restored = new ReplicatedTables();
         restored.restore(tables.toSnapshot());
         assertThat(restored.toSnapshot()).isEqualTo(tables.toSnapshot());
@@ -146,6 +148,52 @@
         assertThat(tables.changesSince(drained).getDrainedZonesList()).isEmpty();
     }
 
+    /** Guards against a drained zone that receives requests because of an order older than the one that drained it. */
+    @Test
+    void anOrderOnAZoneThatComesLateDoesNotUndoANewerOne() {
+        assertThat(order("north-1", true, 0).getKind()).isEqualTo(CommandResult.Kind.ACCEPTED);
+        assertThat(order("north-1", false, 1).getKind()).isEqualTo(CommandResult.Kind.ACCEPTED);
+        assertThat(order("north-1", true, 2).getKind()).isEqualTo(CommandResult.Kind.ACCEPTED);
+        CommandResult late = order("north-1", false, 1);
+        assertThat(late.getKind()).isEqualTo(CommandResult.Kind.CONFLICT);
+        assertThat(late.getZoneOrder()).isEqualTo(3);
+        assertThat(tables.drainedZones()).containsExactly("north-1");
+        assertThat(tables.lastZoneOrder("north-1")).isEqualTo(3);
+    }
+
+    @Test
+    void anOrderThatChangesNothingIsNewerThanThoseBeforeIt() {
+        order("north-1", true, 0);
+        long drained = tables.revision();
+        assertThat(order("north-1", true, 1).getKind()).isEqualTo(CommandResult.Kind.SUPERSEDED);
+        assertThat(tables.revision()).isEqualTo(drained);
+        assertThat(order("north-1", false, 1).getKind()).isEqualTo(CommandResult.Kind.CONFLICT);
+        assertThat(tables.drainedZones()).containsExactly("north-1");
+    }
+
+    @Test
+    void anOrderThatIsProposedAgainIsAcknowledged() {
+        order("north-1", true, 0);
+        assertThat(order("north-1", true, 0).getKind()).isEqualTo(CommandResult.Kind.SUPERSEDED);
+        assertThat(tables.lastZoneOrder("north-1")).isEqualTo(1);
+    }
+
+    @Test
+    void ordersOnOtherZonesAreIndependent() {
+        order("north-1", true, 0);
+        assertThat(order("north-2", true, 0).getKind()).isEqualTo(CommandResult.Kind.ACCEPTED);
+        assertThat(order("north-1", false, 1).getKind()).isEqualTo(CommandResult.Kind.ACCEPTED);
+        assertThat(tables.drainedZones()).containsExactly("north-2");
+    }
+
+    private CommandResult order(String zone, boolean drained, long expectedOrder) {
+        return tables.set(SetZoneDrain.newBuilder()
+                .setZone(zone)
+                .setDrained(drained)
+                .setExpectedOrder(expectedOrder)
+                .build());
+    }
+
     private CommandResult drain(String zone, boolean drained) {
         return tables.set(
                 SetZoneDrain.newBuilder().setZone(zone).setDrained(drained).build());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlClient.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ControlClient.java
@@ -23,9 +23,10 @@
 /**
  * Finds the leader of the control hosts and sends it commands and reads.
  *
- * <p>A command is proposed again until it is decided or the time is up. That is safe because commands carry
- * identifiers. If no leader was contacted within {@link #LEADER_CONTACT_TIMEOUT}, a command is rejected at once. Safe
- * for use by many threads.
+ * <p>A command is proposed again until it is decided or the time is up, and any of these proposals may be applied
+ * later. So a command must carry an identifier, a version or a condition that keeps it from undoing a newer one. If no
+ * leader was contacted within {@link #LEADER_CONTACT_TIMEOUT}, a command is rejected at once. Safe for use by many
+ * threads.
  */
 public final class ControlClient {
     /** How long commands are still tried after the last contact with a leader. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ProposalResult.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ProposalResult.java
@@ -10,6 +10,6 @@
     /** The command was not appended to the log and will not be. */
     record Rejected(String reason) implements ProposalResult {}
 
-    /** The command may or may not be committed; proposing it again is safe, as commands carry identifiers. */
+    /** The command may or may not be committed; proposing it again is safe, see {@link ControlClient}. */
     record Undecided(String reason) implements ProposalResult {}
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ReplicatedState.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/control/ReplicatedState.java
@@ -51,6 +51,7 @@
                 .with("zone", order.getZone())
                 .with("drained", order.getDrained())
                 .with("result", result.getKind().name())
+                .with("order", result.getZoneOrder())
                 .with("revision", result.getRevision())
                 .with("index", index)
                 .with("receivedBy", order.getReceivedBy())
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -11,7 +11,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
@@ -34,7 +33,6 @@
 import org.bramblerack.wire.LeafRecord;
 import org.bramblerack.wire.PutConfiguration;
 import org.bramblerack.wire.SetShardAccess;
-import org.bramblerack.wire.SetZoneDrain;
 import org.bramblerack.wire.TableDelta;
 import org.bramblerack.wire.TablePull;
 import org.bramblerack.wire.TakeTrial;
@@ -61,13 +59,12 @@
     /** More than the entry hosts that follow one control host, each of which has one query at a time. */
     private static final int MAX_VERSION_QUERIES = 10_000;
 
-    private final String self;
     private final ControlNode node;
     private final ControlClient client;
     private final PeerNetwork network;
     private final MetricRegistry metrics;
-    private final MonotonicClock clock;
     private final InstantSource wallClock;
+    private final ZoneDrainOrders zoneOrders;
     private final MembershipMonitor membership = new MembershipMonitor();
     private final ShardAccessPolicy shardAccess = new ShardAccessPolicy();
     private volatile ImmutableList<String> knownControlHosts = ImmutableList.of();
@@ -88,13 +85,12 @@
             MetricRegistry metrics,
             MonotonicClock clock,
             InstantSource wallClock) {
-        this.self = self;
         this.node = node;
         this.client = client;
         this.network = network;
         this.metrics = metrics;
-        this.clock = clock;
         this.wallClock = wallClock;
+        this.zoneOrders = new ZoneDrainOrders(self, node, client, CHANGE_TIMEOUT, clock);
     }
 
     /** Handles the report of a leaf. */
@@ -190,31 +186,9 @@
         return granted.get() ? "granted" : "refused";
     }
 
-    /**
-     * Starts or ends the drain of an availability zone, whose leaves receive no requests meanwhile. Idempotent.
-     *
-     * @param caller who sent the order
-     */
+    /** Executes an operator's order to start or end the drain of an availability zone. */
     public Uni<FleetOutcome> drainZone(String zone, boolean drained, OrderCaller caller) {
-        long receivedNanos = clock.nowNanos();
-        Command command = Command.newBuilder()
-                .setSetZoneDrain(SetZoneDrain.newBuilder()
-                        .setZone(zone)
-                        .setDrained(drained)
-                        .setReceivedBy(self)
-                        .setCaller(caller.address()))
-                .build();
-        return propose(command, CHANGE_TIMEOUT).invoke(outcome -> {
-            count("fleet_zone_drain_", outcome);
-            EVENTS.info("zone_drain_set")
-                    .with("zone", zone)
-                    .with("drained", drained)
-                    .with("outcome", outcome.name())
-                    .with("caller", caller.address())
-                    .with("callerGone", caller.hasLeft())
-                    .with("tookMillis", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - receivedNanos))
-                    .write();
-        });
+        return zoneOrders.execute(zone, drained, caller).invoke(outcome -> count("fleet_zone_drain_", outcome));
     }
 
     /** Returns the compressed document of the newest configuration, or nothing if a leader could not confirm it. */
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetOutcome.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetOutcome.java
@@ -8,6 +8,9 @@
     /** It was rejected here; another control host may accept it. */
     NOT_TAKEN,
 
+    /** It was rejected because its caller no longer waited for the answer. */
+    ABANDONED,
+
     /** It is unknown whether it was committed; sending it again is safe. */
     UNDECIDED
 }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
@@ -1,5 +1,7 @@
 package org.bramblerack.daemon.http;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -13,14 +15,16 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
  * A caller's request and its answer.
  *
  * <p>Invariant: at most one answer is written, and none after the caller has disconnected. Head and body remain valid
- * after the answer. {@link #respond} and {@link #isCallerGone} may be called from any thread; all other methods from
- * the event loop only.
+ * after the answer. {@link #respond}, {@link #afterReading} and {@link #isCallerGone} may be called from any thread;
+ * all other methods from the event loop only.
  */
 public final class HttpExchange {
     private static final int UNAVAILABLE = 503;
@@ -103,6 +107,17 @@
         onCallerGone = task;
     }
 
+    /**
+     * Runs a task on the event loop after a delay, once everything that had arrived from the caller by then was read,
+     * including the end of the connection.
+     *
+     * @param delay must be positive: the event loop reads from its connections before it runs tasks that are due
+     */
+    public void afterReading(Duration delay, Runnable task) {
+        checkArgument(delay.toNanos() > 0, "the delay must be positive: %s", delay);
+        context.executor().schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     /** Returns true if the caller disconnected before the answer. */
     public boolean isCallerGone() {
         return callerGone;
