Do not report callers that close within a request as bugs

What operators saw: an ERROR line "a request failed with an unexpected exception; please report it as a bug", and a refusal.internal, for each caller of our own interface that closes its connection within a request.

Cause: the failure handler took the closed connection for an exception of the program.

Change: HttpClosedException is logged at debug level and not counted.

Evidence: HostProcessTest.aRequestThatIsCutOffIsNotExecuted cuts a declaration after each byte of its head and parts of its body.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/entry/EntryServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.vavr.control.Either;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.impl.ConnectionBase;
 import io.vertx.mutiny.core.Vertx;
@@ -365,6 +366,8 @@
     private void handleFailure(RoutingContext context) {
         if (context.statusCode() == STATUS_TOO_LARGE) {
             refuseTooLarge(context);
+        } else if (context.failure() instanceof HttpClosedException) {
+            LOGGER.log(Logger.Level.DEBUG, "a caller closed the connection within a request");
         } else if (context.failure() != null) {
             LOGGER.log(
                     Logger.Level.ERROR,
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/host/HostProcessTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/host/HostProcessTest.java
@@ -4,6 +4,8 @@
 
 import com.google.common.hash.Hashing;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -11,6 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.bramblerack.daemon.control.FileLogStore;
 import org.bramblerack.daemon.peer.LinkPolicy;
 import org.bramblerack.daemon.settings.Settings;
@@ -105,6 +109,41 @@
         assertThat(apply("change-3", "none", text).body()).contains("X-Expected-Revision");
     }
 
+    /** Guards against a request that its caller cuts off, at any byte, being executed as a whole one. */
+    @Test
+    void aRequestThatIsCutOffIsNotExecuted() throws Exception {
+        String before = send("GET", "/v1/history", "").body();
+        String text = Files.readString(Path.of("..", "examples", "spinifex.json"));
+        String head = String.join(
+                "\r\n",
+                "PUT /v1/declaration/spinifex HTTP/1.1",
+                "Host: h",
+                "Authorization: Bearer secret",
+                "X-Change-Id: cut",
+                "X-Expected-Revision: " + revision(),
+                "Content-Length: " + text.length(),
+                "",
+                "");
+        String whole = head + text;
+        for (int length = 0; length < whole.length(); length += length < head.length() ? 1 : 97) {
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), process.callerPort())) {
+                caller.setSoTimeout(10_000);
+                caller.getOutputStream().write(whole.substring(0, length).getBytes(StandardCharsets.UTF_8));
+                caller.shutdownOutput();
+                caller.getInputStream().readAllBytes();
+            }
+        }
+        assertThat(send("GET", "/v1/history", "").body()).isEqualTo(before);
+        assertThat(send("GET", "/metrics", "").body()).contains("refusal_internal 0.0");
+    }
+
+    private String revision() throws Exception {
+        Matcher accepted = Pattern.compile("\"acceptedRevision\":(\\d+)")
+                .matcher(send("GET", "/v1/status", "").body());
+        assertThat(accepted.find()).isTrue();
+        return accepted.group(1);
+    }
+
     @Test
     void everyRefusalKindHasACounter() throws Exception {
         send("POST", "/v1/nothing", "");
