Reject a pipelined request only after the requests before it are answered

Cause: the rejection was written when the bad request was read, and closed the connection.

Change: HttpConnection keeps the rejection until the requests before it are answered, and reads no further.

A 413 for a pipelined request that expects 100 Continue is still written at once: by reading, not tested.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpConnection.java
@@ -17,19 +17,22 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalInt;
 import org.bramblerack.process.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A connection of a caller, whose requests are handled one at a time in the order of arrival.
  *
- * <p>Owned by its event loop.
+ * <p>Invariant: requests are answered in the order of arrival. One that is rejected is the last of its connection.
+ * Owned by its event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
     /** The connection is closed if more pipelined requests than this wait for their turn. */
     private static final int MAX_PIPELINED = 32;
 
     private static final int BAD_REQUEST = 400;
+    private static final int CONTENT_TOO_LARGE = 413;
     private static final int HEAD_TOO_LONG = 431;
     private static final int URI_TOO_LONG = 414;
 
@@ -38,6 +41,9 @@
     private final MonotonicClock clock;
     private final Deque<HttpExchange> waiting = new ArrayDeque<>();
     private @Nullable HttpExchange current;
+    /** The status with which the last request is rejected, once those before it are answered. */
+    private OptionalInt rejection = OptionalInt.empty();
+
     private @Nullable ChannelHandlerContext context;
     private long lastActivityNanos;
     private long unwrittenBytes;
@@ -70,9 +76,12 @@
     @Override
     protected void channelRead0(ChannelHandlerContext handlerContext, FullHttpRequest request) {
         lastActivityNanos = clock.nowNanos();
+        if (rejection.isPresent()) {
+            return;
+        }
         DecoderResult decoded = request.decoderResult();
         if (decoded.isFailure()) {
-            rejectMalformed(handlerContext, decoded.cause());
+            reject(handlerContext, statusOf(decoded.cause()));
             return;
         }
         HttpExchange exchange = new HttpExchange(
@@ -95,6 +104,15 @@
         handle(exchange);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext handlerContext, Object event) {
+        if (event instanceof RequestAggregator.TooLarge && rejection.isEmpty()) {
+            reject(handlerContext, CONTENT_TOO_LARGE);
+        } else {
+            handlerContext.fireUserEventTriggered(event);
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
         handlerContext.close();
@@ -148,22 +166,35 @@
         lastActivityNanos = clock.nowNanos();
         current = null;
         HttpExchange next = waiting.pollFirst();
+        ChannelHandlerContext open = context;
         if (next != null) {
             handle(next);
+        } else if (rejection.isPresent() && open != null) {
+            writeRejection(open);
         }
     }
 
-    private void rejectMalformed(ChannelHandlerContext handlerContext, Throwable cause) {
-        int status = BAD_REQUEST;
-        if (cause instanceof TooLongHttpHeaderException) {
-            status = HEAD_TOO_LONG;
-        } else if (cause instanceof TooLongFrameException) {
-            status = URI_TOO_LONG;
+    /** Rejects the last request of this connection after those before it are answered, and reads no further. */
+    private void reject(ChannelHandlerContext handlerContext, int status) {
+        rejection = OptionalInt.of(status);
+        handlerContext.channel().config().setAutoRead(false);
+        if (current == null) {
+            writeRejection(handlerContext);
         }
-        FullHttpResponse response = HttpExchange.response(status, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void writeRejection(ChannelHandlerContext handlerContext) {
+        FullHttpResponse response = HttpExchange.response(rejection.orElseThrow(), Unpooled.EMPTY_BUFFER);
         response.headers()
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         handlerContext.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
+
+    private static int statusOf(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException) {
+            return HEAD_TOO_LONG;
+        }
+        return cause instanceof TooLongFrameException ? URI_TOO_LONG : BAD_REQUEST;
+    }
 }
