List a host again that was removed as silent while it runs

Cause: the tables keep a removed incarnation out for good, so that a late report of a process that has ended has no effect. A process that was removed while it runs reports the same incarnation for ever.

Change: a process that finds itself removed from the tables takes another incarnation, which the tables accept like that of a new start.

FleetViewTest.theRemovalOfThisHostIsNoticed covers whole and partial changes of the tables.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/ReplicatedTables.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/ReplicatedTables.java
@@ -182,6 +182,14 @@
         return known == null || isNewer(known, report);
     }
 
+    /** Returns true if a host was removed and stays so until it reports another incarnation. */
+    public boolean isGone(HostRecord host) {
+        HostRecord known = hosts.get(host.getName());
+        return known != null
+                && known.getIncarnation() == host.getIncarnation()
+                && known.getPhase() == HostRecord.Phase.GONE;
+    }
+
     /** Returns the revision, which is the number of changes made so far. */
     public long revision() {
         return revision;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/ControlProcess.java
@@ -58,7 +58,7 @@
     private final FleetControl fleet;
     private final ControlPeers peerHandler;
     private final PeerServer peers;
-    private final long incarnation;
+    private final HostIncarnation incarnation;
     private volatile ImmutableSortedSet<String> seeds;
     private volatile Runnable onRoleEnded = () -> {};
     private volatile boolean stopping;
@@ -81,7 +81,7 @@
         this.metrics = metrics;
         this.clock = clock;
         this.seeds = settings.seeds();
-        this.incarnation = incarnation;
+        this.incarnation = new HostIncarnation(settings.name(), incarnation);
         this.identity = VoterIdentity.loadOrStore(settings.dataFolder(), newIdentity(settings, random));
         PeerTraffic traffic = new PeerTraffic(metrics, this::isInOtherRegion);
         this.network = PeerNetwork.byAddress(identity.name(), group, LinkPolicy.OPEN, traffic);
@@ -229,7 +229,7 @@
             onRoleEnded.run();
             return;
         }
-        fleet.reportContacts(hostRecord());
+        fleet.reportContacts(hostRecord(), incarnation::renew);
     }
 
     private void logCounters() {
@@ -247,7 +247,7 @@
                 .setZone(settings.zone())
                 .setRegion(settings.region())
                 .setControlAddress(settings.controlAddress().toString())
-                .setIncarnation(incarnation)
+                .setIncarnation(incarnation.number())
                 .setPhase(HostRecord.Phase.READY)
                 .build();
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.bramblerack.daemon.control.ControlClient;
 import org.bramblerack.daemon.control.ControlNode;
 import org.bramblerack.daemon.control.ProposalResult;
@@ -292,8 +293,9 @@
      * Reports the recorded contacts to the leader or, on the leader, removes silent members. Call it every second.
      *
      * @param own the record that the tables should have of this host
+     * @param onRemoved receives the revision of tables that list this host as gone
      */
-    public void reportContacts(HostRecord own) {
+    public void reportContacts(HostRecord own, LongConsumer onRemoved) {
         node.withTables((tables, upToDate, nowNanos) -> {
                     synchronized (membership) {
                         membership.recordHostContact(own.getName(), 0, nowNanos);
@@ -305,7 +307,9 @@
                                 .filter(host -> !host.getRegion().equals(own.getRegion()))
                                 .map(HostRecord::getPeerAddress)
                                 .collect(ImmutableSet.toImmutableSet());
-                        if (upToDate && tables.wouldChange(own)) {
+                        if (upToDate && tables.isGone(own)) {
+                            onRemoved.accept(tables.revision());
+                        } else if (upToDate && tables.wouldChange(own)) {
                             reportHost(own);
                         }
                         boolean leading = node.isLeader();
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.bramblerack.daemon.event.EventLog;
+import org.bramblerack.daemon.fleet.HostIncarnation;
 import org.bramblerack.daemon.http.HttpListener;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.peer.LinkPolicy;
@@ -54,7 +55,7 @@
     private final HarmReporter harmReporter;
     private final PeerServer peers;
     private final HttpListener callers;
-    private final long incarnation;
+    private final HostIncarnation incarnation;
     private final HostWarmUp warmUp;
     private volatile boolean warm;
     private volatile boolean stopping;
@@ -74,7 +75,7 @@
             long incarnation) {
         this.settings = settings;
         this.clock = clock;
-        this.incarnation = incarnation;
+        this.incarnation = new HostIncarnation(settings.name(), incarnation);
         EventLoop loop = group.next();
         this.view = new FleetView(
                 settings.peerAddress().toString(),
@@ -86,6 +87,7 @@
                 group,
                 clock,
                 random);
+        view.onSelfRemoved(() -> this.incarnation.renew(view.revision()));
         PeerTraffic traffic =
                 new PeerTraffic(metrics, host -> view.otherRegionOf(host).isPresent());
         this.network = PeerNetwork.byAddress(settings.peerAddress().toString(), group, LinkPolicy.OPEN, traffic);
@@ -300,7 +302,7 @@
                 .setZone(settings.location().zone())
                 .setRegion(settings.location().region())
                 .setEntry(true)
-                .setIncarnation(incarnation)
+                .setIncarnation(incarnation.number())
                 .setPhase(stopping ? HostRecord.Phase.LEAVING : HostRecord.Phase.READY)
                 .build());
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetHosts.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetHosts.java
@@ -39,6 +39,17 @@
         return !before.equals(entryHosts());
     }
 
+    /** Returns true if a change, which has not been applied, removes the host with a peer address. */
+    boolean removes(TableDelta delta, String peerAddress) {
+        boolean isListed =
+                hosts.values().stream().anyMatch(host -> host.getPeerAddress().equals(peerAddress));
+        return delta.getHostsList().stream()
+                .filter(host -> host.getPeerAddress().equals(peerAddress))
+                .map(host -> host.getPhase() == HostRecord.Phase.GONE)
+                .findFirst()
+                .orElse(delta.getWhole() && isListed);
+    }
+
     private void apply(HostRecord host) {
         if (host.getPhase() == HostRecord.Phase.GONE) {
             hosts.remove(host.getName());
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/FleetView.java
@@ -54,6 +54,7 @@
     /** The maximum number of leaves or fingerprints in one log line. */
     private static final int MAX_LOGGED_NAMES = 12;
 
+    private final String self;
     private final HostLocation location;
     private final long startedNanos;
     private final LeafAccess access;
@@ -74,6 +75,7 @@
     private ImmutableSet<String> drainedZones = ImmutableSet.of();
     private boolean accessStale;
     private Runnable onHostsChanged = () -> {};
+    private Runnable onSelfRemoved = () -> {};
 
     /**
      * Creates an empty view.
@@ -90,6 +92,7 @@
             EventLoopGroup group,
             MonotonicClock clock,
             RandomGenerator random) {
+        this.self = self;
         this.location = location;
         this.hosts = new FleetHosts(location);
         this.startedNanos = clock.nowNanos();
@@ -134,6 +137,11 @@
         };
     }
 
+    /** Sets a task that runs when the tables no longer list this host although it is running. */
+    void onSelfRemoved(Runnable task) {
+        onSelfRemoved = task;
+    }
+
     /** Sets the observer of the connections to all leaves. */
     void onConnectionEvent(Consumer<ConnectionEvent> observer) {
         connections.setObserver(observer);
@@ -262,12 +270,16 @@
         }
         int hostsBefore = entryHosts().size();
         int leavesBefore = leafRecords.size();
+        boolean selfRemoved = hosts.removes(delta, self);
         boolean hostsChanged = hosts.apply(delta);
         boolean zonesChanged = applyDrainedZones(delta);
         boolean leavesChanged = applyLeaves(delta);
         boolean accessModeChanged = throughHolders != delta.getThroughHolders();
         throughHolders = delta.getThroughHolders();
         applyHarm(delta);
+        if (selfRemoved) {
+            onSelfRemoved.run();
+        }
         if (hostsChanged || leavesChanged || zonesChanged || accessModeChanged || newer.isPresent()) {
             accessStale = true;
             if (hostsChanged) {
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/FleetViewTest.java
@@ -54,6 +54,43 @@
         }
     }
 
+    /** Guards against a host that was removed while it runs never being listed again. */
+    @Test
+    void theRemovalOfThisHostIsNoticed() throws Exception {
+        FleetView view = GatewayFixture.view(group, MonotonicClock.system());
+        AtomicInteger removals = new AtomicInteger();
+        view.onSelfRemoved(removals::incrementAndGet);
+        HostRecord self = host("127.0.0.1:1");
+        HostRecord other = host("127.0.0.1:2");
+        apply(
+                view,
+                TableDelta.newBuilder()
+                        .setRevision(1)
+                        .setWhole(true)
+                        .addHosts(other)
+                        .build(),
+                Optional.empty());
+        apply(view, TableDelta.newBuilder().setRevision(2).addHosts(self).build(), Optional.empty());
+        apply(view, TableDelta.newBuilder().setRevision(3).addHosts(gone(other)).build(), Optional.empty());
+        assertThat(removals.get()).isEqualTo(0);
+        apply(view, TableDelta.newBuilder().setRevision(4).addHosts(gone(self)).build(), Optional.empty());
+        assertThat(removals.get()).isEqualTo(1);
+        apply(view, TableDelta.newBuilder().setRevision(5).addHosts(self).build(), Optional.empty());
+        apply(
+                view,
+                TableDelta.newBuilder()
+                        .setRevision(6)
+                        .setWhole(true)
+                        .addHosts(other)
+                        .build(),
+                Optional.empty());
+        assertThat(removals.get()).isEqualTo(2);
+    }
+
+    private static HostRecord gone(HostRecord host) {
+        return host.toBuilder().setPhase(HostRecord.Phase.GONE).build();
+    }
+
     private void apply(FleetView view, TableDelta delta, Optional<RoutingConfiguration> newer) throws Exception {
         group.submit(() -> view.apply(delta, newer)).get();
     }
