Do not pass the decisions of a former leader on to the leader

Cause: the thread of the control role waits for its disk. When it continues, it handles the events that have waited, still as the leader, takes all 68 hosts for silent and proposes to remove them. ControlClient finds out that another host leads and passes the command on, which is applied there: ForgetMembers has no place in time.

Change: decisions that a host makes as the leader, the removal of members and the access to shards, are proposed to its own log only.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/MembershipMonitor.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/MembershipMonitor.java
@@ -13,7 +13,8 @@
  * Tracks the last contact with each leaf and host, so that the leader can remove silent ones.
  *
  * <p>Each control host records the members that contact it and reports them to the leader. A new leader starts the
- * timeouts of all members anew. Not safe for use by several threads.
+ * timeouts of all members anew, and so does one that was stalled, for example by its disk: it has not processed the
+ * contacts of that time. Not safe for use by several threads.
  */
 public final class MembershipMonitor {
     /**
@@ -24,9 +25,13 @@
     /** Several times the interval of at most 1 s at which a host requests changes. */
     static final Duration HOST_TIMEOUT = Duration.ofSeconds(6);
 
+    /** A leader that has not evaluated its members for longer was stalled. */
+    static final Duration MAX_EVALUATION_INTERVAL = Duration.ofSeconds(3);
+
     private final Map<String, Long> lastLeafContactNanos = new HashMap<>();
     private final Map<String, Long> lastHostContactNanos = new HashMap<>();
     private final Map<String, Integer> queriesPerMinuteByHost = new HashMap<>();
+    private long lastEvaluationNanos;
     private HeardMembers.Builder pendingReport = HeardMembers.newBuilder();
 
     /** Records that a leaf reported to this host. */
@@ -84,15 +89,27 @@
 
     /** Resets the monitor of a new leader: all present members count as contacted now. */
     public void reset(ReplicatedTables tables, long nowNanos) {
+        queriesPerMinuteByHost.clear();
+        restartTimeouts(tables, nowNanos);
+    }
+
+    private void restartTimeouts(ReplicatedTables tables, long nowNanos) {
+        lastEvaluationNanos = nowNanos;
         lastLeafContactNanos.clear();
         lastHostContactNanos.clear();
-        queriesPerMinuteByHost.clear();
         tables.presentLeaves().forEach(leaf -> lastLeafContactNanos.put(leaf.getId(), nowNanos));
         tables.presentHosts().forEach(host -> lastHostContactNanos.put(host.getName(), nowNanos));
     }
 
-    /** Returns the members whose last contact is longer ago than their timeout, and stops tracking them. */
+    /**
+     * Returns the members whose last contact is longer ago than their timeout, and stops tracking them. Call it every
+     * second.
+     */
     public ForgetMembers silentMembers(ReplicatedTables tables, long nowNanos) {
+        if (nowNanos - lastEvaluationNanos > MAX_EVALUATION_INTERVAL.toNanos()) {
+            restartTimeouts(tables, nowNanos);
+        }
+        lastEvaluationNanos = nowNanos;
         ForgetMembers.Builder silent = ForgetMembers.newBuilder();
         for (LeafRecord leaf : tables.presentLeaves()) {
             long contactNanos = lastLeafContactNanos.computeIfAbsent(leaf.getId(), unused -> nowNanos);
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/fleet/FleetControl.java
@@ -349,19 +349,9 @@
                             .with("queriesAMinute", queriesPerMinute.orElse(0))
                             .with("entryHosts", entryHosts)
                             .write();
-                    propose(
-                                    Command.newBuilder()
-                                            .setSetShardAccess(
-                                                    SetShardAccess.newBuilder().setThroughHolders(throughHolders))
-                                            .build(),
-                                    REPORT_TIMEOUT)
-                            .subscribe()
-                            .with(
-                                    outcome -> {},
-                                    failure -> LOGGER.log(
-                                            Logger.Level.WARNING,
-                                            "a change of the shard access could not be proposed",
-                                            failure));
+                    proposeAsLeader(Command.newBuilder()
+                            .setSetShardAccess(SetShardAccess.newBuilder().setThroughHolders(throughHolders))
+                            .build());
                 });
     }
 
@@ -411,12 +401,20 @@
                 .with("leafs", String.join(" ", silent.getLeafIdsList()))
                 .with("hosts", silent.getHostsCount())
                 .write();
-        propose(Command.newBuilder().setForgetMembers(silent).build(), REPORT_TIMEOUT)
+        proposeAsLeader(Command.newBuilder().setForgetMembers(silent).build());
+    }
+
+    /**
+     * Proposes a decision that this host made as the leader. It is not passed on to another leader, which decides for
+     * itself: this host may have lost the leadership long ago without knowing.
+     */
+    private void proposeAsLeader(Command decision) {
+        node.propose(decision)
                 .subscribe()
                 .with(
-                        outcome -> {},
+                        result -> LOGGER.log(Logger.Level.DEBUG, "a decision of the leader ended with {0}", result),
                         failure -> LOGGER.log(
-                                Logger.Level.WARNING, "the removal of silent members could not be proposed", failure));
+                                Logger.Level.WARNING, "a decision of the leader could not be proposed", failure));
     }
 
     private Uni<FleetOutcome> propose(Command command, Duration timeout) {
