Do not count the leaves of drained zones as free

Cause: Leaf.hasCapacity reads the field acceptsWork in place of the method, which also asks whether the zone is drained.

Effect: a query's share of shards with capacity counts leaves that it may not be sent to, so that it can start at once although none of its leaves would.

Evidence: LeafTest.aLeafOfADrainedZoneHasNoCapacity failed before and passes now. What it is worth was not measured: it matters only while a zone is drained.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/leaf/Leaf.java
@@ -290,7 +290,7 @@
 
     /** Returns true if a further call would start at once, as far as this host knows. */
     public boolean hasCapacity(long nowNanos) {
-        return acceptsWork && !isEjected(nowNanos) && !isStalled(nowNanos) && occupancy(nowNanos) + 1 <= slots;
+        return acceptsWork() && !isEjected(nowNanos) && !isStalled(nowNanos) && occupancy(nowNanos) + 1 <= slots;
     }
 
     /**
--- a/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/process/leaf/LeafTest.java
@@ -109,6 +109,17 @@
                 .isEqualTo(Optional.empty());
     }
 
+    /** Guards against queries that start at once because of leaves that they may not be sent to. */
+    @Test
+    void aLeafOfADrainedZoneHasNoCapacity() {
+        Leaf leaf = leaf("near", Distance.SAME_ZONE);
+        assertThat(pool.hasCapacity(0)).isTrue();
+        leaf.setZoneDrained(true);
+        assertThat(pool.hasCapacity(0)).isFalse();
+        leaf.setZoneDrained(false);
+        assertThat(pool.hasCapacity(0)).isTrue();
+    }
+
     @Test
     void theReportedLoadAffectsTheChoice() {
         Leaf loaded = leaf("loaded", Distance.SAME_ZONE);
