Count an order on a zone from a host that lags if it changes nothing

Cause: an order whose number is older than the last one was acknowledged, if the zone was as it asks, without being counted. An opposite order that was read before it, and is delayed, still followed the last number and would undo it.

Change: an order that changes nothing is always counted. An opposite order that is in flight then conflicts; its host checks whether the caller waits and proposes it again.

--- a/bramblerack-core/src/main/java/org/bramblerack/process/members/ZoneDrains.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/process/members/ZoneDrains.java
@@ -14,8 +14,8 @@
 /**
  * The drained availability zones, and how many orders were accepted on each zone.
  *
- * <p>Invariant: an order that names the number which it follows takes effect only if no other such order on its zone
- * has been accepted since. Not safe for use by several threads.
+ * <p>Invariant: an order that names the number which it follows changes the drained zones only if no other such order
+ * on its zone has been accepted since. Not safe for use by several threads.
  */
 final class ZoneDrains {
     private final SortedSet<String> drainedZones = new TreeSet<>();
@@ -30,10 +30,10 @@
     CommandResult.Kind apply(SetZoneDrain order) {
         String zone = order.getZone();
         boolean changes = drainedZones.contains(zone) != order.getDrained();
+        if (changes && order.hasExpectedOrder() && order.getExpectedOrder() != lastOrder(zone)) {
+            return CommandResult.Kind.CONFLICT;
+        }
         if (order.hasExpectedOrder()) {
-            if (order.getExpectedOrder() != lastOrder(zone)) {
-                return changes ? CommandResult.Kind.CONFLICT : CommandResult.Kind.SUPERSEDED;
-            }
             // Also counts an order that changes nothing, so that an opposite one sent before it has no effect.
             orders.merge(zone, 1L, Long::sum);
         }
