Hold orders in ZoneDrainOrdersTest in one place

The three tests that hold an order between the check and the proposal repeated the steps. They assert what they did before; 4 of 4 tests pass.

--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/fleet/ZoneDrainOrdersTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/fleet/ZoneDrainOrdersTest.java
@@ -92,15 +92,11 @@
     @Test
     void anOrderThatIsDelayedAfterTheCheckDoesNotUndoANewerOne() throws Exception {
         execute(true, true);
-        HeldCaller caller = new HeldCaller();
-        CompletableFuture<FleetOutcome> late =
-                orders.execute(ZONE, false, caller).subscribeAsCompletionStage();
-        CompletableFuture<Boolean> check = caller.nextCheck();
-        assertThat(execute(false, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED);
-        assertThat(execute(true, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED);
-        check.complete(true);
-        caller.nextCheck().complete(false);
-        assertThat(late.get(WAIT.toSeconds(), TimeUnit.SECONDS)).isEqualTo(FleetOutcome.ABANDONED);
+        FleetOutcome late = takeBackWith(false, () -> {
+            assertThat(execute(false, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED);
+            assertThat(execute(true, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED);
+        });
+        assertThat(late).isEqualTo(FleetOutcome.ABANDONED);
         assertThat(drainedZones()).containsExactly(ZONE);
     }
 
@@ -108,29 +104,36 @@
     @Test
     void anOrderThatIsDelayedDoesNotUndoANewerOneThatChangedNothing() throws Exception {
         execute(true, true);
-        HeldCaller caller = new HeldCaller();
-        CompletableFuture<FleetOutcome> late =
-                orders.execute(ZONE, false, caller).subscribeAsCompletionStage();
-        CompletableFuture<Boolean> check = caller.nextCheck();
-        assertThat(execute(true, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED);
-        check.complete(true);
-        caller.nextCheck().complete(false);
-        assertThat(late.get(WAIT.toSeconds(), TimeUnit.SECONDS)).isEqualTo(FleetOutcome.ABANDONED);
+        FleetOutcome late =
+                takeBackWith(false, () -> assertThat(execute(true, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED));
+        assertThat(late).isEqualTo(FleetOutcome.ABANDONED);
         assertThat(drainedZones()).containsExactly(ZONE);
     }
 
     @Test
     void aCallerWhoStillWaitsIsServedAfterAConcurrentOrder() throws Exception {
         execute(true, true);
+        FleetOutcome concurrent =
+                takeBackWith(true, () -> assertThat(execute(true, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED));
+        assertThat(concurrent).isEqualTo(FleetOutcome.ACKNOWLEDGED);
+        assertThat(drainedZones()).isEmpty();
+    }
+
+    /**
+     * Ends the drain by an order that is held between the check that its caller waits and its proposal.
+     *
+     * @param waitsLater whether the caller waits when he is checked again
+     * @param newerOrders the orders that are executed meanwhile
+     */
+    private FleetOutcome takeBackWith(boolean waitsLater, Runnable newerOrders) throws Exception {
         HeldCaller caller = new HeldCaller();
-        CompletableFuture<FleetOutcome> concurrent =
+        CompletableFuture<FleetOutcome> held =
                 orders.execute(ZONE, false, caller).subscribeAsCompletionStage();
         CompletableFuture<Boolean> check = caller.nextCheck();
-        assertThat(execute(true, true)).isEqualTo(FleetOutcome.ACKNOWLEDGED);
+        newerOrders.run();
         check.complete(true);
-        caller.nextCheck().complete(true);
-        assertThat(concurrent.get(WAIT.toSeconds(), TimeUnit.SECONDS)).isEqualTo(FleetOutcome.ACKNOWLEDGED);
-        assertThat(drainedZones()).isEmpty();
+        caller.nextCheck().complete(waitsLater);
+        return held.get(WAIT.toSeconds(), TimeUnit.SECONDS);
     }
 
     private FleetOutcome execute(boolean drained, boolean callerWaits) {
