Do not reuse a connection that the stand-in closes in CutResponseTest

Change: the refusal is checked in a test of its own, with a connection of its own. The assertions are the same.

--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/holder/CutResponseTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/holder/CutResponseTest.java
@@ -93,6 +93,11 @@
         response = ("HTTP/1.1 200 OK\r\n" + REPLY_FIELDS + "Content-Length: 0\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1);
         assertThat(call()).isInstanceOf(LeafOutcome.Replied.class);
+    }
+
+    /** A test of its own, since the upstream closes the connection that a further call would use. */
+    @Test
+    void theWholeRefusalIsOne() {
         response = "HTTP/1.1 503 X\r\nX-Refusal: overloaded\r\nX-Call-Id: c\r\nContent-Length: 0\r\n\r\n"
                 .getBytes(StandardCharsets.ISO_8859_1);
         assertThat(call()).isEqualTo(new LeafOutcome.Failed(LeafFailure.OVERLOADED));
