Do not reuse a connection whose close delimits a response

Callers saw: a call to an upstream that fails as CONNECTION_LOST although it was never sent, after a response without a length on that connection.

Cause: such a response ends when the connection does. Vert.x returns the connection to its pool on the response's end, and handles the close a moment later; a request in between takes the closed connection.

Change: CloseDelimitedResponses marks these responses with Connection: close before the client reads them.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/holder/HttpUpstreamProtocol.java
@@ -141,7 +141,10 @@
         WebClientOptions options = options(connections);
         HttpClient client = vertx.httpClientBuilder()
                 .with(options)
-                .withConnectHandler(connection -> ResponseLimit.install(connection, maxBodyBytes, maxTime))
+                .withConnectHandler(connection -> {
+                    ResponseLimit.install(connection, maxBodyBytes, maxTime);
+                    CloseDelimitedResponses.install(connection);
+                })
                 .build();
         return WebClient.wrap(client, options);
     }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/holder/CutResponseTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/holder/CutResponseTest.java
@@ -32,6 +32,7 @@
 /** Guards against a response that an upstream cuts off, at any byte, being taken for a whole one. */
 final class CutResponseTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int ROUNDS = 500;
     private static final UpstreamName NAME = new UpstreamName(new ServiceName("partner", "service"), "u1");
     private static final String REPLY_FIELDS =
             "X-Call-Id: c\r\nX-Shard: 10\r\nX-Shard-Count: 21\r\nX-Index-Version: 12\r\nX-Payload-Length: 0\r\nX-Payload-Crc32c: 00\r\n";
@@ -128,6 +129,22 @@
         assertThat(reportArrives()).isTrue();
     }
 
+    /** Guards against a call that fails because the response before it ended with its connection. */
+    @Test
+    void aCallAfterACloseDelimitedReplyUsesANewConnection() {
+        byte[] delimited = ("HTTP/1.1 200 OK\r\n" + REPLY_FIELDS + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        byte[] whole = ("HTTP/1.1 200 OK\r\n" + REPLY_FIELDS + "Connection: close\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+        for (int round = 0; round < ROUNDS; round++) {
+            reset = true;
+            response = delimited;
+            call();
+            reset = false;
+            response = whole;
+            assertWithMessage("round %s", round).that(call()).isInstanceOf(LeafOutcome.Replied.class);
+        }
+    }
+
     private boolean reportArrives() {
         return protocol.report()
                 .map(report -> true)
