Do not send requests to leaves whose callers have left

Cause: a host that lags finds a message and its cancellation in its sockets together, and acted on the first before it read the second: when it started requests, when it made calls for other hosts, and when it sent requests that had waited for a connection.

Change: what has arrived is read before a request, a call or a waiting request is sent. Calls that were not sent are abandoned at once, and a StageCancel with unless_sent lets a holder drop those that it has not sent. An abandoned request leaves the queue of its leaf.

--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/EntryProcess.java
@@ -125,10 +125,10 @@
         this.callers = new HttpListener(
                 settings.callerAddress(),
                 group,
-                exchange -> {
+                new DepartedCallerFilter(view.routing().eventLoopLag(), clock, exchange -> {
                     warmUp.onWork();
                     gateway.handle(exchange);
-                },
+                }),
                 () -> view.configuration().limits(),
                 clock);
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HeldLeafCalls.java
@@ -128,6 +128,15 @@
             abandon();
         }
 
+        @Override
+        public boolean cancelUnlessSent() {
+            boolean isSent = handle.map(LeafConnections.CallHandle::isSent).orElse(true);
+            if (!isSent) {
+                abandon();
+            }
+            return !isSent;
+        }
+
         @Override
         public void endNow() {
             if (leaf.isUnderWay(call)) {
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/HolderPath.java
@@ -109,6 +109,18 @@
             return !messageCreated;
         }
 
+        @Override
+        public boolean isSent() {
+            return messageCreated;
+        }
+
+        @Override
+        public void withdraw() {
+            if (!ended) {
+                links.withdraw(holder, number);
+            }
+        }
+
         private void onResult(StageResult result) {
             if (ended) {
                 return;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/LeafSender.java
@@ -150,14 +150,26 @@
         cancelWake();
     }
 
-    /** Records that the caller has gone; calls in flight are abandoned after a short time. */
+    /**
+     * Records that the caller has gone. Calls that were not sent are abandoned, the others after a short time, within
+     * which most of them end and leave their connections open.
+     */
     void callerGone() {
         cancelWake();
+        List.copyOf(pending.entrySet()).forEach(entry -> abandonUnsent(entry.getKey(), entry.getValue()));
         if (!pending.isEmpty()) {
             loop.schedule(this::abandonAll, CALLER_GONE_LINGER.toNanos(), TimeUnit.NANOSECONDS);
         }
     }
 
+    private void abandonUnsent(Attempt attempt, PendingCall pendingCall) {
+        if (pendingCall.handle().isSent()) {
+            pendingCall.handle().withdraw();
+        } else {
+            abandon(attempt);
+        }
+    }
+
     private void abandonAll() {
         List.copyOf(pending.keySet()).forEach(this::abandon);
     }
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageCalls.java
@@ -39,6 +39,16 @@
         }
     }
 
+    /** Cancels a call unless it may have called a leaf; no effect if it has ended or never started. */
+    void cancelUnlessSent(String sender, long number) {
+        Key key = new Key(sender, number);
+        Call call = underWay.get(key);
+        if (call != null && call.cancelUnlessSent()) {
+            underWay.remove(key);
+            count = underWay.size();
+        }
+    }
+
     /** Passes the reply to a request for attempts to its call; no effect if that has ended. */
     void onAttemptsAnswered(String sender, StageGrant grant) {
         Call call = underWay.get(new Key(sender, grant.getCall()));
@@ -62,6 +72,11 @@
         /** Ends the call without a reply, which is no longer needed. */
         void cancel();
 
+        /** Ends the call as {@link #cancel} does if it has called no leaf, and returns true if so. */
+        default boolean cancelUnlessSent() {
+            return false;
+        }
+
         /** Ends the call and replies with what is known now. */
         void endNow();
 
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageLinks.java
@@ -212,6 +212,14 @@
                 Envelope.newBuilder().setStageCancel(StageCancel.newBuilder().setCall(call)));
     }
 
+    /** Notifies a host that a call is no longer needed unless it was sent to a leaf. */
+    void withdraw(Link link, long call) {
+        network.send(
+                link.host,
+                Envelope.newBuilder()
+                        .setStageCancel(StageCancel.newBuilder().setCall(call).setUnlessSent(true)));
+    }
+
     /** Sends the reply to a host's request for attempts. If it is lost, the attempts are not made. */
     void answerAttemptRequest(Link link, StageGrant.Builder grant) {
         network.send(link.host, Envelope.newBuilder().setStageGrant(grant));
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/gateway/StageServer.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.bramblerack.daemon.leaf.CallHeaders;
 import org.bramblerack.daemon.leaf.LeafRequest;
@@ -98,13 +97,17 @@
 
     /** Cancels a call of another host whose result is no longer needed. */
     void cancel(String sender, StageCancel cancel) {
-        calls.cancel(sender, cancel.getCall());
+        if (cancel.getUnlessSent()) {
+            calls.cancelUnlessSent(sender, cancel.getCall());
+        } else {
+            calls.cancel(sender, cancel.getCall());
+        }
     }
 
     /**
      * Runs a query, or calls the one leaf that is named, and replies.
      *
-     * <p>A query starts after all messages that have arrived were read, since on a lagging host its cancellation may be
+     * <p>A call starts after all messages that have arrived were read, since on a lagging host its cancellation may be
      * among them.
      */
     void handle(String sender, StageCall call, Consumer<Envelope.Builder> sendReply) {
@@ -128,28 +131,19 @@
             }
             reply.accept(message);
         };
-        if (call.getLeaf().isEmpty()) {
-            AtomicBoolean cancelled = new AtomicBoolean();
-            calls.begin(sender, call.getCall(), new StageCalls.Call() {
-                @Override
-                public void cancel() {
-                    cancelled.set(true);
-                }
-
-                @Override
-                public void endNow() {
-                    // The query is refused when its turn comes.
-                }
-            });
-            loop.execute(() -> {
-                if (!cancelled.get()) {
-                    calls.end(sender, call.getCall());
-                    runQuery(sender, call, homes, arrivedNanos, request, reply, lastReply);
-                }
-            });
-        } else {
-            callLeaf(sender, call, arrivedNanos, request, lastReply);
-        }
+        QueuedCall queued = new QueuedCall();
+        calls.begin(sender, call.getCall(), queued);
+        loop.execute(() -> {
+            if (queued.cancelled) {
+                return;
+            }
+            calls.end(sender, call.getCall());
+            if (call.getLeaf().isEmpty()) {
+                runQuery(sender, call, homes, arrivedNanos, request, reply, lastReply);
+            } else {
+                callLeaf(sender, call, arrivedNanos, request, lastReply);
+            }
+        });
     }
 
     private void callLeaf(
@@ -382,6 +376,27 @@
         return headers;
     }
 
+    /** A call that has not started. */
+    private static final class QueuedCall implements StageCalls.Call {
+        private boolean cancelled;
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+        }
+
+        @Override
+        public boolean cancelUnlessSent() {
+            cancelled = true;
+            return true;
+        }
+
+        @Override
+        public void endNow() {
+            // The call is refused when its turn comes.
+        }
+    }
+
     /** Sends partial results and the final result of a query to the calling host. */
     private record ReplySink(
             Consumer<Envelope.Builder> sendProgress,
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/http/HttpExchange.java
@@ -4,8 +4,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -118,6 +120,22 @@
         context.executor().schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Reads what else has arrived from the caller, including the end of the connection, and then runs a task on the
+     * event loop unless the request is over.
+     */
+    public void afterReading(Runnable task) {
+        context.executor().execute(() -> {
+            Channel channel = context.channel();
+            if (channel.config().isAutoRead() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+                socket.read();
+            }
+            if (channel.isActive() && !isOver()) {
+                task.run();
+            }
+        });
+    }
+
     /** Returns true if the caller disconnected before the answer. */
     public boolean isCallerGone() {
         return callerGone;
--- a/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
+++ b/bramblerack-daemon/src/main/java/org/bramblerack/daemon/leaf/LeafConnections.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -46,7 +47,9 @@
     private final Deque<LeafConnection> idle = new ArrayDeque<>();
     private final List<LeafConnection> open = new ArrayList<>(4);
     private final Deque<PendingRequest> waiting = new ArrayDeque<>();
+    private final EventExecutor loop;
     private int connecting;
+    private boolean waitingScheduled;
 
     /**
      * Creates a set without connections.
@@ -67,6 +70,7 @@
             CallMonitor monitor) {
         this.leaf = leaf;
         this.group = group;
+        this.loop = group.next();
         this.headerNames = headerNames;
         this.clock = clock;
         this.limits = limits;
@@ -93,7 +97,7 @@
             callback.onFailure(LeafOutcome.NO_CONNECTION);
             return pending;
         }
-        LeafConnection idleConnection = takeIdle(request.requestId());
+        LeafConnection idleConnection = waiting.isEmpty() ? takeIdle(request.requestId()) : null;
         if (idleConnection != null) {
             pending.sendOn(idleConnection);
         } else if (waiting.size() >= MAX_WAITING) {
@@ -136,21 +140,35 @@
             failWaiting(LeafOutcome.NO_CONNECTION);
             return;
         }
-        if (waiting.isEmpty()) {
-            idle.addFirst(connection);
-            return;
+        idle.addFirst(connection);
+        if (!waiting.isEmpty()) {
+            scheduleWaiting();
         }
-        Optional<ConnectionEvent> unusable = connection.unusableReason(clock.nowNanos());
-        if (unusable.isPresent()) {
-            // Another connection is opened for the waiting requests once this one is closed.
-            connection.close(unusable.get());
-            return;
+    }
+
+    /**
+     * Sends waiting requests after everything that can be read now was read. On a lagging host, that may include the
+     * end of a caller's connection, which another task handles.
+     */
+    private void scheduleWaiting() {
+        if (!waitingScheduled) {
+            waitingScheduled = true;
+            loop.execute(() -> loop.execute(this::sendWaiting));
         }
-        PendingRequest next = nextWaiting();
-        if (next == null) {
-            idle.addFirst(connection);
-        } else {
-            next.sendOn(connection);
+    }
+
+    private void sendWaiting() {
+        waitingScheduled = false;
+        if (!leaf.acceptsWork()) {
+            failWaiting(LeafOutcome.NO_CONNECTION);
+        }
+        while (!waiting.isEmpty()) {
+            LeafConnection connection = takeIdle(waiting.getFirst().request.requestId());
+            if (connection == null) {
+                connectIfAllowed();
+                return;
+            }
+            waiting.removeFirst().sendOn(connection);
         }
     }
 
@@ -187,16 +205,8 @@
         return null;
     }
 
-    private @Nullable PendingRequest nextWaiting() {
-        PendingRequest next = waiting.pollFirst();
-        while (next != null && next.isAbandoned()) {
-            next = waiting.pollFirst();
-        }
-        return next;
-    }
-
     private void connectIfAllowed() {
-        boolean needed = connecting < waiting.size();
+        boolean needed = connecting + idle.size() < waiting.size();
         if (needed && open.size() + connecting < Math.max(1, share.getAsInt())) {
             connect(ConnectionEvent.MADE_FOR_CALL);
         }
@@ -243,11 +253,11 @@
     }
 
     private void failWaiting(LeafOutcome outcome) {
-        PendingRequest next = nextWaiting();
+        PendingRequest next = waiting.pollFirst();
         while (next != null) {
             next.completed = true;
             next.callback.onFailure(outcome);
-            next = nextWaiting();
+            next = waiting.pollFirst();
         }
     }
 
@@ -259,6 +269,12 @@
          * @return true if it was not sent
          */
         boolean abandon();
+
+        /** Returns true if the request was sent, or handed over to a host that may have sent it. */
+        boolean isSent();
+
+        /** Lets a host that the request was handed over to drop it, unless that host has sent it. */
+        default void withdraw() {}
     }
 
     private final class PendingRequest implements CallHandle {
@@ -324,8 +340,9 @@
             }
         }
 
-        boolean isAbandoned() {
-            return abandoned;
+        @Override
+        public boolean isSent() {
+            return connection != null;
         }
 
         @Override
@@ -335,6 +352,7 @@
             }
             abandoned = true;
             if (connection == null) {
+                waiting.remove(this);
                 callback.onFailure(LeafOutcome.NO_CONNECTION);
                 return true;
             }
--- a/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
+++ b/bramblerack-daemon/src/test/java/org/bramblerack/daemon/gateway/StageServerTest.java
@@ -172,21 +172,77 @@
     /** Messages that have already arrived are read before the query starts. */
     @Test
     void aQueryThatIsCancelledAtOnceReachesNoLeaf() throws Exception {
-        Envelope call = Envelope.newBuilder()
+        cancelAtOnce(query());
+        assertThat(call(query()).getStatus()).isEqualTo(StageResult.Status.ANSWERED);
+        assertThat(leafRequests.get()).isEqualTo(1);
+    }
+
+    /** Guards against requests that reach leaves after their callers have left, through a host that lags. */
+    @Test
+    void aLeafCallThatIsCancelledAtOnceReachesNoLeaf() throws Exception {
+        StageCall.Builder leafCall = query().setLeaf("i-1");
+        assertThat(call(leafCall).getStatus()).isEqualTo(StageResult.Status.ANSWERED);
+        assertThat(connections("i-1")).isEqualTo(1);
+        // A connection is not reused for the same request.
+        cancelAtOnce(leafCall.setHeaderValues(0, "r-2"));
+        // A call that was sent is cancelled by closing its connection.
+        assertThat(connections("i-1")).isEqualTo(1);
+        assertThat(leafRequests.get()).isEqualTo(1);
+    }
+
+    @Test
+    void aCallThatWaitsForAConnectionIsWithdrawnAndOthersGoOn() throws Exception {
+        silent.set(true);
+        int calls = 40;
+        for (int number = 1; number <= calls; number++) {
+            start(query().setLeaf("i-1").setCall(number));
+        }
+        // The calls start after the tasks that receive them.
+        group.submit(() -> {}).get();
+        int sent = connections("i-1");
+        assertThat(sent).isLessThan(calls);
+        while (leafRequests.get() < sent) {
+            Thread.sleep(5);
+        }
+        for (int number = 1; number <= calls; number++) {
+            cancel(StageCancel.newBuilder().setCall(number).setUnlessSent(true));
+        }
+        assertThat(connections("i-1")).isEqualTo(sent);
+        cancel(StageCancel.newBuilder().setCall(1));
+        Thread.sleep(200);
+        assertThat(connections("i-1")).isEqualTo(sent - 1);
+        assertThat(leafRequests.get()).isEqualTo(sent);
+    }
+
+    private int connections(String leafId) throws Exception {
+        return group.submit(() ->
+                        view.connectionsTo(view.leaf(leafId).orElseThrow()).count())
+                .get();
+    }
+
+    private void cancel(StageCancel.Builder cancel) throws Exception {
+        Envelope message = Envelope.newBuilder()
                 .setSender("127.0.0.1:2")
-                .setStageCall(query().setCall(9))
+                .setStageCancel(cancel)
+                .build();
+        group.submit(() -> gateway.handle(message, reply -> {})).get();
+    }
+
+    /** Passes on a call and its cancellation, which have arrived together. */
+    private void cancelAtOnce(StageCall.Builder call) throws Exception {
+        Envelope message = Envelope.newBuilder()
+                .setSender("127.0.0.1:2")
+                .setStageCall(call.setCall(9))
                 .build();
         Envelope cancel = Envelope.newBuilder()
                 .setSender("127.0.0.1:2")
                 .setStageCancel(StageCancel.newBuilder().setCall(9))
                 .build();
         group.submit(() -> {
-                    gateway.handle(call, reply -> {});
+                    gateway.handle(message, reply -> {});
                     gateway.handle(cancel, reply -> {});
                 })
                 .get();
-        assertThat(call(query()).getStatus()).isEqualTo(StageResult.Status.ANSWERED);
-        assertThat(leafRequests.get()).isEqualTo(1);
     }
 
     /** Guards against a leaf's failure counting as a part because it is signed and no 5xx. */
