Charge an attempt to the budget after a refusal at another host

Cause: a host that calls leaves for another one gives back the attempts that leaves have refused, since they have not run. The calling host took such a shard for one that was never sent, so that its next attempt was free and counted as a first one. In 10 s 1,034 first attempts were counted for about 820 requests.

Change: the calling host remembers that the request was sent. A host whose leaves have all refused replies with the attempts that it has not used, instead of a refusal as not run.

Evidence: the two new tests of StagedQueryTest failed before.

--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptAllowance.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/AttemptAllowance.java
@@ -15,6 +15,7 @@
     private int handedOver;
     private int obtainable;
     private boolean requested;
+    private boolean sentByDelegate;
 
     /**
      * Creates an allowance.
@@ -53,9 +54,18 @@
         handedOver++;
     }
 
-    /** Records that the delegate has certainly not used one of its attempts and will not. */
+    /**
+     * Records that the delegate has certainly not used one of its attempts and will not, although it sent the request:
+     * a leaf that refuses a request has not run it.
+     */
     void takeBack() {
         handedOver = Math.max(0, handedOver - 1);
+        sentByDelegate = true;
+    }
+
+    /** Returns true if the delegate may have sent the request to a leaf. */
+    boolean mayBeSentByDelegate() {
+        return isAnyHandedOver() || sentByDelegate;
     }
 
     /** Records that the delegate has certainly not used any of its attempts and will not. */
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/QueryShards.java
@@ -126,6 +126,14 @@
         return count(ShardRequest::isNotRun) == shards.length;
     }
 
+    /**
+     * Returns true if the query was sent but no leaf has run it. The reply to a delegating host then names the shards
+     * that were sent, which it would take for not sent if the query were refused as not run.
+     */
+    boolean areAllRefused() {
+        return isNotRun() && count(ShardRequest::wasSent) > 0 && count(ShardRequest::isQuarantined) == 0;
+    }
+
     /**
      * Returns the reason for refusing a query with too few shards.
      *
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ScatterQuery.java
@@ -403,7 +403,8 @@
         boolean deadlineReached = nowNanos - bounds.deadlineNanos() >= 0;
         boolean goalReached = nowNanos - bounds.goalNanos() >= 0;
         boolean finished = nothingToWaitFor || deadlineReached;
-        if (hasEnoughShards() && (finished || (goalReached && delivery == Delivery.SINGLE))) {
+        boolean answerable = hasEnoughShards() || (delivery == Delivery.INCREMENTAL && shards.areAllRefused());
+        if (answerable && (finished || (goalReached && delivery == Delivery.SINGLE))) {
             ImmutableList<Integer> notSent = shards.notSent();
             ImmutableList<Integer> unusedAttempts =
                     delivery == Delivery.INCREMENTAL ? shards.unusedAttempts() : ImmutableList.of();
--- a/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
+++ b/bramblerack-core/src/main/java/org/bramblerack/request/routed/ShardRequest.java
@@ -235,11 +235,12 @@
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_NO_LEAF, actions);
             return;
         }
-        if (allowance.isAnyHandedOver() && !pool.budget().tryWithdraw(nowNanos)) {
+        if (!wasSent()) {
+            pool.budget().recordFirstAttempt(nowNanos);
+        } else if (!pool.budget().tryWithdraw(nowNanos)) {
             endWithoutAnswer(AttemptCounter.RETRY_DENIED_BUDGET, actions);
             return;
         }
-        pool.budget().recordFirstAttempt(nowNanos);
         actions.add(new RoutedAction.Count(AttemptCounter.FIRST));
         sendAttempt(leaf.get(), Attempt.Purpose.FIRST, nowNanos, actions);
     }
@@ -361,7 +362,7 @@
 
     /** Returns true if any attempt was made, here or by another host. */
     boolean wasAttempted() {
-        return allowance.isAnyHandedOver() || !attempts.isEmpty();
+        return allowance.mayBeSentByDelegate() || !attempts.isEmpty();
     }
 
     /** Returns the refusal reason of a request that has not run. */
@@ -382,7 +383,7 @@
 
     /** Returns true if the request may have reached a leaf. */
     boolean wasSent() {
-        return allowance.isAnyHandedOver() || !attempts.isNoneSent();
+        return allowance.mayBeSentByDelegate() || !attempts.isNoneSent();
     }
 
     /** Returns true if more than one attempt may have run, here or by another host. */
--- a/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagedQueryTest.java
+++ b/bramblerack-core/src/test/java/org/bramblerack/request/routed/StagedQueryTest.java
@@ -282,6 +282,35 @@
         assertThat(harness.delivered.get(0).unusedAttempts()).containsExactly(1);
     }
 
+    /** Guards against a leaf's refusal at another host making the next attempt free of charge. */
+    @Test
+    void anAttemptAfterARefusalAtAnotherHostIsChargedToTheBudget() {
+        ScatterQuery query = query(4, 10, 2, 3);
+        harness.execute(query.start(0), 0);
+        harness.exhaustBudgets();
+        StageReply reply = new StageReply(
+                ImmutableList.of(3),
+                ImmutableList.of("stage3"),
+                ImmutableList.of(),
+                ImmutableList.of(2),
+                ByteString.EMPTY);
+        harness.execute(query.onStageReply(harness.stages.get(0), reply, 2 * MILLI), 2 * MILLI);
+        assertThat(harness.attempts).hasSize(2);
+    }
+
+    /** Guards against a delegate whose attempts all were refused reporting the query as not sent. */
+    @Test
+    void aDelegateWhoseLeavesAllRefusedReportsTheShardsAsSent() {
+        ScatterQuery query = delegatedQuery();
+        harness.execute(query.start(0), 0);
+        harness.exhaustBudgets();
+        harness.fail(query, harness.attempts.get(0), LeafOutcome.REFUSED_BUSY, MILLI);
+        harness.fail(query, harness.attempts.get(1), LeafOutcome.REFUSED_BUSY, MILLI);
+        assertThat(harness.delivered).hasSize(1);
+        assertThat(harness.delivered.get(0).notSent()).isEmpty();
+        assertThat(harness.delivered.get(0).unusedAttempts()).containsExactly(0, 1);
+    }
+
     /** Guards against a delegate's refused attempt using up the attempt that it was handed. */
     @Test
     void aRefusedAttemptIsRetriedWithoutARequest() {
