--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -49,7 +50,7 @@
     /** Further settings of all hosts, each preceded by a comma. */
     static String extraSettings = "";
 
-    private final Path record;
+    private final PrintWriter record;
     private final long startNanos = System.nanoTime();
     private final int net;
     private final int basePort;
@@ -58,9 +59,8 @@
 
     Rig(Path repository, Path record, int controlCount, int entryCount) throws IOException {
         this.repository = repository;
-        this.record = record;
         this.folder = Files.createTempDirectory("bramblerack-review");
-        Files.deleteIfExists(record);
+        this.record = new PrintWriter(Files.newBufferedWriter(record));
         int[] free = findFreeNetwork(controlCount + entryCount);
         this.net = free[0];
         this.basePort = free[1];
@@ -103,16 +103,8 @@
     void log(String format, Object... arguments) {
         String text = String.format(Locale.ROOT, "%8.3f  ", (System.nanoTime() - startNanos) / 1e9)
                 + String.format(Locale.ROOT, format, arguments);
-        synchronized (this) {
-            try {
-                Files.writeString(
-                        record,
-                        text + "\n",
-                        java.nio.file.StandardOpenOption.CREATE,
-                        java.nio.file.StandardOpenOption.APPEND);
-            } catch (IOException failure) {
-                throw new IllegalStateException(failure);
-            }
+        synchronized (record) {
+            record.println(text);
         }
     }
 
@@ -563,6 +555,9 @@
     public void close() throws IOException {
         closed = true;
         killAll();
+        synchronized (record) {
+            record.flush();
+        }
         if (System.getenv("KEEP_LOGS") == null) {
             try (Stream<Path> files = Files.walk(folder)) {
                 for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
--- a/review/standin-2/RollingBudget.java
+++ b/review/standin-2/RollingBudget.java
@@ -74,6 +74,7 @@
                 String id = request.header("request-id");
                 arrived.add(new Event(now(), id + "@" + leaf.service));
                 boolean refuses = grey && mayBeGrey && random.nextDouble() < GREY_FAILS;
+                rig.log("%s %s at %s", refuses ? "refuse" : "run", id, leaf.id);
                 if (refuses) {
                     leaf.reply(out, 503, request, "Not-Executed: 1\r\nServer-Load: 1,0,2\r\n", new byte[0]);
                 } else {
@@ -149,9 +150,12 @@
                         client = new Rig.Client(balancer.choose(number + random.nextInt(HOSTS)).front(), 6_500);
                     }
                     sent.add(new Event(now(), id));
+                    rig.log("send %s", id);
                     long left = (long) ((deadline - now()) * 1_000);
                     Rig.Answer answer = client.send("GET", "/one/" + id, "wallet.example",
                             Map.of("Request-Id", id, "Deadline-Ms", Long.toString(Math.max(1, left))), new byte[0]);
+                    rig.log("answer %s: %d, parts missing: %s", id, answer.status(),
+                            answer.headers().getOrDefault("missing-parts", "0"));
                     if ("close".equals(answer.headers().get("connection"))) {
                         client.close();
                         client = null;
@@ -162,6 +166,7 @@
                     retryAfter = Math.min((deadline - now()) / 3,
                             Double.parseDouble(answer.headers().getOrDefault("retry-after", "0.05")));
                 } catch (IOException failure) {
+                    rig.log("no answer %s: %s", id, failure.getMessage());
                     client = null;
                 }
                 sleep((long) (1_000 * Math.max(0, retryAfter)));
